base: lay out the project with its design page and slice interfaces

Cause: the repository is empty. Change: design page, build, test and lint scripts, base slice, public headers that the slices agree on, and the RPC schema with its generated code. Conclusion: the slices can be built independently against these headers.

--- /dev/null
+++ b/include/toucanmill/cluster/node.hpp
@@ -0,0 +1,84 @@
+#ifndef TOUCANMILL_CLUSTER_NODE_HPP
+#define TOUCANMILL_CLUSTER_NODE_HPP
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <toucanmill/base/address.hpp>
+#include <toucanmill/base/ids.hpp>
+
+namespace toucanmill
+{
+
+enum class node_role : std::uint8_t
+{
+  balancer,
+  agent,
+};
+
+enum class node_state : std::uint8_t
+{
+  active,
+  draining, ///< an operator drains it, or it announced that it leaves
+  suspect,  ///< lease expired
+  gone,     ///< holds nothing any more; kept for the record
+};
+
+/// What a node says of itself; constant during one life of its process.
+struct node_identity
+{
+  node_id id;
+  incarnation life;
+  node_role role = node_role::balancer;
+  std::string name;
+  std::string data_centre;
+  endpoint data;       ///< UDP endpoint for packets
+  std::string service; ///< agents only: name of the upstream's service
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+
+  bool operator==(const node_identity& other) const
+  {
+    return std::tie(id, life, role, name, data_centre, data, service, slots,
+                    connections) == std::tie(other.id, other.life, other.role,
+                                             other.name, other.data_centre,
+                                             other.data, other.service,
+                                             other.slots, other.connections);
+  }
+};
+
+/// Periodic report of a node to the leader.
+struct node_report
+{
+  node_identity identity;
+  table_version applied;   ///< table that the node acts on
+  bool fresh = false;      ///< no table yet: wants one confirmed by a quorum
+  bool leaving = false;    ///< SIGTERM: wants no new work
+  bool empty = false;      ///< leaving and holds no flows: may be forgotten
+  std::uint32_t flows = 0; ///< open flows
+  std::uint32_t busy_slots = 0;
+  std::vector<std::uint16_t> held_buckets; ///< agents only, ascending
+
+  bool operator==(const node_report& other) const
+  {
+    return std::tie(identity, applied, fresh, leaving, empty, flows, busy_slots,
+                    held_buckets) ==
+           std::tie(other.identity, other.applied, other.fresh, other.leaving,
+                    other.empty, other.flows, other.busy_slots,
+                    other.held_buckets);
+  }
+};
+
+/// What an operator wants of a node; part of the reply to its report.
+enum class node_order : std::uint8_t
+{
+  none,
+  drain,  ///< agent: take no new work, keep what runs
+  retire, ///< balancer: withdraw from the fabric, then end
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/include/toucanmill/packet/gue.hpp
@@ -0,0 +1,55 @@
+#ifndef TOUCANMILL_PACKET_GUE_HPP
+#define TOUCANMILL_PACKET_GUE_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include <toucanmill/packet/route_stamp.hpp>
+#include <toucanmill/packet/tcp_packet.hpp>
+
+namespace toucanmill
+{
+
+/// Generic UDP encapsulation, variant 0. A data datagram has protocol 4 (IPv4)
+/// and, between balancer and agent, the route stamp as private data. A control
+/// datagram (C bit) between balancer and fabric edge announces or withdraws.
+
+/// Octets that encapsulate() writes in front of the packet at most.
+inline constexpr std::size_t max_gue_header = 96;
+
+enum class fabric_message : std::uint8_t
+{
+  announce = 1, ///< the sending balancer accepts packets
+  withdraw = 2, ///< the sending balancer wants no further packets
+};
+
+/// A datagram with an IPv4 packet in it.
+struct gue_packet
+{
+  bool stamped = false;
+  route_stamp stamp; ///< valid when stamped
+  byte_view inner;   ///< points into the datagram
+};
+
+/// Octets of a header; the inner packet follows it on the wire.
+struct gue_header
+{
+  std::array<std::uint8_t, max_gue_header> bytes{};
+  std::size_t size = 0;
+};
+
+gue_header encode_gue_header();
+gue_header encode_gue_header(const route_stamp& stamp);
+gue_header encode_fabric_message(fabric_message message);
+
+using gue_datagram = std::variant<gue_packet, fabric_message, packet_fault>;
+
+/// Never reads outside the datagram, whatever its content.
+gue_datagram decode_gue(byte_view datagram);
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/include/toucanmill/table/chain.hpp
@@ -0,0 +1,42 @@
+#ifndef TOUCANMILL_TABLE_CHAIN_HPP
+#define TOUCANMILL_TABLE_CHAIN_HPP
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace toucanmill
+{
+
+/// Holders that a drain may at most put in one chain.
+inline constexpr std::size_t max_chain_length = 8;
+
+/// A voluntary move (join, balance) needs a chain shorter than this.
+inline constexpr std::size_t voluntary_chain_length = 4;
+
+/// Holders of one bucket as indexes into the service's holder list: the present
+/// owner first, then earlier owners that still have live flows, newest first.
+struct chain
+{
+  std::uint8_t size = 0;
+  std::array<std::uint16_t, max_chain_length> holders{};
+
+  const std::uint16_t* begin() const
+  {
+    return holders.data();
+  }
+  const std::uint16_t* end() const
+  {
+    return holders.data() + size;
+  }
+
+  bool operator==(const chain& other) const
+  {
+    return size == other.size && std::equal(begin(), end(), other.begin());
+  }
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/include/toucanmill/table/service_table.hpp
@@ -0,0 +1,71 @@
+#ifndef TOUCANMILL_TABLE_SERVICE_TABLE_HPP
+#define TOUCANMILL_TABLE_SERVICE_TABLE_HPP
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <toucanmill/base/address.hpp>
+#include <toucanmill/base/ids.hpp>
+#include <toucanmill/table/chain.hpp>
+
+namespace toucanmill
+{
+
+enum class service_kind : std::uint8_t
+{
+  stream, ///< bytes are relayed unread
+  http,   ///< requests are read, admitted and claimed
+};
+
+/// An agent that owns or held buckets of a service.
+struct holder
+{
+  node_id node;
+  endpoint agent;       ///< UDP endpoint for encapsulated packets
+  bool suspect = false; ///< lease expired; SYN probes skip it
+
+  bool operator==(const holder& other) const
+  {
+    return node == other.node && agent == other.agent &&
+           suspect == other.suspect;
+  }
+};
+
+/// The buckets of one service at one version of the table.
+struct service_table
+{
+  service_id id;
+  std::string name;
+  endpoint address; ///< public address and port
+  service_kind kind = service_kind::stream;
+  table_version version; ///< log entry that last changed this service
+  std::vector<holder> holders;
+  std::vector<chain> buckets; ///< power of two; empty chain: no upstream
+
+  bool operator==(const service_table& other) const
+  {
+    return std::tie(id, name, address, kind, version, holders, buckets) ==
+           std::tie(other.id, other.name, other.address, other.kind,
+                    other.version, other.holders, other.buckets);
+  }
+};
+
+/// Changes from one version of the routing table to a later one.
+struct table_update
+{
+  table_version version; ///< version after the update
+  bool full = false;     ///< replaces the table rather than amending it
+  std::vector<service_table> changed;
+  std::vector<service_id> removed;
+
+  bool operator==(const table_update& other) const
+  {
+    return version == other.version && full == other.full &&
+           changed == other.changed && removed == other.removed;
+  }
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/schema/toucanmill.capnp
@@ -0,0 +1,206 @@
+@0xd6a4f3f1b2c79e01;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("toucanmill::schema");
+
+# Interface between toucanmill's processes and to operators.
+
+struct Version {
+  term @0 :UInt64;
+  index @1 :UInt64;
+}
+
+struct Endpoint {
+  address @0 :UInt32;  # IPv4, host byte order
+  port @1 :UInt16;
+}
+
+enum ServiceKind {
+  stream @0;
+  http @1;
+}
+
+enum NodeRole {
+  balancer @0;
+  agent @1;
+}
+
+enum NodeState {
+  active @0;
+  draining @1;
+  suspect @2;
+  gone @3;
+}
+
+enum NodeOrder {
+  none @0;
+  drain @1;
+  retire @2;
+}
+
+struct Holder {
+  node @0 :UInt64;
+  agent @1 :Endpoint;
+  suspect @2 :Bool;
+}
+
+struct ServiceTable {
+  id @0 :UInt32;
+  name @1 :Text;
+  address @2 :Endpoint;
+  kind @3 :ServiceKind;
+  version @4 :Version;
+  holders @5 :List(Holder);
+  bucketCount @6 :UInt32;
+  chains @7 :Data;  # for each bucket: count octet, then that many uint16 (LE)
+}
+
+struct TableUpdate {
+  version @0 :Version;
+  full @1 :Bool;
+  changed @2 :List(ServiceTable);
+  removed @3 :List(UInt32);
+}
+
+struct NodeIdentity {
+  id @0 :UInt64;
+  life @1 :UInt64;
+  role @2 :NodeRole;
+  name @3 :Text;
+  dataCentre @4 :Text;
+  data @5 :Endpoint;
+  service @6 :Text;
+  slots @7 :UInt32;
+  connections @8 :UInt32;
+}
+
+struct NodeReport {
+  identity @0 :NodeIdentity;
+  applied @1 :Version;
+  fresh @2 :Bool;
+  leaving @3 :Bool;
+  empty @4 :Bool;
+  flows @5 :UInt32;
+  busySlots @6 :UInt32;
+  heldBuckets @7 :List(UInt16);
+}
+
+struct ReportReply {
+  update @0 :TableUpdate;
+  leaseMillis @1 :UInt32;
+  order @2 :NodeOrder;
+  service @3 :UInt32;      # agents: id of their service, 0 when it has none
+}
+
+struct CreateService {
+  name @0 :Text;
+  address @1 :Endpoint;
+  kind @2 :ServiceKind;
+  buckets @3 :UInt32 = 256;
+}
+
+struct ChangeService {
+  name @0 :Text;
+  address @1 :Endpoint;
+}
+
+struct Change {
+  requestId @0 :Text;
+  ifVersion @1 :UInt64;
+  union {
+    createService @2 :CreateService;
+    changeService @3 :ChangeService;
+    deleteService @4 :Text;
+    drainNode @5 :Text;
+    restoreNode @6 :Text;
+    retireNode @7 :Text;
+  }
+}
+
+enum Reason {
+  invalidArgument @0;
+  notFound @1;
+  alreadyExists @2;
+  versionConflict @3;
+  requestMismatch @4;
+  notLeader @5;
+  unavailable @6;
+  limitReached @7;
+  corruptData @8;
+  ioFailure @9;
+}
+
+struct ChangeOutcome {
+  accepted @0 :Bool;
+  reason @1 :Reason;
+  message @2 :Text;
+  version @3 :UInt64;  # configuration version after the change
+  index @4 :UInt64;    # log index of the change
+}
+
+struct NodeStatus {
+  identity @0 :NodeIdentity;
+  state @1 :NodeState;
+  order @2 :NodeOrder;
+  leaseValid @3 :Bool;
+  applied @4 :Version;
+  flows @5 :UInt32;
+  busySlots @6 :UInt32;
+}
+
+struct ReplicaStatus {
+  id @0 :UInt64;
+  rpc @1 :Endpoint;
+  voter @2 :Bool;
+}
+
+struct Status {
+  self @0 :UInt64;
+  leader @1 :UInt64;
+  term @2 :UInt64;
+  commitIndex @3 :UInt64;
+  appliedIndex @4 :UInt64;
+  lastIndex @5 :UInt64;
+  snapshotIndex @6 :UInt64;
+  configurationVersion @7 :UInt64;
+  group @8 :List(ReplicaStatus);
+  nodes @9 :List(NodeStatus);
+  claims @10 :UInt64;
+}
+
+enum ClaimVerdict {
+  granted @0;
+  completed @1;
+  inProgress @2;
+  differentRequest @3;
+}
+
+struct Claim {
+  service @0 :UInt32;
+  key @1 :Text;
+  claim @2 :UInt64;
+  digest @3 :Data;
+}
+
+struct NotLeader {
+  hint @0 :Endpoint;  # port 0: no leader known
+}
+
+interface Control {
+  change @0 (change :Change) -> (outcome :ChangeOutcome, notLeader :NotLeader);
+  status @1 () -> (status :Status);
+  # Answered by the leader after a quorum confirmed it.
+  services @2 () -> (services :List(ServiceTable), version :UInt64,
+                     notLeader :NotLeader);
+  # True when every live node acts on the log index.
+  inForce @3 (index :UInt64) -> (inForce :Bool, waiting :List(Text),
+                                 notLeader :NotLeader);
+  report @4 (report :NodeReport) -> (reply :ReportReply, notLeader :NotLeader);
+  claim @5 (claim :Claim) -> (verdict :ClaimVerdict, answer :Data,
+                              notLeader :NotLeader);
+  complete @6 (claim :Claim, answer :Data) -> (notLeader :NotLeader);
+  release @7 (claim :Claim) -> (notLeader :NotLeader);
+  step @8 (message :Data) -> ();
+  changeGroup @9 (group :List(ReplicaStatus)) -> (message :Text,
+                                                  notLeader :NotLeader);
+}
