--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,185 @@
+#include <toucanmill/settings/settings.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+
+#include "section.hpp"
+
+namespace toucanmill
+{
+
+namespace
+{
+
+using detail::field;
+using detail::finding_list;
+
+const std::set<std::string> roles = {"balancer", "agent", "control"};
+
+const std::vector<field<instance_settings>> instance_fields = {
+    {"role", &instance_settings::role, true},
+    {"name", &instance_settings::name, true},
+    {"data_centre", &instance_settings::data_centre, true},
+    {"log_level", &instance_settings::log_level},
+    {"http", &instance_settings::http},
+    {"control_endpoints", &instance_settings::control},
+    {"stop_limit_ms", &instance_settings::stop_limit, false, {1, 86'400'000}},
+};
+
+const std::vector<field<balancer_settings>> balancer_fields = {
+    {"data", &balancer_settings::data, true},
+    {"fabric", &balancer_settings::fabric, true},
+};
+
+const std::vector<field<agent_settings>> agent_fields = {
+    {"data", &agent_settings::data, true},
+    {"upstream", &agent_settings::upstream, true},
+    {"service", &agent_settings::service, true},
+    {"slots", &agent_settings::slots, false, {1, 65'535}},
+    {"connections", &agent_settings::connections, false, {1, 1'000'000}},
+    {"queue", &agent_settings::queue, false, {0, 65'535}},
+    {"queue_deadline_ms", &agent_settings::queue_deadline, false, {1, 600'000}},
+};
+
+const std::vector<field<control_settings>> control_fields = {
+    {"id", &control_settings::id, true, {1, 0xFFFFFFFF}},
+    {"rpc", &control_settings::rpc, true},
+    {"folder", &control_settings::folder, true},
+    {"lease_ms", &control_settings::lease, false, {500, 60'000}},
+    {"entries_per_snapshot",
+     &control_settings::entries_per_snapshot,
+     false,
+     {10, 10'000'000}},
+};
+
+const std::vector<field<group_member_settings>> member_fields = {
+    {"id", &group_member_settings::id, true, {1, 0xFFFFFFFF}},
+    {"rpc", &group_member_settings::rpc, true},
+};
+
+bool is_name(const std::string& text)
+{
+  const auto allowed = [](char c)
+  {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  };
+  return !text.empty() && text.size() <= 63 &&
+         std::all_of(text.begin(), text.end(), allowed);
+}
+
+toml::source_region place_of(const toml::table& table, const char* key)
+{
+  const auto* node = table.get(key);
+  return node != nullptr ? node->source() : table.source();
+}
+
+void check_name(const toml::table& table, const char* key,
+                const std::string& prefix, const std::string& value,
+                finding_list& list)
+{
+  if (table.contains(key) && !is_name(value))
+    list.add(place_of(table, key), prefix + key,
+             "must be 1 to 63 characters of a-z, 0-9 and -");
+}
+
+void read_group(const toml::table& section, control_settings& control,
+                finding_list& list)
+{
+  const auto* group = section.get_as<toml::array>("group");
+  if (group == nullptr || group->empty() || !group->is_array_of_tables())
+  {
+    list.add(place_of(section, "group"), "control.group",
+             "must be a non-empty array of tables");
+    return;
+  }
+  for (const auto& element : *group)
+    control.group.push_back(detail::read_section(
+        *element.as_table(), "control.group.", member_fields, {}, list));
+  std::set<std::uint32_t> ids;
+  for (const auto& member : control.group)
+    if (!ids.insert(member.id).second)
+      list.add(group->source(), "control.group",
+               "has id " + std::to_string(member.id) + " twice");
+}
+
+void read_role(const toml::table& section, settings& out, finding_list& list)
+{
+  const auto& role = out.instance.role;
+  if (role == "balancer")
+    out.role =
+        detail::read_section(section, "balancer.", balancer_fields, {}, list);
+  if (role == "agent")
+  {
+    auto agent =
+        detail::read_section(section, "agent.", agent_fields, {}, list);
+    check_name(section, "service", "agent.", agent.service, list);
+    out.role = std::move(agent);
+  }
+  if (role == "control")
+  {
+    auto control = detail::read_section(section, "control.", control_fields,
+                                        {"group"}, list);
+    read_group(section, control, list);
+    out.role = std::move(control);
+  }
+}
+
+void check_instance(const toml::table& root, const instance_settings& instance,
+                    finding_list& list)
+{
+  check_name(root, "name", "", instance.name, list);
+  check_name(root, "data_centre", "", instance.data_centre, list);
+  if (root.contains("role") && roles.count(instance.role) == 0)
+    list.add(place_of(root, "role"), "role",
+             "must be \"balancer\", \"agent\" or \"control\"");
+  if (instance.role != "control" && instance.control.empty() &&
+      !root.contains("control_endpoints"))
+    list.add(root.source(), "control_endpoints", "is required");
+}
+
+settings_or_findings check(const toml::table& root, const std::string& file)
+{
+  finding_list list(file);
+  settings out;
+  out.instance = detail::read_section(root, "", instance_fields, roles, list);
+  check_instance(root, out.instance, list);
+  for (const auto& role : roles)
+    if (role != out.instance.role && root.contains(role))
+      list.add(place_of(root, role.c_str()), role,
+               "is a section of another role");
+  if (const auto* section = root.get_as<toml::table>(out.instance.role))
+    read_role(*section, out, list);
+  else if (roles.count(out.instance.role) != 0)
+    list.add(root.source(), out.instance.role, "section is required");
+  if (!list.empty())
+    return list.take();
+  return out;
+}
+
+} // namespace
+
+settings_or_findings parse_settings(std::string_view text,
+                                    const std::string& file)
+{
+  const auto parsed = toml::parse(text, file);
+  if (!parsed)
+  {
+    const auto& error = parsed.error();
+    const auto& place = error.source().begin;
+    return findings{
+        {file, place.line, place.column, "", std::string(error.description())}};
+  }
+  return check(parsed.table(), file);
+}
+
+settings_or_findings load_settings(const std::string& file)
+{
+  std::ifstream input(file, std::ios::binary);
+  if (!input)
+    return findings{{file, 0, 0, "", "cannot be read"}};
+  const std::string text{std::istreambuf_iterator<char>(input), {}};
+  return parse_settings(text, file);
+}
+
+} // namespace toucanmill
