cluster: convert between values and the RPC schema

Cause: the RPC server and its clients need one place that fills and validates the structs of toucanmill.capnp. Add claim_verdict::limit_reached and rebalance::idle.

--- a/include/toucanmill/cluster/command.hpp
+++ b/include/toucanmill/cluster/command.hpp
@@ -85,6 +85,7 @@
   };
   std::string service;
   std::vector<weight> weights;
+  std::vector<std::uint16_t> idle; ///< buckets whose owner reported no flows
 };
 
 // Claims of requests that must run at most once.
@@ -132,6 +133,7 @@
   completed,
   in_progress,
   different_request,
+  limit_reached, ///< the store of claims is full; nothing was claimed
 };
 
 struct claim_outcome
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -173,6 +173,7 @@
   completed @1;
   inProgress @2;
   differentRequest @3;
+  limitReached @4;
 }
 
 struct Claim {
--- /dev/null
+++ b/src/cluster/wire_test.cpp
@@ -0,0 +1,111 @@
+#include <toucanmill/cluster/wire.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <capnp/message.h>
+
+using namespace toucanmill;
+
+namespace
+{
+
+service_table sample_service()
+{
+  service_table value;
+  value.id = service_id{7};
+  value.name = "finder-charts";
+  value.address = {ipv4_address{0xcb00710a}, 443};
+  value.kind = service_kind::http;
+  value.version = {3, 90};
+  value.holders = {{node_id{1}, {ipv4_address{1}, 10}, false},
+                   {node_id{2}, {ipv4_address{2}, 20}, true}};
+  value.buckets = {chain{2, {1, 0}}, chain{1, {0}}, chain{}, chain{1, {1}}};
+  return value;
+}
+
+schema::ServiceTable::Builder written(capnp::MallocMessageBuilder& message)
+{
+  auto root = message.initRoot<schema::ServiceTable>();
+  wire::write(root, sample_service());
+  return root;
+}
+
+void check_corrupt(schema::ServiceTable::Builder root)
+{
+  const auto value = wire::read(root.asReader());
+  CHECK_TRUE(value.has_error());
+  CHECK_TRUE(value.error().code == error_code::corrupt_data);
+}
+
+} // namespace
+
+TEST_GROUP(wire){};
+
+// Guards against fields that are lost between control and the other roles.
+TEST(wire, table_update_round_trip)
+{
+  const table_update update{
+      {3, 91}, true, {sample_service()}, {service_id{4}, service_id{5}}};
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::TableUpdate>();
+  wire::write(root, update);
+  const auto read = wire::read(root.asReader());
+  CHECK_TRUE(read.has_value());
+  CHECK_TRUE(read.value() == update);
+}
+
+// Guards against fields of a report that are lost on the way to the leader.
+TEST(wire, report_round_trip)
+{
+  node_report report;
+  report.identity = {
+      node_id{9}, incarnation{8},       node_role::agent, "upstream-1",
+      "spata",    {ipv4_address{3}, 4}, "documents",      4,
+      2000};
+  report.applied = {2, 17};
+  report.leaving = true;
+  report.flows = 12;
+  report.busy_slots = 3;
+  report.held_buckets = {0, 5, 255};
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::NodeReport>();
+  wire::write(root, report);
+  CHECK_TRUE(wire::read(root.asReader()).value() == report);
+  root.getHeldBuckets().set(1, 255);
+  CHECK_TRUE(wire::read(root.asReader()).has_error());
+}
+
+// Guards against a peer that makes a reader index outside its arrays.
+TEST(wire, damaged_tables_are_refused)
+{
+  capnp::MallocMessageBuilder message;
+  written(message).setBucketCount(3);
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  written(message).setBucketCount(0);
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  written(message).setBucketCount(8);
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  written(message).setBucketCount(2);
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  written(message).initHolders(1);
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  written(message).setKind(static_cast<schema::ServiceKind>(2));
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+  auto root = written(message);
+  root.getChains()[0] = 9;
+  check_corrupt(root);
+  written(message).getChains()[3] = 1;
+  check_corrupt(message.getRoot<schema::ServiceTable>());
+}
+
+// Guards against a claim whose digest is cut short and matches another body.
+TEST(wire, claim_digest_needs_16_octets)
+{
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::Claim>();
+  claim_request claim{{service_id{1}, "key"}, claim_id{2}, {1, 2, 3}, 0};
+  wire::write(root, claim);
+  CHECK_TRUE(wire::read(root.asReader()).value().digest == claim.digest);
+  root.initDigest(15);
+  CHECK_TRUE(wire::read(root.asReader()).has_error());
+}
