--- /dev/null
+++ b/include/toucanmill/control/control_state.hpp
@@ -0,0 +1,105 @@
+#ifndef TOUCANMILL_CONTROL_CONTROL_STATE_HPP
+#define TOUCANMILL_CONTROL_CONTROL_STATE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <toucanmill/cluster/membership_core.hpp>
+#include <toucanmill/cluster/state_machine.hpp>
+#include <toucanmill/log/replicated_log.hpp>
+
+namespace toucanmill
+{
+
+/// Reply to a node's report.
+struct report_reply
+{
+  table_update update;
+  node_order order = node_order::none;
+  service_id service; ///< agents: 0 when the service does not exist
+};
+
+/// Something that an operator's log should show.
+struct control_notice
+{
+  enum class kind : std::uint8_t
+  {
+    leadership_gained,
+    leadership_lost,
+    change_accepted,
+    change_refused,
+    node_state_changed,
+    node_registered,
+  };
+
+  kind what;
+  std::string detail;
+};
+
+/// Services and nodes at one moment.
+struct control_view
+{
+  std::vector<service_table> services;
+  std::vector<node_record> nodes;
+  std::vector<node_liveness> liveness;
+  std::uint64_t configuration_version = 0;
+  std::size_t claims = 0;
+};
+
+struct control_state_options
+{
+  membership_options membership;
+  assignment_options assignment;
+  std::function<void(const replica_address&, std::string)> send;
+  std::function<void(const control_notice&)> notify;
+};
+
+/// State machine and membership of a control instance. Every function runs on
+/// the thread of the replicated log.
+class control_state final : public log_client
+{
+public:
+  explicit control_state(control_state_options options);
+
+  /// Must be called once before the log is used.
+  void attach(replicated_log& log);
+
+  std::string apply(const log_entry& entry) override;
+  std::string snapshot() override;
+  result<void> restore(table_version position,
+                       const std::string& bytes) override;
+  void on_leadership(bool leads, std::uint64_t term) override;
+  void on_tick(time_point now) override;
+  void send(const replica_address& to, std::string message) override;
+
+  /// Takes a node's report; call only while a quorum confirms the leadership.
+  report_reply on_report(const node_report& report, time_point now);
+
+  control_view view(time_point now) const;
+
+  /// Names of live nodes that do not act on this log index yet.
+  std::vector<std::string> waiting_for(std::uint64_t index,
+                                       time_point now) const;
+
+  bool leads() const
+  {
+    return leads_;
+  }
+
+private:
+  void propose(std::vector<command> commands);
+  void note_command(const command& value, const command_outcome& outcome);
+
+  control_state_options options_;
+  state_machine machine_;
+  membership_core membership_;
+  replicated_log* log_ = nullptr;
+  bool leads_ = false;
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/include/toucanmill/control/operator_client.hpp
@@ -0,0 +1,78 @@
+#ifndef TOUCANMILL_CONTROL_OPERATOR_CLIENT_HPP
+#define TOUCANMILL_CONTROL_OPERATOR_CLIENT_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <toucanmill/base/outcome.hpp>
+#include <toucanmill/base/time.hpp>
+#include <toucanmill/cluster/command.hpp>
+#include <toucanmill/cluster/membership_core.hpp>
+#include <toucanmill/cluster/state_machine.hpp>
+#include <toucanmill/log/types.hpp>
+
+namespace toucanmill
+{
+
+struct service_list
+{
+  std::vector<service_table> services;
+  std::uint64_t version = 0; ///< configuration version
+};
+
+struct in_force_state
+{
+  bool in_force = false;
+  std::vector<std::string> waiting; ///< names of nodes that act on older tables
+};
+
+struct node_overview
+{
+  node_record record;
+  node_liveness live;
+};
+
+/// State of the system as one control instance sees it.
+struct system_status
+{
+  replica_id self;
+  replica_id leader; ///< 0: none known
+  std::uint64_t term = 0;
+  std::uint64_t commit_index = 0;
+  std::uint64_t applied_index = 0;
+  std::uint64_t last_index = 0;
+  std::uint64_t snapshot_index = 0;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t claims = 0;
+  std::vector<replica_address> group;
+  std::vector<node_overview> nodes;
+};
+
+/// Blocking client of the operators' RPC. Each call finds the leader, and is
+/// repeated until the limit; a change keeps its request id, so that repeating it
+/// is safe. Errors of every call: unavailable when the limit passed.
+class operator_client
+{
+public:
+  static std::unique_ptr<operator_client>
+  connect(std::vector<endpoint> control, duration limit);
+  virtual ~operator_client() = default;
+
+  /// A refused change is a value with accepted == false.
+  virtual result<change_outcome> change(const operator_request& request) = 0;
+  virtual result<service_list> services() = 0;
+  virtual result<in_force_state> in_force(std::uint64_t index) = 0;
+
+  /// Status of the leader.
+  virtual result<system_status> status() = 0;
+
+  /// Replaces the group; it may differ from the present one by one instance.
+  virtual result<void>
+  change_group(const std::vector<replica_address>& group) = 0;
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/src/control/control_channel.cpp
@@ -0,0 +1,89 @@
+#include <toucanmill/control/control_channel.hpp>
+
+#include <capnp/rpc-twoparty.h>
+#include <netinet/in.h>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+sockaddr_in to_sockaddr(const endpoint& value)
+{
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_addr.s_addr = htonl(value.address.value);
+  raw.sin_port = htons(value.port);
+  return raw;
+}
+
+} // namespace
+
+kj::Promise<kj::Own<kj::AsyncIoStream>>
+connect_rpc(kj::AsyncIoContext& io, const endpoint& to, kj::Duration limit)
+{
+  const auto raw = to_sockaddr(to);
+  auto address = io.provider->getNetwork().getSockaddr(&raw, sizeof raw);
+  auto promise = address->connect().attach(kj::mv(address));
+  return io.provider->getTimer().timeoutAfter(limit, kj::mv(promise));
+}
+
+struct control_channel::connection
+{
+  explicit connection(kj::Own<kj::AsyncIoStream> opened)
+      : stream(kj::mv(opened)), rpc(*stream)
+  {
+  }
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyClient rpc;
+};
+
+control_channel::control_channel(kj::AsyncIoContext& io,
+                                 std::vector<endpoint> endpoints)
+    : io_(io), timer_(io.provider->getTimer()),
+      endpoints_(std::move(endpoints)), target_(endpoints_.front())
+{
+}
+
+control_channel::~control_channel() = default;
+
+kj::Promise<schema::Control::Client> control_channel::client()
+{
+  if (connection_ != nullptr)
+    return connection_->rpc.bootstrap().castAs<schema::Control>();
+  return connect_rpc(io_, target_, connect_timeout)
+      .then(
+          [this](kj::Own<kj::AsyncIoStream> stream)
+          {
+            connection_ = std::make_shared<connection>(kj::mv(stream));
+            return connection_->rpc.bootstrap().castAs<schema::Control>();
+          });
+}
+
+void control_channel::move_on()
+{
+  next_ = (next_ + 1) % endpoints_.size();
+  target_ = endpoints_[next_];
+  drop();
+}
+
+void control_channel::redirect(const endpoint& hint)
+{
+  if (hint.port == 0)
+    return move_on();
+  target_ = hint;
+  drop();
+}
+
+void control_channel::drop()
+{
+  // Destroying the connection inside one of its own callbacks would destroy the
+  // promise that is running, so that is left to the event loop.
+  if (auto old = std::move(connection_))
+    kj::evalLater([old = std::move(old)] {}).detach([](kj::Exception&&) {});
+  connection_ = nullptr;
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/control/control_server.cpp
@@ -0,0 +1,212 @@
+#include <toucanmill/control/control_server.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include <capnp/rpc-twoparty.h>
+#include <netinet/in.h>
+
+#include <toucanmill/control/rpc_loop.hpp>
+
+#include "control_service.hpp"
+#include "peer_links.hpp"
+
+namespace toucanmill
+{
+
+namespace
+{
+
+/// Limit of waiting for the log's thread or the RPC thread.
+constexpr auto thread_limit = std::chrono::seconds(5);
+
+/// A leader that can't hand over in this time stops all the same.
+constexpr auto transfer_limit = std::chrono::seconds(1);
+
+/// A value that one thread sets and another waits for.
+template <class T>
+class handover
+{
+public:
+  void set(T value)
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    value_ = std::move(value);
+    ready_.notify_all();
+  }
+
+  std::optional<T> wait()
+  {
+    std::unique_lock<std::mutex> lock(mutex_);
+    ready_.wait_for(lock, thread_limit, [this] { return value_.has_value(); });
+    return value_;
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable ready_;
+  std::optional<T> value_;
+};
+
+/// What lives on the RPC thread.
+struct rpc_side
+{
+  rpc_side(kj::AsyncIoContext& io, const endpoint& listen,
+           kj::Own<schema::Control::Server> service,
+           std::atomic<std::uint64_t>& lost)
+      : links(io, lost), receiver(bind(io, listen)),
+        server(kj::mv(service)),
+        listening(server.listen(*receiver).eagerlyEvaluate(nullptr))
+  {
+  }
+
+  static kj::Own<kj::ConnectionReceiver> bind(kj::AsyncIoContext& io,
+                                              const endpoint& listen)
+  {
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_addr.s_addr = htonl(listen.address.value);
+    raw.sin_port = htons(listen.port);
+    return io.provider->getNetwork().getSockaddr(&raw, sizeof raw)->listen();
+  }
+
+  detail::peer_links links;
+  kj::Own<kj::ConnectionReceiver> receiver;
+  capnp::TwoPartyServer server;
+  kj::Promise<void> listening;
+};
+
+class control_server_threads final : public control_server
+{
+public:
+  explicit control_server_threads(control_server_options options)
+      : options_(std::move(options)), state_(state_options())
+  {
+  }
+
+  ~control_server_threads() override
+  {
+    stop();
+  }
+
+  result<void> open()
+  {
+    BOOST_OUTCOME_TRY(log, replicated_log::open(options_.log, state_));
+    log_ = std::move(log);
+    log_->post([this] { state_.attach(*log_); });
+    return listen();
+  }
+
+  control_counters counters() const override
+  {
+    return {service_counters_.reports,   service_counters_.changes,
+            service_counters_.claims,    service_counters_.not_leader,
+            service_counters_.malformed, peer_messages_,
+            peer_octets_,                peer_messages_lost_};
+  }
+
+  replicated_log_status status() override
+  {
+    auto found = std::make_shared<handover<replicated_log_status>>();
+    log_->post([this, found] { found->set(log_->status()); });
+    return found->wait().value_or(replicated_log_status{});
+  }
+
+  void stop() override
+  {
+    if (log_ == nullptr)
+      return;
+    hand_over_leadership();
+    log_->stop();
+    rpc_.stop();
+    log_ = nullptr;
+  }
+
+private:
+  void hand_over_leadership()
+  {
+    log_->transfer_leadership();
+    const auto limit = std::chrono::steady_clock::now() + transfer_limit;
+    while (status().leads && std::chrono::steady_clock::now() < limit)
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+
+  control_state_options state_options()
+  {
+    control_state_options out;
+    out.membership = options_.membership;
+    out.notify = options_.notify;
+    out.send = [this](const replica_address& to, std::string message)
+    { send(to, std::move(message)); };
+    return out;
+  }
+
+  result<void> listen()
+  {
+    auto bound = std::make_shared<handover<result<void>>>();
+    rpc_.start([this, bound](kj::AsyncIoContext& io)
+               { return start_rpc(io, *bound); });
+    return bound->wait().value_or(
+        error{error_code::unavailable, "RPC thread did not start"});
+  }
+
+  kj::Own<void> start_rpc(kj::AsyncIoContext& io,
+                          handover<result<void>>& bound)
+  {
+    try
+    {
+      auto side = kj::heap<rpc_side>(
+          io, options_.rpc,
+          kj::heap<detail::control_service>(*log_, state_, service_counters_),
+          peer_messages_lost_);
+      side_ = side.get();
+      bound.set(outcome::success());
+      return side;
+    }
+    catch (const kj::Exception& failure)
+    {
+      bound.set(error{error_code::io_failure,
+                      "RPC endpoint " + to_string(options_.rpc) + ": " +
+                          failure.getDescription().cStr()});
+      return kj::Own<void>();
+    }
+  }
+
+  void send(const replica_address& to, std::string message)
+  {
+    ++peer_messages_;
+    peer_octets_ += message.size();
+    const bool queued = rpc_.post(
+        [this, to, message = std::move(message)](kj::AsyncIoContext&)
+        {
+          if (side_ != nullptr)
+            side_->links.send(to, message);
+        });
+    if (!queued)
+      ++peer_messages_lost_;
+  }
+
+  control_server_options options_;
+  control_state state_;
+  detail::service_counters service_counters_;
+  std::atomic<std::uint64_t> peer_messages_{0};
+  std::atomic<std::uint64_t> peer_octets_{0};
+  std::atomic<std::uint64_t> peer_messages_lost_{0};
+  std::unique_ptr<replicated_log> log_;
+  rpc_side* side_ = nullptr; ///< used on the RPC thread only
+  rpc_loop rpc_;
+};
+
+} // namespace
+
+result<std::unique_ptr<control_server>>
+control_server::start(control_server_options options)
+{
+  auto server = std::make_unique<control_server_threads>(std::move(options));
+  BOOST_OUTCOME_TRYV(server->open());
+  return std::unique_ptr<control_server>(std::move(server));
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/control/control_service.cpp
@@ -0,0 +1,334 @@
+#include "control_service.hpp"
+
+#include <chrono>
+
+#include <toucanmill/base/clock.hpp>
+#include <toucanmill/cluster/wire.hpp>
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+std::uint64_t wall_clock_seconds()
+{
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+[[noreturn]] void fail_call(const error& why)
+{
+  kj::throwFatalException(kj::Exception(kj::Exception::Type::FAILED, __FILE__,
+                                        __LINE__, kj::heapString(why.message)));
+}
+
+capnp::Data::Reader to_data(const std::string& bytes)
+{
+  return kj::StringPtr(bytes.c_str(), bytes.size()).asBytes();
+}
+
+std::string to_string(capnp::Data::Reader bytes)
+{
+  return std::string(bytes.asChars().begin(), bytes.size());
+}
+
+/// Holds a fulfiller that another thread completes. std::function needs
+/// copyable content, hence the shared pointer.
+template <class T>
+struct cross_thread_reply
+{
+  kj::Own<kj::CrossThreadPromiseFulfiller<T>> fulfiller;
+
+  static std::pair<kj::Promise<T>, std::shared_ptr<cross_thread_reply>> make()
+  {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<T>();
+    auto reply = std::make_shared<cross_thread_reply>();
+    reply->fulfiller = kj::mv(pair.fulfiller);
+    return {kj::mv(pair.promise), reply};
+  }
+};
+
+const node_liveness* find_liveness(const control_view& view, node_id id)
+{
+  for (const auto& live : view.liveness)
+    if (live.id == id)
+      return &live;
+  return nullptr;
+}
+
+void write_nodes(schema::Status::Builder to, const control_view& view)
+{
+  auto list = to.initNodes(view.nodes.size());
+  for (unsigned i = 0; i < view.nodes.size(); ++i)
+  {
+    const auto& record = view.nodes[i];
+    const auto* live = find_liveness(view, record.identity.id);
+    wire::write(list[i], record, live != nullptr ? *live : node_liveness{});
+  }
+}
+
+void write_log_status(schema::Status::Builder to,
+                      const replicated_log_status& log)
+{
+  to.setSelf(log.self.value);
+  to.setLeader(log.leader ? log.leader->id.value : 0);
+  to.setTerm(log.term);
+  to.setCommitIndex(log.commit_index);
+  to.setAppliedIndex(log.applied_index);
+  to.setLastIndex(log.last_index);
+  to.setSnapshotIndex(log.snapshot_index);
+  auto group = to.initGroup(log.group.size());
+  for (unsigned i = 0; i < log.group.size(); ++i)
+    wire::write(group[i], log.group[i]);
+}
+
+} // namespace
+
+control_service::control_service(replicated_log& log, control_state& state,
+                                 service_counters& counters)
+    : log_(log), state_(state), counters_(counters)
+{
+}
+
+endpoint control_service::leader_hint() const
+{
+  const auto status = log_.status();
+  return status.leader && !status.leads ? status.leader->rpc : endpoint{};
+}
+
+template <class T, class Read>
+kj::Promise<control_service::answer<T>>
+control_service::read_as_leader(Read read)
+{
+  auto [promise, reply] = cross_thread_reply<answer<T>>::make();
+  log_.confirm_read(
+      [this, read, reply = reply](const result<table_version>& confirmed)
+      {
+        if (confirmed)
+          reply->fulfiller->fulfill(answer<T>{read(monotonic_now()), {}});
+        else
+          reply->fulfiller->fulfill(
+              answer<T>{confirmed.error(), leader_hint()});
+      });
+  return kj::mv(promise);
+}
+
+kj::Promise<control_service::answer<command_outcome>>
+control_service::propose(const command& value)
+{
+  auto [promise, reply] = cross_thread_reply<answer<command_outcome>>::make();
+  log_.propose(encode(value),
+               [this, reply = reply](const result<std::string>& applied)
+               {
+                 if (applied)
+                   reply->fulfiller->fulfill(answer<command_outcome>{
+                       decode_command_outcome(applied.value()), {}});
+                 else
+                   reply->fulfiller->fulfill(answer<command_outcome>{
+                       applied.error(), leader_hint()});
+               });
+  return kj::mv(promise);
+}
+
+/// True when the call ends here: with notLeader, or as a failed call.
+template <class Results, class T>
+bool control_service::refused(Results& results, const answer<T>& reply)
+{
+  if (reply.value)
+    return false;
+  if (reply.value.error().code != error_code::not_leader)
+    fail_call(reply.value.error());
+  ++counters_.not_leader;
+  wire::write(results.initNotLeader().initHint(), reply.hint);
+  return true;
+}
+
+kj::Promise<void> control_service::change(ChangeContext context)
+{
+  ++counters_.changes;
+  auto request = wire::read(context.getParams().getChange());
+  if (!request)
+  {
+    ++counters_.malformed;
+    fail_call(request.error());
+  }
+  request.value().wall_clock = wall_clock_seconds();
+  return propose(request.value())
+      .then(
+          [this, context](const answer<command_outcome>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (!refused(results, reply))
+              wire::write(results.initOutcome(),
+                          std::get<change_outcome>(reply.value.value()));
+          });
+}
+
+kj::Promise<void> control_service::status(StatusContext context)
+{
+  using view_and_log = std::pair<control_view, replicated_log_status>;
+  auto [promise, reply] = cross_thread_reply<view_and_log>::make();
+  log_.post(
+      [this, reply = reply]
+      {
+        reply->fulfiller->fulfill(
+            view_and_log{state_.view(monotonic_now()), log_.status()});
+      });
+  return promise.then(
+      [context](const view_and_log& found) mutable
+      {
+        auto status = context.getResults().initStatus();
+        write_log_status(status, found.second);
+        write_nodes(status, found.first);
+        status.setConfigurationVersion(found.first.configuration_version);
+        status.setClaims(found.first.claims);
+      });
+}
+
+kj::Promise<void> control_service::services(ServicesContext context)
+{
+  return read_as_leader<control_view>([this](time_point now)
+                                      { return state_.view(now); })
+      .then(
+          [this, context](const answer<control_view>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (refused(results, reply))
+              return;
+            const auto& view = reply.value.value();
+            results.setVersion(view.configuration_version);
+            auto list = results.initServices(view.services.size());
+            for (unsigned i = 0; i < view.services.size(); ++i)
+              wire::write(list[i], view.services[i]);
+          });
+}
+
+kj::Promise<void> control_service::inForce(InForceContext context)
+{
+  using names = std::vector<std::string>;
+  const auto index = context.getParams().getIndex();
+  return read_as_leader<names>([this, index](time_point now)
+                               { return state_.waiting_for(index, now); })
+      .then(
+          [this, context](const answer<names>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (refused(results, reply))
+              return;
+            const auto& waiting = reply.value.value();
+            results.setInForce(waiting.empty());
+            auto list = results.initWaiting(waiting.size());
+            for (unsigned i = 0; i < waiting.size(); ++i)
+              list.set(i, waiting[i]);
+          });
+}
+
+kj::Promise<void> control_service::report(ReportContext context)
+{
+  ++counters_.reports;
+  const auto report = wire::read(context.getParams().getReport());
+  if (!report)
+  {
+    ++counters_.malformed;
+    fail_call(report.error());
+  }
+  return read_as_leader<report_reply>(
+             [this, report = report.value()](time_point now)
+             { return state_.on_report(report, now); })
+      .then(
+          [this, context](const answer<report_reply>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (refused(results, reply))
+              return;
+            const auto& value = reply.value.value();
+            auto to = results.initReply();
+            wire::write(to.initUpdate(), value.update);
+            to.setOrder(wire::to_schema(value.order));
+            to.setService(value.service.value);
+          });
+}
+
+kj::Promise<void> control_service::claim(ClaimContext context)
+{
+  ++counters_.claims;
+  auto request = wire::read(context.getParams().getClaim());
+  if (!request)
+  {
+    ++counters_.malformed;
+    fail_call(request.error());
+  }
+  request.value().wall_clock = wall_clock_seconds();
+  return propose(request.value())
+      .then(
+          [this, context](const answer<command_outcome>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (refused(results, reply))
+              return;
+            const auto& outcome =
+                std::get<claim_outcome>(reply.value.value());
+            results.setVerdict(wire::to_schema(outcome.verdict));
+            results.setAnswer(to_data(outcome.answer));
+          });
+}
+
+kj::Promise<void> control_service::complete(CompleteContext context)
+{
+  const auto params = context.getParams();
+  const auto request = wire::read(params.getClaim());
+  if (!request)
+    fail_call(request.error());
+  return propose(claim_completion{request.value().key, request.value().claim,
+                                  to_string(params.getAnswer())})
+      .then(
+          [this, context](const answer<command_outcome>& reply) mutable
+          {
+            auto results = context.getResults();
+            refused(results, reply);
+          });
+}
+
+kj::Promise<void> control_service::release(ReleaseContext context)
+{
+  const auto request = wire::read(context.getParams().getClaim());
+  if (!request)
+    fail_call(request.error());
+  return propose(claim_release{request.value().key, request.value().claim})
+      .then(
+          [this, context](const answer<command_outcome>& reply) mutable
+          {
+            auto results = context.getResults();
+            refused(results, reply);
+          });
+}
+
+kj::Promise<void> control_service::step(StepContext context)
+{
+  log_.receive(to_string(context.getParams().getMessage()));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> control_service::changeGroup(ChangeGroupContext context)
+{
+  std::vector<replica_address> group;
+  for (const auto member : context.getParams().getGroup())
+    group.push_back(wire::read(member));
+  auto [promise, reply] = cross_thread_reply<answer<std::string>>::make();
+  log_.change_group(
+      std::move(group),
+      [this, reply = reply](const result<std::string>& done)
+      { reply->fulfiller->fulfill(answer<std::string>{done, leader_hint()}); });
+  return promise.then(
+      [this, context](const answer<std::string>& done) mutable
+      {
+        auto results = context.getResults();
+        if (!refused(results, done))
+          results.setMessage(done.value.value());
+      });
+}
+
+} // namespace toucanmill::detail
--- /dev/null
+++ b/src/control/control_service.hpp
@@ -0,0 +1,73 @@
+#ifndef TOUCANMILL_SRC_CONTROL_CONTROL_SERVICE_HPP
+#define TOUCANMILL_SRC_CONTROL_CONTROL_SERVICE_HPP
+
+#include <atomic>
+#include <functional>
+
+#include <kj/async.h>
+#include <toucanmill.capnp.h>
+
+#include <toucanmill/control/control_state.hpp>
+#include <toucanmill/log/replicated_log.hpp>
+
+namespace toucanmill::detail
+{
+
+struct service_counters
+{
+  std::atomic<std::uint64_t> reports{0};
+  std::atomic<std::uint64_t> changes{0};
+  std::atomic<std::uint64_t> claims{0};
+  std::atomic<std::uint64_t> not_leader{0};
+  std::atomic<std::uint64_t> malformed{0};
+};
+
+/// RPC interface of a control instance. Calls arrive on the kj thread; the
+/// state is read and changed on the thread of the log.
+class control_service final : public schema::Control::Server
+{
+public:
+  control_service(replicated_log& log, control_state& state,
+                  service_counters& counters);
+
+protected:
+  kj::Promise<void> change(ChangeContext context) override;
+  kj::Promise<void> status(StatusContext context) override;
+  kj::Promise<void> services(ServicesContext context) override;
+  kj::Promise<void> inForce(InForceContext context) override;
+  kj::Promise<void> report(ReportContext context) override;
+  kj::Promise<void> claim(ClaimContext context) override;
+  kj::Promise<void> complete(CompleteContext context) override;
+  kj::Promise<void> release(ReleaseContext context) override;
+  kj::Promise<void> step(StepContext context) override;
+  kj::Promise<void> changeGroup(ChangeGroupContext context) override;
+
+private:
+  /// Reply of a call that only the leader answers.
+  template <class T>
+  struct answer
+  {
+    result<T> value;
+    endpoint hint; ///< leader's RPC endpoint when the value is not_leader
+  };
+
+  /// Runs read(now) on the log's thread once a quorum confirmed that this
+  /// instance leads.
+  template <class T, class Read>
+  kj::Promise<answer<T>> read_as_leader(Read read);
+
+  kj::Promise<answer<command_outcome>> propose(const command& value);
+
+  template <class Results, class T>
+  bool refused(Results& results, const answer<T>& reply);
+
+  endpoint leader_hint() const;
+
+  replicated_log& log_;
+  control_state& state_;
+  service_counters& counters_;
+};
+
+} // namespace toucanmill::detail
+
+#endif
--- /dev/null
+++ b/src/control/control_state.cpp
@@ -0,0 +1,197 @@
+#include <toucanmill/control/control_state.hpp>
+
+#include <toucanmill/base/clock.hpp>
+#include <toucanmill/base/invariant.hpp>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+using notice = control_notice;
+
+const char* name_of(node_state state)
+{
+  switch (state)
+  {
+  case node_state::active:
+    return "active";
+  case node_state::draining:
+    return "draining";
+  case node_state::suspect:
+    return "suspect";
+  case node_state::gone:
+    break;
+  }
+  return "gone";
+}
+
+struct describe_change
+{
+  std::string operator()(const create_service& change) const
+  {
+    return "create service " + change.name + " at " +
+           to_string(change.address);
+  }
+  std::string operator()(const change_service& change) const
+  {
+    return "change service " + change.name + " to " +
+           to_string(change.address);
+  }
+  std::string operator()(const delete_service& change) const
+  {
+    return "delete service " + change.name;
+  }
+  std::string operator()(const drain_node& change) const
+  {
+    return "drain " + change.node;
+  }
+  std::string operator()(const restore_node& change) const
+  {
+    return "restore " + change.node;
+  }
+  std::string operator()(const retire_node& change) const
+  {
+    return "retire " + change.node;
+  }
+};
+
+control_notice change_notice(const operator_request& request,
+                             const change_outcome& outcome)
+{
+  const auto what = "request " + request.request_id + ": " +
+                    std::visit(describe_change{}, request.change);
+  if (outcome.accepted)
+    return {notice::kind::change_accepted,
+            what + ", version " + std::to_string(outcome.version)};
+  return {notice::kind::change_refused, what + ": " + outcome.message};
+}
+
+} // namespace
+
+control_state::control_state(control_state_options options)
+    : options_(std::move(options)), machine_(options_.assignment),
+      membership_(options_.membership)
+{
+}
+
+void control_state::attach(replicated_log& log)
+{
+  log_ = &log;
+}
+
+std::string control_state::apply(const log_entry& entry)
+{
+  const auto decoded = decode_command(entry.payload);
+  // A committed entry that one instance can't read would make its state differ
+  // from the others for ever.
+  TOUCANMILL_INVARIANT(decoded.has_value(), "committed command is readable");
+  const auto outcome = machine_.apply(entry.position, decoded.value());
+  note_command(decoded.value(), outcome);
+  return encode(outcome);
+}
+
+std::string control_state::snapshot()
+{
+  return machine_.snapshot();
+}
+
+result<void> control_state::restore(table_version, const std::string& bytes)
+{
+  auto restored = state_machine::restore(bytes, options_.assignment);
+  if (!restored)
+    return restored.error();
+  machine_ = std::move(restored.value());
+  return outcome::success();
+}
+
+void control_state::on_leadership(bool leads, std::uint64_t term)
+{
+  leads_ = leads;
+  if (leads)
+    membership_.on_leader(machine_, monotonic_now());
+  options_.notify({leads ? notice::kind::leadership_gained
+                         : notice::kind::leadership_lost,
+                   "term " + std::to_string(term)});
+}
+
+void control_state::on_tick(time_point now)
+{
+  if (leads_)
+    propose(membership_.on_tick(machine_, now));
+}
+
+void control_state::send(const replica_address& to, std::string message)
+{
+  options_.send(to, std::move(message));
+}
+
+report_reply control_state::on_report(const node_report& report,
+                                      time_point now)
+{
+  propose(membership_.on_report(machine_, report, now));
+  report_reply reply;
+  const auto since = report.fresh ? table_version{} : report.applied;
+  std::optional<service_id> only;
+  if (report.identity.role == node_role::agent)
+  {
+    if (const auto* service = machine_.find_service(report.identity.service))
+      reply.service = service->id;
+    only = reply.service;
+  }
+  reply.update = machine_.changes_since(since, only);
+  if (const auto* record = machine_.find_node(report.identity.id))
+    reply.order = record->order;
+  return reply;
+}
+
+control_view control_state::view(time_point now) const
+{
+  control_view out;
+  for (const auto* service : machine_.services())
+    out.services.push_back(*service);
+  for (const auto* node : machine_.nodes())
+    out.nodes.push_back(*node);
+  out.liveness = membership_.liveness(now);
+  out.configuration_version = machine_.configuration_version();
+  out.claims = machine_.claim_count();
+  return out;
+}
+
+std::vector<std::string> control_state::waiting_for(std::uint64_t index,
+                                                    time_point now) const
+{
+  std::vector<std::string> names;
+  for (const auto& live : membership_.liveness(now))
+    if (live.lease_valid && live.applied.index < index)
+      if (const auto* record = machine_.find_node(live.id))
+        names.push_back(record->identity.name);
+  return names;
+}
+
+void control_state::propose(std::vector<command> commands)
+{
+  if (log_ == nullptr)
+    return;
+  for (const auto& value : commands)
+    log_->propose(encode(value), [](const result<std::string>&) {});
+}
+
+void control_state::note_command(const command& value,
+                                 const command_outcome& outcome)
+{
+  if (!leads_)
+    return;
+  if (const auto* request = std::get_if<operator_request>(&value))
+    options_.notify(
+        change_notice(*request, std::get<change_outcome>(outcome)));
+  if (const auto* added = std::get_if<register_node>(&value))
+    options_.notify({notice::kind::node_registered, added->identity.name});
+  if (const auto* set = std::get_if<set_node_state>(&value))
+    if (const auto* record = machine_.find_node(set->node))
+      options_.notify({notice::kind::node_state_changed,
+                       record->identity.name + " is " + name_of(set->state)});
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/control/peer_links.cpp
@@ -0,0 +1,117 @@
+#include "peer_links.hpp"
+
+#include <toucanmill/control/control_channel.hpp>
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+constexpr auto connect_limit = 500 * kj::MILLISECONDS;
+
+/// Pause between attempts to connect to an instance that is down.
+constexpr auto reconnect_pause = 100 * kj::MILLISECONDS;
+
+/// A connection whose peer acknowledges nothing for this long is replaced.
+constexpr auto delivery_limit = 2 * kj::SECONDS;
+
+} // namespace
+
+struct peer_links::link
+{
+  struct connection
+  {
+    explicit connection(kj::Own<kj::AsyncIoStream> opened)
+        : stream(kj::mv(opened)), rpc(*stream)
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient rpc;
+  };
+
+  endpoint to;
+  bool connecting = false;
+  std::size_t in_flight = 0;
+  std::shared_ptr<connection> open;
+};
+
+peer_links::peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost)
+    : io_(io), lost_(lost), tasks_(*this)
+{
+}
+
+void peer_links::send(const replica_address& to, const std::string& message)
+{
+  const auto peer = link_to(to.rpc);
+  if (peer->open != nullptr && peer->in_flight < max_in_flight)
+    return deliver(peer, message);
+  ++lost_;
+  if (peer->open == nullptr && !peer->connecting)
+    connect(peer);
+}
+
+std::shared_ptr<peer_links::link> peer_links::link_to(const endpoint& to)
+{
+  auto& peer = links_[to];
+  if (peer == nullptr)
+  {
+    peer = std::make_shared<link>();
+    peer->to = to;
+  }
+  return peer;
+}
+
+void peer_links::connect(const std::shared_ptr<link>& peer)
+{
+  peer->connecting = true;
+  tasks_.add(connect_rpc(io_, peer->to, connect_limit)
+                 .then(
+                     [peer](kj::Own<kj::AsyncIoStream> stream)
+                     {
+                       peer->open =
+                           std::make_shared<link::connection>(kj::mv(stream));
+                       peer->in_flight = 0;
+                       peer->connecting = false;
+                     })
+                 .catch_(
+                     [this, peer](kj::Exception&&)
+                     {
+                       return io_.provider->getTimer()
+                           .afterDelay(reconnect_pause)
+                           .then([peer] { peer->connecting = false; });
+                     }));
+}
+
+void peer_links::deliver(const std::shared_ptr<link>& peer,
+                         const std::string& message)
+{
+  auto request =
+      peer->open->rpc.bootstrap().castAs<schema::Control>().stepRequest();
+  request.setMessage(
+      kj::StringPtr(message.c_str(), message.size()).asBytes());
+  ++peer->in_flight;
+  const auto used = peer->open;
+  // The task holds the connection, so that it ends outside its own callbacks.
+  auto sent = request.send().ignoreResult();
+  auto& timer = io_.provider->getTimer();
+  tasks_.add(timer.timeoutAfter(delivery_limit, kj::mv(sent)).then(
+      [peer, used]
+      {
+        if (peer->open == used)
+          --peer->in_flight;
+      },
+      [this, peer, used](kj::Exception&&)
+      {
+        ++lost_;
+        if (peer->open == used)
+          peer->open = nullptr;
+      }));
+}
+
+void peer_links::taskFailed(kj::Exception&&)
+{
+}
+
+} // namespace toucanmill::detail
--- /dev/null
+++ b/src/control/peer_links.hpp
@@ -0,0 +1,46 @@
+#ifndef TOUCANMILL_SRC_CONTROL_PEER_LINKS_HPP
+#define TOUCANMILL_SRC_CONTROL_PEER_LINKS_HPP
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <toucanmill.capnp.h>
+
+#include <toucanmill/log/types.hpp>
+
+namespace toucanmill::detail
+{
+
+/// Connections to the other control instances, on one kj thread. Messages to an
+/// instance that is slow or unreachable are dropped; replication repeats them.
+class peer_links : private kj::TaskSet::ErrorHandler
+{
+public:
+  /// Replication messages under way to one instance at most.
+  static constexpr std::size_t max_in_flight = 256;
+
+  peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost);
+
+  void send(const replica_address& to, const std::string& message);
+
+private:
+  struct link;
+
+  std::shared_ptr<link> link_to(const endpoint& to);
+  void connect(const std::shared_ptr<link>& peer);
+  void deliver(const std::shared_ptr<link>& peer, const std::string& message);
+  void taskFailed(kj::Exception&& exception) override;
+
+  kj::AsyncIoContext& io_;
+  std::atomic<std::uint64_t>& lost_;
+  std::map<endpoint, std::shared_ptr<link>> links_;
+  kj::TaskSet tasks_;
+};
+
+} // namespace toucanmill::detail
+
+#endif
