--- a/include/toucanmill/packet/gue.hpp
+++ b/include/toucanmill/packet/gue.hpp
@@ -47,7 +47,9 @@
 
 using gue_datagram = std::variant<gue_packet, fabric_message, packet_fault>;
 
-/// Never reads outside the datagram, whatever its content.
+/// Never reads outside the datagram, whatever its content. A stamp must have 1
+/// to 8 holders, a position in its chain, at most max_hops hops and a matching
+/// checksum; anything else is bad_stamp.
 gue_datagram decode_gue(byte_view datagram);
 
 } // namespace toucanmill
