--- a/include/toucanmill/table/routing_table.hpp
+++ b/include/toucanmill/table/routing_table.hpp
@@ -37,13 +37,17 @@
 
   /// The table after the update. An update that is not newer returns this table
   /// unchanged. Errors: corrupt_data when a service has a bucket count that is
-  /// not a power of two, an index outside its holders, or an address that
-  /// another service has.
+  /// not a power of two up to 65,536, a chain that is too long, an index
+  /// outside its holders, or an address that another service has, and when a
+  /// service occurs twice.
   result<routing_table> apply(const table_update& update) const;
 
 private:
   using service_ptr = std::shared_ptr<const service_table>;
 
+  void erase(service_id id);
+  result<void> insert(const service_table& service);
+
   table_version version_;
   std::unordered_map<service_id, service_ptr> by_id_;
   std::unordered_map<std::uint64_t, service_ptr> by_address_;
--- /dev/null
+++ b/src/table/service_check.cpp
@@ -0,0 +1,47 @@
+#include "service_check.hpp"
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+/// Buckets are numbered with 16 bits in a route stamp.
+constexpr std::size_t max_bucket_count = 65536;
+
+error corrupt(const service_table& service, const std::string& problem)
+{
+  return {error_code::corrupt_data,
+          "service " + to_string(service.id) + ": " + problem};
+}
+
+bool is_bucket_count(std::size_t count)
+{
+  return count != 0 && count <= max_bucket_count && (count & (count - 1)) == 0;
+}
+
+} // namespace
+
+result<void> check_service(const service_table& service)
+{
+  const std::size_t count = service.buckets.size();
+  if (!is_bucket_count(count))
+    return corrupt(service, "bucket count " + std::to_string(count) +
+                                " is not a power of two up to 65536");
+  for (std::size_t bucket = 0; bucket < count; ++bucket)
+  {
+    const auto& chain = service.buckets[bucket];
+    if (chain.size > max_chain_length)
+      return corrupt(service, "bucket " + std::to_string(bucket) + " has " +
+                                  std::to_string(chain.size) + " holders");
+    for (const auto index : chain)
+      if (index >= service.holders.size())
+        return corrupt(service, "bucket " + std::to_string(bucket) +
+                                    " refers to holder " +
+                                    std::to_string(index) + " of " +
+                                    std::to_string(service.holders.size()));
+  }
+  return outcome::success();
+}
+
+} // namespace toucanmill::detail
