--- /dev/null
+++ b/src/control/control_server_test.cpp
@@ -0,0 +1,191 @@
+#include <toucanmill/control/control_server.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <filesystem>
+#include <mutex>
+#include <thread>
+
+#include <unistd.h>
+
+#include <toucanmill/control/node_client.hpp>
+#include <toucanmill/control/operator_client.hpp>
+
+using namespace toucanmill;
+
+namespace
+{
+
+constexpr auto limit = std::chrono::seconds(20);
+
+std::string make_folder()
+{
+  char name[] = "/tmp/toucanmill-control-test-XXXXXX";
+  return mkdtemp(name);
+}
+
+/// Starts a group of one on the first free port of a range.
+std::unique_ptr<control_server> start_single(const std::string& folder,
+                                             endpoint& rpc)
+{
+  for (std::uint16_t port = 43300; port < 43400; ++port)
+  {
+    control_server_options options;
+    options.rpc = rpc = {{0x7F000001}, port};
+    options.log.self = {1};
+    options.log.folder = folder;
+    options.log.initial_group = {{{1}, rpc, true}};
+    options.notify = [](const control_notice&) {};
+    if (auto server = control_server::start(options))
+      return std::move(server.value());
+  }
+  FAIL("no free port");
+  return nullptr;
+}
+
+template <class Condition>
+bool eventually(Condition condition)
+{
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (!condition())
+  {
+    if (std::chrono::steady_clock::now() > until)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+operator_request create(const std::string& id, std::uint64_t version,
+                        const std::string& name, std::uint16_t port)
+{
+  return {id, version,
+          create_service{name, {{0xCB00710A}, port}, service_kind::http, 64},
+          0};
+}
+
+} // namespace
+
+TEST_GROUP(control_server)
+{
+  std::string folder = make_folder();
+  endpoint rpc;
+
+  void teardown() override
+  {
+    std::filesystem::remove_all(folder);
+  }
+
+  std::unique_ptr<operator_client> connect() const
+  {
+    return operator_client::connect({rpc}, limit);
+  }
+};
+
+// Guards against a change that is lost by a restart, and against a resent
+// request that runs twice.
+TEST(control_server, changes_survive_a_restart_and_resending)
+{
+  auto server = start_single(folder, rpc);
+  const auto first = connect()->change(create("r1", 0, "defects", 80));
+  CHECK_TRUE(first.has_value());
+  CHECK_TRUE(first.value().accepted);
+  server->stop();
+  server = start_single(folder, rpc);
+
+  const auto again = connect()->change(create("r1", 0, "defects", 80));
+  CHECK_TRUE(again.value().accepted);
+  CHECK_EQUAL(first.value().index, again.value().index);
+  const auto list = connect()->services();
+  CHECK_EQUAL(1U, list.value().services.size());
+}
+
+// Guards against two operators who both succeed from the same version.
+TEST(control_server, of_two_changes_from_one_version_one_wins)
+{
+  const auto server = start_single(folder, rpc);
+  const auto client = connect();
+  CHECK_TRUE(client->change(create("r1", 0, "defects", 80)).value().accepted);
+  const auto second = client->change(create("r2", 0, "records", 81));
+  CHECK_FALSE(second.value().accepted);
+  CHECK_TRUE(second.value().reason == error_code::version_conflict);
+}
+
+// Guards against a node that never learns of a change, and against wait
+// reporting success before the node acts on it.
+TEST(control_server, node_gets_its_table_and_in_force_follows)
+{
+  const auto server = start_single(folder, rpc);
+  std::atomic<std::uint64_t> applied{0};
+  std::atomic<bool> hold{true};
+  node_callbacks callbacks;
+  callbacks.make_report = [&]
+  {
+    node_report report;
+    report.identity = {{7}, {1}, node_role::balancer, "balancer-1", "spata",
+                       {{0x7F000001}, 6001}, "", 0, 0};
+    report.applied = {applied == 0 ? 0U : 1U, applied};
+    report.fresh = applied == 0;
+    return report;
+  };
+  callbacks.on_update = [&](const table_update& update)
+  {
+    if (!hold)
+      applied = update.version.index;
+  };
+  callbacks.on_confirmed = [] {};
+  callbacks.on_order = [](node_order) {};
+  callbacks.on_reachable = [](bool) {};
+  node_client_options options;
+  options.control = {rpc};
+  options.report_interval = std::chrono::milliseconds(20);
+  const auto node = node_client::start(options, callbacks);
+
+  const auto client = connect();
+  CHECK_TRUE(eventually(
+      [&] { return client->status().value().nodes.size() == 1; }));
+  const auto change = client->change(create("r1", 0, "defects", 80));
+  CHECK_FALSE(client->in_force(change.value().index).value().in_force);
+  hold = false;
+  CHECK_TRUE(eventually(
+      [&] { return client->in_force(change.value().index).value().in_force; }));
+}
+
+// Guards against a claim that is granted twice, and against an answer that is
+// not replayed.
+TEST(control_server, claim_runs_once_and_its_answer_is_replayed)
+{
+  const auto server = start_single(folder, rpc);
+  CHECK_TRUE(connect()->change(create("r1", 0, "defects", 80)).value().accepted);
+  const auto id = connect()->services().value().services[0].id;
+  node_callbacks callbacks{[] { return node_report{}; },
+                           [](const table_update&) {}, [] {},
+                           [](node_order) {}, [](bool) {}};
+  node_client_options options;
+  options.control = {rpc};
+  const auto node = node_client::start(options, callbacks);
+  const auto ask = [&](std::uint64_t claim)
+  {
+    std::atomic<bool> done{false};
+    result<claim_outcome> found = claim_outcome{};
+    node->claim({{id, "key"}, {claim}, {1, 2, 3}, 0},
+                [&](const result<claim_outcome>& outcome)
+                {
+                  found = outcome;
+                  done = true;
+                });
+    CHECK_TRUE(eventually([&] { return done.load(); }));
+    return found.value();
+  };
+  CHECK_TRUE(ask(1).verdict == claim_verdict::granted);
+  CHECK_TRUE(ask(1).verdict == claim_verdict::granted);
+  CHECK_TRUE(ask(2).verdict == claim_verdict::in_progress);
+  std::atomic<bool> stored{false};
+  node->complete({{id, "key"}, {1}, "answer"},
+                 [&](const result<void>&) { stored = true; });
+  CHECK_TRUE(eventually([&] { return stored.load(); }));
+  const auto replay = ask(3);
+  CHECK_TRUE(replay.verdict == claim_verdict::completed);
+  CHECK_TRUE(replay.answer == "answer");
+}
