cluster: state machine, membership core and bucket assignment

Cause: control needs a deterministic state that every instance computes alike from the replicated log. Nodes that are drained, suspect, gone or restarted give their buckets away at once; only releases confirmed by the holder, its end or its restart shorten a chain.

--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -2,10 +2,12 @@
 #define TOUCANMILL_CLUSTER_MEMBERSHIP_CORE_HPP
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/cluster/command.hpp>
+#include <toucanmill/cluster/load_weights.hpp>
 #include <toucanmill/cluster/node.hpp>
 #include <toucanmill/cluster/state_machine.hpp>
 
@@ -19,6 +21,7 @@
   duration ramp = std::chrono::seconds(10);          ///< cold start
   duration rebalance_interval = std::chrono::seconds(1);
   double max_removed_share = 1.0 / 3; ///< of a service's upstreams, at least 1
+  load_options load;
 };
 
 /// Live state of a node that only the leader has.
@@ -55,6 +58,10 @@
   bool in_force(std::uint64_t index, time_point now) const;
 
 private:
+  std::optional<rebalance> rebalance_step(const state_machine& state,
+                                          const service_table& table,
+                                          time_point now);
+
   struct state_data;
   std::unique_ptr<state_data> data_;
 };
--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -17,6 +17,9 @@
 {
   std::size_t moves_per_rebalance = 16; ///< buckets of one service
   bool keep_chains = true;              ///< off only to show that chains matter
+  std::uint32_t join_weight = 100;      ///< parts per thousand, before the ramp
+  std::size_t claim_octets = 64U << 20; ///< of all claims; then limit_reached
+  std::size_t requests = 100'000;       ///< of operators; then limit_reached
 };
 
 /// A node as the state machine knows it.
@@ -60,6 +63,17 @@
   const node_record* find_node(const std::string& name) const;
   std::vector<const node_record*> nodes() const;
 
+  /// Nodes that are not gone and name this service as theirs, by id.
+  std::vector<const node_record*> upstreams(const std::string& service) const;
+
+  /// Buckets that a release_buckets command would take this node out of, given
+  /// that it holds flows in the buckets `held` (ascending) at a log index.
+  std::vector<std::uint16_t>
+  releasable_buckets(node_id node, std::uint64_t at_index,
+                     const std::vector<std::uint16_t>& held) const;
+
+  const assignment_options& options() const;
+
   std::size_t claim_count() const;
 
   std::string snapshot() const;
--- /dev/null
+++ b/src/cluster/cluster_state.hpp
@@ -0,0 +1,101 @@
+#ifndef TOUCANMILL_CLUSTER_CLUSTER_STATE_HPP
+#define TOUCANMILL_CLUSTER_CLUSTER_STATE_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <toucanmill/cluster/state_machine.hpp>
+
+#include "claim_store.hpp"
+#include "request_store.hpp"
+#include "service_buckets.hpp"
+
+namespace toucanmill
+{
+
+/// Removed services that changes_since() can name; older tables are sent whole.
+inline constexpr std::size_t kept_removals = 1024;
+
+/// Gone nodes without an order that are kept for the record.
+inline constexpr std::size_t kept_gone_nodes = 10'000;
+
+/// A node with its weight in the assignment (parts per thousand).
+struct node_entry
+{
+  node_record record;
+  std::uint32_t weight = 1000;
+};
+
+/// Data of the state machine. Ordered containers keep every replica's
+/// iteration, and thus every assignment and snapshot, the same.
+struct cluster_state
+{
+  explicit cluster_state(assignment_options chosen)
+      : options(chosen), claims(chosen.claim_octets)
+  {
+  }
+
+  assignment_options options;
+  table_version position;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t clock = 0; ///< seconds, latest wall clock of any command
+  std::uint32_t last_service = 0;
+
+  std::map<std::string, service_entry> services;
+  std::map<endpoint, std::string> addresses;
+  std::set<std::pair<std::uint64_t, std::string>> by_change;
+  std::deque<std::pair<std::uint64_t, service_id>> removals;
+  std::uint64_t removals_floor = 0; ///< index of the latest forgotten removal
+
+  std::map<node_id, node_entry> nodes;
+  std::map<std::string, node_id> node_names;
+  std::map<std::string, std::set<node_id>> upstreams; ///< by service, not gone
+  std::set<std::pair<std::uint64_t, node_id>> gone;   ///< by index, no order
+
+  request_store requests;
+  claim_store claims;
+};
+
+node_entry* find_node(cluster_state& state, const std::string& name);
+
+std::vector<upstream_view> upstream_views(const cluster_state& state,
+                                          const std::string& service);
+
+/// Brings holders and owners of a service in line with its upstreams. The
+/// service gets a new version when that changed it or `changed` is set.
+void update_service(cluster_state& state, const std::string& name,
+                    std::vector<bucket_index> orphaned = {},
+                    bool changed = false);
+
+/// Adds or removes a service in the indexes.
+void index_service(cluster_state& state, const std::string& name);
+void unindex_service(cluster_state& state, const std::string& name);
+
+/// Adds or removes a node in the indexes; call remove before a change of its
+/// record and add after it.
+void index_node(cluster_state& state, const node_entry& node);
+void unindex_node(cluster_state& state, const node_entry& node);
+
+/// Changes a node's state and updates its service.
+void change_state(cluster_state& state, node_entry& node, node_state to);
+
+// Commands; see command.hpp.
+change_outcome apply_request(cluster_state& state,
+                             const operator_request& request);
+void apply_register(cluster_state& state, const register_node& value);
+void apply_node_state(cluster_state& state, const set_node_state& value);
+void apply_release(cluster_state& state, const release_buckets& value);
+void apply_rebalance(cluster_state& state, const rebalance& value);
+
+std::string write_snapshot(const cluster_state& state);
+result<cluster_state> read_snapshot(const std::string& bytes,
+                                    assignment_options options);
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/src/cluster/membership_core.cpp
@@ -0,0 +1,343 @@
+#include <toucanmill/cluster/membership_core.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+
+#include <toucanmill/cluster/assignment.hpp>
+#include <toucanmill/cluster/validation.hpp>
+
+#include "removal_limit.hpp"
+
+namespace toucanmill
+{
+
+namespace
+{
+
+// Leases last seconds; a scan of every node on every tick would cost more than
+// the precision is worth.
+constexpr duration lease_scan_interval = std::chrono::milliseconds(200);
+
+// Share of its full weight with which a cold upstream starts.
+constexpr double first_ramp = 0.1;
+
+struct live_node
+{
+  incarnation life;
+  time_point lease_end;
+  time_point joined;
+  std::optional<time_point> suspect_since;
+  table_version applied;
+  std::uint32_t flows = 0;
+  std::uint32_t busy_slots = 0;
+  double correction = 1;
+  std::vector<std::uint16_t> held;
+};
+
+using live_nodes = std::map<node_id, live_node>;
+
+bool may_be_forgotten(const node_record& record, const node_report& report)
+{
+  if (record.identity.role == node_role::balancer)
+    return report.leaving && report.empty;
+  return record.state == node_state::draining && report.leaving &&
+         report.empty && record.changed.index <= report.applied.index;
+}
+
+/// State that a report asks for; none when the present one is right.
+std::optional<node_state> reported_state(const node_record& record,
+                                         const node_report& report)
+{
+  if (record.state == node_state::gone)
+    return report.leaving ? std::optional<node_state>{} : node_state::active;
+  if (may_be_forgotten(record, report))
+    return node_state::gone;
+  if (report.leaving && record.state != node_state::draining)
+    return node_state::draining;
+  if (record.state == node_state::suspect)
+    return node_state::active;
+  return {};
+}
+
+void add_release(std::vector<command>& commands, const state_machine& state,
+                 const node_report& report)
+{
+  const auto& identity = report.identity;
+  if (identity.role != node_role::agent || report.fresh)
+    return;
+  auto buckets = state.releasable_buckets(identity.id, report.applied.index,
+                                          report.held_buckets);
+  if (!buckets.empty())
+    commands.push_back(release_buckets{
+        identity.id, identity.life, report.applied.index, std::move(buckets)});
+}
+
+} // namespace
+
+struct membership_core::state_data
+{
+  membership_options options;
+  live_nodes nodes;
+  time_point next_scan;
+  time_point next_rebalance;
+
+  double ramp(const live_node& node, time_point now) const
+  {
+    const auto part = std::chrono::duration<double>(now - node.joined) /
+                      std::chrono::duration<double>(options.ramp);
+    return std::clamp(part, first_ramp, 1.0);
+  }
+};
+
+membership_core::membership_core(membership_options options)
+    : data_(std::make_unique<state_data>())
+{
+  data_->options = options;
+}
+
+membership_core::~membership_core() = default;
+
+void membership_core::on_leader(const state_machine& state, time_point now)
+{
+  data_->nodes.clear();
+  for (const auto* const record : state.nodes())
+  {
+    if (record->state == node_state::gone)
+      continue;
+    auto& node = data_->nodes[record->identity.id];
+    node.life = record->identity.life;
+    node.lease_end = now + data_->options.lease;
+    node.joined = now - data_->options.ramp;
+  }
+  data_->next_scan = now;
+  data_->next_rebalance = now + data_->options.rebalance_interval;
+}
+
+std::vector<command> membership_core::on_report(const state_machine& state,
+                                                const node_report& report,
+                                                time_point now)
+{
+  const auto& identity = report.identity;
+  if (check_identity(identity).has_error())
+    return {};
+  const auto* const record = state.find_node(identity.id);
+  if (record != nullptr && identity.life < record->identity.life)
+    return {};
+  auto [found, added] = data_->nodes.try_emplace(identity.id);
+  auto& node = found->second;
+  if (!added && identity.life < node.life)
+    return {};
+  if (added || node.life < identity.life)
+    node = {};
+  if (node.life != identity.life)
+    node.joined = now;
+  node.life = identity.life;
+  node.lease_end = now + data_->options.lease;
+  node.suspect_since.reset();
+  node.applied = report.applied;
+  node.flows = report.flows;
+  node.busy_slots = report.busy_slots;
+  node.held = report.held_buckets;
+  if (record == nullptr && report.leaving)
+    return {};
+  if (record == nullptr || record->identity.life < identity.life)
+    return {register_node{identity}};
+  std::vector<command> commands;
+  if (const auto to = reported_state(*record, report))
+    commands.push_back(set_node_state{identity.id, identity.life, *to});
+  add_release(commands, state, report);
+  return commands;
+}
+
+namespace
+{
+
+/// Nodes whose lease expired, by service; balancers under the empty name.
+using expired_nodes =
+    std::map<std::string,
+             std::vector<std::pair<time_point, const node_record*>>>;
+
+std::size_t count_suspects(const std::vector<const node_record*>& upstreams)
+{
+  return static_cast<std::size_t>(
+      std::count_if(upstreams.begin(), upstreams.end(),
+                    [](const node_record* record)
+                    {
+                      return record->state == node_state::suspect;
+                    }));
+}
+
+void add_suspects(std::vector<command>& commands, const state_machine& state,
+                  expired_nodes& expired, double share)
+{
+  for (auto& [service, records] : expired)
+  {
+    auto allowed = records.size();
+    if (!service.empty())
+    {
+      const auto upstreams = state.upstreams(service);
+      allowed = allowed_removals(upstreams.size(), count_suspects(upstreams),
+                                 records.size(), share);
+    }
+    std::sort(records.begin(), records.end(),
+              [](const auto& left, const auto& right)
+              {
+                return std::tie(left.first, left.second->identity.id) <
+                       std::tie(right.first, right.second->identity.id);
+              });
+    for (std::size_t i = 0; i < allowed; ++i)
+      commands.push_back(set_node_state{records[i].second->identity.id,
+                                        records[i].second->identity.life,
+                                        node_state::suspect});
+  }
+}
+
+/// Marks nodes whose lease expired as suspect and old suspects as gone.
+std::vector<command> scan_leases(live_nodes& nodes, const state_machine& state,
+                                 const membership_options& options,
+                                 time_point now)
+{
+  std::vector<command> commands;
+  expired_nodes expired;
+  for (auto it = nodes.begin(); it != nodes.end();)
+  {
+    auto& [id, node] = *it;
+    const auto* const record = state.find_node(id);
+    const bool valid = now < node.lease_end;
+    if (!valid && (record == nullptr || record->state == node_state::gone))
+    {
+      it = nodes.erase(it);
+      continue;
+    }
+    ++it;
+    if (valid)
+      continue;
+    if (record->state != node_state::suspect)
+    {
+      const bool is_agent = record->identity.role == node_role::agent;
+      expired[is_agent ? record->identity.service : std::string{}].emplace_back(
+          node.lease_end, record);
+      continue;
+    }
+    if (!node.suspect_since)
+      node.suspect_since = now;
+    if (now - *node.suspect_since >= options.suspect_limit)
+      commands.push_back(
+          set_node_state{id, record->identity.life, node_state::gone});
+  }
+  add_suspects(commands, state, expired, options.max_removed_share);
+  return commands;
+}
+
+/// Buckets whose owner reported that it holds no flows in them.
+std::vector<bucket_index> idle_buckets(const service_table& table,
+                                       const live_nodes& nodes)
+{
+  std::vector<const live_node*> owners;
+  for (const auto& holder : table.holders)
+    if (const auto found = nodes.find(holder.node); found != nodes.end())
+      owners.push_back(&found->second);
+    else
+      owners.push_back(nullptr);
+  std::vector<bucket_index> idle;
+  for (std::size_t i = 0; i < table.buckets.size(); ++i)
+  {
+    const auto bucket = static_cast<bucket_index>(i);
+    const auto& chain = table.buckets[i];
+    const auto* const owner =
+        chain.size > 0 ? owners[chain.holders[0]] : nullptr;
+    if (owner != nullptr &&
+        !std::binary_search(owner->held.begin(), owner->held.end(), bucket))
+      idle.push_back(bucket);
+  }
+  return idle;
+}
+
+bool would_move(const service_table& table, const rebalance& step,
+                std::size_t limit)
+{
+  std::map<node_id, std::uint32_t> by_node;
+  for (const auto& [node, per_mille] : step.weights)
+    by_node.emplace(node, per_mille);
+  holder_weights weights;
+  for (const auto& holder : table.holders)
+    weights.push_back(by_node.count(holder.node) != 0 ? by_node[holder.node]
+                                                      : 0);
+  return !plan_rebalance(table.buckets, weights, step.idle, limit).empty();
+}
+
+} // namespace
+
+std::vector<command> membership_core::on_tick(const state_machine& state,
+                                              time_point now)
+{
+  std::vector<command> commands;
+  if (data_->next_scan <= now)
+  {
+    data_->next_scan = now + lease_scan_interval;
+    commands = scan_leases(data_->nodes, state, data_->options, now);
+  }
+  if (now < data_->next_rebalance)
+    return commands;
+  data_->next_rebalance = now + data_->options.rebalance_interval;
+  for (const auto* const table : state.services())
+    if (auto step = rebalance_step(state, *table, now))
+      commands.push_back(std::move(*step));
+  return commands;
+}
+
+std::optional<rebalance>
+membership_core::rebalance_step(const state_machine& state,
+                                const service_table& table, time_point now)
+{
+  std::vector<live_node*> members;
+  std::vector<upstream_load> loads;
+  rebalance step;
+  for (const auto* const record : state.upstreams(table.name))
+    if (const auto found = data_->nodes.find(record->identity.id);
+        record->state == node_state::active && found != data_->nodes.end())
+    {
+      auto& node = found->second;
+      members.push_back(&node);
+      loads.push_back({record->identity.connections, node.flows,
+                       data_->ramp(node, now), node.correction});
+      step.weights.push_back({record->identity.id, 0});
+    }
+  if (members.size() < 2)
+    return {};
+  const auto corrections = next_corrections(loads, data_->options.load);
+  for (std::size_t i = 0; i < members.size(); ++i)
+    members[i]->correction = loads[i].correction = corrections[i];
+  const auto weights = bucket_weights(loads);
+  for (std::size_t i = 0; i < weights.size(); ++i)
+    step.weights[i].per_mille = weights[i];
+  step.service = table.name;
+  step.idle = idle_buckets(table, data_->nodes);
+  if (!would_move(table, step, state.options().moves_per_rebalance))
+    return {};
+  return step;
+}
+
+std::vector<node_liveness> membership_core::liveness(time_point now) const
+{
+  std::vector<node_liveness> found;
+  found.reserve(data_->nodes.size());
+  for (const auto& [id, node] : data_->nodes)
+    found.push_back(
+        {id, now < node.lease_end, node.applied, node.flows, node.busy_slots});
+  return found;
+}
+
+bool membership_core::in_force(std::uint64_t index, time_point now) const
+{
+  return std::all_of(data_->nodes.begin(), data_->nodes.end(),
+                     [&](const auto& entry)
+                     {
+                       return entry.second.lease_end <= now ||
+                              index <= entry.second.applied.index;
+                     });
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/cluster/operator_changes.cpp
@@ -0,0 +1,223 @@
+#include "cluster_state.hpp"
+
+#include <toucanmill/cluster/validation.hpp>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+error refused(error_code code, std::string message)
+{
+  return {code, std::move(message)};
+}
+
+/// Applies each kind of change, or says why it is refused and changes nothing.
+struct change_applier
+{
+  cluster_state& state;
+
+  result<void> operator()(const create_service& value)
+  {
+    BOOST_OUTCOME_TRY(check_name("service name", value.name));
+    BOOST_OUTCOME_TRY(check_address(value.name, value.address));
+    BOOST_OUTCOME_TRY(check_buckets(value.buckets));
+    if (state.services.count(value.name) != 0)
+      return refused(error_code::already_exists,
+                     "service \"" + value.name + "\" already exists");
+    auto& service = state.services[value.name];
+    service.table.id = service_id{++state.last_service};
+    service.table.name = value.name;
+    service.table.address = value.address;
+    service.table.kind = value.kind;
+    service.table.version = state.position;
+    service.table.buckets.resize(value.buckets);
+    service.moved.resize(value.buckets);
+    index_service(state, value.name);
+    update_service(state, value.name);
+    return outcome::success();
+  }
+
+  result<void> operator()(const change_service& value)
+  {
+    BOOST_OUTCOME_TRY(service, find_service(value.name));
+    BOOST_OUTCOME_TRY(check_address(value.name, value.address));
+    if (service->table.address == value.address)
+      return refused(error_code::invalid_argument,
+                     "service \"" + value.name + "\" already has the address " +
+                         to_string(value.address));
+    unindex_service(state, value.name);
+    service->table.address = value.address;
+    service->table.version = state.position;
+    index_service(state, value.name);
+    return outcome::success();
+  }
+
+  result<void> operator()(const delete_service& value)
+  {
+    BOOST_OUTCOME_TRY(service, find_service(value.name));
+    if (const auto& holders = service->table.holders; !holders.empty())
+      return refused(
+          error_code::unavailable,
+          "service \"" + value.name + "\" still has " +
+              std::to_string(holders.size()) + " upstreams, one is \"" +
+              state.nodes.at(holders.front().node).record.identity.name +
+              "\"; stop them first");
+    state.removals.emplace_back(state.position.index, service->table.id);
+    if (state.removals.size() > kept_removals)
+    {
+      state.removals_floor = state.removals.front().first;
+      state.removals.pop_front();
+    }
+    unindex_service(state, value.name);
+    state.services.erase(value.name);
+    return outcome::success();
+  }
+
+  result<void> operator()(const drain_node& value)
+  {
+    return give_order(value.node, node_role::agent, node_order::drain);
+  }
+
+  result<void> operator()(const retire_node& value)
+  {
+    return give_order(value.node, node_role::balancer, node_order::retire);
+  }
+
+  result<void> operator()(const restore_node& value)
+  {
+    BOOST_OUTCOME_TRY(node, find_node(value.node));
+    if (node->record.order == node_order::none)
+      return refused(error_code::invalid_argument,
+                     "node \"" + value.node +
+                         "\" is neither drained nor retired");
+    set_order(*node, node_order::none);
+    if (node->record.state == node_state::draining)
+      change_state(state, *node, node_state::active);
+    return outcome::success();
+  }
+
+private:
+  result<service_entry*> find_service(const std::string& name)
+  {
+    const auto found = state.services.find(name);
+    if (found == state.services.end())
+      return refused(error_code::not_found,
+                     "service \"" + name + "\" does not exist");
+    return &found->second;
+  }
+
+  result<node_entry*> find_node(const std::string& name)
+  {
+    if (auto* const node = toucanmill::find_node(state, name))
+      return node;
+    return refused(error_code::not_found,
+                   "node \"" + name + "\" does not exist");
+  }
+
+  result<void> check_address(const std::string& name, const endpoint& address)
+  {
+    BOOST_OUTCOME_TRY(check_endpoint("service \"" + name + "\"", address));
+    if (const auto found = state.addresses.find(address);
+        found != state.addresses.end() && found->second != name)
+      return refused(error_code::already_exists,
+                     "address " + to_string(address) +
+                         " is in use by service \"" + found->second + "\"");
+    return outcome::success();
+  }
+
+  result<void> give_order(const std::string& name, node_role role,
+                          node_order order)
+  {
+    BOOST_OUTCOME_TRY(node, find_node(name));
+    const auto& record = node->record;
+    if (record.identity.role != role)
+      return refused(
+          error_code::invalid_argument,
+          "node \"" + name + "\" is not " +
+              (role == node_role::agent ? "an agent" : "a balancer"));
+    if (record.state == node_state::gone)
+      return refused(error_code::unavailable, "node \"" + name + "\" is gone");
+    if (record.order == order)
+      return refused(error_code::invalid_argument,
+                     "node \"" + name + "\" already has this order");
+    set_order(*node, order);
+    if (record.state == node_state::active)
+      change_state(state, *node, node_state::draining);
+    return outcome::success();
+  }
+
+  void set_order(node_entry& node, node_order order)
+  {
+    unindex_node(state, node);
+    node.record.order = order;
+    index_node(state, node);
+  }
+};
+
+change_outcome refusal(const cluster_state& state, error reason)
+{
+  return {false, reason.code, std::move(reason.message),
+          state.configuration_version, 0};
+}
+
+result<void> check_version(const cluster_state& state,
+                           const operator_request& request)
+{
+  if (request.if_version != state.configuration_version)
+    return refused(error_code::version_conflict,
+                   "the change is based on version " +
+                       std::to_string(request.if_version) +
+                       ", the present version is " +
+                       std::to_string(state.configuration_version));
+  return outcome::success();
+}
+
+change_outcome first_outcome(cluster_state& state,
+                             const operator_request& request)
+{
+  if (auto checked = check_version(state, request); checked.has_error())
+    return refusal(state, checked.error());
+  if (auto applied = std::visit(change_applier{state}, request.change);
+      applied.has_error())
+    return refusal(state, applied.error());
+  ++state.configuration_version;
+  return {true, {}, {}, state.configuration_version, state.position.index};
+}
+
+change_outcome repeated_outcome(const cluster_state& state,
+                                const stored_request& first,
+                                const operator_request& request)
+{
+  const auto differs = difference(first.request, request);
+  if (differs.empty())
+    return first.outcome;
+  return refusal(state,
+                 refused(error_code::request_mismatch,
+                         "request id \"" + request.request_id +
+                             "\" was used for another change: " + differs));
+}
+
+} // namespace
+
+change_outcome apply_request(cluster_state& state,
+                             const operator_request& request)
+{
+  state.requests.expire(state.clock);
+  if (auto checked = check_request_id(request.request_id); checked.has_error())
+    return refusal(state, checked.error());
+  if (const auto* const first = state.requests.find(request.request_id))
+    return repeated_outcome(state, *first, request);
+  if (state.requests.size() >= state.options.requests)
+    return refusal(state,
+                   refused(error_code::limit_reached,
+                           "the limit of " +
+                               std::to_string(state.options.requests) +
+                               " requests kept for 24 hours is reached"));
+  auto outcome = first_outcome(state, request);
+  state.requests.insert({request, outcome, state.position.index, state.clock});
+  return outcome;
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/cluster/snapshot_codec.cpp
@@ -0,0 +1,221 @@
+#include "cluster_state.hpp"
+
+#include <capnp/message.h>
+#include <state.capnp.h>
+
+#include <toucanmill/cluster/wire.hpp>
+
+#include "message.hpp"
+
+namespace toucanmill
+{
+
+namespace
+{
+
+unsigned list_size(std::size_t size)
+{
+  return static_cast<unsigned>(size);
+}
+
+void write_removals(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto removals = to.initRemovals(list_size(state.removals.size()));
+  for (unsigned i = 0; i < removals.size(); ++i)
+  {
+    removals[i].setIndex(state.removals[i].first);
+    removals[i].setService(state.removals[i].second.value);
+  }
+}
+
+void write_services(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto services = to.initServices(list_size(state.services.size()));
+  unsigned i = 0;
+  for (const auto& [name, service] : state.services)
+  {
+    wire::write(services[i].initTable(), service.table);
+    services[i].setMoved(
+        kj::arrayPtr(service.moved.data(), service.moved.size()));
+    ++i;
+  }
+}
+
+void write_nodes(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto nodes = to.initNodes(list_size(state.nodes.size()));
+  unsigned i = 0;
+  for (const auto& [id, node] : state.nodes)
+  {
+    wire::write(nodes[i].initIdentity(), node.record.identity);
+    nodes[i].setState(wire::to_schema(node.record.state));
+    nodes[i].setOrder(wire::to_schema(node.record.order));
+    wire::write(nodes[i].initChanged(), node.record.changed);
+    nodes[i].setWeight(node.weight);
+    ++i;
+  }
+}
+
+void write_requests(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto requests = to.initRequests(list_size(state.requests.size()));
+  unsigned i = 0;
+  state.requests.for_each(
+      [&](const stored_request& value)
+      {
+        auto request = requests[i++];
+        wire::write(request.initRequest().initChange(), value.request);
+        request.getRequest().setWallClock(value.request.wall_clock);
+        wire::write(request.initOutcome(), value.outcome);
+        request.setIndex(value.index);
+        request.setAt(value.at);
+      });
+}
+
+void write_claims(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto claims = to.initClaims(list_size(state.claims.size()));
+  unsigned i = 0;
+  state.claims.for_each(
+      [&](const claim_key& key, const stored_claim& value)
+      {
+        auto claim = claims[i++];
+        wire::write(claim.initClaim(),
+                    claim_request{key, value.claim, value.digest, 0});
+        claim.setIndex(value.index);
+        claim.setAt(value.at);
+        claim.setCompleted(value.completed);
+        claim.setAnswer(detail::octets(value.answer));
+      });
+}
+
+result<service_entry> read_service(schema::Snapshot::Service::Reader from)
+{
+  service_entry service;
+  BOOST_OUTCOME_TRY(table, wire::read(from.getTable()));
+  service.table = std::move(table);
+  for (const auto index : from.getMoved())
+    service.moved.push_back(index);
+  if (service.moved.size() != service.table.buckets.size())
+    return error{error_code::corrupt_data,
+                 "service \"" + service.table.name +
+                     "\" has not one move index for each bucket"};
+  return service;
+}
+
+result<node_entry> read_node(schema::Snapshot::Node::Reader from)
+{
+  node_entry node;
+  BOOST_OUTCOME_TRY(identity, wire::read(from.getIdentity()));
+  BOOST_OUTCOME_TRY(state, wire::read(from.getState()));
+  BOOST_OUTCOME_TRY(order, wire::read(from.getOrder()));
+  node.record = {std::move(identity), state, order,
+                 wire::read(from.getChanged())};
+  node.weight = from.getWeight();
+  return node;
+}
+
+result<stored_request> read_request(schema::Snapshot::Request::Reader from)
+{
+  BOOST_OUTCOME_TRY(request, wire::read(from.getRequest().getChange()));
+  BOOST_OUTCOME_TRY(outcome, wire::read(from.getOutcome()));
+  request.wall_clock = from.getRequest().getWallClock();
+  return stored_request{std::move(request), std::move(outcome), from.getIndex(),
+                        from.getAt()};
+}
+
+result<void> read_claim(cluster_state& state,
+                        schema::Snapshot::StoredClaim::Reader from)
+{
+  BOOST_OUTCOME_TRY(claim, wire::read(from.getClaim()));
+  state.claims.insert(claim.key, {claim.claim, claim.digest, from.getIndex(),
+                                  from.getAt(), from.getCompleted(),
+                                  detail::octets_of(from.getAnswer())});
+  return outcome::success();
+}
+
+result<void> read_services(cluster_state& state, schema::Snapshot::Reader from)
+{
+  for (const auto item : from.getServices())
+  {
+    BOOST_OUTCOME_TRY(service, read_service(item));
+    const auto name = service.table.name;
+    state.services.emplace(name, std::move(service));
+    index_service(state, name);
+  }
+  return outcome::success();
+}
+
+result<void> read_nodes(cluster_state& state, schema::Snapshot::Reader from)
+{
+  for (const auto item : from.getNodes())
+  {
+    BOOST_OUTCOME_TRY(node, read_node(item));
+    index_node(state, node);
+    const auto id = node.record.identity.id;
+    state.nodes.emplace(id, std::move(node));
+  }
+  return outcome::success();
+}
+
+void read_scalars(cluster_state& state, schema::Snapshot::Reader from)
+{
+  state.position = wire::read(from.getPosition());
+  state.configuration_version = from.getConfigurationVersion();
+  state.clock = from.getClock();
+  state.last_service = from.getLastService();
+  state.removals_floor = from.getRemovalsFloor();
+  for (const auto item : from.getRemovals())
+    state.removals.emplace_back(item.getIndex(), service_id{item.getService()});
+}
+
+result<cluster_state> read_state(schema::Snapshot::Reader from,
+                                 assignment_options options)
+{
+  cluster_state state(options);
+  read_scalars(state, from);
+  BOOST_OUTCOME_TRY(read_services(state, from));
+  BOOST_OUTCOME_TRY(read_nodes(state, from));
+  for (const auto item : from.getRequests())
+  {
+    BOOST_OUTCOME_TRY(request, read_request(item));
+    state.requests.insert(std::move(request));
+  }
+  for (const auto item : from.getClaims())
+  {
+    BOOST_OUTCOME_TRY(read_claim(state, item));
+  }
+  return state;
+}
+
+} // namespace
+
+std::string write_snapshot(const cluster_state& state)
+{
+  capnp::MallocMessageBuilder message;
+  auto to = message.initRoot<schema::Snapshot>();
+  wire::write(to.initPosition(), state.position);
+  to.setConfigurationVersion(state.configuration_version);
+  to.setClock(state.clock);
+  to.setLastService(state.last_service);
+  to.setRemovalsFloor(state.removals_floor);
+  write_removals(to, state);
+  write_services(to, state);
+  write_nodes(to, state);
+  write_requests(to, state);
+  write_claims(to, state);
+  return detail::to_octets(message);
+}
+
+result<cluster_state> read_snapshot(const std::string& bytes,
+                                    assignment_options options)
+{
+  return detail::from_octets<schema::Snapshot, cluster_state>(
+      bytes,
+      [&](schema::Snapshot::Reader from)
+      {
+        return read_state(from, options);
+      });
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/cluster/state_machine_test.cpp
@@ -0,0 +1,225 @@
+#include <toucanmill/cluster/state_machine.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "test_support.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::support;
+
+namespace
+{
+
+constexpr std::uint64_t day = 24 * 60 * 60;
+
+const endpoint public_address{ipv4_address{0xcb00710a}, 443};
+
+create_service charts()
+{
+  return {"charts", public_address, service_kind::http, 16};
+}
+
+bool refused_with(const change_outcome& outcome, error_code reason)
+{
+  return !outcome.accepted && outcome.reason == reason &&
+         !outcome.message.empty();
+}
+
+} // namespace
+
+TEST_GROUP(state_machine)
+{
+  machine control;
+};
+
+// Guards against two changes with the same version that both succeed.
+TEST(state_machine, equal_versions_have_one_winner)
+{
+  CHECK_TRUE(control.request({"a", 0, charts(), 0}).accepted);
+  const auto loser = control.request({"b", 0, delete_service{"charts"}, 0});
+  CHECK_TRUE(refused_with(loser, error_code::version_conflict));
+  CHECK_EQUAL(1U, loser.version);
+  CHECK_TRUE(control.state.find_service("charts") != nullptr);
+}
+
+// Guards against a resent request that runs twice or gets another outcome.
+TEST(state_machine, resent_request_has_the_first_outcome)
+{
+  const auto first = control.request({"a", 0, charts(), 0});
+  control.change(create_service{"other", address_of(9), {}, 16});
+  const auto again = control.request({"a", 0, charts(), 0});
+  CHECK_TRUE(again.accepted);
+  CHECK_EQUAL(first.version, again.version);
+  CHECK_EQUAL(first.index, again.index);
+  CHECK_EQUAL(2U, control.state.configuration_version());
+}
+
+// Guards against a request id that silently hides another change.
+TEST(state_machine, request_id_with_another_body_names_the_difference)
+{
+  control.request({"a", 0, charts(), 0});
+  auto other = charts();
+  other.buckets = 32;
+  const auto outcome = control.request({"a", 0, other, 0});
+  CHECK_TRUE(refused_with(outcome, error_code::request_mismatch));
+  STRCMP_CONTAINS("buckets is 32, was 16", outcome.message.c_str());
+  const auto kind = control.request({"a", 0, drain_node{"x"}, 0});
+  STRCMP_CONTAINS("drain node", kind.message.c_str());
+}
+
+// Guards against memory that grows without limit, and outcomes that are
+// forgotten before their time.
+TEST(state_machine, requests_are_kept_a_day_and_limited)
+{
+  assignment_options options;
+  options.requests = 2;
+  machine small(options);
+  small.request({"a", 0, charts(), 0});
+  small.request({"b", 0, charts(), 0});
+  CHECK_TRUE(refused_with(small.request({"c", 1, charts(), 0}),
+                          error_code::limit_reached));
+  small.clock += day - 1;
+  CHECK_TRUE(small.request({"a", 0, charts(), 0}).accepted);
+  small.clock += 1;
+  CHECK_TRUE(refused_with(small.request({"a", 0, charts(), 0}),
+                          error_code::version_conflict));
+}
+
+// Guards against bad input that changes the state or is refused without a word.
+TEST(state_machine, bad_input_is_refused)
+{
+  const auto bad = error_code::invalid_argument;
+  auto service = charts();
+  for (const auto* const name : {"", "Charts", "a.b", "spaced name", "a\nb"})
+  {
+    service.name = name;
+    CHECK_TRUE(refused_with(control.change(service), bad));
+  }
+  service.name = std::string(64, 'a');
+  CHECK_TRUE(refused_with(control.change(service), bad));
+  service.name = std::string(63, 'a');
+  for (const auto buckets : {0U, 8U, 24U, 8192U})
+  {
+    service.buckets = buckets;
+    CHECK_TRUE(refused_with(control.change(service), bad));
+  }
+  service.buckets = 16;
+  service.address.port = 0;
+  CHECK_TRUE(refused_with(control.change(service), bad));
+  CHECK_TRUE(refused_with(control.request({"", 0, charts(), 0}), bad));
+  CHECK_TRUE(refused_with(
+      control.request({std::string(129, 'x'), 0, charts(), 0}), bad));
+  CHECK_EQUAL(0U, control.state.configuration_version());
+  CHECK_TRUE(control.state.services().empty());
+}
+
+// Guards against an id or address that leads one service's packets to another.
+TEST(state_machine, ids_are_not_reused_and_addresses_not_shared)
+{
+  control.change(charts());
+  const auto first = control.state.find_service("charts")->id;
+  CHECK_TRUE(refused_with(
+      control.change(create_service{"other", public_address, {}, 16}),
+      error_code::already_exists));
+  CHECK_TRUE(
+      refused_with(control.change(charts()), error_code::already_exists));
+  CHECK_TRUE(control.change(delete_service{"charts"}).accepted);
+  CHECK_TRUE(control.change(charts()).accepted);
+  CHECK_TRUE(first < control.state.find_service("charts")->id);
+}
+
+// Guards against a deletion that breaks established flows.
+TEST(state_machine, service_with_upstreams_is_not_deleted)
+{
+  control.change(charts());
+  control.apply(register_node{agent(1, "charts")});
+  CHECK_TRUE(refused_with(control.change(delete_service{"charts"}),
+                          error_code::unavailable));
+  control.apply(set_node_state{node_id{1}, incarnation{1}, node_state::gone});
+  CHECK_TRUE(control.change(delete_service{"charts"}).accepted);
+}
+
+// Guards against updates that miss a change or a removal.
+TEST(state_machine, changes_since_names_changed_and_removed_services)
+{
+  control.change(charts());
+  const auto before = control.state.position();
+  control.change(create_service{"other", address_of(9), {}, 16});
+  const auto id = control.state.find_service("charts")->id;
+  control.change(delete_service{"charts"});
+  const auto update = control.state.changes_since(before);
+  CHECK_FALSE(update.full);
+  CHECK_EQUAL(1U, update.changed.size());
+  CHECK_TRUE(update.removed == std::vector<service_id>{id});
+  CHECK_TRUE(control.state.changes_since({}).full);
+  CHECK_TRUE(
+      control.state.changes_since(before, service_id{99}).changed.empty());
+  CHECK_TRUE(
+      control.state.changes_since(control.state.position()).changed.empty());
+}
+
+// Guards against a stale process that overwrites its successor, and against a
+// drain order that a restart forgets.
+TEST(state_machine, older_life_has_no_effect_and_orders_survive_restarts)
+{
+  control.change(charts());
+  control.apply(register_node{agent(1, "charts", 5)});
+  control.apply(register_node{agent(1, "charts", 4)});
+  control.apply(set_node_state{node_id{1}, incarnation{4}, node_state::gone});
+  CHECK_TRUE(control.state.find_node("agent-1")->state == node_state::active);
+  CHECK_TRUE(control.change(drain_node{"agent-1"}).accepted);
+  control.apply(register_node{agent(1, "charts", 6)});
+  CHECK_TRUE(control.state.find_node("agent-1")->state == node_state::draining);
+  CHECK_TRUE(control.change(restore_node{"agent-1"}).accepted);
+  CHECK_TRUE(control.state.find_node("agent-1")->state == node_state::active);
+}
+
+// Guards against a second run of a submission.
+TEST(state_machine, claim_is_granted_once_and_replayed)
+{
+  CHECK_TRUE(control.claim("k", 1).verdict == claim_verdict::granted);
+  CHECK_TRUE(control.claim("k", 1).verdict == claim_verdict::granted);
+  CHECK_TRUE(control.claim("k", 2).verdict == claim_verdict::in_progress);
+  CHECK_TRUE(control.claim("k", 2, 9).verdict ==
+             claim_verdict::different_request);
+  const claim_key key{service_id{1}, "k"};
+  control.apply(claim_release{key, claim_id{2}});
+  control.apply(claim_completion{key, claim_id{2}, "wrong"});
+  CHECK_TRUE(control.claim("k", 2).verdict == claim_verdict::in_progress);
+  control.clock += day - 1;
+  CHECK_TRUE(control.claim("k", 3).verdict == claim_verdict::in_progress);
+  control.apply(claim_completion{key, claim_id{1}, "answer"});
+  control.apply(claim_release{key, claim_id{1}});
+  CHECK_TRUE(control.claim("k", 3).verdict == claim_verdict::completed);
+  STRCMP_EQUAL("answer", control.claim("k", 1).answer.c_str());
+  control.clock += 1;
+  CHECK_TRUE(control.claim("k", 4).verdict == claim_verdict::granted);
+}
+
+// Guards against a claim that stays after its holder sent no byte upstream.
+TEST(state_machine, released_claim_is_free)
+{
+  control.claim("k", 1);
+  control.apply(claim_release{{service_id{1}, "k"}, claim_id{1}});
+  CHECK_EQUAL(0U, control.state.claim_count());
+  CHECK_TRUE(control.claim("k", 2, 7).verdict == claim_verdict::granted);
+}
+
+// Guards against claims that are forgotten, or grow without limit, when the
+// store is full.
+TEST(state_machine, full_claim_store_refuses_new_claims)
+{
+  assignment_options options;
+  options.claim_octets = 600;
+  machine small(options);
+  small.claim("a", 1);
+  small.claim("b", 2);
+  small.apply(claim_completion{
+      {service_id{1}, "a"}, claim_id{1}, std::string(300, 'x')});
+  CHECK_TRUE(small.claim("c", 3).verdict == claim_verdict::limit_reached);
+  CHECK_TRUE(small.claim("a", 4).verdict == claim_verdict::completed);
+  small.apply(claim_completion{
+      {service_id{1}, "b"}, claim_id{2}, std::string(2000, 'y')});
+  CHECK_TRUE(small.claim("b", 5).verdict == claim_verdict::completed);
+  STRCMP_EQUAL("", small.claim("b", 5).answer.c_str());
+}
