--- /dev/null
+++ b/src/agent/dispatch_core.cpp
@@ -0,0 +1,297 @@
+#include <toucanmill/agent/dispatch_core.hpp>
+
+#include <toucanmill/base/invariant.hpp>
+
+#include "bucket_views_core.hpp"
+#include "held_flows_core.hpp"
+#include "visit_order_core.hpp"
+
+namespace toucanmill
+{
+
+using detail::bucket_view;
+using detail::held_flow;
+
+const char* to_string(dispatch_drop reason)
+{
+  switch (reason)
+  {
+  case dispatch_drop::wrong_service:
+    return "wrong_service";
+  case dispatch_drop::wrong_address:
+    return "wrong_address";
+  case dispatch_drop::no_table:
+    return "no_table";
+  case dispatch_drop::hop_limit:
+    return "hop_limit";
+  case dispatch_drop::table_not_confirmed:
+    return "table_not_confirmed";
+  case dispatch_drop::connection_limit:
+    return "connection_limit";
+  case dispatch_drop::leaving:
+    return "leaving";
+  case dispatch_drop::unexpected_reset:
+    return "unexpected_reset";
+  }
+  return "unknown";
+}
+
+struct dispatch_core::state
+{
+  struct own_table
+  {
+    service_id service;
+    endpoint address;
+    table_version version;
+  };
+
+  dispatch_options options;
+  std::optional<own_table> table;
+  std::optional<time_point> confirmed_at;
+  bool leaving = false;
+  detail::bucket_views views;
+  detail::held_flows flows;
+
+  explicit state(dispatch_options value) : options(value) {}
+
+  dispatch_action dispatch(const tcp_packet& packet, const route_stamp& stamp,
+                           time_point now);
+  dispatch_action on_syn(const tcp_packet& packet, const route_stamp& stamp,
+                         const bucket_view& view);
+  dispatch_action on_owned_syn(const tcp_packet& packet,
+                               const route_stamp& stamp,
+                               const bucket_view& view);
+  dispatch_action on_unknown(const tcp_packet& packet, const route_stamp& stamp,
+                             const bucket_view& view, time_point now);
+  dispatch_action on_exhausted(const tcp_packet& packet,
+                               const bucket_view& view, time_point now) const;
+  dispatch_action pass_probe(const route_stamp& stamp,
+                             const bucket_view& view) const;
+  dispatch_action accept(const tcp_packet& packet, const route_stamp& stamp);
+
+  bool owns(const bucket_view& view) const;
+  bool address_is_outdated(const tcp_packet& packet,
+                           const route_stamp& stamp) const;
+  bool is_confirmed(const bucket_view& view, time_point now) const;
+  std::size_t own_position(const route_stamp& stamp) const;
+};
+
+namespace
+{
+
+dispatch_action pass(const route_stamp& stamp, const bucket_view& view,
+                     std::size_t position, stamp_purpose purpose)
+{
+  if (stamp.hops >= route_stamp::max_hops)
+    return drop_packet{dispatch_drop::hop_limit};
+  route_stamp next = stamp;
+  next.version = view.version;
+  next.chain = view.chain;
+  next.position = static_cast<std::uint8_t>(position);
+  next.purpose = purpose;
+  ++next.hops;
+  return pass_packet{view.chain.holders[position], next};
+}
+
+} // namespace
+
+bool dispatch_core::state::owns(const bucket_view& view) const
+{
+  return view.chain.size > 0 && view.chain.holders[0] == options.self;
+}
+
+/// The own table is at least as new as the stamp and the service has another
+/// address there: a stale balancer sent the SYN, and the address may belong to
+/// another service by now.
+bool dispatch_core::state::address_is_outdated(const tcp_packet& packet,
+                                               const route_stamp& stamp) const
+{
+  return table && stamp.version <= table->version &&
+         packet.flow.service != table->address;
+}
+
+bool dispatch_core::state::is_confirmed(const bucket_view& view,
+                                        time_point now) const
+{
+  return table && view.version <= table->version && confirmed_at &&
+         now - *confirmed_at <= options.confirmation_age;
+}
+
+std::size_t dispatch_core::state::own_position(const route_stamp& stamp) const
+{
+  return detail::position_of(stamp.chain, options.self)
+      .value_or(stamp.position);
+}
+
+dispatch_action dispatch_core::state::dispatch(const tcp_packet& packet,
+                                               const route_stamp& stamp,
+                                               time_point now)
+{
+  if (table && stamp.service != table->service)
+    return drop_packet{dispatch_drop::wrong_service};
+  const bucket_view* const view = views.take(stamp);
+  if (held_flow* const flow = flows.find(packet.flow))
+  {
+    if (flow->service != stamp.service)
+      return drop_packet{dispatch_drop::wrong_service};
+    flow->return_to = stamp.return_to;
+    return deliver_packet{};
+  }
+  if (view == nullptr)
+    return drop_packet{dispatch_drop::no_table};
+  if (packet.opens_flow())
+    return on_syn(packet, stamp, *view);
+  return on_unknown(packet, stamp, *view, now);
+}
+
+dispatch_action dispatch_core::state::on_syn(const tcp_packet& packet,
+                                             const route_stamp& stamp,
+                                             const bucket_view& view)
+{
+  if (view.chain.size == 0)
+    return drop_packet{dispatch_drop::no_table};
+  if (address_is_outdated(packet, stamp))
+    return drop_packet{dispatch_drop::wrong_address};
+  if (owns(view))
+    return on_owned_syn(packet, stamp, view);
+  if (stamp.purpose == stamp_purpose::probe && stamp.version == view.version)
+    return pass_probe(stamp, view);
+  return pass(stamp, view, 0, stamp_purpose::forward);
+}
+
+/// An `accept` of an older version is not enough: the bucket may have been
+/// another agent's in between, so the holders are asked again.
+dispatch_action dispatch_core::state::on_owned_syn(const tcp_packet& packet,
+                                                   const route_stamp& stamp,
+                                                   const bucket_view& view)
+{
+  const bool asked_all =
+      stamp.purpose == stamp_purpose::accept && stamp.version == view.version;
+  if (asked_all || !options.probe_earlier_holders)
+    return accept(packet, stamp);
+  if (const auto next = detail::next_to_probe(view.chain, 0))
+    return pass(stamp, view, *next, stamp_purpose::probe);
+  return accept(packet, stamp);
+}
+
+dispatch_action dispatch_core::state::pass_probe(const route_stamp& stamp,
+                                                 const bucket_view& view) const
+{
+  if (const auto next = detail::next_to_probe(view.chain, own_position(stamp)))
+    return pass(stamp, view, *next, stamp_purpose::probe);
+  return pass(stamp, view, 0, stamp_purpose::accept);
+}
+
+/// Needs the own table: a restarted agent that trusted a stale balancer could
+/// accept a SYN in a bucket that its earlier life gave up.
+dispatch_action dispatch_core::state::accept(const tcp_packet& packet,
+                                             const route_stamp& stamp)
+{
+  if (!table)
+    return drop_packet{dispatch_drop::no_table};
+  if (leaving)
+    return drop_packet{dispatch_drop::leaving};
+  if (packet.flow.service != table->address)
+    return drop_packet{dispatch_drop::wrong_address};
+  if (flows.size() >= options.max_connections)
+    return drop_packet{dispatch_drop::connection_limit};
+  TOUCANMILL_INVARIANT(stamp.service == table->service,
+                       "a flow of another service is accepted");
+  flows.add(packet.flow, {stamp.service, stamp.bucket, stamp.return_to});
+  return deliver_packet{true};
+}
+
+dispatch_action dispatch_core::state::on_unknown(const tcp_packet& packet,
+                                                 const route_stamp& stamp,
+                                                 const bucket_view& view,
+                                                 time_point now)
+{
+  const auto next =
+      stamp.version == view.version
+          ? detail::next_to_visit(view.chain, own_position(stamp))
+          : detail::first_unvisited(view.chain, stamp, options.self);
+  if (next)
+    return pass(stamp, view, *next, stamp_purpose::forward);
+  return on_exhausted(packet, view, now);
+}
+
+dispatch_action dispatch_core::state::on_exhausted(const tcp_packet& packet,
+                                                   const bucket_view& view,
+                                                   time_point now) const
+{
+  if (packet.rst)
+    return drop_packet{dispatch_drop::unexpected_reset};
+  if (!is_confirmed(view, now))
+    return drop_packet{dispatch_drop::table_not_confirmed};
+  return reset_flow{};
+}
+
+dispatch_core::dispatch_core(dispatch_options options)
+    : state_(std::make_unique<state>(options))
+{
+}
+
+dispatch_core::~dispatch_core() = default;
+
+void dispatch_core::on_table(const service_table& table)
+{
+  if (state_->table && table.version <= state_->table->version)
+    return;
+  if (state_->table && state_->table->service != table.id)
+    state_->views.clear();
+  state_->table = state::own_table{table.id, table.address, table.version};
+  state_->views.take(table);
+  state_->flows.set_service(table.id);
+}
+
+void dispatch_core::on_confirmed(time_point now)
+{
+  state_->confirmed_at = now;
+}
+
+void dispatch_core::set_leaving()
+{
+  state_->leaving = true;
+}
+
+dispatch_action dispatch_core::on_packet(const tcp_packet& packet,
+                                         const route_stamp& stamp,
+                                         time_point now)
+{
+  return state_->dispatch(packet, stamp, now);
+}
+
+void dispatch_core::on_flow_closed(const flow_key& flow)
+{
+  state_->flows.remove(flow);
+}
+
+std::optional<endpoint>
+dispatch_core::return_endpoint(const flow_key& flow) const
+{
+  if (const auto* const held = state_->flows.find(flow))
+    return held->return_to;
+  return std::nullopt;
+}
+
+table_version dispatch_core::version() const
+{
+  return state_->table ? state_->table->version : table_version{};
+}
+
+std::size_t dispatch_core::flow_count() const
+{
+  return state_->flows.size();
+}
+
+std::vector<std::uint16_t> dispatch_core::held_buckets() const
+{
+  return state_->flows.buckets();
+}
+
+std::vector<holdings_change> dispatch_core::take_holdings_changes()
+{
+  return state_->flows.take_changes();
+}
+
+} // namespace toucanmill
