--- a/fuzz/datagram_fuzz.cpp
+++ b/fuzz/datagram_fuzz.cpp
@@ -33,6 +33,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size)
 {
