balancer: forward packets to agents with a route stamp

The fabric's packets need an owner for each flow without any state shared by balancers.

Adds the decision core (table, datagram and sender in; agent, stamp or reason out), the announcement core, a flow estimate by linear counting (8 KiB, one bit set for each packet) and the runtime with its packet thread. The stamp carries the version of the service rather than that of the whole table, because an agent knows only its own service. A packet is sent from the buffer it was received in. A balancer announces itself only once it has a table and repeats its withdrawal, since a datagram can be lost. Replaced tables are freed by the thread that hands in new ones.

--- /dev/null
+++ b/src/balancer/packet_thread.hpp
@@ -0,0 +1,88 @@
+#ifndef TOUCANMILL_SRC_BALANCER_PACKET_THREAD_HPP
+#define TOUCANMILL_SRC_BALANCER_PACKET_THREAD_HPP
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include <toucanmill/balancer/balancer.hpp>
+#include <toucanmill/base/ring.hpp>
+#include <toucanmill/base/wakeup.hpp>
+
+#include "announce_core.hpp"
+#include "packet_batch.hpp"
+#include "published.hpp"
+#include "udp_socket.hpp"
+
+namespace toucanmill
+{
+
+/// The balancer's socket, cores and thread. The public functions may be called
+/// from other threads.
+class balancer::packet_thread
+{
+public:
+  packet_thread(balancer_options options, udp_socket socket);
+  ~packet_thread();
+
+  endpoint local_endpoint() const
+  {
+    return socket_.local();
+  }
+  bool set_table(routing_table table);
+  table_version applied_version() const;
+  void retire();
+  bool retired() const
+  {
+    return retired_.load(std::memory_order_acquire);
+  }
+  void stop();
+  balancer_counters counters() const
+  {
+    return published_.read();
+  }
+
+private:
+  using table_ptr = std::shared_ptr<const routing_table>;
+
+  void run();
+  void wait(time_point now);
+  void take_tables();
+  void apply(table_ptr table);
+  /// Returns false when no datagram was waiting.
+  bool forward_batch(time_point now);
+  void on_receive_error(int code);
+  void announce(time_point now);
+  void check_retirement(time_point now);
+  void estimate_flows(time_point now);
+  void publish();
+
+  const balancer_options options_;
+  udp_socket socket_;
+  wakeup wakeup_;
+  ring<table_ptr> tables_;
+  /// Replaced tables go back to the caller of set_table(): to free one with
+  /// 12,000 services would hold up the packets.
+  ring<table_ptr> replaced_;
+  std::atomic<bool> retire_requested_{false};
+  std::atomic<bool> retired_{false};
+  std::atomic<bool> stop_requested_{false};
+  mutable std::mutex version_mutex_;
+  table_version applied_;
+  published<balancer_counters> published_;
+
+  // Used by the packet thread only.
+  forward_core core_;
+  announce_core announce_;
+  packet_batch batch_;
+  table_ptr current_;
+  balancer_counters counters_;
+  time_point flow_window_end_;
+
+  std::thread thread_;
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/src/balancer/udp_socket.cpp
@@ -0,0 +1,66 @@
+#include "udp_socket.hpp"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace toucanmill
+{
+
+sockaddr_in to_sockaddr(const endpoint& value)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(value.address.value);
+  address.sin_port = htons(value.port);
+  return address;
+}
+
+endpoint from_sockaddr(const sockaddr_in& value)
+{
+  return {ipv4_address{ntohl(value.sin_addr.s_addr)}, ntohs(value.sin_port)};
+}
+
+result<udp_socket> udp_socket::open(const endpoint& listen, int buffer_size)
+{
+  const int descriptor =
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0)
+    return error{error_code::io_failure,
+                 std::string("socket: ") + std::strerror(errno)};
+  udp_socket socket(descriptor);
+  setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer_size,
+             sizeof buffer_size);
+  setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &buffer_size,
+             sizeof buffer_size);
+  const auto address = to_sockaddr(listen);
+  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+           sizeof address) != 0)
+    return error{error_code::io_failure,
+                 "bind UDP " + to_string(listen) + ": " + std::strerror(errno)};
+  return socket;
+}
+
+udp_socket::udp_socket(udp_socket&& other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1))
+{
+}
+
+udp_socket::~udp_socket()
+{
+  if (descriptor_ >= 0)
+    close(descriptor_);
+}
+
+endpoint udp_socket::local() const
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
+  return from_sockaddr(address);
+}
+
+} // namespace toucanmill
