--- a/include/toucanmill/agent/session_core.hpp
+++ b/include/toucanmill/agent/session_core.hpp
@@ -2,6 +2,7 @@
 #define TOUCANMILL_AGENT_SESSION_CORE_HPP
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -113,8 +114,8 @@
 };
 struct release_slot
 {
-}; ///< gives back a slot or leaves the queue
-struct request_claim
+};                   ///< gives back a slot or leaves the queue
+struct request_claim ///< repeated after `unavailable`: same claim id
 {
   std::string key;
   request_digest digest;
@@ -175,7 +176,10 @@
                  request_slot, release_slot, request_claim, record_answer,
                  release_claim, set_timer, cancel_timer, count_event>;
 
-/// Decisions of one flow between a caller and an upstream.
+/// Decisions of one flow between a caller and an upstream. The runtime starts a
+/// session with empty caller_bytes, so that a stream session connects before
+/// the caller speaks. Each connect_upstream opens a new connection; inputs of a
+/// connection that close_upstream dropped must not be passed on.
 class session_core
 {
 public:
@@ -187,14 +191,19 @@
   /// True while a request or its answer is under way; a graceful stop waits
   /// for it.
   virtual bool busy() const = 0;
+
+  /// Octets of the caller that wait inside the session. The runtime opens the
+  /// TCP window by what the session took beyond these, so that a caller cannot
+  /// fill the memory.
+  virtual std::size_t buffered_from_caller() const = 0;
 };
 
 /// Limits of the requests of one agent.
 struct http_options
 {
-  std::size_t max_head = 16 * 1024;          ///< octets
-  std::size_t max_claimed_body = 64 * 1024;  ///< octets
-  std::size_t max_stored_answer = 64 * 1024; ///< octets
+  std::size_t max_head = 16384;          ///< octets
+  std::size_t max_claimed_body = 65536;  ///< octets
+  std::size_t max_stored_answer = 65536; ///< octets
   duration queue_deadline = std::chrono::seconds(1);
   duration retry_after = std::chrono::seconds(1);
   double retry_ratio = 0.1; ///< retries for each request
--- /dev/null
+++ b/src/agent/stream_session_core.cpp
@@ -0,0 +1,147 @@
+#include <toucanmill/agent/session_core.hpp>
+
+#include <utility>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+/// Relays bytes unread in both directions. The first input opens the upstream
+/// connection; bytes that arrive before it is open are kept.
+class stream_session final : public session_core
+{
+public:
+  std::vector<session_action> handle(session_input input, time_point) override
+  {
+    if (phase_ == phase::fresh)
+      connect();
+    if (phase_ != phase::closed)
+      std::visit(
+          [this](auto& value)
+          {
+            on(value);
+          },
+          input);
+    return std::exchange(actions_, {});
+  }
+
+  bool busy() const override
+  {
+    return phase_ == phase::connecting || phase_ == phase::open;
+  }
+
+  std::size_t buffered_from_caller() const override
+  {
+    return early_bytes_.size();
+  }
+
+private:
+  enum class phase
+  {
+    fresh,
+    connecting,
+    open,
+    closed,
+  };
+
+  void connect()
+  {
+    phase_ = phase::connecting;
+    actions_.emplace_back(connect_upstream{});
+  }
+
+  void close()
+  {
+    phase_ = phase::closed;
+    early_bytes_.clear();
+  }
+
+  void close_when_both_finished()
+  {
+    if (caller_finished_ && upstream_finished_)
+      close();
+  }
+
+  void on(caller_bytes& value)
+  {
+    if (caller_finished_ || value.bytes.empty())
+      return;
+    if (phase_ == phase::open)
+      actions_.emplace_back(send_to_upstream{std::move(value.bytes)});
+    else
+      early_bytes_ += value.bytes;
+  }
+
+  void on(caller_finished&)
+  {
+    if (std::exchange(caller_finished_, true) || phase_ != phase::open)
+      return;
+    actions_.emplace_back(finish_upstream{});
+    close_when_both_finished();
+  }
+
+  void on(caller_gone&)
+  {
+    actions_.emplace_back(close_upstream{});
+    close();
+  }
+
+  void on(upstream_connected&)
+  {
+    if (phase_ != phase::connecting)
+      return;
+    phase_ = phase::open;
+    if (!early_bytes_.empty())
+      actions_.emplace_back(send_to_upstream{std::exchange(early_bytes_, {})});
+    if (caller_finished_)
+      actions_.emplace_back(finish_upstream{});
+  }
+
+  void on(upstream_refused&)
+  {
+    actions_.emplace_back(reset_caller{});
+    close();
+  }
+
+  void on(upstream_bytes& value)
+  {
+    if (phase_ == phase::open && !upstream_finished_)
+      actions_.emplace_back(send_to_caller{std::move(value.bytes)});
+  }
+
+  void on(upstream_finished&)
+  {
+    if (phase_ != phase::open || std::exchange(upstream_finished_, true))
+      return;
+    actions_.emplace_back(finish_caller{});
+    close_when_both_finished();
+  }
+
+  void on(upstream_gone&)
+  {
+    actions_.emplace_back(reset_caller{});
+    close();
+  }
+
+  template <class Other>
+  void on(Other&)
+  {
+  }
+
+  phase phase_ = phase::fresh;
+  bool caller_finished_ = false;
+  bool upstream_finished_ = false;
+  std::string early_bytes_;
+  std::vector<session_action> actions_;
+};
+
+} // namespace
+
+std::unique_ptr<session_core> make_stream_session()
+{
+  return std::make_unique<stream_session>();
+}
+
+} // namespace toucanmill
