base, daemon: satisfy the formatter and the linter

Cause: the analyzer reported a moved-from std::function that the ring's slot destroys, and several files were not formatted. Change: pop() swaps the item out.

--- a/include/toucanmill/base/ring.hpp
+++ b/include/toucanmill/base/ring.hpp
@@ -27,14 +27,16 @@
     return false;
   }
 
+  /// T is default constructible.
   std::optional<T> pop()
   {
-    std::optional<T> value;
-    queue_.consume_one(
-        [&value](T& item)
-        {
-          value = std::move(item);
-        });
+    T value{};
+    const auto take = [&value](T& item)
+    {
+      std::swap(value, item);
+    };
+    if (!queue_.consume_one(take))
+      return std::nullopt;
     return value;
   }
 
--- a/include/toucanmill/control/operator_client.hpp
+++ b/include/toucanmill/control/operator_client.hpp
@@ -51,13 +51,13 @@
 };
 
 /// Blocking client of the operators' RPC. Each call finds the leader, and is
-/// repeated until the limit; a change keeps its request id, so that repeating it
-/// is safe. Errors of every call: unavailable when the limit passed.
+/// repeated until the limit; a change keeps its request id, so that repeating
+/// it is safe. Errors of every call: unavailable when the limit passed.
 class operator_client
 {
 public:
-  static std::unique_ptr<operator_client>
-  connect(std::vector<endpoint> control, duration limit);
+  static std::unique_ptr<operator_client> connect(std::vector<endpoint> control,
+                                                  duration limit);
   virtual ~operator_client() = default;
 
   /// A refused change is a value with accepted == false.
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -110,10 +110,10 @@
   return parsed ? std::string() : parsed.error().message;
 }
 
-std::shared_ptr<change_command>
-add_change(CLI::App& parent, const char* name, const char* help,
-           const char* footer, const common_options& common,
-           run_function& run, make_change make)
+std::shared_ptr<change_command> add_change(CLI::App& parent, const char* name,
+                                           const char* help, const char* footer,
+                                           const common_options& common,
+                                           run_function& run, make_change make)
 {
   auto values = std::make_shared<change_command>();
   auto* command = parent.add_subcommand(name, help);
@@ -178,7 +178,9 @@
   add_change(service, "delete", "Delete a service",
              "Example: toucanmill service delete charts", common, run,
              [](const change_command& values) -> operator_change
-             { return delete_service{values.name}; });
+             {
+               return delete_service{values.name};
+             });
 }
 
 void declare_service_reads(CLI::App& service, const common_options& common,
@@ -189,7 +191,9 @@
           [&common, &run]
           {
             run = [&common](operator_client& control)
-            { return print(control.services(), common.json); };
+            {
+              return print(control.services(), common.json);
+            };
           });
   auto name = std::make_shared<std::string>();
   auto* show = service.add_subcommand("show", "Show a service");
@@ -219,17 +223,23 @@
   add_change(*upstream, "drain", "Give an upstream no new work",
              "Example: toucanmill upstream drain defects-1", common, run,
              [](const change_command& values) -> operator_change
-             { return drain_node{values.name}; });
+             {
+               return drain_node{values.name};
+             });
   add_change(*upstream, "restore", "End the drain of an upstream",
              "Example: toucanmill upstream restore defects-1", common, run,
              [](const change_command& values) -> operator_change
-             { return restore_node{values.name}; });
+             {
+               return restore_node{values.name};
+             });
   auto* balancer = app.add_subcommand("balancer", "Change a balancer");
   balancer->require_subcommand(1);
   add_change(*balancer, "retire", "Withdraw a balancer and end it",
              "Example: toucanmill balancer retire balancer-2", common, run,
              [](const change_command& values) -> operator_change
-             { return retire_node{values.name}; });
+             {
+               return retire_node{values.name};
+             });
 }
 
 int wait_in_force(operator_client& control, std::uint64_t index,
@@ -272,7 +282,9 @@
       [&common, &run, index]
       {
         run = [&common, index](operator_client& control)
-        { return wait_in_force(control, *index, common); };
+        {
+          return wait_in_force(control, *index, common);
+        };
       });
 }
 
@@ -288,9 +300,8 @@
   const auto list = control.services();
   if (!list)
     return fail(list.error());
-  const auto found =
-      explain(list.value(), {checked_endpoint(options.caller),
-                             checked_endpoint(options.service)});
+  const auto found = explain(list.value(), {checked_endpoint(options.caller),
+                                            checked_endpoint(options.service)});
   if (!found)
     return fail(found.error());
   std::cout << (common.json ? found.value().dump(2) + "\n"
@@ -304,8 +315,7 @@
   auto options = std::make_shared<explain_options>();
   auto* command =
       app.add_subcommand("explain", "Which upstream a flow reaches, and why");
-  command->footer(
-      "Example: toucanmill explain 10.0.0.1:40000 203.0.113.10:80");
+  command->footer("Example: toucanmill explain 10.0.0.1:40000 203.0.113.10:80");
   const CLI::Validator valid(check_endpoint, "ADDRESS:PORT", "endpoint");
   command->add_option("caller", options->caller, "Caller's address:port")
       ->required()
@@ -317,7 +327,9 @@
       [&common, &run, options]
       {
         run = [&common, options](operator_client& control)
-        { return run_explain(control, *options, common); };
+        {
+          return run_explain(control, *options, common);
+        };
       });
 }
 
@@ -345,8 +357,8 @@
   auto* group =
       app.add_subcommand("control", "Change the group of control instances");
   group->require_subcommand(1);
-  const auto declare = [&run, group](const char* name, const char* help,
-                                     bool voter, bool remove)
+  const auto declare =
+      [&run, group](const char* name, const char* help, bool voter, bool remove)
   {
     auto values = std::make_shared<options>();
     auto* command = group->add_subcommand(name, help);
@@ -360,10 +372,10 @@
         {
           run = [values, voter, remove](operator_client& control)
           {
-            const replica_address member{
-                {values->id},
-                remove ? endpoint{} : checked_endpoint(values->rpc),
-                voter};
+            const replica_address member{{values->id},
+                                         remove ? endpoint{}
+                                                : checked_endpoint(values->rpc),
+                                         voter};
             const auto group = changed_group(control, member, remove);
             if (!group)
               return fail(group.error());
@@ -379,8 +391,7 @@
 
 } // namespace
 
-void declare_commands(CLI::App& app, common_options& common,
-                      run_function& run)
+void declare_commands(CLI::App& app, common_options& common, run_function& run)
 {
   app.add_option("--control", common.control,
                  "RPC endpoints of control instances")
@@ -402,7 +413,9 @@
           [&common, &run]
           {
             run = [&common](operator_client& control)
-            { return print(control.status(), common.json); };
+            {
+              return print(control.status(), common.json);
+            };
           });
   declare_wait(app, common, run);
   declare_explain(app, common, run);
--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -28,10 +28,11 @@
 
 result<nlohmann::json> explain(const service_list& list, const flow_key& flow)
 {
-  const auto found =
-      std::find_if(list.services.begin(), list.services.end(),
-                   [&flow](const service_table& service)
-                   { return service.address == flow.service; });
+  const auto found = std::find_if(list.services.begin(), list.services.end(),
+                                  [&flow](const service_table& service)
+                                  {
+                                    return service.address == flow.service;
+                                  });
   if (found == list.services.end())
     return error{error_code::not_found,
                  "no service has the address " + to_string(flow.service) +
@@ -48,9 +49,9 @@
 std::string explanation_text(const nlohmann::json& explanation)
 {
   std::ostringstream out;
-  out << "service " << explanation["service"].get<std::string>()
-      << ": hash " << explanation["hash"] << " selects bucket "
-      << explanation["bucket"] << " of " << explanation["buckets"] << "\n";
+  out << "service " << explanation["service"].get<std::string>() << ": hash "
+      << explanation["hash"] << " selects bucket " << explanation["bucket"]
+      << " of " << explanation["buckets"] << "\n";
   if (explanation["chain"].empty())
     out << "no upstream owns the bucket: packets are dropped\n";
   for (const auto& holder : explanation["chain"])
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -26,7 +26,7 @@
 /// Options of commands that change something.
 struct change_options
 {
-  std::string request_id; ///< empty: a random one
+  std::string request_id;                  ///< empty: a random one
   std::optional<std::uint64_t> if_version; ///< none: the present version
 };
 
@@ -34,8 +34,7 @@
 using run_function = std::function<int(operator_client&)>;
 
 /// Declares all commands; the chosen one sets run.
-void declare_commands(CLI::App& app, common_options& common,
-                      run_function& run);
+void declare_commands(CLI::App& app, common_options& common, run_function& run);
 
 } // namespace toucanmill::cli
 
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -40,7 +40,11 @@
   std::optional<T> wait()
   {
     std::unique_lock<std::mutex> lock(mutex_);
-    ready_.wait_for(lock, thread_limit, [this] { return value_.has_value(); });
+    ready_.wait_for(lock, thread_limit,
+                    [this]
+                    {
+                      return value_.has_value();
+                    });
     return value_;
   }
 
@@ -56,8 +60,7 @@
   rpc_side(kj::AsyncIoContext& io, const endpoint& listen,
            kj::Own<schema::Control::Server> service,
            std::atomic<std::uint64_t>& lost)
-      : links(io, lost), receiver(bind(io, listen)),
-        server(kj::mv(service)),
+      : links(io, lost), receiver(bind(io, listen)), server(kj::mv(service)),
         listening(server.listen(*receiver).eagerlyEvaluate(nullptr))
   {
   }
@@ -95,22 +98,34 @@
   {
     BOOST_OUTCOME_TRY(log, replicated_log::open(options_.log, state_));
     log_ = std::move(log);
-    log_->post([this] { state_.attach(*log_); });
+    log_->post(
+        [this]
+        {
+          state_.attach(*log_);
+        });
     return listen();
   }
 
   control_counters counters() const override
   {
-    return {service_counters_.reports,   service_counters_.changes,
-            service_counters_.claims,    service_counters_.not_leader,
-            service_counters_.malformed, peer_messages_,
-            peer_octets_,                peer_messages_lost_};
+    return {service_counters_.reports,
+            service_counters_.changes,
+            service_counters_.claims,
+            service_counters_.not_leader,
+            service_counters_.malformed,
+            peer_messages_,
+            peer_octets_,
+            peer_messages_lost_};
   }
 
   replicated_log_status status() override
   {
     auto found = std::make_shared<handover<replicated_log_status>>();
-    log_->post([this, found] { found->set(log_->status()); });
+    log_->post(
+        [this, found]
+        {
+          found->set(log_->status());
+        });
     return found->wait().value_or(replicated_log_status{});
   }
 
@@ -139,21 +154,25 @@
     out.membership = options_.membership;
     out.notify = options_.notify;
     out.send = [this](const replica_address& to, std::string message)
-    { send(to, std::move(message)); };
+    {
+      send(to, std::move(message));
+    };
     return out;
   }
 
   result<void> listen()
   {
     auto bound = std::make_shared<handover<result<void>>>();
-    rpc_.start([this, bound](kj::AsyncIoContext& io)
-               { return start_rpc(io, *bound); });
+    rpc_.start(
+        [this, bound](kj::AsyncIoContext& io)
+        {
+          return start_rpc(io, *bound);
+        });
     return bound->wait().value_or(
         error{error_code::unavailable, "RPC thread did not start"});
   }
 
-  kj::Own<void> start_rpc(kj::AsyncIoContext& io,
-                          handover<result<void>>& bound)
+  kj::Own<void> start_rpc(kj::AsyncIoContext& io, handover<result<void>>& bound)
   {
     try
     {
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -123,8 +123,9 @@
   callbacks.make_report = [&]
   {
     node_report report;
-    report.identity = {{7}, {1}, node_role::balancer, "balancer-1", "spata",
-                       {{0x7F000001}, 6001}, "", 0, 0};
+    report.identity = {{7},          {1},     node_role::balancer,
+                       "balancer-1", "spata", {{0x7F000001}, 6001},
+                       "",           0,       0};
     report.applied = {applied == 0 ? 0U : 1U, applied};
     report.fresh = applied == 0;
     return report;
@@ -144,12 +145,18 @@
 
   const auto client = connect();
   CHECK_TRUE(eventually(
-      [&] { return client->status().value().nodes.size() == 1; }));
+      [&]
+      {
+        return client->status().value().nodes.size() == 1;
+      }));
   const auto change = client->change(create("r1", 0, "defects", 80));
   CHECK_FALSE(client->in_force(change.value().index).value().in_force);
   hold = false;
   CHECK_TRUE(eventually(
-      [&] { return client->in_force(change.value().index).value().in_force; }));
+      [&]
+      {
+        return client->in_force(change.value().index).value().in_force;
+      }));
 }
 
 // Guards against a claim that is granted twice, and against an answer that is
@@ -157,11 +164,15 @@
 TEST(control_server, claim_runs_once_and_its_answer_is_replayed)
 {
   const auto server = start_single(folder, rpc);
-  CHECK_TRUE(connect()->change(create("r1", 0, "defects", 80)).value().accepted);
+  CHECK_TRUE(
+      connect()->change(create("r1", 0, "defects", 80)).value().accepted);
   const auto id = connect()->services().value().services[0].id;
-  node_callbacks callbacks{[] { return node_report{}; },
-                           [](const table_update&) {}, [] {},
-                           [](node_order) {}, [](bool) {}};
+  node_callbacks callbacks{[]
+                           {
+                             return node_report{};
+                           },
+                           [](const table_update&) {}, [] {}, [](node_order) {},
+                           [](bool) {}};
   node_client_options options;
   options.control = {rpc};
   const auto node = node_client::start(options, callbacks);
@@ -175,7 +186,11 @@
                   found = outcome;
                   done = true;
                 });
-    CHECK_TRUE(eventually([&] { return done.load(); }));
+    CHECK_TRUE(eventually(
+        [&]
+        {
+          return done.load();
+        }));
     return found.value();
   };
   CHECK_TRUE(ask(1).verdict == claim_verdict::granted);
@@ -183,8 +198,15 @@
   CHECK_TRUE(ask(2).verdict == claim_verdict::in_progress);
   std::atomic<bool> stored{false};
   node->complete({{id, "key"}, {1}, "answer"},
-                 [&](const result<void>&) { stored = true; });
-  CHECK_TRUE(eventually([&] { return stored.load(); }));
+                 [&](const result<void>&)
+                 {
+                   stored = true;
+                 });
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return stored.load();
+      }));
   const auto replay = ask(3);
   CHECK_TRUE(replay.verdict == claim_verdict::completed);
   CHECK_TRUE(replay.answer == "answer");
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -127,8 +127,8 @@
                    reply->fulfiller->fulfill(answer<command_outcome>{
                        decode_command_outcome(applied.value()), {}});
                  else
-                   reply->fulfiller->fulfill(answer<command_outcome>{
-                       applied.error(), leader_hint()});
+                   reply->fulfiller->fulfill(
+                       answer<command_outcome>{applied.error(), leader_hint()});
                });
   return kj::mv(promise);
 }
@@ -190,8 +190,11 @@
 
 kj::Promise<void> control_service::services(ServicesContext context)
 {
-  return read_as_leader<control_view>([this](time_point now)
-                                      { return state_.view(now); })
+  return read_as_leader<control_view>(
+             [this](time_point now)
+             {
+               return state_.view(now);
+             })
       .then(
           [this, context](const answer<control_view>& reply) mutable
           {
@@ -210,8 +213,11 @@
 {
   using names = std::vector<std::string>;
   const auto index = context.getParams().getIndex();
-  return read_as_leader<names>([this, index](time_point now)
-                               { return state_.waiting_for(index, now); })
+  return read_as_leader<names>(
+             [this, index](time_point now)
+             {
+               return state_.waiting_for(index, now);
+             })
       .then(
           [this, context](const answer<names>& reply) mutable
           {
@@ -237,7 +243,9 @@
   }
   return read_as_leader<report_reply>(
              [this, report = report.value()](time_point now)
-             { return state_.on_report(report, now); })
+             {
+               return state_.on_report(report, now);
+             })
       .then(
           [this, context](const answer<report_reply>& reply) mutable
           {
@@ -269,8 +277,7 @@
             auto results = context.getResults();
             if (refused(results, reply))
               return;
-            const auto& outcome =
-                std::get<claim_outcome>(reply.value.value());
+            const auto& outcome = std::get<claim_outcome>(reply.value.value());
             results.setVerdict(wire::to_schema(outcome.verdict));
             results.setAnswer(to_data(outcome.answer));
           });
@@ -321,7 +328,9 @@
   log_.change_group(
       std::move(group),
       [this, reply = reply](const result<std::string>& done)
-      { reply->fulfiller->fulfill(answer<std::string>{done, leader_hint()}); });
+      {
+        reply->fulfiller->fulfill(answer<std::string>{done, leader_hint()});
+      });
   return promise.then(
       [this, context](const answer<std::string>& done) mutable
       {
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -31,13 +31,11 @@
 {
   std::string operator()(const create_service& change) const
   {
-    return "create service " + change.name + " at " +
-           to_string(change.address);
+    return "create service " + change.name + " at " + to_string(change.address);
   }
   std::string operator()(const change_service& change) const
   {
-    return "change service " + change.name + " to " +
-           to_string(change.address);
+    return "change service " + change.name + " to " + to_string(change.address);
   }
   std::string operator()(const delete_service& change) const
   {
@@ -111,9 +109,9 @@
   leads_ = leads;
   if (leads)
     membership_.on_leader(machine_, monotonic_now());
-  options_.notify({leads ? notice::kind::leadership_gained
-                         : notice::kind::leadership_lost,
-                   "term " + std::to_string(term)});
+  options_.notify(
+      {leads ? notice::kind::leadership_gained : notice::kind::leadership_lost,
+       "term " + std::to_string(term)});
 }
 
 void control_state::on_tick(time_point now)
@@ -127,8 +125,7 @@
   options_.send(to, std::move(message));
 }
 
-report_reply control_state::on_report(const node_report& report,
-                                      time_point now)
+report_reply control_state::on_report(const node_report& report, time_point now)
 {
   propose(membership_.on_report(machine_, report, now));
   report_reply reply;
@@ -184,8 +181,7 @@
   if (!leads_)
     return;
   if (const auto* request = std::get_if<operator_request>(&value))
-    options_.notify(
-        change_notice(*request, std::get<change_outcome>(outcome)));
+    options_.notify(change_notice(*request, std::get<change_outcome>(outcome)));
   if (const auto* added = std::get_if<register_node>(&value))
     options_.notify({notice::kind::node_registered, added->identity.name});
   if (const auto* set = std::get_if<set_node_state>(&value))
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -81,25 +81,39 @@
   kj::Promise<void> report_forever()
   {
     return report_once()
-        .then([this]
-              { return timer_.afterDelay(to_kj(options_.report_interval)); })
-        .then([this] { return report_forever(); });
+        .then(
+            [this]
+            {
+              return timer_.afterDelay(to_kj(options_.report_interval));
+            })
+        .then(
+            [this]
+            {
+              return report_forever();
+            });
   }
 
   kj::Promise<void> report_once()
   {
     reporting_ = true;
-    return reports_.limited(reports_.client().then(
-                                [this](schema::Control::Client control)
-                                { return send_report(control); }))
-        .then([this] { reporting_ = false; },
-              [this](kj::Exception&&)
-              {
-                reporting_ = false;
-                ++counters_.failed_reports;
-                reports_.move_on();
-                check_reachable();
-              });
+    return reports_
+        .limited(reports_.client().then(
+            [this](schema::Control::Client control)
+            {
+              return send_report(control);
+            }))
+        .then(
+            [this]
+            {
+              reporting_ = false;
+            },
+            [this](kj::Exception&&)
+            {
+              reporting_ = false;
+              ++counters_.failed_reports;
+              reports_.move_on();
+              check_reachable();
+            });
   }
 
   kj::Promise<void> send_report(schema::Control::Client& control)
@@ -108,8 +122,11 @@
     wire::write(request.initReport(), callbacks_.make_report());
     ++counters_.reports;
     counters_.octets_sent += request.totalSize().wordCount * 8;
-    return request.send().then([this](auto&& response)
-                               { take_reply(response); });
+    return request.send().then(
+        [this](auto&& response)
+        {
+          take_reply(response);
+        });
   }
 
   template <class Response>
@@ -150,17 +167,23 @@
 
   kj::Promise<void> attempt(std::shared_ptr<pending_call> call)
   {
-    return claims_.limited(claims_.client().then(
-                               [call](schema::Control::Client control)
-                               { return call->attempt(control); }))
+    return claims_
+        .limited(claims_.client().then(
+            [call](schema::Control::Client control)
+            {
+              return call->attempt(control);
+            }))
         .catch_(
             [this](kj::Exception&&)
             {
               claims_.move_on();
               return false;
             })
-        .then([this, call](bool decided) -> kj::Promise<void>
-              { return decided ? kj::READY_NOW : repeat(call); });
+        .then(
+            [this, call](bool decided) -> kj::Promise<void>
+            {
+              return decided ? kj::READY_NOW : repeat(call);
+            });
   }
 
   kj::Promise<void> repeat(const std::shared_ptr<pending_call>& call)
@@ -172,7 +195,11 @@
       return kj::READY_NOW;
     }
     return timer_.afterDelay(retry_pause)
-        .then([this, call] { return attempt(call); });
+        .then(
+            [this, call]
+            {
+              return attempt(call);
+            });
   }
 
   kj::AsyncIoContext& io_;
@@ -209,8 +236,7 @@
     loop_.start(
         [this](kj::AsyncIoContext& io) -> kj::Own<void>
         {
-          auto owned =
-              kj::heap<reporter>(io, options_, callbacks_, counters_);
+          auto owned = kj::heap<reporter>(io, options_, callbacks_, counters_);
           reporter_ = owned.get();
           return owned;
         });
@@ -223,29 +249,45 @@
 
   void claim(claim_request request, claim_callback done) override
   {
-    run([this, request](schema::Control::Client control, auto finish)
-        { return send_claim(control, request, finish); },
-        [done](result<claim_outcome> outcome) { done(std::move(outcome)); },
+    run(
+        [this, request](schema::Control::Client control, auto finish)
+        {
+          return send_claim(control, request, finish);
+        },
+        [done](result<claim_outcome> outcome)
+        {
+          done(std::move(outcome));
+        },
         error_result<claim_outcome>("decided the claim"));
   }
 
   void complete(claim_completion completion, done_callback done) override
   {
-    run([this, completion](schema::Control::Client control, auto finish)
-        { return send_completion(control, completion, finish); },
+    run(
+        [this, completion](schema::Control::Client control, auto finish)
+        {
+          return send_completion(control, completion, finish);
+        },
         done, error_result<void>("stored the answer"));
   }
 
   void release(claim_release release, done_callback done) override
   {
-    run([this, release](schema::Control::Client control, auto finish)
-        { return send_release(control, release, finish); },
+    run(
+        [this, release](schema::Control::Client control, auto finish)
+        {
+          return send_release(control, release, finish);
+        },
         done, error_result<void>("released the claim"));
   }
 
   void report_now() override
   {
-    loop_.post([this](kj::AsyncIoContext&) { reporter_->report_now(); });
+    loop_.post(
+        [this](kj::AsyncIoContext&)
+        {
+          reporter_->report_now();
+        });
   }
 
   node_client_counters counters() const override
@@ -267,10 +309,18 @@
     auto call = std::make_shared<pending_call>();
     call->until = monotonic_now() + options_.claim_limit;
     call->attempt = [attempt, done](schema::Control::Client control)
-    { return attempt(control, done); };
-    call->give_up = [done, failure] { done(failure); };
-    if (!loop_.post([this, call](kj::AsyncIoContext&)
-                    { reporter_->run(call); }))
+    {
+      return attempt(control, done);
+    };
+    call->give_up = [done, failure]
+    {
+      done(failure);
+    };
+    if (!loop_.post(
+            [this, call](kj::AsyncIoContext&)
+            {
+              reporter_->run(call);
+            }))
       done(failure);
   }
 
@@ -280,8 +330,7 @@
   {
     if (!response.hasNotLeader())
       return true;
-    reporter_->claims().redirect(
-        wire::read(response.getNotLeader().getHint()));
+    reporter_->claims().redirect(wire::read(response.getNotLeader().getHint()));
     return false;
   }
 
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -18,9 +18,8 @@
   BOOST_OUTCOME_TRY(state, wire::read(from.getState()));
   BOOST_OUTCOME_TRY(order, wire::read(from.getOrder()));
   node_overview out;
-  out.live = {identity.id, from.getLeaseValid(),
-              wire::read(from.getApplied()), from.getFlows(),
-              from.getBusySlots()};
+  out.live = {identity.id, from.getLeaseValid(), wire::read(from.getApplied()),
+              from.getFlows(), from.getBusySlots()};
   out.record = {std::move(identity), state, order, {}};
   return out;
 }
@@ -76,14 +75,19 @@
           wire::write(request.initChange(), value);
           return request.send();
         },
-        [](auto&& response) { return wire::read(response.getOutcome()); });
+        [](auto&& response)
+        {
+          return wire::read(response.getOutcome());
+        });
   }
 
   result<service_list> services() override
   {
     return repeat<service_list>(
         [](schema::Control::Client& control)
-        { return control.servicesRequest().send(); },
+        {
+          return control.servicesRequest().send();
+        },
         [](auto&& response) -> result<service_list>
         {
           service_list out;
@@ -142,7 +146,10 @@
             wire::write(list[i], group[i]);
           return request.send();
         },
-        [](auto&&) -> result<void> { return outcome::success(); });
+        [](auto&&) -> result<void>
+        {
+          return outcome::success();
+        });
   }
 
 private:
@@ -151,11 +158,13 @@
     try
     {
       auto control = channel_.client().wait(io_.waitScope);
-      const auto response =
-          channel_.limited(control.statusRequest().send().then(
-                               [](auto&& found)
-                               { return read_status(found.getStatus()); }))
-              .wait(io_.waitScope);
+      const auto response = channel_
+                                .limited(control.statusRequest().send().then(
+                                    [](auto&& found)
+                                    {
+                                      return read_status(found.getStatus());
+                                    }))
+                                .wait(io_.waitScope);
       return response;
     }
     catch (const kj::Exception& failure)
@@ -191,8 +200,7 @@
           {
             if (!response.hasNotLeader())
               return read(response);
-            channel_.redirect(
-                wire::read(response.getNotLeader().getHint()));
+            channel_.redirect(wire::read(response.getNotLeader().getHint()));
             last_failure_ = "no leader";
             return std::nullopt;
           });
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -80,7 +80,11 @@
                      {
                        return io_.provider->getTimer()
                            .afterDelay(reconnect_pause)
-                           .then([peer] { peer->connecting = false; });
+                           .then(
+                               [peer]
+                               {
+                                 peer->connecting = false;
+                               });
                      }));
 }
 
@@ -89,29 +93,27 @@
 {
   auto request =
       peer->open->rpc.bootstrap().castAs<schema::Control>().stepRequest();
-  request.setMessage(
-      kj::StringPtr(message.c_str(), message.size()).asBytes());
+  request.setMessage(kj::StringPtr(message.c_str(), message.size()).asBytes());
   ++peer->in_flight;
   const auto used = peer->open;
   // The task holds the connection, so that it ends outside its own callbacks.
   auto sent = request.send().ignoreResult();
   auto& timer = io_.provider->getTimer();
-  tasks_.add(timer.timeoutAfter(delivery_limit, kj::mv(sent)).then(
-      [peer, used]
-      {
-        if (peer->open == used)
-          --peer->in_flight;
-      },
-      [this, peer, used](kj::Exception&&)
-      {
-        ++lost_;
-        if (peer->open == used)
-          peer->open = nullptr;
-      }));
+  tasks_.add(timer.timeoutAfter(delivery_limit, kj::mv(sent))
+                 .then(
+                     [peer, used]
+                     {
+                       if (peer->open == used)
+                         --peer->in_flight;
+                     },
+                     [this, peer, used](kj::Exception&&)
+                     {
+                       ++lost_;
+                       if (peer->open == used)
+                         peer->open = nullptr;
+                     }));
 }
 
-void peer_links::taskFailed(kj::Exception&&)
-{
-}
+void peer_links::taskFailed(kj::Exception&&) {}
 
 } // namespace toucanmill::detail
--- a/src/control/rpc_loop.cpp
+++ b/src/control/rpc_loop.cpp
@@ -14,7 +14,11 @@
 
 void rpc_loop::start(setup_function setup)
 {
-  thread_ = std::thread([this, setup = std::move(setup)] { run(setup); });
+  thread_ = std::thread(
+      [this, setup = std::move(setup)]
+      {
+        run(setup);
+      });
 }
 
 bool rpc_loop::post(task work)
--- a/src/daemon/balancer_role.cpp
+++ b/src/daemon/balancer_role.cpp
@@ -70,10 +70,13 @@
     add(out, "toucanmill_send_buffer_full_total",
         "Packets dropped for want of socket buffer.",
         counters.send_buffer_full);
-    add(out, "toucanmill_receive_failures_total",
-        "Receive calls that failed.", counters.receive_failures);
-    out.push_back({"toucanmill_flows", "Estimate of active flows.", false,
-                   static_cast<double>(counters.active_flows), {}});
+    add(out, "toucanmill_receive_failures_total", "Receive calls that failed.",
+        counters.receive_failures);
+    out.push_back({"toucanmill_flows",
+                   "Estimate of active flows.",
+                   false,
+                   static_cast<double>(counters.active_flows),
+                   {}});
     return out;
   }
 
@@ -103,8 +106,7 @@
       add_drop(out, to_string(static_cast<packet_fault>(i)),
                counters.faults[i]);
     for (std::size_t i = 0; i < counters.drops.size(); ++i)
-      add_drop(out, to_string(static_cast<forward_drop>(i)),
-               counters.drops[i]);
+      add_drop(out, to_string(static_cast<forward_drop>(i)), counters.drops[i]);
   }
 
   static void add_drop(std::vector<sample>& out, const char* reason,
@@ -120,11 +122,26 @@
   node_callbacks callbacks()
   {
     node_callbacks out;
-    out.make_report = [this] { return make_report(); };
-    out.on_update = [this](const table_update& update) { take(update); };
-    out.on_confirmed = [this] { departure_known_ = reported_empty_; };
-    out.on_order = [this](node_order order) { take(order); };
-    out.on_reachable = [this](bool reachable) { set_reachable(reachable); };
+    out.make_report = [this]
+    {
+      return make_report();
+    };
+    out.on_update = [this](const table_update& update)
+    {
+      take(update);
+    };
+    out.on_confirmed = [this]
+    {
+      departure_known_ = reported_empty_;
+    };
+    out.on_order = [this](node_order order)
+    {
+      take(order);
+    };
+    out.on_reachable = [this](bool reachable)
+    {
+      set_reachable(reachable);
+    };
     return out;
   }
 
@@ -147,8 +164,8 @@
     const auto next = table_.apply(update);
     if (!next)
       return log_event(event::table_rejected, next.error().message);
-    const bool content = update.full || !update.changed.empty() ||
-                         !update.removed.empty();
+    const bool content =
+        update.full || !update.changed.empty() || !update.removed.empty();
     if (content && table_.version() < next.value().version())
       log_event(event::table_applied,
                 "index " + std::to_string(update.version.index));
@@ -167,8 +184,7 @@
   void set_reachable(bool reachable)
   {
     reachable_ = reachable;
-    log_event(reachable ? event::control_reachable
-                        : event::control_unreachable,
+    log_event(reachable ? event::control_reachable : event::control_unreachable,
               identity_.name);
   }
 
@@ -192,8 +208,7 @@
   options.listen = settings.data;
   options.fabric = settings.fabric;
   BOOST_OUTCOME_TRY(packets, balancer::start(options));
-  auto identity =
-      make_identity(instance, node_role::balancer, settings.data);
+  auto identity = make_identity(instance, node_role::balancer, settings.data);
   return std::unique_ptr<role>(std::make_unique<balancer_role>(
       std::move(packets), std::move(identity), instance));
 }
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -86,9 +86,11 @@
   {
     const auto counters = server_->counters();
     std::vector<sample> out;
-    const auto count = [&out](const char* name, const char* help,
-                              std::uint64_t value)
-    { out.push_back({name, help, true, static_cast<double>(value), {}}); };
+    const auto count =
+        [&out](const char* name, const char* help, std::uint64_t value)
+    {
+      out.push_back({name, help, true, static_cast<double>(value), {}});
+    };
     count("toucanmill_rpc_reports_total", "Reports received.",
           counters.reports);
     count("toucanmill_rpc_changes_total", "Operators' changes received.",
@@ -123,9 +125,11 @@
   void add_log_samples(std::vector<sample>& out)
   {
     const auto status = server_->status();
-    const auto gauge = [&out](const char* name, const char* help,
-                              std::uint64_t value)
-    { out.push_back({name, help, false, static_cast<double>(value), {}}); };
+    const auto gauge =
+        [&out](const char* name, const char* help, std::uint64_t value)
+    {
+      out.push_back({name, help, false, static_cast<double>(value), {}});
+    };
     gauge("toucanmill_log_term", "Term of the replicated log.", status.term);
     gauge("toucanmill_log_commit_index", "Last committed entry.",
           status.commit_index);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -76,8 +76,7 @@
   time_point limit{};
   while (!role.stopped())
   {
-    const bool signalled =
-        sigtimedwait(&signals, nullptr, &poll_interval) > 0;
+    const bool signalled = sigtimedwait(&signals, nullptr, &poll_interval) > 0;
     if (signalled && !stopping)
     {
       log_event(event::stop_requested, "finishing what runs");
@@ -100,10 +99,18 @@
 {
   if (listen.port == 0)
     return std::unique_ptr<status_server>();
-  return status_server::start(listen,
-                              {[&role] { return role.samples(); },
-                               [] { return health{}; },
-                               [&role] { return role.ready(); }});
+  return status_server::start(listen, {[&role]
+                                       {
+                                         return role.samples();
+                                       },
+                                       []
+                                       {
+                                         return health{};
+                                       },
+                                       [&role]
+                                       {
+                                         return role.ready();
+                                       }});
 }
 
 int fail_start(const error& why)
@@ -148,9 +155,9 @@
   if (checked == nullptr)
     return report(std::get<findings>(loaded), chosen.check_only);
   if (!start_logging(checked->instance.log_level))
-    return report({{chosen.file, 0, 0, "log_level",
-                    "\"" + checked->instance.log_level +
-                        "\" is not a log level"}},
-                  chosen.check_only);
+    return report(
+        {{chosen.file, 0, 0, "log_level",
+          "\"" + checked->instance.log_level + "\" is not a log level"}},
+        chosen.check_only);
   return chosen.check_only ? 0 : run(*checked);
 }
