--- /dev/null
+++ b/src/cluster/assignment_test.cpp
@@ -0,0 +1,137 @@
+#include <toucanmill/cluster/assignment.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <numeric>
+
+using namespace toucanmill;
+
+namespace
+{
+
+std::vector<chain> owned_by(holder_index holder, std::size_t count)
+{
+  return std::vector<chain>(count, chain{1, {holder}});
+}
+
+void apply(std::vector<chain>& buckets, const std::vector<bucket_move>& moves)
+{
+  for (const auto& move : moves)
+    buckets[move.bucket] = with_owner(buckets[move.bucket], move.to);
+}
+
+/// 256 buckets spread evenly over holders.
+std::vector<chain> spread(std::size_t holders)
+{
+  std::vector<chain> buckets(256);
+  apply(buckets, plan_replacement(buckets, holder_weights(holders, 1000), {}));
+  return buckets;
+}
+
+std::uint32_t difference_of_owned(const std::vector<chain>& buckets,
+                                  std::size_t holders)
+{
+  const auto owned = owned_buckets(buckets, holders);
+  const auto [least, most] = std::minmax_element(owned.begin(), owned.end());
+  return *most - *least;
+}
+
+chain chain_of(std::initializer_list<holder_index> holders)
+{
+  chain made;
+  for (const auto holder : holders)
+    made.holders[made.size++] = holder;
+  return made;
+}
+
+} // namespace
+
+TEST_GROUP(assignment){};
+
+// Guards against quotas that lose a bucket or move buckets for rounding alone.
+TEST(assignment, quotas_add_up_and_keep_a_balanced_table)
+{
+  for (std::size_t holders = 1; holders <= 9; ++holders)
+  {
+    const auto buckets = spread(holders);
+    const holder_weights weights(holders, 1000);
+    const auto owned = owned_buckets(buckets, holders);
+    const auto quotas = bucket_quotas(weights, owned, buckets.size());
+    CHECK_EQUAL(256U, std::accumulate(quotas.begin(), quotas.end(), 0U));
+    CHECK_TRUE(quotas == owned);
+    CHECK_TRUE(plan_rebalance(buckets, weights, {}, 256).empty());
+  }
+}
+
+// Guards against a drain that moves other buckets too, leaves some behind or
+// loads one upstream with them.
+TEST(assignment, drain_moves_only_its_buckets_and_spreads_them)
+{
+  auto buckets = spread(7);
+  holder_weights weights(7, 1000);
+  weights[3] = 0;
+  const auto owned = owned_buckets(buckets, 7)[3];
+  const auto moves = plan_replacement(buckets, weights, {});
+  CHECK_EQUAL(owned, moves.size());
+  for (const auto& move : moves)
+    CHECK_EQUAL(3, buckets[move.bucket].holders[0]);
+  apply(buckets, moves);
+  auto counts = owned_buckets(buckets, 7);
+  CHECK_EQUAL(0U, counts[3]);
+  counts.erase(counts.begin() + 3);
+  const auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+  CHECK_TRUE(*most - *least <= 1);
+}
+
+// Guards against a rebalance that moves more than it must or never ends.
+TEST(assignment, rebalance_is_bounded_and_minimal)
+{
+  auto buckets = owned_by(0, 256);
+  const holder_weights weights(4, 1000);
+  std::size_t moved = 0;
+  for (int round = 0; round < 12; ++round)
+  {
+    const auto moves = plan_rebalance(buckets, weights, {}, 16);
+    CHECK_EQUAL(16U, moves.size());
+    moved += moves.size();
+    apply(buckets, moves);
+  }
+  CHECK_EQUAL(192U, moved);
+  CHECK_EQUAL(0U, difference_of_owned(buckets, 4));
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 16).empty());
+}
+
+// Guards against moves of buckets with flows while others have none.
+TEST(assignment, rebalance_takes_idle_buckets_first)
+{
+  const auto buckets = owned_by(0, 64);
+  const auto moves = plan_rebalance(buckets, {1000, 1000}, {40, 50, 60}, 3);
+  CHECK_TRUE(moves == (std::vector<bucket_move>{{40, 1}, {50, 1}, {60, 1}}));
+}
+
+// Guards against chains that a voluntary move makes longer than it must.
+TEST(assignment, rebalance_prefers_earlier_holders_and_skips_long_chains)
+{
+  auto buckets = owned_by(0, 4);
+  buckets[2] = chain_of({0, 1});
+  buckets[0] = chain_of({0, 2, 3, 4});
+  const holder_weights weights{1000, 1000, 0, 0, 0};
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 1) ==
+             (std::vector<bucket_move>{{2, 1}}));
+  buckets[1] = buckets[2] = buckets[3] = buckets[0];
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 4).empty());
+}
+
+// Guards against a drain that pushes a holder with flows out of a full chain.
+TEST(assignment, full_chain_waits_unless_an_earlier_holder_can_take_it)
+{
+  const std::vector<chain> buckets{chain_of({0, 1, 2, 3, 4, 5, 6, 7})};
+  holder_weights weights(9, 0);
+  weights[8] = 1000;
+  CHECK_TRUE(plan_replacement(buckets, weights, {}).empty());
+  weights[5] = 1;
+  CHECK_TRUE(plan_replacement(buckets, weights, {}) ==
+             (std::vector<bucket_move>{{0, 5}}));
+  CHECK_TRUE(with_owner(buckets[0], 5) == chain_of({5, 0, 1, 2, 3, 4, 6, 7}));
+}
--- /dev/null
+++ b/src/cluster/membership_core_test.cpp
@@ -0,0 +1,231 @@
+#include <toucanmill/cluster/membership_core.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <optional>
+
+#include "removal_limit.hpp"
+#include "test_support.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::support;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point at(duration since_start)
+{
+  return time_point{since_start};
+}
+
+node_report report_of(node_identity identity)
+{
+  node_report report;
+  report.identity = std::move(identity);
+  return report;
+}
+
+} // namespace
+
+TEST_GROUP(membership)
+{
+  machine control;
+  membership_core membership{membership_options{}};
+
+  void setup() override
+  {
+    control.change(
+        create_service{"charts", address_of(1000), service_kind::http, 64});
+    membership.on_leader(control.state, at({}));
+  }
+
+  void run(const std::vector<command>& commands)
+  {
+    for (const auto& value : commands)
+      control.apply(value);
+  }
+
+  void report(const node_report& value, duration since_start)
+  {
+    run(membership.on_report(control.state, value, at(since_start)));
+  }
+
+  void report_upstreams(std::uint32_t first, std::uint32_t last,
+                        duration since_start)
+  {
+    for (auto i = first; i <= last; ++i)
+      report(report_of(agent(i, "charts")), since_start);
+  }
+
+  std::size_t count(node_state state) const
+  {
+    const auto nodes = control.state.nodes();
+    return static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(),
+                                                  [&](const auto* node)
+                                                  {
+                                                    return node->state == state;
+                                                  }));
+  }
+
+  std::uint32_t owned(std::uint32_t number) const
+  {
+    const auto& table = *control.state.find_service("charts");
+    return static_cast<std::uint32_t>(std::count_if(
+        table.buckets.begin(), table.buckets.end(),
+        [&](const chain& bucket)
+        {
+          return table.holders[bucket.holders[0]].node == node_id{number};
+        }));
+  }
+};
+
+// Guards against an upstream that dies and keeps its buckets, or that leaves
+// its chains before the suspect limit.
+TEST(membership, expired_lease_leads_to_suspect_then_gone)
+{
+  report_upstreams(1, 3, {});
+  report_upstreams(2, 3, seconds(3));
+  run(membership.on_tick(control.state, at(seconds(3))));
+  CHECK_EQUAL(1U, count(node_state::suspect));
+  CHECK_EQUAL(0U, owned(1));
+  const auto& table = *control.state.find_service("charts");
+  CHECK_TRUE(table.holders[0].suspect);
+  for (int second = 4; second <= 32; ++second)
+  {
+    CHECK_EQUAL(0U, count(node_state::gone));
+    CHECK_EQUAL(3U, table.holders.size());
+    report_upstreams(2, 3, seconds(second));
+    run(membership.on_tick(control.state, at(seconds(second))));
+  }
+  report_upstreams(2, 3, seconds(34));
+  run(membership.on_tick(control.state, at(seconds(34))));
+  CHECK_EQUAL(1U, count(node_state::gone));
+  CHECK_EQUAL(2U, table.holders.size());
+}
+
+// Guards against a return that is not noticed.
+TEST(membership, suspect_returns_with_its_next_report)
+{
+  report_upstreams(1, 3, {});
+  report_upstreams(2, 3, seconds(3));
+  run(membership.on_tick(control.state, at(seconds(3))));
+  report_upstreams(1, 1, seconds(10));
+  CHECK_EQUAL(3U, count(node_state::active));
+}
+
+// Guards against the removal of healthy upstreams when reports are lost.
+TEST(membership, removal_is_limited_and_fails_open)
+{
+  constexpr double third = 1.0 / 3;
+  CHECK_EQUAL(0U, allowed_removals(1, 0, 1, third));
+  CHECK_EQUAL(1U, allowed_removals(2, 0, 1, third));
+  CHECK_EQUAL(2U, allowed_removals(7, 0, 3, third));
+  CHECK_EQUAL(1U, allowed_removals(7, 1, 2, third));
+  CHECK_EQUAL(0U, allowed_removals(7, 2, 1, third));
+  CHECK_EQUAL(0U, allowed_removals(7, 0, 4, third));
+  report_upstreams(1, 7, {});
+  run(membership.on_tick(control.state, at(seconds(5))));
+  CHECK_EQUAL(7U, count(node_state::active));
+}
+
+// Guards against a new leader that declares every node dead.
+TEST(membership, new_leader_grants_full_leases)
+{
+  report_upstreams(1, 3, {});
+  membership.on_leader(control.state, at(seconds(60)));
+  run(membership.on_tick(control.state, at(seconds(62))));
+  CHECK_EQUAL(3U, count(node_state::active));
+}
+
+// Guards against a stale process that renews the lease of its successor.
+TEST(membership, report_of_an_older_life_has_no_effect)
+{
+  report(report_of(agent(1, "charts", 5)), {});
+  CHECK_TRUE(membership
+                 .on_report(control.state, report_of(agent(1, "charts", 4)),
+                            at(seconds(2)))
+                 .empty());
+  CHECK_FALSE(membership.liveness(at(seconds(3))).front().lease_valid);
+}
+
+// Guards against the loss of flows that an agent accepted before it knew that
+// the bucket moved.
+TEST(membership, release_needs_a_table_as_new_as_the_move)
+{
+  report_upstreams(1, 2, {});
+  const auto before = control.state.position();
+  control.change(drain_node{"agent-1"});
+  const auto& table = *control.state.find_service("charts");
+  const auto length = [&]
+  {
+    return table.buckets[0].size;
+  };
+  CHECK_EQUAL(2, length());
+  auto late = report_of(agent(1, "charts"));
+  late.applied = before;
+  report(late, milliseconds(500));
+  CHECK_EQUAL(2, length());
+  late.applied = control.state.position();
+  late.held_buckets = {0};
+  report(late, seconds(1));
+  CHECK_EQUAL(2, length());
+  CHECK_EQUAL(1, table.buckets[1].size);
+  late.held_buckets = {};
+  report(late, milliseconds(1500));
+  CHECK_EQUAL(1, length());
+}
+
+// Guards against a leaving agent that is forgotten while it owns buckets in its
+// own table.
+TEST(membership, leaving_agent_is_gone_only_after_it_knows_of_its_drain)
+{
+  report_upstreams(1, 2, {});
+  auto leaving = report_of(agent(1, "charts"));
+  leaving.applied = control.state.position();
+  leaving.leaving = leaving.empty = true;
+  report(leaving, seconds(1));
+  CHECK_EQUAL(1U, count(node_state::draining));
+  report(leaving, milliseconds(1500));
+  CHECK_EQUAL(1U, count(node_state::draining));
+  leaving.applied = control.state.position();
+  report(leaving, seconds(2));
+  CHECK_EQUAL(1U, count(node_state::gone));
+}
+
+// Guards against a cold upstream that gets its full share at once, or never.
+TEST(membership, joining_upstream_ramps_up)
+{
+  const auto beat = [&](std::uint32_t last, int second)
+  {
+    report_upstreams(1, last, seconds(second));
+    run(membership.on_tick(control.state, at(seconds(second))));
+  };
+  for (int second = 0; second < 30; ++second)
+    beat(3, second);
+  CHECK_TRUE(owned(1) <= 22 && owned(1) >= 21);
+  beat(4, 30);
+  beat(4, 31);
+  CHECK_TRUE(owned(4) <= 4);
+  for (int second = 32; second < 45; ++second)
+    beat(4, second);
+  CHECK_EQUAL(16U, owned(4));
+}
+
+// Guards against "in force" while a node with a lease acts on an older table.
+TEST(membership, in_force_waits_for_every_live_node)
+{
+  auto one = report_of(agent(1, "charts"));
+  auto two = report_of(balancer(2));
+  one.applied = {1, 10};
+  two.applied = {1, 9};
+  report(one, {});
+  report(two, {});
+  CHECK_FALSE(membership.in_force(10, at(seconds(1))));
+  two.applied = {1, 10};
+  report(two, seconds(1));
+  CHECK_TRUE(membership.in_force(10, at(seconds(1))));
+}
