--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -64,6 +64,7 @@
   std::uint64_t last_index = 0;
   std::uint64_t snapshot_index = 0;
   std::vector<replica_address> group;
+  std::uint64_t malformed_messages = 0; ///< received and dropped
 };
 
 /// Thread that owns the replica core and its data folder. Every function may be
--- /dev/null
+++ b/src/log/file_system.hpp
@@ -0,0 +1,57 @@
+#ifndef TOUCANMILL_SRC_LOG_FILE_SYSTEM_HPP
+#define TOUCANMILL_SRC_LOG_FILE_SYSTEM_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <toucanmill/base/outcome.hpp>
+
+namespace toucanmill::log_detail
+{
+
+/// File that only grows. Errors: io_failure with the path.
+class append_file
+{
+public:
+  virtual ~append_file() = default;
+  virtual result<void> append(std::string_view bytes) = 0;
+  virtual result<void> sync() = 0;
+};
+
+/// File operations of the log; tests replace it. Errors: io_failure with the
+/// path.
+class file_system
+{
+public:
+  virtual ~file_system() = default;
+  virtual result<void> create_folder(const std::string& path) = 0;
+
+  /// Names in a folder, sorted.
+  virtual result<std::vector<std::string>> list(const std::string& path) = 0;
+  virtual result<std::string> read(const std::string& path) = 0;
+
+  /// Up to `size` octets from the offset.
+  virtual result<std::string>
+  read_at(const std::string& path, std::uint64_t offset, std::size_t size) = 0;
+
+  /// Opens at the end; creates the file if there is none.
+  virtual result<std::unique_ptr<append_file>>
+  open(const std::string& path) = 0;
+  virtual result<void> truncate(const std::string& path,
+                                std::uint64_t size) = 0;
+  virtual result<void> rename(const std::string& from,
+                              const std::string& to) = 0;
+  virtual result<void> remove(const std::string& path) = 0;
+
+  /// Makes created, renamed and removed names in the folder durable.
+  virtual result<void> sync_folder(const std::string& path) = 0;
+};
+
+std::unique_ptr<file_system> make_posix_file_system();
+
+} // namespace toucanmill::log_detail
+
+#endif
--- /dev/null
+++ b/src/log/log_operations.cpp
@@ -0,0 +1,175 @@
+#include "log_runtime.hpp"
+
+#include <utility>
+
+#include "codec.hpp"
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+error stopped()
+{
+  return error{error_code::unavailable, "the replicated log is stopped"};
+}
+
+} // namespace
+
+// A full queue refuses the operation; the refusal itself takes a place in the
+// queue because callbacks run on the log's thread.
+template <class Callback>
+void log_runtime::submit(task_queue::task work, const Callback& done)
+{
+  if (queue_.push(work))
+    return;
+  task_queue::task refuse = [done]
+  {
+    done(error{error_code::limit_reached,
+               "too many operations wait for the replicated log"});
+  };
+  if (!queue_.push_always(refuse))
+    done(stopped());
+}
+
+void log_runtime::propose(std::string command, outcome_callback done)
+{
+  submit(
+      [this, command = std::move(command), done]
+      {
+        start_proposal(command, done);
+      },
+      done);
+}
+
+void log_runtime::confirm_read(read_callback done)
+{
+  submit(
+      [this, done]
+      {
+        start_read(done);
+      },
+      done);
+}
+
+void log_runtime::change_group(std::vector<replica_address> group,
+                               outcome_callback done)
+{
+  submit(
+      [this, group = std::move(group), done]
+      {
+        start_change(group, done);
+      },
+      done);
+}
+
+void log_runtime::post(std::function<void()> task)
+{
+  queue_.push_always(task);
+}
+
+void log_runtime::receive(std::string message)
+{
+  task_queue::task work = [this, message = std::move(message)]
+  {
+    deliver(message);
+  };
+  queue_.push(work);
+}
+
+void log_runtime::transfer_leadership()
+{
+  post(
+      [this]
+      {
+        if (!closing_)
+          core_->transfer_leadership(at());
+      });
+}
+
+void log_runtime::start_proposal(const std::string& command,
+                                 outcome_callback done)
+{
+  if (closing_)
+    return done(stopped());
+  accept(core_->propose(command), std::move(done));
+}
+
+void log_runtime::start_change(const std::vector<replica_address>& group,
+                               outcome_callback done)
+{
+  if (closing_)
+    return done(stopped());
+  accept(core_->change_group(group, at()), std::move(done));
+}
+
+void log_runtime::accept(const result<table_version>& position,
+                         outcome_callback done)
+{
+  if (!position)
+    return done(position.error());
+  const auto& [term, index] = position.value();
+  proposals_[index] = {term, std::move(done)};
+}
+
+void log_runtime::start_read(read_callback done)
+{
+  if (closing_)
+    return done(stopped());
+  const auto id = next_read_++;
+  if (auto accepted = core_->read(id); !accepted)
+    return done(accepted.error());
+  reads_[id] = std::move(done);
+}
+
+void log_runtime::deliver(const std::string& message)
+{
+  if (closing_)
+    return;
+  const auto decoded = decode_message(message);
+  if (decoded)
+    core_->receive(decoded.value(), at());
+  else
+    ++malformed_messages_;
+}
+
+replicated_log_status log_runtime::status() const
+{
+  replicated_log_status status;
+  status.self = options_.self;
+  status.leader = core_->leader();
+  status.leads = core_->role() == replica_role::leader;
+  status.term = core_->hard().term;
+  status.commit_index = core_->commit_index();
+  status.applied_index = core_->applied_index();
+  status.last_index = core_->log().last().index;
+  status.snapshot_index = core_->snapshot().position.index;
+  status.group = core_->group().members;
+  status.malformed_messages = malformed_messages_;
+  return status;
+}
+
+result<std::unique_ptr<replicated_log>>
+open_with_files(replicated_log_options options, log_client& client,
+                std::unique_ptr<file_system> files)
+{
+  auto log = std::make_unique<log_runtime>(std::move(options), client,
+                                           std::move(files));
+  BOOST_OUTCOME_TRY(log->start());
+  return std::unique_ptr<replicated_log>(std::move(log));
+}
+
+} // namespace toucanmill::log_detail
+
+namespace toucanmill
+{
+
+result<std::unique_ptr<replicated_log>>
+replicated_log::open(replicated_log_options options, log_client& client)
+{
+  return log_detail::open_with_files(std::move(options), client,
+                                     log_detail::make_posix_file_system());
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/log/log_runtime.cpp
@@ -0,0 +1,325 @@
+#include "log_runtime.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+#include "codec.hpp"
+#include <toucanmill/base/clock.hpp>
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+/// Tasks waiting for the log's thread. Beyond it messages are dropped and
+/// proposals refused.
+constexpr std::size_t queue_capacity = 65536;
+
+/// Tasks handled between two syncs; bounds the delay of a heartbeat.
+constexpr std::size_t tasks_per_batch = 4096;
+
+/// The shortest timer of the core is a heartbeat interval of 100 ms.
+constexpr duration tick_interval = std::chrono::milliseconds(10);
+constexpr duration client_tick_interval = std::chrono::milliseconds(50);
+
+/// The log may grow to this size, or that of the last snapshot, before a
+/// snapshot is taken regardless of the number of entries.
+constexpr std::uint64_t min_log_bytes_per_snapshot =
+    std::uint64_t{64} * 1024 * 1024;
+
+constexpr std::uint64_t max_retained_entries = 1000;
+
+constexpr int failed_write_exit_code = 70;
+
+// After a failed write or sync the content of the folder is unknown, so only a
+// restart with recovery can continue.
+[[noreturn]] void end_process(const error& failure)
+{
+  std::fprintf(stderr, "replicated log: %s; ending the process\n",
+               failure.message.c_str());
+  std::_Exit(failed_write_exit_code);
+}
+
+void require(const result<void>& outcome)
+{
+  if (!outcome)
+    end_process(outcome.error());
+}
+
+replica_settings make_settings(const replicated_log_options& options)
+{
+  replica_settings settings;
+  settings.self = options.self;
+  settings.heartbeat_interval = options.heartbeat_interval;
+  settings.election_timeout = options.election_timeout;
+  settings.retained_entries =
+      std::min(max_retained_entries, options.entries_per_snapshot);
+  return settings;
+}
+
+std::uint64_t make_seed(const replicated_log_options& options)
+{
+  const auto seed = options.random_seed != 0
+                        ? options.random_seed
+                        : std::uint64_t{std::random_device{}()};
+  return seed + options.self.value;
+}
+
+error stopped()
+{
+  return error{error_code::unavailable, "the replicated log is stopped"};
+}
+
+std::chrono::steady_clock::time_point to_steady(time_point time)
+{
+  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+} // namespace
+
+log_runtime::log_runtime(replicated_log_options options, log_client& client,
+                         std::unique_ptr<file_system> files)
+    : options_(std::move(options)), client_(client), files_(std::move(files)),
+      queue_(queue_capacity), random_(make_seed(options_))
+{
+}
+
+log_runtime::~log_runtime()
+{
+  stop();
+}
+
+result<void> log_runtime::start()
+{
+  std::promise<result<void>> started;
+  auto outcome = started.get_future();
+  thread_ = std::thread(
+      [this, &started]
+      {
+        run(started);
+      });
+  auto result = outcome.get();
+  if (!result)
+    stop();
+  return result;
+}
+
+void log_runtime::run(std::promise<result<void>>& started)
+{
+  auto recovered = recover();
+  const bool usable = recovered.has_value();
+  started.set_value(std::move(recovered));
+  if (!usable)
+    return;
+  while (!queue_.closed())
+  {
+    for (const auto& task : queue_.pop(to_steady(next_tick_), tasks_per_batch))
+      task();
+    tick_if_due();
+    process();
+  }
+  close();
+}
+
+result<void> log_runtime::recover()
+{
+  BOOST_OUTCOME_TRY(store,
+                    log_store::open(*files_, options_.folder, options_.self,
+                                    options_.initial_group));
+  store_ = std::move(store);
+  auto stored = store_->take_stored();
+  const auto position = stored.snapshot.position;
+  if (position.index != 0)
+  {
+    BOOST_OUTCOME_TRY(client_.restore(position, store_->take_snapshot_data()));
+  }
+  core_ = std::make_unique<replica_core>(make_settings(options_),
+                                         std::move(stored), at());
+  next_tick_ = next_client_tick_ = monotonic_now();
+  return outcome::success();
+}
+
+moment log_runtime::at()
+{
+  return {monotonic_now(), random_()};
+}
+
+void log_runtime::tick_if_due()
+{
+  const auto now = monotonic_now();
+  if (now < next_tick_)
+    return;
+  next_tick_ = now + tick_interval;
+  core_->tick(at());
+  if (now < next_client_tick_)
+    return;
+  next_client_tick_ = now + client_tick_interval;
+  client_.on_tick(now);
+}
+
+void log_runtime::process()
+{
+  for (;;)
+  {
+    auto actions = core_->take();
+    announce_loss();
+    if (actions.empty())
+      break;
+    for (auto& item : actions.messages)
+      send(item);
+    for (const auto& entry : actions.apply)
+      apply(entry);
+    for (const auto& read : actions.reads)
+      finish_read(read);
+    fail_lost_proposals();
+    if (!actions.persist.empty())
+      persist(actions.persist);
+  }
+  fail_lost_proposals();
+  snapshot_if_due();
+}
+
+void log_runtime::send(outgoing_message& item)
+{
+  if (item.to.rpc.port == 0)
+    return;
+  auto& message = item.message;
+  if (message.kind == message_kind::snapshot_chunk)
+  {
+    auto data = store_->read_snapshot(message.index,
+                                      replica_settings{}.max_message_bytes);
+    if (!data)
+      end_process(data.error());
+    message.data = std::move(data.value());
+  }
+  client_.send(item.to, encode(message));
+}
+
+void log_runtime::apply(const log_entry& entry)
+{
+  bytes_since_snapshot_ += entry.payload.size();
+  std::string outcome;
+  if (entry.kind == entry_kind::command)
+    outcome = client_.apply(entry);
+  const bool leads = core_->role() == replica_role::leader;
+  if (entry.kind == entry_kind::barrier && leads &&
+      entry.position.term == core_->hard().term)
+  {
+    announced_term_ = entry.position.term;
+    client_.on_leadership(true, announced_term_);
+  }
+  const auto found = proposals_.find(entry.position.index);
+  if (found == proposals_.end())
+    return;
+  auto [term, done] = std::move(found->second);
+  proposals_.erase(found);
+  if (term == entry.position.term)
+    done(std::move(outcome));
+  else
+    done(error{error_code::unavailable,
+               "another leader replaced the command before it committed"});
+}
+
+void log_runtime::finish_read(const read_outcome& read)
+{
+  const auto found = reads_.find(read.id);
+  if (found == reads_.end())
+    return;
+  auto done = std::move(found->second);
+  reads_.erase(found);
+  if (read.confirmed)
+    done(applied_position());
+  else
+    done(error{error_code::unavailable,
+               "leadership was lost before a quorum confirmed the read"});
+}
+
+void log_runtime::persist(const persist_request& request)
+{
+  require(store_->save(request));
+  if (request.snapshot)
+  {
+    bytes_since_snapshot_ = 0;
+    const auto& [meta, data] = *request.snapshot;
+    if (auto restored = client_.restore(meta.position, data); !restored)
+      end_process(restored.error());
+  }
+  core_->persisted(request.sequence, at());
+}
+
+void log_runtime::announce_loss()
+{
+  const bool leads = core_->role() == replica_role::leader &&
+                     core_->hard().term == announced_term_;
+  if (announced_term_ == 0 || leads)
+    return;
+  const auto term = std::exchange(announced_term_, 0);
+  client_.on_leadership(false, term);
+}
+
+void log_runtime::fail_lost_proposals()
+{
+  const bool leads = core_->role() == replica_role::leader;
+  std::vector<outcome_callback> lost;
+  for (auto it = proposals_.begin(); it != proposals_.end();)
+  {
+    if (leads && it->second.term == core_->hard().term)
+      return;
+    lost.push_back(std::move(it->second.done));
+    it = proposals_.erase(it);
+  }
+  for (const auto& done : lost)
+    done(error{error_code::unavailable,
+               "leadership was lost; the command may or may not commit"});
+}
+
+void log_runtime::snapshot_if_due()
+{
+  const auto& last = core_->snapshot();
+  const auto entries = core_->applied_index() - last.position.index;
+  const auto max_bytes = std::max(min_log_bytes_per_snapshot, last.size);
+  if (entries == 0 || (entries < options_.entries_per_snapshot &&
+                       bytes_since_snapshot_ < max_bytes))
+    return;
+  const auto position = applied_position();
+  const auto data = client_.snapshot();
+  const snapshot_meta meta{position, core_->group_at(position.index),
+                           data.size()};
+  require(store_->save_snapshot(meta, data));
+  core_->compact(meta);
+  bytes_since_snapshot_ = 0;
+}
+
+table_version log_runtime::applied_position() const
+{
+  const auto index = core_->applied_index();
+  return {core_->log().term_at(index).value_or(0), index};
+}
+
+void log_runtime::close()
+{
+  closing_ = true;
+  const auto now = std::chrono::steady_clock::now();
+  for (auto tasks = queue_.pop(now, tasks_per_batch); !tasks.empty();
+       tasks = queue_.pop(now, tasks_per_batch))
+    for (const auto& task : tasks)
+      task();
+  for (auto& [index, proposal] : std::exchange(proposals_, {}))
+    proposal.done(stopped());
+  for (auto& [id, done] : std::exchange(reads_, {}))
+    done(stopped());
+  if (announced_term_ != 0)
+    client_.on_leadership(false, std::exchange(announced_term_, 0));
+}
+
+void log_runtime::stop()
+{
+  queue_.close();
+  if (thread_.joinable() && thread_.get_id() != std::this_thread::get_id())
+    thread_.join();
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/log_runtime.hpp
@@ -0,0 +1,101 @@
+#ifndef TOUCANMILL_SRC_LOG_LOG_RUNTIME_HPP
+#define TOUCANMILL_SRC_LOG_LOG_RUNTIME_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <future>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "file_system.hpp"
+#include "log_store.hpp"
+#include "replica_core.hpp"
+#include "task_queue.hpp"
+#include <toucanmill/log/replicated_log.hpp>
+
+namespace toucanmill::log_detail
+{
+
+/// The thread of a replicated log. All members except the queue belong to it.
+class log_runtime : public replicated_log
+{
+public:
+  log_runtime(replicated_log_options options, log_client& client,
+              std::unique_ptr<file_system> files);
+  ~log_runtime() override;
+
+  /// Opens the folder, restores the state machine and starts the thread.
+  result<void> start();
+
+  void propose(std::string command, outcome_callback done) override;
+  void confirm_read(read_callback done) override;
+  void post(std::function<void()> task) override;
+  void receive(std::string message) override;
+  void change_group(std::vector<replica_address> group,
+                    outcome_callback done) override;
+  void transfer_leadership() override;
+  replicated_log_status status() const override;
+  void stop() override;
+
+private:
+  struct proposal
+  {
+    std::uint64_t term = 0;
+    outcome_callback done;
+  };
+
+  void run(std::promise<result<void>>& started);
+  result<void> recover();
+  void tick_if_due();
+  void process();
+  void send(outgoing_message& item);
+  void apply(const log_entry& entry);
+  void finish_read(const read_outcome& read);
+  void persist(const persist_request& request);
+  void announce_loss();
+  void fail_lost_proposals();
+  void snapshot_if_due();
+  void close();
+  void start_proposal(const std::string& command, outcome_callback done);
+  void start_read(read_callback done);
+  void start_change(const std::vector<replica_address>& group,
+                    outcome_callback done);
+  void accept(const result<table_version>& position, outcome_callback done);
+  void deliver(const std::string& message);
+  template <class Callback>
+  void submit(task_queue::task work, const Callback& done);
+  moment at();
+  table_version applied_position() const;
+
+  replicated_log_options options_;
+  log_client& client_;
+  std::unique_ptr<file_system> files_;
+  task_queue queue_;
+  std::thread thread_;
+
+  std::unique_ptr<log_store> store_;
+  std::unique_ptr<replica_core> core_;
+  std::mt19937_64 random_;
+  std::map<std::uint64_t, proposal> proposals_; ///< by index
+  std::map<std::uint64_t, read_callback> reads_;
+  std::uint64_t next_read_ = 1;
+  std::uint64_t announced_term_ = 0; ///< 0: the client does not lead
+  std::uint64_t bytes_since_snapshot_ = 0;
+  std::uint64_t malformed_messages_ = 0;
+  time_point next_tick_;
+  time_point next_client_tick_;
+  bool closing_ = false;
+};
+
+/// open() with other file operations, for tests.
+result<std::unique_ptr<replicated_log>>
+open_with_files(replicated_log_options options, log_client& client,
+                std::unique_ptr<file_system> files);
+
+} // namespace toucanmill::log_detail
+
+#endif
--- /dev/null
+++ b/src/log/log_store.cpp
@@ -0,0 +1,179 @@
+#include "log_store.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+const std::string marker = "replica-id";
+const std::string marker_temporary = "replica-id.tmp";
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+  return std::count(names.begin(), names.end(), name) != 0;
+}
+
+// Keeps the entries that continue the snapshot. If the entry at its position
+// is from another term, everything after it was replaced as well.
+void keep_after(const table_version& position, std::vector<log_entry>& entries)
+{
+  const auto end = std::find_if(entries.begin(), entries.end(),
+                                [&position](const log_entry& entry)
+                                {
+                                  return entry.position.index >= position.index;
+                                });
+  const bool conflict = end != entries.end() &&
+                        end->position.index == position.index &&
+                        end->position.term != position.term;
+  if (conflict)
+    return entries.clear();
+  const bool same = end != entries.end() && end->position == position;
+  entries.erase(entries.begin(), same ? std::next(end) : end);
+}
+
+} // namespace
+
+log_store::log_store(file_system& files, const std::string& folder,
+                     replica_id self, std::uint64_t segment_bytes)
+    : files_(files), folder_(folder), self_(self),
+      log_(files, folder, self, segment_bytes), snapshots_(files, folder)
+{
+}
+
+result<std::unique_ptr<log_store>>
+log_store::open(file_system& files, const std::string& folder, replica_id self,
+                const std::vector<replica_address>& initial_group,
+                std::uint64_t segment_bytes)
+{
+  std::unique_ptr<log_store> store(
+      new log_store(files, folder, self, segment_bytes));
+  BOOST_OUTCOME_TRY(store->open_folder(initial_group));
+  return store;
+}
+
+result<void>
+log_store::open_folder(const std::vector<replica_address>& initial_group)
+{
+  BOOST_OUTCOME_TRY(files_.create_folder(folder_));
+  BOOST_OUTCOME_TRY(names, files_.list(folder_));
+  if (!contains(names, marker))
+    return initialise(names, initial_group);
+  BOOST_OUTCOME_TRY(check_marker(names));
+  return recover();
+}
+
+result<void> log_store::check_marker(const std::vector<std::string>& names)
+{
+  const auto path = folder_ + "/" + marker;
+  BOOST_OUTCOME_TRY(content, files_.read(path));
+  if (content != to_string(self_) + "\n")
+    return error{error_code::invalid_argument,
+                 path + ": the folder belongs to replica \"" +
+                     content.substr(0, content.find('\n')) +
+                     "\", not to replica " + to_string(self_)};
+  if (contains(names, marker_temporary))
+    return files_.remove(folder_ + "/" + marker_temporary);
+  return outcome::success();
+}
+
+// The marker is written last. Without it nothing in the folder was ever
+// acknowledged, so the remains of an interrupted start can be removed.
+result<void>
+log_store::initialise(const std::vector<std::string>& names,
+                      const std::vector<replica_address>& initial_group)
+{
+  stored_.hard.may_vote = false;
+  stored_.snapshot.group.members = initial_group;
+  for (const auto& name : names)
+  {
+    BOOST_OUTCOME_TRY(remains, is_interrupted_start(name));
+    if (!remains)
+      return error{error_code::invalid_argument,
+                   folder_ + ": not empty, but without the marker file " +
+                       marker + " (found " + name + ")"};
+  }
+  for (const auto& name : names)
+  {
+    BOOST_OUTCOME_TRY(files_.remove(folder_ + "/" + name));
+  }
+  BOOST_OUTCOME_TRY(snapshots_.write(stored_.snapshot, {}));
+  BOOST_OUTCOME_TRY(log_.create(stored_.hard));
+  return write_marker();
+}
+
+result<bool> log_store::is_interrupted_start(const std::string& name)
+{
+  const auto path = folder_ + "/" + name;
+  if (name == marker_temporary || name == snapshot_files::temporary_name ||
+      name == snapshot_files::name_of({}))
+    return true;
+  if (path != log_.path_of(1))
+    return false;
+  BOOST_OUTCOME_TRY(bytes, files_.read(path));
+  return bytes.size() <= log_.first_bytes(stored_.hard);
+}
+
+result<void> log_store::write_marker()
+{
+  const auto path = folder_ + "/" + marker_temporary;
+  {
+    BOOST_OUTCOME_TRY(file, files_.open(path));
+    BOOST_OUTCOME_TRY(file->append(to_string(self_) + "\n"));
+    BOOST_OUTCOME_TRY(file->sync());
+  }
+  BOOST_OUTCOME_TRY(files_.rename(path, folder_ + "/" + marker));
+  return files_.sync_folder(folder_);
+}
+
+result<void> log_store::recover()
+{
+  BOOST_OUTCOME_TRY(snapshot, snapshots_.load());
+  if (!snapshot)
+    return error{error_code::corrupt_data, folder_ + ": no snapshot file"};
+  BOOST_OUTCOME_TRY(log, log_.recover());
+  stored_.snapshot = snapshot->meta;
+  snapshot_data_ = std::move(snapshot->data);
+  stored_.hard = log.hard.value_or(hard_state{});
+  const auto& position = stored_.snapshot.position;
+  keep_after(position, log.entries);
+  if (!log.entries.empty() &&
+      log.entries.front().position.index != position.index + 1)
+    return error{error_code::corrupt_data,
+                 folder_ + ": entries " + std::to_string(position.index + 1) +
+                     " to " +
+                     std::to_string(log.entries.front().position.index - 1) +
+                     " are missing"};
+  stored_.entries = std::move(log.entries);
+  return outcome::success();
+}
+
+result<void> log_store::save(const persist_request& request)
+{
+  if (request.snapshot)
+  {
+    const auto& [meta, data] = *request.snapshot;
+    BOOST_OUTCOME_TRY(snapshots_.write(meta, data));
+    log_.append(log_reset{meta.position});
+  }
+  if (request.hard)
+    log_.append(*request.hard);
+  for (const auto& entry : request.entries)
+    log_.append(entry);
+  BOOST_OUTCOME_TRY(log_.sync());
+  if (request.snapshot)
+    return log_.remove_up_to(request.snapshot->meta.position.index);
+  return outcome::success();
+}
+
+result<void> log_store::save_snapshot(const snapshot_meta& meta,
+                                      const std::string& data)
+{
+  BOOST_OUTCOME_TRY(snapshots_.write(meta, data));
+  return log_.remove_up_to(meta.position.index);
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/replica_append_core.cpp
@@ -0,0 +1,277 @@
+#include "replica_core.hpp"
+
+#include <algorithm>
+#include <functional>
+
+#include "codec.hpp"
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+/// Entries follow the position without a gap, with terms that never fall and do
+/// not exceed that of the message; group records can be decoded.
+bool well_formed(const replica_message& message)
+{
+  auto previous = message.position;
+  for (const auto& entry : message.entries)
+  {
+    if (entry.position.index != previous.index + 1 ||
+        entry.position.term < previous.term ||
+        entry.position.term > message.term)
+      return false;
+    if (entry.kind == entry_kind::membership &&
+        !decode_group(entry.payload).has_value())
+      return false;
+    previous = entry.position;
+  }
+  return true;
+}
+
+} // namespace
+
+void replica_core::send_pending()
+{
+  for (auto& [id, peer] : peers_)
+  {
+    if (peer.state != progress_state::snapshot &&
+        peer.next <= log_.base().index)
+    {
+      peer.state = progress_state::snapshot;
+      peer.snapshot_position = {};
+      peer.waiting = false;
+    }
+    if (peer.state == progress_state::snapshot)
+      send_snapshot(peer);
+    else if (peer.state == progress_state::probe && !peer.waiting)
+      send_entries(peer);
+    while (peer.state == progress_state::replicate &&
+           peer.next <= log_.last().index &&
+           peer.in_flight.size() < settings_.max_messages_in_flight)
+      send_entries(peer);
+  }
+}
+
+void replica_core::send_entries(progress& peer)
+{
+  auto request = make(message_kind::append_request, peer.address.id);
+  const auto previous = peer.next - 1;
+  request.position = {log_.term_at(previous).value_or(0), previous};
+  request.commit = commit_;
+  std::size_t bytes = 0;
+  auto index = peer.next;
+  for (; index <= log_.last().index && bytes < settings_.max_message_bytes;
+       ++index)
+  {
+    request.entries.push_back(log_.at(index));
+    bytes += request.entries.back().payload.size();
+  }
+  peer.sent = now_;
+  if (peer.state == progress_state::probe)
+    peer.waiting = true;
+  else
+  {
+    peer.next = index;
+    peer.in_flight.push_back(index - 1);
+  }
+  send_now(std::move(request));
+}
+
+void replica_core::send_heartbeats()
+{
+  heartbeat_due_ = now_ + settings_.heartbeat_interval;
+  for (const auto& [id, peer] : peers_)
+  {
+    auto message = make(message_kind::heartbeat, id);
+    message.commit = commit_;
+    message.index = peer.match;
+    message.round = round_;
+    send_now(std::move(message));
+  }
+}
+
+// Repeats what got no answer for two heartbeat intervals.
+void replica_core::retransmit()
+{
+  for (auto& [id, peer] : peers_)
+  {
+    if (now_ - peer.sent < 2 * settings_.heartbeat_interval)
+      continue;
+    peer.waiting = false;
+    if (peer.state == progress_state::replicate && !peer.in_flight.empty())
+    {
+      peer.state = progress_state::probe;
+      peer.next = peer.match + 1;
+      peer.in_flight.clear();
+    }
+  }
+}
+
+void replica_core::follow(const replica_message& message)
+{
+  if (role_ != replica_role::follower)
+    become_follower(hard_.term);
+  leader_ = address_of(message.from.id, message.from);
+  leader_heard_ = now_;
+  reset_election_deadline();
+}
+
+void replica_core::on_append_request(const replica_message& message)
+{
+  if (role_ == replica_role::leader || !well_formed(message))
+    return;
+  follow(message);
+  const auto& previous = message.position;
+  if (previous.index <= commit_ ||
+      log_.term_at(previous.index) == std::make_optional(previous.term))
+    return accept_entries(message);
+  auto reply = make(message_kind::append_reply, message.from.id);
+  reply.position = previous;
+  reply.index = std::min(previous.index - 1, log_.last().index);
+  // Skips the whole conflicting term, so that a long one costs one exchange.
+  if (const auto conflict = log_.term_at(previous.index))
+    while (reply.index > commit_ && log_.term_at(reply.index) == conflict)
+      --reply.index;
+  send_durable(std::move(reply));
+}
+
+void replica_core::accept_entries(const replica_message& message)
+{
+  for (const auto& entry : message.entries)
+  {
+    const auto index = entry.position.index;
+    if (index <= commit_)
+      continue;
+    const auto term = log_.term_at(index);
+    if (term == entry.position.term)
+      continue;
+    if (term)
+      truncate_from(index);
+    append_entry(entry);
+  }
+  const auto end = message.position.index + message.entries.size();
+  auto reply = make(message_kind::append_reply, message.from.id);
+  reply.granted = true;
+  reply.index = std::max(end, commit_);
+  send_durable(std::move(reply));
+  learn_commit(message.commit, end);
+}
+
+void replica_core::learn_commit(std::uint64_t commit, std::uint64_t verified)
+{
+  set_commit(std::min(commit, verified));
+  // A leader that committed in its own term knows every committed entry.
+  if (commit <= verified && log_.term_at(commit) == hard_.term)
+  {
+    catch_up_target_ = commit;
+    note_caught_up();
+  }
+}
+
+replica_core::progress* replica_core::peer_of(const replica_message& message)
+{
+  if (role_ != replica_role::leader)
+    return nullptr;
+  const auto found = peers_.find(message.from.id);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+void replica_core::on_append_reply(const replica_message& message)
+{
+  auto* peer = peer_of(message);
+  if (peer == nullptr)
+    return;
+  peer->heard = now_;
+  if (!message.granted)
+  {
+    const auto rejected = message.position.index;
+    const bool stale =
+        peer->state == progress_state::snapshot || rejected <= peer->match ||
+        (peer->state == progress_state::probe && rejected != peer->next - 1);
+    if (stale)
+      return;
+    peer->state = progress_state::probe;
+    peer->next =
+        std::max(peer->match, std::min(message.index, rejected - 1)) + 1;
+    peer->waiting = false;
+    peer->in_flight.clear();
+    return;
+  }
+  if (message.index > log_.last().index)
+    return;
+  peer->match = std::max(peer->match, message.index);
+  peer->next = std::max(peer->next, peer->match + 1);
+  while (!peer->in_flight.empty() && peer->in_flight.front() <= peer->match)
+    peer->in_flight.pop_front();
+  if (peer->state == progress_state::probe)
+  {
+    peer->state = progress_state::replicate;
+    peer->waiting = false;
+  }
+  peer->sent = now_;
+  advance_commit();
+}
+
+void replica_core::on_heartbeat(const replica_message& message)
+{
+  if (role_ == replica_role::leader)
+    return;
+  follow(message);
+  auto reply = make(message_kind::heartbeat_reply, message.from.id);
+  reply.round = message.round;
+  reply.granted = message.index <= log_.last().index;
+  if (reply.granted)
+    learn_commit(message.commit, message.index);
+  send_durable(std::move(reply));
+}
+
+void replica_core::on_heartbeat_reply(const replica_message& message)
+{
+  auto* peer = peer_of(message);
+  if (peer == nullptr)
+    return;
+  peer->heard = now_;
+  peer->round = std::max(peer->round, std::min(message.round, round_));
+  if (message.granted)
+    return;
+  // The replica no longer has entries that it acknowledged.
+  peer->match = 0;
+  peer->next = log_.last().index + 1;
+  peer->state = progress_state::probe;
+  peer->waiting = false;
+  peer->in_flight.clear();
+}
+
+void replica_core::advance_commit()
+{
+  std::vector<std::uint64_t> matches;
+  for (const auto& member : group().members)
+    if (member.voter)
+      matches.push_back(member.id == settings_.self
+                            ? persisted_
+                            : peers_.at(member.id).match);
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const auto agreed = matches[quorum() - 1];
+  if (agreed <= commit_ || log_.term_at(agreed) != hard_.term)
+    return;
+  catch_up_target_ = agreed;
+  note_caught_up();
+  const bool first = commit_ < term_start_;
+  set_commit(agreed);
+  // Replicas that started with an empty folder vote once they know this.
+  if (first && role_ == replica_role::leader)
+    send_heartbeats();
+}
+
+void replica_core::set_commit(std::uint64_t index)
+{
+  if (index <= commit_)
+    return;
+  commit_ = index;
+  if (role_ == replica_role::leader)
+    step_down_if_removed();
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/replica_core.cpp
@@ -0,0 +1,295 @@
+#include "replica_core.hpp"
+
+#include <algorithm>
+
+#include "codec.hpp"
+#include <toucanmill/base/invariant.hpp>
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+/// Larger commands would hold up heartbeats while they are sent and synced.
+constexpr std::size_t max_command_bytes = std::size_t{8} * 1024 * 1024;
+
+bool is_vote(message_kind kind)
+{
+  return kind == message_kind::vote_request ||
+         kind == message_kind::pre_vote_request;
+}
+
+bool is_from_leader(message_kind kind)
+{
+  return kind == message_kind::append_request ||
+         kind == message_kind::heartbeat ||
+         kind == message_kind::snapshot_chunk;
+}
+
+} // namespace
+
+replica_core::replica_core(replica_settings settings, stored_state stored,
+                           moment at)
+    : settings_(settings), hard_(stored.hard),
+      snapshot_(std::move(stored.snapshot)), saved_hard_(hard_)
+{
+  set_time(at);
+  log_.reset(snapshot_.position);
+  commit_ = applied_ = snapshot_.position.index;
+  groups_.emplace_back(snapshot_.position.index, snapshot_.group);
+  for (auto& entry : stored.entries)
+    append_entry(std::move(entry));
+  unsaved_from_ = 0;
+  persisted_ = log_.last().index;
+  reset_election_deadline();
+  // Nobody else can lead, so there is nothing to wait for.
+  if (is_voter(settings_.self) && quorum() == 1)
+    election_deadline_ = now_;
+}
+
+void replica_core::set_time(moment at)
+{
+  now_ = std::max(now_, at.now);
+  draw_ = at.draw;
+}
+
+void replica_core::tick(moment at)
+{
+  set_time(at);
+  if (role_ == replica_role::leader)
+    leader_tick();
+  else if (now_ >= election_deadline_)
+    pre_campaign();
+}
+
+void replica_core::receive(const replica_message& message, moment at)
+{
+  set_time(at);
+  if (message.to == settings_.self && message.from.id != settings_.self)
+    dispatch(message);
+}
+
+void replica_core::dispatch(const replica_message& message)
+{
+  if (message.kind == message_kind::pre_vote_request)
+    return on_pre_vote_request(message);
+  if (message.kind == message_kind::pre_vote_reply)
+    return count_vote(message, replica_role::pre_candidate);
+  if (message.kind == message_kind::vote_request && !message.granted &&
+      hears_leader())
+    return;
+  if (message.term < hard_.term)
+    return reject_stale(message);
+  if (message.term > hard_.term)
+    become_follower(message.term);
+  switch (message.kind)
+  {
+  case message_kind::vote_request:
+    return on_vote_request(message);
+  case message_kind::vote_reply:
+    return count_vote(message, replica_role::candidate);
+  case message_kind::append_request:
+    return on_append_request(message);
+  case message_kind::append_reply:
+    return on_append_reply(message);
+  case message_kind::heartbeat:
+    return on_heartbeat(message);
+  case message_kind::heartbeat_reply:
+    return on_heartbeat_reply(message);
+  case message_kind::snapshot_chunk:
+    return on_snapshot_chunk(message);
+  case message_kind::snapshot_reply:
+    return on_snapshot_reply(message);
+  case message_kind::timeout_now:
+    return on_timeout_now();
+  default:
+    return;
+  }
+}
+
+// Tells the sender of an old message about the current term, so that a deposed
+// leader steps down.
+void replica_core::reject_stale(const replica_message& message)
+{
+  if (is_from_leader(message.kind) || is_vote(message.kind))
+  {
+    auto reply = make(is_vote(message.kind) ? message_kind::vote_reply
+                                            : message_kind::append_reply,
+                      message.from.id);
+    auto to = address_of(message.from.id, message.from);
+    unheld_.push_back({to, std::move(reply)});
+  }
+}
+
+replica_message replica_core::make(message_kind kind, replica_id to) const
+{
+  replica_message message;
+  message.kind = kind;
+  message.from = address_of(settings_.self, {settings_.self, {}, false});
+  message.to = to;
+  message.term = hard_.term;
+  return message;
+}
+
+replica_address replica_core::address_of(replica_id id,
+                                         const replica_address& hint) const
+{
+  for (const auto& member : group().members)
+    if (member.id == id)
+      return member;
+  return hint;
+}
+
+void replica_core::send_now(replica_message message)
+{
+  const auto to = address_of(message.to, {message.to, {}, false});
+  actions_.messages.push_back({to, std::move(message)});
+}
+
+// Sends once everything that changed up to now is durable.
+void replica_core::send_durable(replica_message message)
+{
+  auto to = address_of(message.to, {message.to, {}, false});
+  if (leader_ && leader_->id == message.to)
+    to = *leader_;
+  unheld_.push_back({to, std::move(message)});
+}
+
+void replica_core::mark_unsaved(std::uint64_t from)
+{
+  unsaved_from_ = unsaved_from_ == 0 ? from : std::min(unsaved_from_, from);
+}
+
+void replica_core::append_entry(log_entry entry)
+{
+  mark_unsaved(entry.position.index);
+  if (entry.kind == entry_kind::membership)
+  {
+    auto group = decode_group(entry.payload);
+    TOUCANMILL_INVARIANT(group.has_value(), "membership entry is malformed");
+    groups_.emplace_back(entry.position.index, std::move(group.value()));
+  }
+  log_.append(std::move(entry));
+}
+
+void replica_core::truncate_from(std::uint64_t index)
+{
+  TOUCANMILL_INVARIANT(index > commit_, "a committed entry must not change");
+  log_.truncate_from(index);
+  while (groups_.size() > 1 && groups_.back().first >= index)
+    groups_.pop_back();
+  persisted_ = std::min(persisted_, index - 1);
+  for (auto& [sequence, last] : saving_)
+    last = std::min(last, index - 1);
+  mark_unsaved(index);
+}
+
+result<table_version> replica_core::propose(std::string command)
+{
+  if (role_ != replica_role::leader)
+    return error{error_code::not_leader, "this instance does not lead"};
+  if (transfer_target_)
+    return error{error_code::unavailable, "leadership is being transferred"};
+  if (command.size() > max_command_bytes)
+    return error{error_code::limit_reached,
+                 "command of " + std::to_string(command.size()) +
+                     " bytes exceeds the limit of " +
+                     std::to_string(max_command_bytes)};
+  const table_version position{hard_.term, log_.last().index + 1};
+  append_entry({position, entry_kind::command, std::move(command)});
+  return position;
+}
+
+void replica_core::persisted(std::uint64_t sequence, moment at)
+{
+  set_time(at);
+  durable_sequence_ = std::max(durable_sequence_, sequence);
+  while (!saving_.empty() && saving_.front().first <= sequence)
+  {
+    persisted_ = saving_.front().second;
+    saving_.pop_front();
+  }
+  note_caught_up();
+  if (role_ == replica_role::leader)
+    advance_commit();
+  while (!held_.empty() && held_.front().first <= sequence)
+  {
+    auto item = std::move(held_.front().second);
+    held_.pop_front();
+    if (item.message.to == settings_.self)
+      dispatch(item.message);
+    else
+      actions_.messages.push_back(std::move(item));
+  }
+}
+
+void replica_core::compact(const snapshot_meta& snapshot)
+{
+  TOUCANMILL_INVARIANT(snapshot.position.index <= applied_,
+                       "snapshot of entries that were not applied");
+  if (snapshot.position.index <= snapshot_.position.index)
+    return;
+  snapshot_ = snapshot;
+  if (snapshot.position.index > settings_.retained_entries)
+    log_.compact_to(snapshot.position.index - settings_.retained_entries);
+  while (groups_.size() > 1 && groups_[1].first <= log_.base().index)
+    groups_.erase(groups_.begin());
+}
+
+const group_record& replica_core::group_at(std::uint64_t index) const
+{
+  auto found = groups_.begin();
+  for (auto it = groups_.begin(); it != groups_.end(); ++it)
+    if (it->first <= index)
+      found = it;
+  return found->second;
+}
+
+replica_actions replica_core::take()
+{
+  if (role_ == replica_role::leader)
+  {
+    start_reads();
+    send_pending();
+    send_timeout_now();
+  }
+  collect_applied(actions_);
+  finish_reads();
+  collect_persist(actions_);
+  return std::exchange(actions_, {});
+}
+
+// An entry is applied only once it is durable here, so that a snapshot never
+// covers an entry that a crash could remove from this replica.
+void replica_core::collect_applied(replica_actions& actions)
+{
+  const auto end = std::min(commit_, persisted_);
+  while (applied_ < end)
+    actions.apply.push_back(log_.at(++applied_));
+}
+
+void replica_core::collect_persist(replica_actions& actions)
+{
+  if (install_ || hard_ != saved_hard_ || unsaved_from_ != 0)
+  {
+    auto& request = actions.persist;
+    request.sequence = ++sequence_;
+    request.snapshot = std::exchange(install_, std::nullopt);
+    if (hard_ != saved_hard_)
+      request.hard = saved_hard_ = hard_;
+    if (unsaved_from_ != 0)
+      for (auto i = unsaved_from_; i <= log_.last().index; ++i)
+        request.entries.push_back(log_.at(i));
+    unsaved_from_ = 0;
+    saving_.emplace_back(sequence_, log_.last().index);
+  }
+  for (auto& item : unheld_)
+    if (sequence_ > durable_sequence_)
+      held_.emplace_back(sequence_, std::move(item));
+    else
+      actions.messages.push_back(std::move(item));
+  unheld_.clear();
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/replica_core.hpp
@@ -0,0 +1,314 @@
+#ifndef TOUCANMILL_SRC_LOG_REPLICA_CORE_HPP
+#define TOUCANMILL_SRC_LOG_REPLICA_CORE_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "log_buffer.hpp"
+#include "message.hpp"
+#include <toucanmill/base/outcome.hpp>
+#include <toucanmill/base/time.hpp>
+
+namespace toucanmill::log_detail
+{
+
+/// Time and a random draw, inputs of each call that may need them.
+struct moment
+{
+  time_point now;
+  std::uint64_t draw = 0;
+};
+
+struct replica_settings
+{
+  replica_id self;
+  duration heartbeat_interval = std::chrono::milliseconds(100);
+  duration election_timeout = std::chrono::milliseconds(600);
+  std::size_t max_message_bytes =
+      std::size_t{256} * 1024;             ///< of entries or snapshot
+  std::size_t max_messages_in_flight = 16; ///< append messages per replica
+  std::uint64_t retained_entries = 1000;   ///< kept behind a snapshot
+};
+
+/// What a replica finds in its folder when it starts.
+struct stored_state
+{
+  hard_state hard;
+  snapshot_meta snapshot;         ///< position 0: the initial group only
+  std::vector<log_entry> entries; ///< directly after the snapshot
+};
+
+/// A snapshot that replaces the state of the state machine.
+struct received_snapshot
+{
+  snapshot_meta meta;
+  std::string data;
+};
+
+/// Records that must be durable before persisted(sequence) is called. Written
+/// in the order snapshot, hard state, entries.
+struct persist_request
+{
+  std::uint64_t sequence = 0;
+  std::optional<received_snapshot> snapshot;
+  std::optional<hard_state> hard;
+  std::vector<log_entry> entries; ///< replace stored ones from the first index
+
+  bool empty() const
+  {
+    return sequence == 0;
+  }
+};
+
+struct outgoing_message
+{
+  replica_address to;
+  replica_message message; ///< the caller fills in the data of a snapshot chunk
+};
+
+struct read_outcome
+{
+  std::uint64_t id = 0;
+  bool confirmed = false; ///< every entry to read was applied before
+};
+
+/// What the caller has to do, in the order of the members.
+struct replica_actions
+{
+  std::vector<outgoing_message> messages;
+  std::vector<log_entry> apply; ///< committed; before a snapshot to persist
+  std::vector<read_outcome> reads;
+  persist_request persist;
+
+  bool empty() const
+  {
+    return messages.empty() && apply.empty() && reads.empty() &&
+           persist.empty();
+  }
+};
+
+enum class replica_role
+{
+  follower,
+  pre_candidate,
+  candidate,
+  leader,
+};
+
+/// Raft replica as a deterministic function of its inputs. No vote,
+/// acknowledgement or own match counts before persisted() covers its record.
+class replica_core
+{
+public:
+  replica_core(replica_settings settings, stored_state stored, moment at);
+
+  void tick(moment at);
+  void receive(const replica_message& message, moment at);
+
+  /// Everything up to this persist request is durable.
+  void persisted(std::uint64_t sequence, moment at);
+
+  /// Errors: not_leader; unavailable while leadership is being transferred.
+  result<table_version> propose(std::string command);
+
+  /// The outcome appears in the actions. Errors: not_leader.
+  result<void> read(std::uint64_t id);
+
+  /// Errors: not_leader, invalid_argument, unavailable.
+  result<table_version> change_group(const std::vector<replica_address>& group,
+                                     moment at);
+
+  void transfer_leadership(moment at);
+
+  /// A snapshot of the applied state became durable.
+  void compact(const snapshot_meta& snapshot);
+
+  /// What to do since the last call. Sends batched entries, so call it after
+  /// each group of inputs, until it returns nothing.
+  replica_actions take();
+
+  replica_role role() const
+  {
+    return role_;
+  }
+  const hard_state& hard() const
+  {
+    return hard_;
+  }
+  const std::optional<replica_address>& leader() const
+  {
+    return leader_;
+  }
+  std::uint64_t commit_index() const
+  {
+    return commit_;
+  }
+  std::uint64_t applied_index() const
+  {
+    return applied_;
+  }
+  const snapshot_meta& snapshot() const
+  {
+    return snapshot_;
+  }
+  const log_buffer& log() const
+  {
+    return log_;
+  }
+  /// The newest group in the log, committed or not.
+  const group_record& group() const
+  {
+    return groups_.back().second;
+  }
+  /// The group at an applied index, for a snapshot taken there.
+  const group_record& group_at(std::uint64_t index) const;
+
+private:
+  enum class progress_state
+  {
+    probe,
+    replicate,
+    snapshot,
+  };
+
+  /// What the leader knows of another replica.
+  struct progress
+  {
+    replica_address address;
+    progress_state state = progress_state::probe;
+    std::uint64_t match = 0;
+    std::uint64_t next = 1;
+    std::deque<std::uint64_t> in_flight; ///< last index of each append message
+    std::uint64_t round = 0;
+    std::uint64_t snapshot_offset = 0;
+    table_version snapshot_position;
+    bool waiting = false; ///< probe or chunk sent, no reply yet
+    time_point sent;
+    time_point heard;
+  };
+
+  struct pending_read
+  {
+    std::uint64_t id = 0;
+    std::uint64_t index = 0;
+    std::uint64_t round = 0; ///< 0: not yet assigned
+  };
+
+  // replica_core.cpp
+  void set_time(moment at);
+  void dispatch(const replica_message& message);
+  void reject_stale(const replica_message& message);
+  replica_message make(message_kind kind, replica_id to) const;
+  void send_now(replica_message message);
+  void send_durable(replica_message message);
+  replica_address address_of(replica_id id, const replica_address& hint) const;
+  void collect_persist(replica_actions& actions);
+  void collect_applied(replica_actions& actions);
+  void mark_unsaved(std::uint64_t from);
+  void append_entry(log_entry entry);
+  void truncate_from(std::uint64_t index);
+
+  // replica_election_core.cpp
+  void reset_election_deadline();
+  bool hears_leader() const;
+  bool may_campaign() const;
+  bool may_vote_for(const table_version& last) const;
+  void pre_campaign();
+  void campaign(bool forced);
+  void become_follower(std::uint64_t term);
+  void become_leader();
+  void count_vote(const replica_message& message, replica_role expected);
+  void on_pre_vote_request(const replica_message& message);
+  void on_vote_request(const replica_message& message);
+  void on_timeout_now();
+  void leader_tick();
+  void note_caught_up();
+
+  // replica_append_core.cpp
+  void send_pending();
+  void send_entries(progress& peer);
+  void send_heartbeats();
+  void retransmit();
+  void follow(const replica_message& message);
+  void on_append_request(const replica_message& message);
+  void accept_entries(const replica_message& message);
+  void on_append_reply(const replica_message& message);
+  void on_heartbeat(const replica_message& message);
+  void on_heartbeat_reply(const replica_message& message);
+  void learn_commit(std::uint64_t commit, std::uint64_t verified);
+  void advance_commit();
+  void set_commit(std::uint64_t index);
+  progress* peer_of(const replica_message& message);
+
+  // replica_snapshot_core.cpp
+  void send_snapshot(progress& peer);
+  void on_snapshot_chunk(const replica_message& message);
+  void install(const replica_message& message);
+  void on_snapshot_reply(const replica_message& message);
+
+  // replica_group_core.cpp
+  bool is_voter(replica_id id) const;
+  std::size_t quorum() const;
+  template <class Predicate>
+  bool quorum_of(Predicate agrees) const;
+  bool own_term_committed() const;
+  void sync_progress();
+  result<void> check_change(const std::vector<replica_address>& group) const;
+  void step_down_if_removed();
+  void send_timeout_now();
+
+  // replica_read_core.cpp
+  void start_reads();
+  void finish_reads();
+  void fail_reads();
+
+  replica_settings settings_;
+  hard_state hard_;
+  snapshot_meta snapshot_;
+  log_buffer log_;
+  std::vector<std::pair<std::uint64_t, group_record>> groups_;
+  std::uint64_t commit_ = 0;
+  std::uint64_t applied_ = 0;
+
+  replica_role role_ = replica_role::follower;
+  std::optional<replica_address> leader_;
+  time_point now_;
+  std::uint64_t draw_ = 0;
+  time_point leader_heard_;
+  time_point election_deadline_;
+  time_point heartbeat_due_;
+  std::set<replica_id> votes_;
+  std::map<replica_id, progress> peers_;
+  std::uint64_t term_start_ = 0; ///< index of this leader's barrier
+  std::optional<replica_id> transfer_target_;
+  time_point transfer_deadline_;
+  bool timeout_sent_ = false;
+
+  std::uint64_t round_ = 0;
+  std::deque<pending_read> reads_;
+
+  std::string incoming_;
+  table_version incoming_position_;
+  std::optional<received_snapshot> install_;
+  std::uint64_t catch_up_target_ = 0; ///< 0: none known
+
+  std::uint64_t sequence_ = 0;
+  std::uint64_t durable_sequence_ = 0;
+  std::uint64_t persisted_ = 0;    ///< highest durable index
+  std::uint64_t unsaved_from_ = 0; ///< 0: nothing to save
+  hard_state saved_hard_;
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> saving_;
+  std::deque<std::pair<std::uint64_t, outgoing_message>> held_;
+  std::vector<outgoing_message> unheld_; ///< durable, not yet in a sequence
+  replica_actions actions_;
+};
+
+} // namespace toucanmill::log_detail
+
+#endif
--- /dev/null
+++ b/src/log/replica_election_core.cpp
@@ -0,0 +1,191 @@
+#include "replica_core.hpp"
+
+#include "replica_quorum_core.hpp"
+
+namespace toucanmill::log_detail
+{
+
+void replica_core::reset_election_deadline()
+{
+  const auto timeout = settings_.election_timeout;
+  const auto spread = static_cast<std::uint64_t>(timeout.count()) + 1;
+  election_deadline_ =
+      now_ + timeout + duration(static_cast<duration::rep>(draw_ % spread));
+}
+
+bool replica_core::hears_leader() const
+{
+  if (role_ == replica_role::leader)
+    return true;
+  return leader_ && now_ - leader_heard_ < settings_.election_timeout;
+}
+
+// A replica that started with an empty folder may have lost its votes and
+// acknowledgements, so until it has caught up it takes part only in the first
+// election of a new group, in which every log is empty.
+bool replica_core::may_campaign() const
+{
+  return is_voter(settings_.self) && (hard_.may_vote || log_.last().index == 0);
+}
+
+bool replica_core::may_vote_for(const table_version& last) const
+{
+  if (last < log_.last())
+    return false;
+  return hard_.may_vote || last.index == 0;
+}
+
+void replica_core::pre_campaign()
+{
+  reset_election_deadline();
+  if (!may_campaign())
+    return;
+  role_ = replica_role::pre_candidate;
+  leader_.reset();
+  votes_ = {settings_.self};
+  if (quorum() == 1)
+    return campaign(false);
+  for (const auto& member : group().members)
+  {
+    if (member.id == settings_.self || !member.voter)
+      continue;
+    auto request = make(message_kind::pre_vote_request, member.id);
+    request.term = hard_.term + 1;
+    request.position = log_.last();
+    send_now(std::move(request));
+  }
+}
+
+void replica_core::campaign(bool forced)
+{
+  reset_election_deadline();
+  ++hard_.term;
+  hard_.voted_for = settings_.self;
+  role_ = replica_role::candidate;
+  leader_.reset();
+  votes_.clear();
+  for (const auto& member : group().members)
+  {
+    if (!member.voter)
+      continue;
+    // The own vote takes the same path, so that it counts only when durable.
+    const bool own = member.id == settings_.self;
+    auto message = make(
+        own ? message_kind::vote_reply : message_kind::vote_request, member.id);
+    message.position = log_.last();
+    message.granted = own || forced;
+    send_durable(std::move(message));
+  }
+}
+
+void replica_core::become_follower(std::uint64_t term)
+{
+  if (term > hard_.term)
+  {
+    hard_.term = term;
+    hard_.voted_for = {};
+  }
+  role_ = replica_role::follower;
+  leader_.reset();
+  votes_.clear();
+  peers_.clear();
+  transfer_target_.reset();
+  fail_reads();
+  reset_election_deadline();
+}
+
+void replica_core::become_leader()
+{
+  role_ = replica_role::leader;
+  leader_ = address_of(settings_.self, {settings_.self, {}, true});
+  votes_.clear();
+  peers_.clear();
+  sync_progress();
+  term_start_ = log_.last().index + 1;
+  append_entry({{hard_.term, term_start_}, entry_kind::barrier, {}});
+  send_heartbeats();
+}
+
+void replica_core::count_vote(const replica_message& message,
+                              replica_role expected)
+{
+  if (!message.granted)
+  {
+    if (message.term > hard_.term)
+      become_follower(message.term);
+    return;
+  }
+  const bool pre = expected == replica_role::pre_candidate;
+  if (role_ != expected || message.term != hard_.term + (pre ? 1 : 0))
+    return;
+  votes_.insert(message.from.id);
+  const bool won = quorum_of(
+      [this](replica_id id)
+      {
+        return votes_.count(id) != 0;
+      });
+  if (!won)
+    return;
+  if (pre)
+    campaign(false);
+  else
+    become_leader();
+}
+
+void replica_core::on_pre_vote_request(const replica_message& message)
+{
+  const bool granted = message.term > hard_.term && !hears_leader() &&
+                       may_vote_for(message.position);
+  auto reply = make(message_kind::pre_vote_reply, message.from.id);
+  reply.term = granted ? message.term : hard_.term;
+  reply.granted = granted;
+  actions_.messages.push_back(
+      {address_of(message.from.id, message.from), std::move(reply)});
+}
+
+void replica_core::on_vote_request(const replica_message& message)
+{
+  const bool free =
+      hard_.voted_for == replica_id{} || hard_.voted_for == message.from.id;
+  auto reply = make(message_kind::vote_reply, message.from.id);
+  reply.granted = free && !leader_ && may_vote_for(message.position);
+  if (reply.granted)
+  {
+    hard_.voted_for = message.from.id;
+    reset_election_deadline();
+  }
+  unheld_.push_back(
+      {address_of(message.from.id, message.from), std::move(reply)});
+}
+
+void replica_core::on_timeout_now()
+{
+  if (role_ == replica_role::follower && may_campaign())
+    campaign(true);
+}
+
+void replica_core::leader_tick()
+{
+  if (now_ < heartbeat_due_)
+    return;
+  const bool heard = quorum_of(
+      [this](replica_id id)
+      {
+        return id == settings_.self ||
+               now_ - peers_.at(id).heard < settings_.election_timeout;
+      });
+  if (!heard)
+    return become_follower(hard_.term);
+  if (transfer_target_ && now_ >= transfer_deadline_)
+    transfer_target_.reset();
+  send_heartbeats();
+  retransmit();
+}
+
+void replica_core::note_caught_up()
+{
+  if (catch_up_target_ != 0 && persisted_ >= catch_up_target_)
+    hard_.may_vote = true;
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/replica_group_core.cpp
@@ -0,0 +1,200 @@
+#include "replica_core.hpp"
+
+#include <algorithm>
+#include <string>
+
+#include "codec.hpp"
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+/// A learner may be this many entries behind the commit index when it is
+/// promoted, so that steady traffic does not prevent a promotion.
+constexpr std::uint64_t max_promotion_lag = 64;
+
+using members = std::vector<replica_address>;
+
+const replica_address* find(const members& group, replica_id id)
+{
+  for (const auto& member : group)
+    if (member.id == id)
+      return &member;
+  return nullptr;
+}
+
+error invalid(const std::string& message)
+{
+  return error{error_code::invalid_argument, message};
+}
+
+result<void> check_ids(const members& group)
+{
+  bool has_voter = false;
+  for (std::size_t i = 0; i < group.size(); ++i)
+  {
+    if (group[i].id == replica_id{})
+      return invalid("replica id 0 is reserved");
+    for (std::size_t j = 0; j < i; ++j)
+      if (group[i].id == group[j].id)
+        return invalid("replica " + to_string(group[i].id) +
+                       " is listed twice");
+    has_voter = has_voter || group[i].voter;
+  }
+  if (!has_voter)
+    return invalid("the group must keep at least one voter");
+  return outcome::success();
+}
+
+std::size_t count_differences(const members& before, const members& after)
+{
+  std::size_t count = 0;
+  for (const auto& member : before)
+    if (const auto* kept = find(after, member.id);
+        kept == nullptr || !(*kept == member))
+      ++count;
+  for (const auto& member : after)
+    if (find(before, member.id) == nullptr)
+      ++count;
+  return count;
+}
+
+} // namespace
+
+bool replica_core::is_voter(replica_id id) const
+{
+  const auto* member = find(group().members, id);
+  return member != nullptr && member->voter;
+}
+
+std::size_t replica_core::quorum() const
+{
+  const auto& all = group().members;
+  const auto voters = std::count_if(all.begin(), all.end(),
+                                    [](const replica_address& member)
+                                    {
+                                      return member.voter;
+                                    });
+  return static_cast<std::size_t>(voters) / 2 + 1;
+}
+
+bool replica_core::own_term_committed() const
+{
+  return role_ == replica_role::leader && commit_ >= term_start_;
+}
+
+void replica_core::sync_progress()
+{
+  for (auto it = peers_.begin(); it != peers_.end();)
+    it = find(group().members, it->first) == nullptr ? peers_.erase(it)
+                                                     : std::next(it);
+  for (const auto& member : group().members)
+  {
+    if (member.id == settings_.self)
+      continue;
+    auto [it, added] = peers_.try_emplace(member.id);
+    it->second.address = member;
+    if (added)
+    {
+      it->second.next = log_.last().index + 1;
+      it->second.heard = now_;
+      it->second.sent = now_;
+    }
+  }
+}
+
+result<void>
+replica_core::check_change(const std::vector<replica_address>& group) const
+{
+  BOOST_OUTCOME_TRY(check_ids(group));
+  const auto& before = this->group();
+  if (const auto count = count_differences(before.members, group); count != 1)
+    return invalid("the change must concern exactly one replica, not " +
+                   std::to_string(count));
+  for (const auto& member : group)
+  {
+    const auto* old = find(before.members, member.id);
+    if (old != nullptr && old->voter == member.voter)
+      continue;
+    const auto name = "replica " + to_string(member.id);
+    if (old == nullptr && member.voter)
+      return invalid(name + " must be added as a learner");
+    if (old == nullptr && std::count(before.removed.begin(),
+                                     before.removed.end(), member.id) != 0)
+      return invalid(name + " was removed and must return under a new id");
+    if (old == nullptr || !member.voter)
+      continue;
+    if (old->rpc != member.rpc)
+      return invalid(name + " cannot change its address while promoted");
+    const auto& peer = peers_.at(member.id);
+    if (peer.match == 0 || peer.match + max_promotion_lag < commit_ ||
+        now_ - peer.heard >= settings_.election_timeout)
+      return error{error_code::unavailable,
+                   name + " has not caught up: " + std::to_string(peer.match) +
+                       " of " + std::to_string(commit_)};
+  }
+  return outcome::success();
+}
+
+result<table_version>
+replica_core::change_group(const std::vector<replica_address>& group, moment at)
+{
+  set_time(at);
+  if (role_ != replica_role::leader)
+    return error{error_code::not_leader, "this instance does not lead"};
+  // Two changes in progress, or one before the own term has a committed entry,
+  // could lead to quorums that do not overlap.
+  if (commit_ < groups_.back().first || !own_term_committed() ||
+      transfer_target_)
+    return error{error_code::unavailable,
+                 "another change of the group or leadership is in progress"};
+  BOOST_OUTCOME_TRY(check_change(group));
+  group_record record{group, this->group().removed};
+  for (const auto& member : this->group().members)
+    if (find(group, member.id) == nullptr)
+      record.removed.push_back(member.id);
+  const table_version position{hard_.term, log_.last().index + 1};
+  append_entry({position, entry_kind::membership, encode(record)});
+  sync_progress();
+  return position;
+}
+
+void replica_core::step_down_if_removed()
+{
+  if (commit_ < groups_.back().first || is_voter(settings_.self))
+    return;
+  send_heartbeats();
+  become_follower(hard_.term);
+}
+
+void replica_core::transfer_leadership(moment at)
+{
+  set_time(at);
+  if (role_ != replica_role::leader || transfer_target_)
+    return;
+  const progress* best = nullptr;
+  for (const auto& [id, peer] : peers_)
+    if (peer.address.voter && now_ - peer.heard < settings_.election_timeout &&
+        (best == nullptr || peer.match > best->match))
+      best = &peer;
+  if (best == nullptr)
+    return;
+  transfer_target_ = best->address.id;
+  transfer_deadline_ = now_ + settings_.election_timeout;
+  timeout_sent_ = false;
+}
+
+void replica_core::send_timeout_now()
+{
+  if (!transfer_target_ || timeout_sent_)
+    return;
+  const auto found = peers_.find(*transfer_target_);
+  if (found == peers_.end() || found->second.match != log_.last().index)
+    return;
+  timeout_sent_ = true;
+  send_now(make(message_kind::timeout_now, *transfer_target_));
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/replicated_log_test.cpp
@@ -0,0 +1,253 @@
+#include <toucanmill/log/replicated_log.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace toucanmill;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+class group_of_logs;
+
+/// State machine that appends every command to a string.
+class recording_client : public log_client
+{
+public:
+  explicit recording_client(group_of_logs& logs) : logs_(logs) {}
+
+  std::string apply(const log_entry& entry) override
+  {
+    state_ += entry.payload + ";";
+    return state_;
+  }
+  std::string snapshot() override
+  {
+    return state_;
+  }
+  result<void> restore(table_version, const std::string& bytes) override
+  {
+    state_ = bytes;
+    return outcome::success();
+  }
+  void on_leadership(bool leads, std::uint64_t) override
+  {
+    leads_ = leads;
+  }
+  void on_tick(time_point) override {}
+  void send(const replica_address& to, std::string message) override;
+
+  std::atomic<bool> leads_{false};
+  std::string state_;
+
+private:
+  group_of_logs& logs_;
+};
+
+class group_of_logs
+{
+public:
+  explicit group_of_logs(std::size_t size)
+  {
+    char pattern[] = "/tmp/toucanmill-log-XXXXXX";
+    folder_ = mkdtemp(pattern);
+    for (std::uint64_t id = 1; id <= size; ++id)
+      members_.push_back(address(id));
+  }
+
+  ~group_of_logs()
+  {
+    for (std::uint64_t id = 1; id < 10; ++id)
+      stop(id);
+    std::filesystem::remove_all(folder_);
+  }
+
+  static replica_address address(std::uint64_t id, bool voter = true)
+  {
+    const auto port = static_cast<std::uint16_t>(id);
+    return {replica_id{id}, {ipv4_address{0x7F000001}, port}, voter};
+  }
+
+  void start(std::uint64_t id)
+  {
+    replicated_log_options options;
+    options.self = replica_id{id};
+    options.folder = folder_ + "/" + std::to_string(id);
+    options.initial_group = members_;
+    options.heartbeat_interval = 20ms;
+    options.election_timeout = 200ms;
+    options.entries_per_snapshot = 20;
+    options.random_seed = id;
+    clients_[id] = std::make_unique<recording_client>(*this);
+    auto log = replicated_log::open(options, *clients_[id]);
+    CHECK_TRUE(log.has_value());
+    const std::lock_guard lock(mutex_);
+    logs_[id] = std::move(log.value());
+  }
+
+  void stop(std::uint64_t id)
+  {
+    std::shared_ptr<replicated_log> log;
+    {
+      const std::lock_guard lock(mutex_);
+      log = std::move(logs_[id]);
+      logs_.erase(id);
+    }
+    if (log)
+      log->stop();
+  }
+
+  std::shared_ptr<replicated_log> log(std::uint64_t id)
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = logs_.find(id);
+    return found == logs_.end() ? nullptr : found->second;
+  }
+
+  /// Waits without a limit; a group that elects nobody hangs until the
+  /// harness's timeout.
+  std::uint64_t leader()
+  {
+    for (;; std::this_thread::sleep_for(5ms))
+      for (auto& [id, client] : clients_)
+        if (client->leads_ && log(id))
+          return id;
+  }
+
+  /// Proposes until a leader accepts; commands must tolerate being repeated.
+  std::string propose(const std::string& command)
+  {
+    for (;; std::this_thread::sleep_for(5ms))
+      if (auto outcome = propose_at(leader(), command); outcome)
+        return outcome.value();
+  }
+
+  result<std::string> propose_at(std::uint64_t id, const std::string& command)
+  {
+    std::promise<result<std::string>> outcome;
+    log(id)->propose(command,
+                     [&outcome](result<std::string> value)
+                     {
+                       outcome.set_value(std::move(value));
+                     });
+    return outcome.get_future().get();
+  }
+
+  result<std::string> change_at(std::uint64_t id,
+                                std::vector<replica_address> group)
+  {
+    std::promise<result<std::string>> outcome;
+    log(id)->change_group(std::move(group),
+                          [&outcome](result<std::string> value)
+                          {
+                            outcome.set_value(std::move(value));
+                          });
+    return outcome.get_future().get();
+  }
+
+  result<table_version> read_at(std::uint64_t id)
+  {
+    std::promise<result<table_version>> outcome;
+    log(id)->confirm_read(
+        [&outcome](result<table_version> value)
+        {
+          outcome.set_value(value);
+        });
+    return outcome.get_future().get();
+  }
+
+  replicated_log_status status(std::uint64_t id)
+  {
+    std::promise<replicated_log_status> status;
+    const auto target = log(id);
+    target->post(
+        [&]
+        {
+          status.set_value(target->status());
+        });
+    return status.get_future().get();
+  }
+
+  std::string state(std::uint64_t id)
+  {
+    std::promise<std::string> state;
+    log(id)->post(
+        [&]
+        {
+          state.set_value(clients_[id]->state_);
+        });
+    return state.get_future().get();
+  }
+
+  void wait_for_state(std::uint64_t id, const std::string& expected)
+  {
+    while (state(id) != expected)
+      std::this_thread::sleep_for(5ms);
+  }
+
+  std::string folder_;
+  std::vector<replica_address> members_;
+
+private:
+  std::mutex mutex_;
+  std::map<std::uint64_t, std::shared_ptr<replicated_log>> logs_;
+  std::map<std::uint64_t, std::unique_ptr<recording_client>> clients_;
+};
+
+void recording_client::send(const replica_address& to, std::string message)
+{
+  if (const auto log = logs_.log(to.rpc.port))
+    log->receive(std::move(message));
+}
+
+} // namespace
+
+TEST_GROUP(replicated_log){};
+
+// Guards against commands that are lost or applied twice over a restart, with
+// and without a snapshot in between.
+TEST(replicated_log, single_instance_keeps_its_state_over_a_restart)
+{
+  group_of_logs logs(1);
+  logs.start(1);
+  std::string expected;
+  for (int i = 0; i < 50; ++i)
+  {
+    expected += std::to_string(i) + ";";
+    CHECK_TRUE(logs.propose(std::to_string(i)) == expected);
+  }
+  CHECK_TRUE(logs.status(1).snapshot_index >= 20);
+  logs.stop(1);
+  logs.start(1);
+  logs.leader();
+  CHECK_TRUE(logs.state(1) == expected);
+}
+
+// Guards against a group that stops when its leader does, and a replica that
+// does not catch up after its return.
+TEST(replicated_log, group_of_three_survives_the_loss_of_its_leader)
+{
+  group_of_logs logs(3);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    logs.start(id);
+  logs.propose("a");
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    logs.wait_for_state(id, "a;");
+  const auto first = logs.leader();
+  logs.stop(first);
+  std::string expected;
+  for (int i = 0; i < 60; ++i)
+    expected = logs.propose(std::to_string(i));
+  CHECK_TRUE(logs.read_at(logs.leader()).has_value());
+  logs.start(first);
+  logs.wait_for_state(first, expected);
+}
--- /dev/null
+++ b/src/log/snapshot_files.cpp
@@ -0,0 +1,128 @@
+#include "snapshot_files.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "frame.hpp"
+
+namespace toucanmill::log_detail
+{
+
+namespace
+{
+
+const std::string prefix = "snapshot-";
+const std::string temporary = snapshot_files::temporary_name;
+
+} // namespace
+
+snapshot_files::snapshot_files(file_system& files, std::string folder)
+    : files_(files), folder_(std::move(folder))
+{
+}
+
+// Index first, so that the names sort by age.
+std::string snapshot_files::name_of(const table_version& position)
+{
+  char digits[34] = {};
+  std::snprintf(digits, sizeof digits, "%016llx-%016llx",
+                static_cast<unsigned long long>(position.index),
+                static_cast<unsigned long long>(position.term));
+  return prefix + digits;
+}
+
+bool snapshot_files::is_snapshot_name(const std::string& name)
+{
+  return name.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::string snapshot_files::path_of(const std::string& name) const
+{
+  return folder_ + "/" + name;
+}
+
+result<void> snapshot_files::write(const snapshot_meta& meta,
+                                   const std::string& data)
+{
+  const auto header = make_frame(encode(snapshot_header{meta, crc32c(data)}));
+  BOOST_OUTCOME_TRY(names, files_.list(folder_));
+  if (std::count(names.begin(), names.end(), temporary) != 0)
+  {
+    BOOST_OUTCOME_TRY(files_.remove(path_of(temporary)));
+  }
+  {
+    BOOST_OUTCOME_TRY(file, files_.open(path_of(temporary)));
+    BOOST_OUTCOME_TRY(file->append(header));
+    BOOST_OUTCOME_TRY(file->append(data));
+    BOOST_OUTCOME_TRY(file->sync());
+  }
+  const auto name = name_of(meta.position);
+  BOOST_OUTCOME_TRY(files_.rename(path_of(temporary), path_of(name)));
+  BOOST_OUTCOME_TRY(files_.sync_folder(folder_));
+  newest_ = name;
+  content_offset_ = header.size();
+  return remove_others(name);
+}
+
+result<void> snapshot_files::remove_others(const std::string& keep)
+{
+  BOOST_OUTCOME_TRY(names, files_.list(folder_));
+  for (const auto& name : names)
+  {
+    if (name != temporary && (!is_snapshot_name(name) || name == keep))
+      continue;
+    BOOST_OUTCOME_TRY(files_.remove(path_of(name)));
+  }
+  return outcome::success();
+}
+
+result<std::optional<loaded_snapshot>> snapshot_files::load()
+{
+  BOOST_OUTCOME_TRY(names, files_.list(folder_));
+  for (const auto& name : names)
+    if (is_snapshot_name(name))
+      newest_ = name;
+  if (newest_.empty())
+    return std::optional<loaded_snapshot>{};
+  BOOST_OUTCOME_TRY(bytes, files_.read(path_of(newest_)));
+  BOOST_OUTCOME_TRY(snapshot, parse(path_of(newest_), std::move(bytes)));
+  BOOST_OUTCOME_TRY(remove_others(newest_));
+  return std::optional<loaded_snapshot>{std::move(snapshot)};
+}
+
+result<loaded_snapshot> snapshot_files::parse(const std::string& path,
+                                              std::string bytes)
+{
+  const auto corrupt = [&path](std::uint64_t offset, const std::string& reason)
+  {
+    return error{error_code::corrupt_data,
+                 path + ": offset " + std::to_string(offset) + ": " + reason};
+  };
+  if (bytes.empty())
+    return corrupt(0, "file is empty");
+  const auto frame = read_frame(bytes, 0);
+  if (frame.status != frame_status::complete)
+    return corrupt(0, frame.reason);
+  auto decoded = decode_snapshot_header(frame.payload);
+  if (!decoded)
+    return corrupt(0, decoded.error().message);
+  const auto header = std::move(decoded.value());
+  content_offset_ = frame.size;
+  bytes.erase(0, frame.size);
+  if (bytes.size() != header.meta.size)
+    return corrupt(content_offset_,
+                   "content has " + std::to_string(bytes.size()) +
+                       " bytes instead of " + std::to_string(header.meta.size));
+  if (crc32c(bytes) != header.checksum)
+    return corrupt(content_offset_, "wrong checksum of the content");
+  return loaded_snapshot{header.meta, std::move(bytes)};
+}
+
+result<std::string> snapshot_files::read_chunk(std::uint64_t offset,
+                                               std::size_t size)
+{
+  return files_.read_at(path_of(newest_), content_offset_ + offset, size);
+}
+
+} // namespace toucanmill::log_detail
--- /dev/null
+++ b/src/log/snapshot_files.hpp
@@ -0,0 +1,52 @@
+#ifndef TOUCANMILL_SRC_LOG_SNAPSHOT_FILES_HPP
+#define TOUCANMILL_SRC_LOG_SNAPSHOT_FILES_HPP
+
+#include <optional>
+#include <string>
+
+#include "codec.hpp"
+#include "file_system.hpp"
+
+namespace toucanmill::log_detail
+{
+
+struct loaded_snapshot
+{
+  snapshot_meta meta;
+  std::string data;
+};
+
+/// Snapshot files of one folder: a framed header, then the content.
+class snapshot_files
+{
+public:
+  snapshot_files(file_system& files, std::string folder);
+
+  /// Durable when it returns; then removes older snapshots.
+  result<void> write(const snapshot_meta& meta, const std::string& data);
+
+  /// Reads the newest snapshot; removes older and unfinished ones. Errors:
+  /// corrupt_data with file and offset.
+  result<std::optional<loaded_snapshot>> load();
+
+  /// Part of the newest snapshot's content.
+  result<std::string> read_chunk(std::uint64_t offset, std::size_t size);
+
+  static constexpr const char* temporary_name = "snapshot.tmp";
+  static bool is_snapshot_name(const std::string& name);
+  static std::string name_of(const table_version& position);
+
+private:
+  std::string path_of(const std::string& name) const;
+  result<void> remove_others(const std::string& keep);
+  result<loaded_snapshot> parse(const std::string& path, std::string bytes);
+
+  file_system& files_;
+  std::string folder_;
+  std::string newest_; ///< file name
+  std::uint64_t content_offset_ = 0;
+};
+
+} // namespace toucanmill::log_detail
+
+#endif
