agent: add a TCP stack in user space over lwIP's raw API

The agent and the fabric edge end TCP connections without privileges. lwIP does not report flows that end before the handshake is complete or in TIME_WAIT, does not probe a silent peer after a FIN, and accepts packets to an interface's own address only; the wrapper adds all four. Events and packets are queued, so that no user code runs on lwIP's timer thread or under its core lock. One interface takes every address, since lwIP numbers interfaces with 8 bits.

Cost per packet: not measured yet.

--- /dev/null
+++ b/src/agent/tcp_connection.cpp
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <utility>
+
+#include "tcp_stack_state.hpp"
+
+namespace toucanmill
+{
+
+namespace
+{
+
+constexpr std::size_t max_write = 0xffff;
+
+} // namespace
+
+tcp_connection::tcp_connection(std::shared_ptr<detail::connection_state> state)
+    : state_(std::move(state))
+{
+}
+
+endpoint tcp_connection::local() const
+{
+  return state_->local;
+}
+
+endpoint tcp_connection::remote() const
+{
+  return state_->remote;
+}
+
+std::size_t tcp_connection::send(std::string_view bytes)
+{
+  const detail::core_guard guard;
+  auto* const pcb = state_->pcb;
+  if (pcb == nullptr || !state_->established || state_->finished)
+    return 0;
+  std::size_t sent = 0;
+  while (sent < bytes.size())
+  {
+    const auto room =
+        std::min<std::size_t>({bytes.size() - sent, max_write, pcb->snd_buf});
+    if (room == 0 ||
+        tcp_write(pcb, bytes.data() + sent, static_cast<u16_t>(room),
+                  TCP_WRITE_FLAG_COPY) != ERR_OK)
+      break;
+    sent += room;
+  }
+  tcp_output(pcb);
+  return sent;
+}
+
+void tcp_connection::finish()
+{
+  const detail::core_guard guard;
+  if (state_->pcb == nullptr || state_->finished)
+    return;
+  // A connection that is not established yet has nothing to finish.
+  if (!state_->established)
+  {
+    state_->resetting = true;
+    return tcp_abort(state_->pcb);
+  }
+  state_->finished = true;
+  tcp_shutdown(state_->pcb, 0, 1);
+}
+
+void tcp_connection::reset()
+{
+  const detail::core_guard guard;
+  if (state_->pcb == nullptr)
+    return;
+  state_->resetting = true;
+  // In TIME_WAIT lwIP frees the connection without calling back.
+  if (auto* const pcb = state_->pcb; pcb->state == TIME_WAIT)
+  {
+    tcp_abort(pcb);
+    state_->stack->close(*state_, tcp_end::reset_locally);
+  }
+  else
+    tcp_abort(pcb);
+}
+
+void tcp_connection::consume(std::size_t octets)
+{
+  const detail::core_guard guard;
+  if (state_->pcb == nullptr || state_->peer_finished)
+    return;
+  while (octets > 0)
+  {
+    const auto part = std::min(octets, max_write);
+    tcp_recved(state_->pcb, static_cast<u16_t>(part));
+    octets -= part;
+  }
+}
+
+} // namespace toucanmill
--- /dev/null
+++ b/src/agent/tcp_stack_state.cpp
@@ -0,0 +1,429 @@
+#include "tcp_stack_state.hpp"
+
+#include <algorithm>
+#include <future>
+#include <mutex>
+#include <utility>
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+/// Interval of the check for closing connections; that of lwIP's slow timer.
+constexpr u32_t sweep_interval_ms = TCP_SLOW_INTERVAL;
+
+/// Address of the interface between packets: 0.0.0.0 would disable input, and
+/// lwIP loops packets to the interface's own address back.
+u32_t placeholder_address()
+{
+  return lwip_htonl(0x7f000001);
+}
+
+u32_t to_ticks(duration value)
+{
+  const auto count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+  return static_cast<u32_t>(count / TCP_SLOW_INTERVAL);
+}
+
+u32_t to_milliseconds(duration value)
+{
+  return static_cast<u32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+/// Starts lwIP's thread on first use; it lives as long as the process.
+void start_lwip()
+{
+  static std::once_flag once;
+  std::call_once(
+      once,
+      []
+      {
+        std::promise<void> started;
+        tcpip_init(
+            [](void* argument)
+            {
+              static_cast<std::promise<void>*>(argument)->set_value();
+            },
+            &started);
+        started.get_future().wait();
+      });
+}
+
+flow_key flow_of(const tcp_pcb& pcb)
+{
+  return {{from_lwip(pcb.remote_ip), pcb.remote_port},
+          {from_lwip(pcb.local_ip), pcb.local_port}};
+}
+
+tcp_end reason_of(const connection_state& connection, err_t error)
+{
+  if (connection.resetting)
+    return tcp_end::reset_locally;
+  if (error == ERR_CLSD)
+    return tcp_end::finished;
+  if (error == ERR_RST)
+    return tcp_end::reset_by_peer;
+  return tcp_end::timed_out;
+}
+
+} // namespace
+
+tcp_stack_state::tcp_stack_state(tcp_stack_options options,
+                                 std::function<void()> notify)
+    : options_(options), notify_(std::move(notify))
+{
+  start_lwip();
+  const core_guard guard;
+  add_interface();
+  sys_timeout(sweep_interval_ms, &tcp_stack_state::on_timer, this);
+}
+
+tcp_stack_state::~tcp_stack_state()
+{
+  const core_guard guard;
+  sys_untimeout(&tcp_stack_state::on_timer, this);
+  notify_ = [] {};
+  while (!flows_.empty())
+  {
+    auto connection = flows_.begin()->second.state;
+    auto* const pcb = connection->pcb;
+    connection->resetting = true;
+    tcp_err(pcb, nullptr);
+    tcp_abort(pcb);
+    close(*connection, tcp_end::reset_locally);
+  }
+  for (auto* const listener : listeners_)
+    tcp_close(listener);
+  netif_remove(&interface_);
+}
+
+void tcp_stack_state::add_interface()
+{
+  const ip4_addr_t any{0};
+  const ip4_addr_t placeholder{placeholder_address()};
+  const ip4_addr_t mask{0xffffffff};
+  netif_add(
+      &interface_, &placeholder, &mask, &any, this,
+      [](netif* interface)
+      {
+        interface->name[0] = 't';
+        interface->name[1] = 'm';
+        interface->mtu = max_inner_packet;
+        interface->output = &tcp_stack_state::on_output;
+        return static_cast<err_t>(ERR_OK);
+      },
+      ip4_input);
+  netif_set_up(&interface_);
+  netif_set_link_up(&interface_);
+  netif_set_default(&interface_);
+}
+
+err_t tcp_stack_state::listen(const endpoint& address)
+{
+  auto* const pcb = tcp_new();
+  if (pcb == nullptr)
+    return ERR_MEM;
+  const auto local = to_lwip(address.address);
+  if (const auto error = tcp_bind(pcb, &local, address.port); error != ERR_OK)
+  {
+    tcp_abort(pcb);
+    return error;
+  }
+  tcp_bind_netif(pcb, &interface_);
+  err_t error = ERR_OK;
+  auto* const listener = tcp_listen_with_backlog_and_err(pcb, 0xff, &error);
+  if (listener == nullptr)
+  {
+    tcp_abort(pcb);
+    return error;
+  }
+  tcp_accept(listener, &tcp_stack_state::on_accept);
+  listeners_.push_back(listener);
+  return ERR_OK;
+}
+
+tcp_connection_ptr tcp_stack_state::open(const endpoint& local,
+                                         const endpoint& remote, err_t& error)
+{
+  const flow_key flow{remote, local};
+  if (flows_.count(flow) != 0)
+  {
+    error = ERR_USE;
+    return nullptr;
+  }
+  auto* const pcb = tcp_new();
+  if (pcb == nullptr)
+  {
+    error = ERR_MEM;
+    return nullptr;
+  }
+  const auto source = to_lwip(local.address);
+  const auto destination = to_lwip(remote.address);
+  tcp_bind_netif(pcb, &interface_);
+  error = tcp_bind(pcb, &source, local.port);
+  if (error == ERR_OK)
+    error = tcp_connect(pcb, &destination, remote.port,
+                        &tcp_stack_state::on_connected);
+  if (error == ERR_OK)
+    return add(pcb, flow);
+  tcp_abort(pcb);
+  return nullptr;
+}
+
+bool tcp_stack_state::inject(const tcp_packet& packet)
+{
+  auto* const copy =
+      pbuf_alloc(PBUF_RAW, static_cast<u16_t>(packet.bytes.size), PBUF_RAM);
+  if (copy == nullptr)
+    return !packet.opens_flow();
+  pbuf_take(copy, packet.bytes.data, static_cast<u16_t>(packet.bytes.size));
+  // lwIP accepts packets to the interface's address only. Writing the field
+  // makes every address local; netif_set_addr() would abort connections, and
+  // an interface for each address stops at 255.
+  ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr),
+                   lwip_htonl(packet.flow.service.address.value));
+  netif_set_default(&interface_);
+  ip4_input(copy, &interface_);
+  ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr), placeholder_address());
+  if (!packet.opens_flow())
+    return true;
+  adopt_new_flow(packet.flow);
+  return flows_.count(packet.flow) != 0;
+}
+
+/// lwIP calls back only when the handshake is complete; an earlier end of the
+/// flow would go unnoticed.
+void tcp_stack_state::adopt_new_flow(const flow_key& flow)
+{
+  // lwIP puts a new connection at the head of its list.
+  auto* const pcb = tcp_active_pcbs;
+  if (pcb != nullptr && pcb->state == SYN_RCVD && flow_of(*pcb) == flow &&
+      flows_.count(flow) == 0)
+    add(pcb, flow);
+}
+
+tcp_connection_ptr tcp_stack_state::add(tcp_pcb* pcb, const flow_key& flow)
+{
+  auto state = std::make_shared<connection_state>();
+  state->stack = this;
+  state->pcb = pcb;
+  state->local = flow.service;
+  state->remote = flow.caller;
+  auto handle = std::make_shared<tcp_connection>(state);
+  state->handle = handle;
+  attach_callbacks(pcb, *state);
+  flows_[flow] = {handle, std::move(state)};
+  return handle;
+}
+
+void tcp_stack_state::attach_callbacks(tcp_pcb* pcb,
+                                       connection_state& connection) const
+{
+  tcp_arg(pcb, &connection);
+  tcp_recv(pcb, &tcp_stack_state::on_received);
+  tcp_sent(pcb, &tcp_stack_state::on_sent);
+  tcp_err(pcb, &tcp_stack_state::on_error);
+  tcp_nagle_disable(pcb);
+  ip_set_option(pcb, SOF_KEEPALIVE);
+  pcb->keep_idle = to_milliseconds(options_.keepalive_idle);
+  pcb->keep_intvl = to_milliseconds(options_.keepalive_interval);
+  pcb->keep_cnt = options_.keepalive_probes;
+}
+
+void tcp_stack_state::send_reset(const tcp_packet& packet)
+{
+  const auto local = to_lwip(packet.flow.service.address);
+  const auto remote = to_lwip(packet.flow.caller.address);
+  const u32_t length =
+      packet.payload_size + (packet.syn ? 1U : 0U) + (packet.fin ? 1U : 0U);
+  netif_set_default(&interface_);
+  tcp_rst(nullptr, packet.ack ? packet.acknowledgement : 0,
+          packet.sequence + length, &local, &remote, packet.flow.service.port,
+          packet.flow.caller.port);
+}
+
+err_t tcp_stack_state::on_output(netif* interface, pbuf* packet,
+                                 const ip4_addr_t*)
+{
+  static_cast<tcp_stack_state*>(interface->state)->queue_packet(packet);
+  return ERR_OK;
+}
+
+void tcp_stack_state::queue_packet(pbuf* packet)
+{
+  if (packets_.size() >= options_.output_capacity)
+  {
+    ++dropped_packets_;
+    return;
+  }
+  const bool was_empty = packets_.size() == 0;
+  const auto number = [packet](u16_t offset, int octets)
+  {
+    std::uint32_t value = 0;
+    for (int i = 0; i < octets; ++i)
+      value = value << 8 | pbuf_get_at(packet, static_cast<u16_t>(offset + i));
+    return value;
+  };
+  const auto header = static_cast<u16_t>((pbuf_get_at(packet, 0) & 0x0f) * 4);
+  packet_batch::entry addresses{};
+  addresses.source = {{number(12, 4)},
+                      static_cast<std::uint16_t>(number(header, 2))};
+  addresses.destination = {
+      {number(16, 4)},
+      static_cast<std::uint16_t>(number(static_cast<u16_t>(header + 2), 2))};
+  auto* const room = packets_.append(addresses, packet->tot_len);
+  pbuf_copy_partial(packet, room, packet->tot_len, 0);
+  notify_if(was_empty);
+}
+
+err_t tcp_stack_state::on_accept(void* argument, tcp_pcb*, err_t error)
+{
+  // The argument is that of adopt_new_flow().
+  if (argument == nullptr || error != ERR_OK)
+    return ERR_VAL;
+  auto& connection = *static_cast<connection_state*>(argument);
+  connection.established = true;
+  connection.stack->queue_event(connection, tcp_established{});
+  return ERR_OK;
+}
+
+err_t tcp_stack_state::on_connected(void* argument, tcp_pcb*, err_t)
+{
+  auto& connection = *static_cast<connection_state*>(argument);
+  connection.established = true;
+  connection.stack->queue_event(connection, tcp_established{});
+  return ERR_OK;
+}
+
+err_t tcp_stack_state::on_received(void* argument, tcp_pcb*, pbuf* data, err_t)
+{
+  auto& connection = *static_cast<connection_state*>(argument);
+  if (data == nullptr)
+  {
+    connection.peer_finished = true;
+    connection.stack->queue_event(connection, tcp_peer_finished{});
+    return ERR_OK;
+  }
+  std::string bytes(data->tot_len, '\0');
+  pbuf_copy_partial(data, bytes.data(), data->tot_len, 0);
+  pbuf_free(data);
+  connection.stack->queue_event(connection, tcp_received{std::move(bytes)});
+  return ERR_OK;
+}
+
+err_t tcp_stack_state::on_sent(void* argument, tcp_pcb*, u16_t)
+{
+  auto& connection = *static_cast<connection_state*>(argument);
+  if (!connection.writable_queued)
+  {
+    connection.writable_queued = true;
+    connection.stack->queue_event(connection, tcp_writable{});
+  }
+  return ERR_OK;
+}
+
+void tcp_stack_state::on_error(void* argument, err_t error)
+{
+  auto& connection = *static_cast<connection_state*>(argument);
+  connection.stack->close(connection, reason_of(connection, error));
+}
+
+void tcp_stack_state::close(connection_state& connection, tcp_end reason)
+{
+  connection.pcb = nullptr;
+  queue_event(connection, tcp_closed{reason});
+  flows_.erase({connection.remote, connection.local});
+}
+
+template <class What>
+void tcp_stack_state::queue_event(connection_state& connection, What what)
+{
+  const bool was_empty = events_.empty();
+  events_.push_back({connection.handle.lock(), std::move(what)});
+  notify_if(was_empty);
+}
+
+void tcp_stack_state::notify_if(bool was_empty) const
+{
+  if (was_empty)
+    notify_();
+}
+
+void tcp_stack_state::on_timer(void* argument)
+{
+  auto& self = *static_cast<tcp_stack_state*>(argument);
+  self.sweep();
+  sys_timeout(sweep_interval_ms, &tcp_stack_state::on_timer, argument);
+}
+
+/// lwIP neither reports the end of TIME_WAIT nor probes a silent peer after our
+/// FIN. This runs on the thread of lwIP's own timers, so that it sees
+/// TIME_WAIT long before lwIP frees the connection after 120 s.
+void tcp_stack_state::sweep()
+{
+  std::vector<std::shared_ptr<connection_state>> over;
+  for (const auto& [flow, entry] : flows_)
+    if (entry.state->finished && time_wait_over(*entry.state))
+      over.push_back(entry.state);
+    else if (entry.state->finished)
+      probe_silent(*entry.state);
+  for (const auto& connection : over)
+  {
+    const bool waited = connection->pcb->state == TIME_WAIT;
+    tcp_abort(connection->pcb);
+    if (waited)
+      close(*connection, tcp_end::finished);
+  }
+}
+
+/// Also true when a peer that owes us its FIN has been silent for too long.
+bool tcp_stack_state::time_wait_over(connection_state& connection) const
+{
+  const auto& pcb = *connection.pcb;
+  if (pcb.state != TIME_WAIT)
+  {
+    const auto limit =
+        to_ticks(options_.keepalive_idle +
+                 options_.keepalive_probes * options_.keepalive_interval);
+    return tcp_ticks - pcb.tmr > limit;
+  }
+  return ++connection.time_wait_ticks > to_ticks(options_.time_wait);
+}
+
+void tcp_stack_state::probe_silent(connection_state& connection) const
+{
+  auto& pcb = *connection.pcb;
+  const auto due = to_ticks(options_.keepalive_idle +
+                            pcb.keep_cnt_sent * options_.keepalive_interval);
+  if (pcb.state == FIN_WAIT_2 && tcp_ticks - pcb.tmr > due &&
+      tcp_keepalive(&pcb) == ERR_OK)
+    ++pcb.keep_cnt_sent;
+}
+
+packet_batch tcp_stack_state::take_packets()
+{
+  return std::exchange(packets_, {});
+}
+
+std::vector<tcp_event> tcp_stack_state::take_events()
+{
+  for (const auto& event : events_)
+    event.connection->state_->writable_queued = false;
+  return std::exchange(events_, {});
+}
+
+std::size_t tcp_stack_state::flow_count() const
+{
+  return flows_.size();
+}
+
+std::uint64_t tcp_stack_state::dropped_packets() const
+{
+  return dropped_packets_;
+}
+
+} // namespace toucanmill::detail
--- /dev/null
+++ b/src/agent/tcp_stack_state.hpp
@@ -0,0 +1,94 @@
+#ifndef TOUCANMILL_SRC_AGENT_TCP_STACK_STATE_HPP
+#define TOUCANMILL_SRC_AGENT_TCP_STACK_STATE_HPP
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include <toucanmill/agent/tcp_stack.hpp>
+
+#include "lwip_api.hpp"
+
+namespace toucanmill::detail
+{
+
+/// State of one connection; guarded by the core lock.
+struct connection_state
+{
+  tcp_stack_state* stack = nullptr;
+  tcp_pcb* pcb = nullptr; ///< null once lwIP has no state of the flow
+  endpoint local;
+  endpoint remote;
+  std::weak_ptr<tcp_connection> handle;
+  bool established = false;
+  bool finished = false; ///< FIN queued
+  bool peer_finished = false;
+  bool resetting = false;
+  bool writable_queued = false;
+  u32_t time_wait_ticks = 0;
+};
+
+/// Everything behind a tcp_stack; guarded by the core lock.
+class tcp_stack_state
+{
+public:
+  tcp_stack_state(tcp_stack_options options, std::function<void()> notify);
+  ~tcp_stack_state();
+  tcp_stack_state(const tcp_stack_state&) = delete;
+  tcp_stack_state& operator=(const tcp_stack_state&) = delete;
+
+  err_t listen(const endpoint& address);
+  tcp_connection_ptr open(const endpoint& local, const endpoint& remote,
+                          err_t& error);
+  bool inject(const tcp_packet& packet);
+  void send_reset(const tcp_packet& packet);
+
+  packet_batch take_packets();
+  std::vector<tcp_event> take_events();
+  std::size_t flow_count() const;
+  std::uint64_t dropped_packets() const;
+
+  /// The connection ends; its flow is forgotten.
+  void close(connection_state& connection, tcp_end reason);
+
+private:
+  struct entry
+  {
+    tcp_connection_ptr handle;
+    std::shared_ptr<connection_state> state;
+  };
+
+  static err_t on_output(netif* interface, pbuf* packet, const ip4_addr_t*);
+  static err_t on_accept(void* argument, tcp_pcb* pcb, err_t error);
+  static err_t on_connected(void* argument, tcp_pcb* pcb, err_t error);
+  static err_t on_received(void* argument, tcp_pcb* pcb, pbuf* data, err_t);
+  static err_t on_sent(void* argument, tcp_pcb* pcb, u16_t octets);
+  static void on_error(void* argument, err_t error);
+  static void on_timer(void* argument);
+
+  void add_interface();
+  void adopt_new_flow(const flow_key& flow);
+  tcp_connection_ptr add(tcp_pcb* pcb, const flow_key& flow);
+  void attach_callbacks(tcp_pcb* pcb, connection_state& connection) const;
+  void queue_packet(pbuf* packet);
+  template <class What>
+  void queue_event(connection_state& connection, What what);
+  void notify_if(bool was_empty) const;
+  void sweep();
+  bool time_wait_over(connection_state& connection) const;
+  void probe_silent(connection_state& connection) const;
+
+  tcp_stack_options options_;
+  std::function<void()> notify_;
+  netif interface_{};
+  std::unordered_map<flow_key, entry> flows_;
+  std::vector<tcp_pcb*> listeners_;
+  packet_batch packets_;
+  std::vector<tcp_event> events_;
+  std::uint64_t dropped_packets_ = 0;
+};
+
+} // namespace toucanmill::detail
+
+#endif
