--- /dev/null
+++ b/include/toucanmill/agent/udp_channel.hpp
@@ -0,0 +1,76 @@
+#ifndef TOUCANMILL_AGENT_UDP_CHANNEL_HPP
+#define TOUCANMILL_AGENT_UDP_CHANNEL_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include <toucanmill/base/address.hpp>
+#include <toucanmill/base/outcome.hpp>
+#include <toucanmill/packet/tcp_packet.hpp>
+
+namespace toucanmill
+{
+
+/// Non-blocking UDP socket that sends and receives datagrams in batches.
+class udp_channel
+{
+public:
+  /// Datagrams of one system call at most.
+  static constexpr std::size_t batch_size = 64;
+
+  using receiver = std::function<void(byte_view datagram, const endpoint&)>;
+
+  /// Port 0 takes a free port. Errors: io_failure.
+  static result<udp_channel> open(const endpoint& local);
+
+  ~udp_channel();
+  udp_channel(udp_channel&& other) noexcept;
+  udp_channel& operator=(udp_channel&&) = delete;
+
+  int descriptor() const
+  {
+    return descriptor_;
+  }
+  endpoint local() const
+  {
+    return local_;
+  }
+
+  /// Hands over at most one batch; returns its size, 0 when none is waiting.
+  std::size_t receive(const receiver& handle);
+
+  /// Queues a datagram that consists of a header and a body.
+  void send(const endpoint& to, byte_view header, byte_view body);
+
+  /// Sends the queued datagrams.
+  void flush();
+
+  /// Datagrams that the socket did not take.
+  std::uint64_t unsent() const
+  {
+    return unsent_;
+  }
+
+private:
+  struct outgoing
+  {
+    endpoint to;
+    std::size_t offset;
+    std::size_t size;
+  };
+
+  udp_channel(int descriptor, const endpoint& local);
+
+  int descriptor_;
+  endpoint local_;
+  std::vector<std::uint8_t> received_;
+  std::vector<outgoing> queue_;
+  std::vector<std::uint8_t> queued_;
+  std::uint64_t unsent_ = 0;
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/src/agent/udp_channel.cpp
@@ -0,0 +1,148 @@
+#include <toucanmill/agent/udp_channel.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+/// Longer datagrams are cut, and fail the length checks of the decoder.
+constexpr std::size_t slot_size = 2048;
+
+/// A burst of a few thousand packets overflows the default buffer. The system
+/// may grant less.
+constexpr int socket_buffer = 4 << 20;
+
+sockaddr_in to_sockaddr(const endpoint& value)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(value.address.value);
+  address.sin_port = htons(value.port);
+  return address;
+}
+
+endpoint from_sockaddr(const sockaddr_in& address)
+{
+  return {{ntohl(address.sin_addr.s_addr)}, ntohs(address.sin_port)};
+}
+
+error socket_error(const char* what, const endpoint& local)
+{
+  return {error_code::io_failure,
+          std::string(what) + " " + to_string(local) + ": " +
+              std::strerror(errno)};
+}
+
+} // namespace
+
+result<udp_channel> udp_channel::open(const endpoint& local)
+{
+  const int descriptor =
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0)
+    return socket_error("cannot open UDP socket", local);
+  udp_channel channel(descriptor, local);
+  for (const int option : {SO_RCVBUF, SO_SNDBUF})
+    setsockopt(descriptor, SOL_SOCKET, option, &socket_buffer,
+               sizeof socket_buffer);
+  auto address = to_sockaddr(local);
+  socklen_t size = sizeof address;
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(descriptor, generic, size) != 0 ||
+      getsockname(descriptor, generic, &size) != 0)
+    return socket_error("cannot bind UDP socket to", local);
+  channel.local_ = from_sockaddr(address);
+  return channel;
+}
+
+udp_channel::udp_channel(int descriptor, const endpoint& local)
+    : descriptor_(descriptor), local_(local),
+      received_(slot_size * batch_size)
+{
+}
+
+udp_channel::udp_channel(udp_channel&& other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1)), local_(other.local_),
+      received_(std::move(other.received_)), queue_(std::move(other.queue_)),
+      queued_(std::move(other.queued_)), unsent_(other.unsent_)
+{
+}
+
+udp_channel::~udp_channel()
+{
+  if (descriptor_ >= 0)
+    close(descriptor_);
+}
+
+std::size_t udp_channel::receive(const receiver& handle)
+{
+  std::array<mmsghdr, batch_size> messages{};
+  std::array<iovec, batch_size> parts{};
+  std::array<sockaddr_in, batch_size> sources{};
+  for (std::size_t i = 0; i < batch_size; ++i)
+  {
+    parts[i] = {received_.data() + i * slot_size, slot_size};
+    messages[i].msg_hdr.msg_iov = &parts[i];
+    messages[i].msg_hdr.msg_iovlen = 1;
+    messages[i].msg_hdr.msg_name = &sources[i];
+    messages[i].msg_hdr.msg_namelen = sizeof sources[i];
+  }
+  const int count =
+      recvmmsg(descriptor_, messages.data(), batch_size, 0, nullptr);
+  for (int i = 0; i < count; ++i)
+    handle({received_.data() + static_cast<std::size_t>(i) * slot_size,
+            messages[static_cast<std::size_t>(i)].msg_len},
+           from_sockaddr(sources[static_cast<std::size_t>(i)]));
+  return count > 0 ? static_cast<std::size_t>(count) : 0;
+}
+
+void udp_channel::send(const endpoint& to, byte_view header, byte_view body)
+{
+  queue_.push_back({to, queued_.size(), header.size + body.size});
+  queued_.insert(queued_.end(), header.data, header.data + header.size);
+  if (body.size != 0)
+    queued_.insert(queued_.end(), body.data, body.data + body.size);
+  if (queue_.size() == batch_size)
+    flush();
+}
+
+void udp_channel::flush()
+{
+  std::array<mmsghdr, batch_size> messages{};
+  std::array<iovec, batch_size> parts{};
+  std::array<sockaddr_in, batch_size> targets{};
+  for (std::size_t i = 0; i < queue_.size(); ++i)
+  {
+    targets[i] = to_sockaddr(queue_[i].to);
+    parts[i] = {queued_.data() + queue_[i].offset, queue_[i].size};
+    messages[i].msg_hdr.msg_iov = &parts[i];
+    messages[i].msg_hdr.msg_iovlen = 1;
+    messages[i].msg_hdr.msg_name = &targets[i];
+    messages[i].msg_hdr.msg_namelen = sizeof targets[i];
+  }
+  std::size_t sent = 0;
+  while (sent < queue_.size())
+  {
+    const int count =
+        sendmmsg(descriptor_, messages.data() + sent,
+                 static_cast<unsigned>(queue_.size() - sent), MSG_DONTWAIT);
+    // The first datagram failed, for example as its target is gone; skip it.
+    if (count <= 0)
+      ++unsent_;
+    sent += count > 0 ? static_cast<std::size_t>(count) : 1;
+  }
+  queue_.clear();
+  queued_.clear();
+}
+
+} // namespace toucanmill
