agent: run dispatch, sessions and admission over the user-space stack

One thread owns the UDP socket, the upstream connections and the cores; other threads post to it and read counters. Each upstream connection belongs to one flow, so that late bytes reach no other caller. Reading stops while more than 256 KiB wait for the other side.

--- /dev/null
+++ b/include/toucanmill/agent/agent.hpp
@@ -0,0 +1,110 @@
+#ifndef TOUCANMILL_AGENT_AGENT_HPP
+#define TOUCANMILL_AGENT_AGENT_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include <toucanmill/agent/admission_core.hpp>
+#include <toucanmill/agent/claim_client.hpp>
+#include <toucanmill/agent/dispatch_core.hpp>
+#include <toucanmill/agent/session_core.hpp>
+#include <toucanmill/agent/tcp_stack.hpp>
+#include <toucanmill/base/outcome.hpp>
+
+namespace toucanmill
+{
+
+struct agent_options
+{
+  endpoint data;     ///< UDP endpoint for encapsulated packets; port 0: any
+  endpoint upstream; ///< TCP endpoint of the upstream
+  duration connect_timeout = std::chrono::seconds(2);
+
+  /// Time that a caller has to close its side after the agent's FIN that ends
+  /// an HTTP session.
+  duration linger = std::chrono::seconds(10);
+
+  admission_options admission;
+  http_options http;
+  dispatch_options dispatch; ///< `self` is set to the data endpoint
+  tcp_stack_options tcp;
+};
+
+/// Counts since the start of the agent.
+struct agent_counts
+{
+  std::array<std::uint64_t, dispatch_drop_count> drops{};
+  std::array<std::uint64_t, packet_fault_count> faults{};
+  std::array<std::uint64_t, request_event_count> requests{};
+  std::uint64_t unstamped = 0;  ///< datagrams without a route stamp
+  std::uint64_t delivered = 0;  ///< packets given to the TCP stack
+  std::uint64_t passed_on = 0;  ///< packets sent to another agent
+  std::uint64_t resets = 0;     ///< packets of unknown flows answered with RST
+  std::uint64_t new_flows = 0;  ///< completed handshakes
+  std::uint64_t replies = 0;    ///< packets sent to a fabric edge
+  std::uint64_t unroutable = 0; ///< replies without a return endpoint
+  std::uint64_t unsent = 0;     ///< datagrams that the system did not take
+  std::uint64_t silent_flows = 0; ///< ended by keepalive or retransmissions
+  std::uint64_t reset_by_caller = 0;
+  std::uint64_t interrupted = 0; ///< sessions busy when the agent stopped
+};
+
+/// What the agent holds and does now.
+struct agent_status
+{
+  agent_counts counts;
+  std::size_t open_flows = 0;
+  std::size_t busy_sessions = 0; ///< a request, or octets on their way
+  std::size_t slots_in_use = 0;
+  std::size_t queue_length = 0;
+  table_version version;                   ///< of the own table
+  std::vector<std::uint16_t> held_buckets; ///< ascending
+};
+
+/// The agent beside an upstream. One thread handles packets, flows and the
+/// upstream's connections; lwIP's timers have a thread of their own. All
+/// functions may be called from any thread.
+class agent
+{
+public:
+  /// Binds the UDP socket and starts the thread. The claim client must outlive
+  /// the agent and all its callbacks must be done before it ends. Errors:
+  /// io_failure.
+  static result<std::unique_ptr<agent>> start(agent_options options,
+                                              claim_client& claims);
+
+  /// As stop().
+  ~agent();
+  agent(const agent&) = delete;
+  agent& operator=(const agent&) = delete;
+
+  endpoint data_endpoint() const;
+
+  /// Takes a table of the agent's own service; older ones are ignored.
+  void set_table(service_table table);
+
+  /// Control confirmed just now that the table is current.
+  void confirmed();
+
+  /// No new flow is accepted; sessions end after their current request.
+  void set_leaving();
+
+  /// Resets the remaining flows and ends the thread.
+  void stop();
+
+  agent_status status() const;
+
+private:
+  struct state;
+
+  explicit agent(std::unique_ptr<state> state);
+
+  std::unique_ptr<state> state_;
+};
+
+} // namespace toucanmill
+
+#endif
--- /dev/null
+++ b/include/toucanmill/agent/claim_client.hpp
@@ -0,0 +1,67 @@
+#ifndef TOUCANMILL_AGENT_CLAIM_CLIENT_HPP
+#define TOUCANMILL_AGENT_CLAIM_CLIENT_HPP
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include <toucanmill/agent/session_core.hpp>
+#include <toucanmill/cluster/command.hpp>
+
+namespace toucanmill
+{
+
+/// Claims requests at control. The callbacks may come from any thread, before
+/// or after the call returns. Calls for one claim take effect in their order.
+class claim_client
+{
+public:
+  using on_decided = std::function<void(claim_status, std::string answer)>;
+  using on_recorded = std::function<void(bool stored)>;
+
+  virtual ~claim_client() = default;
+
+  virtual void claim(const claim_key& key, claim_id id,
+                     const request_digest& digest, on_decided done) = 0;
+
+  /// Stores the answer of a granted claim; an empty one says that the request
+  /// ran without an answer worth storing.
+  virtual void complete(const claim_key& key, claim_id id, std::string answer,
+                        on_recorded done) = 0;
+
+  /// The request certainly did not run; another claim may be granted.
+  virtual void release(const claim_key& key, claim_id id) = 0;
+};
+
+/// Claims in the memory of this process, for tests.
+class memory_claim_client final : public claim_client
+{
+public:
+  void claim(const claim_key& key, claim_id id, const request_digest& digest,
+             on_decided done) override;
+  void complete(const claim_key& key, claim_id id, std::string answer,
+                on_recorded done) override;
+  void release(const claim_key& key, claim_id id) override;
+
+private:
+  struct entry
+  {
+    claim_id id;
+    request_digest digest{};
+    bool completed = false;
+    std::string answer;
+  };
+  using key_pair = std::pair<service_id, std::string>;
+
+  claim_status decide(const key_pair& key, claim_id id,
+                      const request_digest& digest, std::string& answer);
+
+  std::mutex mutex_;
+  std::map<key_pair, entry> entries_;
+};
+
+} // namespace toucanmill
+
+#endif
--- a/include/toucanmill/agent/tcp_stack.hpp
+++ b/include/toucanmill/agent/tcp_stack.hpp
@@ -60,6 +60,9 @@
   /// RST; drops everything queued.
   void reset();
 
+  /// True while the peer has not acknowledged all octets of send().
+  bool has_unacknowledged() const;
+
   /// Opens the receive window again by octets that the user has processed.
   void consume(std::size_t octets);
 
@@ -175,12 +178,13 @@
   /// Answers a packet of an unknown flow with a RST.
   void send_reset(const tcp_packet& packet);
 
-  /// The packets queued since the last call. Send them before handling the
-  /// events: a `tcp_closed` may end the flow that tells where they go.
-  packet_batch take_packets();
-
+  /// The events since the last call. Take them before the packets, and handle
+  /// them after sending those: a `tcp_closed` may end the flow that tells where
+  /// its last packets go.
   std::vector<tcp_event> take_events();
 
+  packet_batch take_packets();
+
   /// Flows of which the stack has state, including those that are closing.
   std::size_t flow_count() const;
 
--- /dev/null
+++ b/src/agent/agent_flow.cpp
@@ -0,0 +1,300 @@
+#include "agent_flow.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <toucanmill/base/clock.hpp>
+
+#include "agent_runtime.hpp"
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+/// Reading from one side stops while more octets than this wait for the other.
+constexpr std::size_t max_backlog = 262144;
+
+} // namespace
+
+void send_queue::push(std::string bytes)
+{
+  if (size() == 0)
+  {
+    bytes_ = std::move(bytes);
+    sent_ = 0;
+    return;
+  }
+  bytes_.erase(0, std::exchange(sent_, 0));
+  bytes_ += bytes;
+}
+
+void send_queue::flush(tcp_connection& connection)
+{
+  if (size() == 0)
+    return;
+  sent_ += connection.send(std::string_view(bytes_).substr(sent_));
+  if (size() == 0)
+    clear();
+}
+
+void send_queue::clear()
+{
+  // Gives the memory back: most flows are idle.
+  bytes_ = std::string();
+  sent_ = 0;
+}
+
+agent_flow::agent_flow(agent_runtime& runtime, session_id id,
+                       tcp_connection_ptr connection,
+                       std::unique_ptr<session_core> session)
+    : runtime_(runtime), id_(id), connection_(std::move(connection)),
+      session_(std::move(session)), timer_(runtime.context())
+{
+}
+
+void agent_flow::on_caller(const tcp_event& event)
+{
+  if (const auto* received = std::get_if<tcp_received>(&event.what))
+  {
+    window_owed_ += received->bytes.size();
+    handle(caller_bytes{received->bytes});
+  }
+  else if (std::holds_alternative<tcp_peer_finished>(event.what))
+    handle(caller_finished{});
+  else if (std::holds_alternative<tcp_writable>(event.what))
+  {
+    flush_to_caller();
+    update();
+  }
+  else if (const auto* closed = std::get_if<tcp_closed>(&event.what))
+    on_closed(closed->reason);
+}
+
+void agent_flow::on_closed(tcp_end reason)
+{
+  if (reason == tcp_end::timed_out)
+    runtime_.count(&live_counts::silent_flows);
+  else if (reason == tcp_end::reset_by_peer)
+    runtime_.count(&live_counts::reset_by_caller);
+  closed_ = true;
+  to_caller_.clear();
+  handle(caller_gone{});
+  timer_.cancel();
+  linger_.reset();
+  if (upstream_)
+    upstream_->close();
+  // The session has released its slot; this is for one that forgot.
+  runtime_.release_slot(id_);
+}
+
+void agent_flow::handle(session_input input)
+{
+  inbox_.push_back(std::move(input));
+  if (std::exchange(handling_, true))
+    return;
+  while (!inbox_.empty())
+  {
+    auto next = std::move(inbox_.front());
+    inbox_.pop_front();
+    for (auto& action : session_->handle(std::move(next), monotonic_now()))
+      std::visit(
+          [this](auto& value)
+          {
+            act(value);
+          },
+          action);
+  }
+  handling_ = false;
+  update();
+}
+
+void agent_flow::on_upstream(session_input input)
+{
+  handle(std::move(input));
+}
+
+void agent_flow::on_upstream_sent()
+{
+  update();
+}
+
+bool agent_flow::wants_upstream_bytes() const
+{
+  return to_caller_.size() <= max_backlog;
+}
+
+void agent_flow::update()
+{
+  open_caller_window();
+  if (upstream_)
+    upstream_->read();
+  if (finished_ && !session_->busy() && !linger_ && !closed_)
+    start_linger();
+  update_busy();
+}
+
+void agent_flow::open_caller_window()
+{
+  const auto backlog =
+      session_->buffered_from_caller() + (upstream_ ? upstream_->queued() : 0);
+  if (backlog <= max_backlog && window_owed_ > 0)
+    connection_->consume(std::exchange(window_owed_, 0));
+}
+
+/// A session is busy until the caller's TCP has acknowledged the answer.
+void agent_flow::update_busy()
+{
+  const bool busy = !closed_ && (session_->busy() || to_caller_.size() > 0 ||
+                                 connection_->has_unacknowledged());
+  if (busy != std::exchange(busy_, busy))
+    runtime_.count_busy(busy);
+}
+
+/// A caller that ignores the FIN would keep the bucket held for ever.
+void agent_flow::start_linger()
+{
+  linger_.emplace(runtime_.context(), runtime_.options().linger);
+  linger_->async_wait(
+      [self = shared_from_this()](std::error_code error)
+      {
+        if (!error)
+          self->connection_->reset();
+      });
+}
+
+void agent_flow::flush_to_caller()
+{
+  to_caller_.flush(*connection_);
+  if (finish_wanted_ && to_caller_.size() == 0 &&
+      !std::exchange(finished_, true))
+    connection_->finish();
+}
+
+void agent_flow::act(send_to_caller& action)
+{
+  if (closed_)
+    return;
+  to_caller_.push(std::move(action.bytes));
+  flush_to_caller();
+}
+
+void agent_flow::act(finish_caller&)
+{
+  finish_wanted_ = true;
+  flush_to_caller();
+}
+
+void agent_flow::act(reset_caller&)
+{
+  to_caller_.clear();
+  connection_->reset();
+}
+
+void agent_flow::act(connect_upstream&)
+{
+  if (upstream_)
+    upstream_->close();
+  upstream_ = std::make_shared<upstream_link>(
+      runtime_.context(), weak_from_this(), runtime_.read_buffer());
+  upstream_->connect(runtime_.options().upstream,
+                     runtime_.options().connect_timeout);
+}
+
+void agent_flow::act(send_to_upstream& action)
+{
+  if (upstream_)
+    upstream_->send(std::move(action.bytes));
+}
+
+void agent_flow::act(finish_upstream&)
+{
+  if (upstream_)
+    upstream_->finish();
+}
+
+void agent_flow::act(close_upstream&)
+{
+  if (upstream_)
+    upstream_->close();
+  upstream_.reset();
+}
+
+void agent_flow::act(request_slot& action)
+{
+  // A new request: a resend of an earlier claim would repeat its grant.
+  claim_.reset();
+  const auto answer = runtime_.request_slot(id_, action.deadline);
+  if (answer == admission_answer::granted)
+    handle(slot_granted{});
+  else if (answer == admission_answer::refused)
+    handle(slot_refused{runtime_.retry_after()});
+}
+
+void agent_flow::act(release_slot&)
+{
+  runtime_.release_slot(id_);
+}
+
+void agent_flow::act(request_claim& action)
+{
+  if (!claim_)
+    claim_ = runtime_.next_claim();
+  claim_key_ = action.key;
+  runtime_.claims().claim(
+      {runtime_.service(), action.key}, *claim_, action.digest,
+      runtime_.in_thread<claim_status, std::string>(
+          weak_from_this(),
+          [id = *claim_](agent_flow& flow, claim_status status,
+                         std::string answer)
+          {
+            if (flow.claim_ == id)
+              flow.handle(claim_decided{status, std::move(answer)});
+          }));
+}
+
+void agent_flow::act(record_answer& action)
+{
+  if (!claim_)
+    return;
+  runtime_.claims().complete(
+      {runtime_.service(), claim_key_}, *claim_, std::move(action.answer),
+      runtime_.in_thread<bool>(weak_from_this(),
+                               [id = *claim_](agent_flow& flow, bool stored)
+                               {
+                                 if (flow.claim_ == id)
+                                   flow.handle(claim_recorded{stored});
+                               }));
+}
+
+void agent_flow::act(release_claim&)
+{
+  if (claim_)
+    runtime_.claims().release({runtime_.service(), claim_key_}, *claim_);
+  claim_.reset();
+}
+
+void agent_flow::act(set_timer& action)
+{
+  const auto delay = std::max(action.at - monotonic_now(), duration::zero());
+  timer_.expires_after(delay);
+  timer_.async_wait(
+      [self = weak_from_this()](std::error_code error)
+      {
+        if (const auto flow = self.lock(); flow && !error && !flow->closed_)
+          flow->handle(timer_expired{});
+      });
+}
+
+void agent_flow::act(cancel_timer&)
+{
+  timer_.cancel();
+}
+
+void agent_flow::act(count_event& action)
+{
+  runtime_.count_request(action.event);
+}
+
+} // namespace toucanmill::detail
--- /dev/null
+++ b/src/agent/agent_runtime.cpp
@@ -0,0 +1,386 @@
+#include "agent_runtime.hpp"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include <toucanmill/base/clock.hpp>
+#include <toucanmill/packet/gue.hpp>
+
+namespace toucanmill::detail
+{
+
+namespace
+{
+
+/// Batches taken from the socket before other handlers get a turn.
+constexpr int batches_per_turn = 16;
+
+/// Octets read from an upstream at once; the send buffer of a flow.
+constexpr std::size_t read_size = 65536;
+
+std::mt19937_64 seeded_generator()
+{
+  std::random_device device;
+  std::seed_seq seed{device(), device(), device(), device()};
+  return std::mt19937_64(seed);
+}
+
+} // namespace
+
+agent_runtime::agent_runtime(agent_options options, udp_channel channel,
+                             claim_client& claims)
+    : options_(options), channel_(std::move(channel)),
+      readable_(context_, dup(channel_.descriptor())), claims_(claims),
+      dispatch_(options.dispatch), admission_(options.admission),
+      budget_(options.http.retry_ratio), admission_timer_(context_),
+      read_buffer_(read_size), claim_ids_(seeded_generator()),
+      stack_(options.tcp,
+             [this]
+             {
+               asio::post(context_,
+                          [this]
+                          {
+                            process_stack();
+                          });
+             })
+{
+}
+
+void agent_runtime::run()
+{
+  const auto work = asio::make_work_guard(context_);
+  wait_readable();
+  context_.run();
+}
+
+void agent_runtime::wait_readable()
+{
+  readable_.async_wait(asio::posix::descriptor_base::wait_read,
+                       [this](std::error_code error)
+                       {
+                         if (error)
+                           return;
+                         receive_batches();
+                         wait_readable();
+                       });
+}
+
+void agent_runtime::receive_batches()
+{
+  const auto handle = [this](byte_view datagram, const endpoint&)
+  {
+    on_datagram(datagram);
+  };
+  std::size_t received = udp_channel::batch_size;
+  for (int i = 0; i < batches_per_turn && received == udp_channel::batch_size;
+       ++i)
+  {
+    received = channel_.receive(handle);
+    process_stack();
+  }
+}
+
+void agent_runtime::on_datagram(byte_view datagram)
+{
+  const auto decoded = decode_gue(datagram);
+  if (const auto* fault = std::get_if<packet_fault>(&decoded))
+  {
+    ++counts_.faults[static_cast<std::size_t>(*fault)];
+    return;
+  }
+  const auto* const packet = std::get_if<gue_packet>(&decoded);
+  if (packet == nullptr || !packet->stamped)
+  {
+    ++counts_.unstamped;
+    return;
+  }
+  const auto parsed = parse_tcp_packet(packet->inner);
+  if (const auto* fault = std::get_if<packet_fault>(&parsed))
+    ++counts_.faults[static_cast<std::size_t>(*fault)];
+  else
+    on_packet(std::get<tcp_packet>(parsed), packet->stamp);
+}
+
+void agent_runtime::on_packet(const tcp_packet& packet,
+                              const route_stamp& stamp)
+{
+  std::visit(
+      [&](const auto& action)
+      {
+        act(packet, stamp, action);
+      },
+      dispatch_.on_packet(packet, stamp, monotonic_now()));
+}
+
+void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
+                        const deliver_packet& action)
+{
+  // Without a table nobody knows how to treat the flow; the caller resends.
+  if (action.new_flow && !has_table_)
+  {
+    dispatch_.on_flow_closed(packet.flow);
+    return count_drop(dispatch_drop::no_table);
+  }
+  ++counts_.delivered;
+  if (!stack_.inject(packet) && action.new_flow)
+    dispatch_.on_flow_closed(packet.flow);
+}
+
+void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
+                        const pass_packet& action)
+{
+  const auto header = encode_gue_header(action.stamp);
+  channel_.send(action.to, {header.bytes.data(), header.size}, packet.bytes);
+  ++counts_.passed_on;
+}
+
+void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
+                        const reset_flow&)
+{
+  reset_targets_[packet.flow] = stamp.return_to;
+  stack_.send_reset(packet);
+  ++counts_.resets;
+}
+
+void agent_runtime::act(const tcp_packet&, const route_stamp&,
+                        const drop_packet& action)
+{
+  count_drop(action.reason);
+}
+
+void agent_runtime::count_drop(dispatch_drop reason)
+{
+  ++counts_.drops[static_cast<std::size_t>(reason)];
+}
+
+void agent_runtime::process_stack()
+{
+  for (;;)
+  {
+    const auto events = stack_.take_events();
+    const auto packets = stack_.take_packets();
+    if (events.empty() && packets.size() == 0)
+      break;
+    send_replies(packets);
+    for (const auto& event : events)
+      on_event(event);
+  }
+  channel_.flush();
+  counts_.unsent = channel_.unsent();
+  reset_targets_.clear();
+  publish_holdings();
+}
+
+void agent_runtime::send_replies(const packet_batch& packets)
+{
+  static const auto header = encode_gue_header();
+  for (const auto& entry : packets.entries())
+    if (const auto to = return_endpoint({entry.destination, entry.source}))
+    {
+      channel_.send(*to, {header.bytes.data(), header.size},
+                    packets.bytes(entry));
+      ++counts_.replies;
+    }
+    else
+      ++counts_.unroutable;
+}
+
+std::optional<endpoint>
+agent_runtime::return_endpoint(const flow_key& flow) const
+{
+  if (const auto known = dispatch_.return_endpoint(flow))
+    return known;
+  const auto found = reset_targets_.find(flow);
+  if (found == reset_targets_.end())
+    return std::nullopt;
+  return found->second;
+}
+
+void agent_runtime::on_event(const tcp_event& event)
+{
+  if (std::holds_alternative<tcp_established>(event.what))
+    return start_flow(event.connection);
+  if (std::holds_alternative<tcp_closed>(event.what))
+    return end_flow(event);
+  if (const auto found = flows_.find(event.connection.get());
+      found != flows_.end())
+  {
+    const auto flow = found->second;
+    flow->on_caller(event);
+  }
+}
+
+void agent_runtime::start_flow(const tcp_connection_ptr& connection)
+{
+  const session_id id{++last_session_};
+  auto session = kind_ == service_kind::http
+                     ? make_http_session(options_.http, budget_)
+                     : make_stream_session();
+  const auto flow =
+      std::make_shared<agent_flow>(*this, id, connection, std::move(session));
+  flows_[connection.get()] = flow;
+  sessions_[id] = flow;
+  ++counts_.new_flows;
+  counts_.open_flows = flows_.size();
+  flow->handle(caller_bytes{});
+  if (leaving_)
+    flow->handle(drain_started{});
+}
+
+/// Also ends flows whose handshake was never completed.
+void agent_runtime::end_flow(const tcp_event& event)
+{
+  const auto& connection = *event.connection;
+  dispatch_.on_flow_closed({connection.remote(), connection.local()});
+  const auto found = flows_.find(event.connection.get());
+  if (found == flows_.end())
+    return;
+  const auto flow = found->second;
+  flow->on_caller(event);
+  sessions_.erase(flow->id());
+  flows_.erase(event.connection.get());
+  counts_.open_flows = flows_.size();
+}
+
+admission_answer agent_runtime::request_slot(session_id session,
+                                             time_point deadline)
+{
+  const auto answer = admission_.request(session, deadline);
+  update_admission();
+  return answer;
+}
+
+void agent_runtime::release_slot(session_id session)
+{
+  const auto changes = admission_.release(session, monotonic_now());
+  update_admission();
+  apply(changes);
+}
+
+void agent_runtime::apply(const std::vector<admission_change>& changes)
+{
+  for (const auto& change : changes)
+  {
+    const auto found = sessions_.find(change.session);
+    const auto flow = found == sessions_.end() ? nullptr : found->second.lock();
+    if (flow && change.granted)
+      flow->handle(slot_granted{});
+    else if (flow)
+      flow->handle(slot_refused{retry_after()});
+  }
+}
+
+void agent_runtime::update_admission()
+{
+  counts_.slots_in_use = admission_.slots_in_use();
+  counts_.queue_length = admission_.queue_length();
+  if (const auto next = admission_.next_deadline(); next != admission_deadline_)
+  {
+    admission_deadline_ = next;
+    arm_admission_timer();
+  }
+}
+
+void agent_runtime::arm_admission_timer()
+{
+  if (!admission_deadline_)
+  {
+    admission_timer_.cancel();
+    return;
+  }
+  admission_timer_.expires_after(
+      std::max(*admission_deadline_ - monotonic_now(), duration::zero()));
+  admission_timer_.async_wait(
+      [this](std::error_code error)
+      {
+        if (error)
+          return;
+        const auto refused = admission_.expire(monotonic_now());
+        admission_deadline_.reset();
+        update_admission();
+        apply(refused);
+      });
+}
+
+void agent_runtime::set_table(service_table table)
+{
+  dispatch_.on_table(table);
+  if (dispatch_.version() != table.version)
+    return;
+  has_table_ = true;
+  kind_ = table.kind;
+  service_ = table.id;
+  if (listening_.count(table.address) == 0 &&
+      stack_.listen(table.address).has_value())
+    listening_.insert(table.address);
+  publish_holdings();
+}
+
+void agent_runtime::set_confirmed(time_point now)
+{
+  dispatch_.on_confirmed(now);
+}
+
+void agent_runtime::set_leaving()
+{
+  if (std::exchange(leaving_, true))
+    return;
+  dispatch_.set_leaving();
+  const auto flows = flows_;
+  for (const auto& [connection, flow] : flows)
+    flow->handle(drain_started{});
+}
+
+void agent_runtime::stop()
+{
+  const auto flows = flows_;
+  for (const auto& [connection, flow] : flows)
+  {
+    if (flow->busy())
+      ++counts_.interrupted;
+    flow->reset();
+  }
+  process_stack();
+  context_.stop();
+}
+
+void agent_runtime::count_busy(bool busy)
+{
+  if (busy)
+    ++counts_.busy_sessions;
+  else
+    --counts_.busy_sessions;
+}
+
+void agent_runtime::count_request(request_event event)
+{
+  ++counts_.requests[static_cast<std::size_t>(event)];
+}
+
+void agent_runtime::publish_holdings()
+{
+  if (dispatch_.take_holdings_changes().empty() &&
+      held_version_ == dispatch_.version())
+    return;
+  auto buckets = dispatch_.held_buckets();
+  const std::lock_guard lock(holdings_mutex_);
+  held_version_ = dispatch_.version();
+  held_buckets_ = std::move(buckets);
+}
+
+agent_status agent_runtime::status() const
+{
+  agent_status value;
+  value.counts = counts_.read();
+  value.open_flows = counts_.open_flows;
+  value.busy_sessions = counts_.busy_sessions;
+  value.slots_in_use = counts_.slots_in_use;
+  value.queue_length = counts_.queue_length;
+  const std::lock_guard lock(holdings_mutex_);
+  value.version = held_version_;
+  value.held_buckets = held_buckets_;
+  return value;
+}
+
+} // namespace toucanmill::detail
--- a/src/agent/tcp_connection.cpp
+++ b/src/agent/tcp_connection.cpp
@@ -80,6 +80,13 @@
     tcp_abort(pcb);
 }
 
+bool tcp_connection::has_unacknowledged() const
+{
+  const detail::core_guard guard;
+  return state_->pcb != nullptr && state_->established &&
+         state_->pcb->snd_buf != TCP_SND_BUF;
+}
+
 void tcp_connection::consume(std::size_t octets)
 {
   const detail::core_guard guard;
--- a/src/agent/udp_channel.cpp
+++ b/src/agent/udp_channel.cpp
@@ -38,9 +38,8 @@
 
 error socket_error(const char* what, const endpoint& local)
 {
-  return {error_code::io_failure,
-          std::string(what) + " " + to_string(local) + ": " +
-              std::strerror(errno)};
+  return {error_code::io_failure, std::string(what) + " " + to_string(local) +
+                                      ": " + std::strerror(errno)};
 }
 
 } // namespace
@@ -66,8 +65,7 @@
 }
 
 udp_channel::udp_channel(int descriptor, const endpoint& local)
-    : descriptor_(descriptor), local_(local),
-      received_(slot_size * batch_size)
+    : descriptor_(descriptor), local_(local), received_(slot_size * batch_size)
 {
 }
 
--- a/standin/fabric_edge/counters.cpp
+++ b/standin/fabric_edge/counters.cpp
@@ -41,8 +41,8 @@
   const char* separator = "";
   for (const auto& [balancer, packets] : value.sent_to)
   {
-    text += fmt::format("{}\"{}\": {}", separator, to_string(balancer),
-                        packets);
+    text +=
+        fmt::format("{}\"{}\": {}", separator, to_string(balancer), packets);
     separator = ", ";
   }
   return text + "}}";
--- a/standin/fabric_edge/edge.cpp
+++ b/standin/fabric_edge/edge.cpp
@@ -82,11 +82,12 @@
 
 void edge::process()
 {
+  const auto events = stack_.take_events();
   const auto packets = stack_.take_packets();
   for (const auto& entry : packets.entries())
     fabric_.send(packets.bytes(entry));
   fabric_.flush();
-  for (const auto& event : stack_.take_events())
+  for (const auto& event : events)
   {
     const auto found = links_.find(event.connection.get());
     if (found == links_.end())
