daemon: build the agent role against the agent runtime

Cause: std::atomic of a time point does not compare. Change: an atomic flag beside a time that only the main thread uses.

--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -109,13 +109,13 @@
   {
     leave();
     stopping_since_ = monotonic_now();
+    stopping_ = true;
     client_->report_now();
   }
 
   bool stopped() override
   {
-    if (stopping_since_ == time_point{} ||
-        monotonic_now() - stopping_since_ < handover_time)
+    if (!stopping_ || monotonic_now() - stopping_since_ < handover_time)
       return false;
     return agent_->status().open_flows == 0 &&
            (departure_known_ || !reachable_);
@@ -233,7 +233,7 @@
     report.identity = identity_;
     report.applied = tables_.applied(status.version);
     report.fresh = report.applied == table_version{};
-    report.leaving = stopping_since_ != time_point{};
+    report.leaving = stopping_;
     report.empty = report.leaving && status.open_flows == 0;
     reported_empty_ = report.empty;
     report.flows = static_cast<std::uint32_t>(status.open_flows);
@@ -293,7 +293,8 @@
   delivered_tables tables_;       ///< used on the client's thread only
   table_version service_version_; ///< used on the client's thread only
   bool reported_empty_ = false;   ///< used on the client's thread only
-  std::atomic<time_point> stopping_since_{time_point{}};
+  time_point stopping_since_; ///< used on the main thread only
+  std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> reachable_{true};
   std::atomic<bool> departure_known_{false};
