control: take the bootstrap capability of a connection once

Cause: after a disconnect, bootstrap() on a TwoPartyClient starts a second session over the dead stream; sending on it, or ending it, throws "already shut down" out of the event loop. Killing the leader ended both followers, all balancers and agents, and the command-line tool. Ruled out: catching the exception at the send, which moved the crash to the destructor of the session. Change: one rpc_connection type keeps the capability with its stream.

--- a/include/toucanmill/control/control_channel.hpp
+++ b/include/toucanmill/control/control_channel.hpp
@@ -10,6 +10,7 @@
 #include <toucanmill.capnp.h>
 
 #include <toucanmill/base/address.hpp>
+#include <toucanmill/control/rpc_connection.hpp>
 
 namespace toucanmill
 {
@@ -48,8 +49,6 @@
   }
 
 private:
-  struct connection;
-
   void drop();
 
   kj::AsyncIoContext& io_;
@@ -57,13 +56,9 @@
   std::vector<endpoint> endpoints_;
   std::size_t next_ = 0;
   endpoint target_;
-  std::shared_ptr<connection> connection_;
+  std::shared_ptr<rpc_connection> connection_;
 };
 
-/// Connects to an endpoint within a time limit.
-kj::Promise<kj::Own<kj::AsyncIoStream>>
-connect_rpc(kj::AsyncIoContext& io, const endpoint& to, kj::Duration limit);
-
 } // namespace toucanmill
 
 #endif
--- a/src/control/control_channel.cpp
+++ b/src/control/control_channel.cpp
@@ -1,6 +1,5 @@
 #include <toucanmill/control/control_channel.hpp>
 
-#include <capnp/rpc-twoparty.h>
 #include <netinet/in.h>
 
 namespace toucanmill
@@ -29,17 +28,6 @@
   return io.provider->getTimer().timeoutAfter(limit, kj::mv(promise));
 }
 
-struct control_channel::connection
-{
-  explicit connection(kj::Own<kj::AsyncIoStream> opened)
-      : stream(kj::mv(opened)), rpc(*stream)
-  {
-  }
-
-  kj::Own<kj::AsyncIoStream> stream;
-  capnp::TwoPartyClient rpc;
-};
-
 control_channel::control_channel(kj::AsyncIoContext& io,
                                  std::vector<endpoint> endpoints)
     : io_(io), timer_(io.provider->getTimer()),
@@ -52,13 +40,13 @@
 kj::Promise<schema::Control::Client> control_channel::client()
 {
   if (connection_ != nullptr)
-    return connection_->rpc.bootstrap().castAs<schema::Control>();
+    return connection_->control;
   return connect_rpc(io_, target_, connect_timeout)
       .then(
           [this](kj::Own<kj::AsyncIoStream> stream)
           {
-            connection_ = std::make_shared<connection>(kj::mv(stream));
-            return connection_->rpc.bootstrap().castAs<schema::Control>();
+            connection_ = std::make_shared<rpc_connection>(kj::mv(stream));
+            return connection_->control;
           });
 }
 
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -25,18 +25,28 @@
   return mkdtemp(name);
 }
 
+control_server_options make_options(const std::string& folder,
+                                    std::vector<replica_address> group,
+                                    std::size_t self)
+{
+  control_server_options options;
+  options.rpc = group[self].rpc;
+  options.log.self = group[self].id;
+  options.log.folder = folder;
+  options.log.initial_group = std::move(group);
+  options.log.random_seed = self;
+  options.notify = [](const control_notice&) {};
+  return options;
+}
+
 /// Starts a group of one on the first free port of a range.
 std::unique_ptr<control_server> start_single(const std::string& folder,
                                              endpoint& rpc)
 {
   for (std::uint16_t port = 43300; port < 43400; ++port)
   {
-    control_server_options options;
-    options.rpc = rpc = {{0x7F000001}, port};
-    options.log.self = {1};
-    options.log.folder = folder;
-    options.log.initial_group = {{{1}, rpc, true}};
-    options.notify = [](const control_notice&) {};
+    rpc = {{0x7F000001}, port};
+    const auto options = make_options(folder, {{{1}, rpc, true}}, 0);
     if (auto server = control_server::start(options))
       return std::move(server.value());
   }
@@ -211,3 +221,30 @@
   CHECK_TRUE(replay.verdict == claim_verdict::completed);
   CHECK_TRUE(replay.answer == "answer");
 }
+
+// Guards against a crash when a peer closes its connection: a send on it threw
+// out of the RPC thread's loop, and the followers of a killed leader ended.
+TEST(control_server, group_survives_the_loss_of_its_leader)
+{
+  std::vector<replica_address> group;
+  for (std::uint16_t i = 0; i < 3; ++i)
+    group.push_back({{i + 1U},
+                     {{0x7F000001}, static_cast<std::uint16_t>(43400 + i)},
+                     true});
+  std::vector<std::unique_ptr<control_server>> servers;
+  for (std::size_t i = 0; i < group.size(); ++i)
+    servers.push_back(
+        std::move(control_server::start(
+                      make_options(folder + "/" + std::to_string(i), group, i))
+                      .value()));
+  const auto client = operator_client::connect(
+      {group[0].rpc, group[1].rpc, group[2].rpc}, limit);
+  CHECK_TRUE(client->change(create("r1", 0, "defects", 80)).value().accepted);
+
+  const auto leader = client->status().value().leader.value;
+  servers[leader - 1].reset();
+  const auto after = client->change(create("r2", 1, "records", 81));
+  CHECK_TRUE(after.has_value());
+  CHECK_TRUE(after.value().accepted);
+  CHECK_EQUAL(2U, client->services().value().services.size());
+}
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,7 +1,5 @@
 #include "peer_links.hpp"
 
-#include <toucanmill/control/control_channel.hpp>
-
 namespace toucanmill::detail
 {
 
@@ -18,25 +16,6 @@
 
 } // namespace
 
-struct peer_links::link
-{
-  struct connection
-  {
-    explicit connection(kj::Own<kj::AsyncIoStream> opened)
-        : stream(kj::mv(opened)), rpc(*stream)
-    {
-    }
-
-    kj::Own<kj::AsyncIoStream> stream;
-    capnp::TwoPartyClient rpc;
-  };
-
-  endpoint to;
-  bool connecting = false;
-  std::size_t in_flight = 0;
-  std::shared_ptr<connection> open;
-};
-
 peer_links::peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost)
     : io_(io), lost_(lost), tasks_(*this)
 {
@@ -71,7 +50,7 @@
                      [peer](kj::Own<kj::AsyncIoStream> stream)
                      {
                        peer->open =
-                           std::make_shared<link::connection>(kj::mv(stream));
+                           std::make_shared<rpc_connection>(kj::mv(stream));
                        peer->in_flight = 0;
                        peer->connecting = false;
                      })
@@ -91,14 +70,13 @@
 void peer_links::deliver(const std::shared_ptr<link>& peer,
                          const std::string& message)
 {
-  auto request =
-      peer->open->rpc.bootstrap().castAs<schema::Control>().stepRequest();
+  auto request = peer->open->control.stepRequest();
   request.setMessage(kj::StringPtr(message.c_str(), message.size()).asBytes());
   ++peer->in_flight;
   const auto used = peer->open;
-  // The task holds the connection, so that it ends outside its own callbacks.
   auto sent = request.send().ignoreResult();
   auto& timer = io_.provider->getTimer();
+  // The task holds the connection, so that it ends outside its own callbacks.
   tasks_.add(timer.timeoutAfter(delivery_limit, kj::mv(sent))
                  .then(
                      [peer, used]
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -6,10 +6,9 @@
 #include <memory>
 #include <string>
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
-#include <toucanmill.capnp.h>
 
+#include <toucanmill/control/rpc_connection.hpp>
 #include <toucanmill/log/types.hpp>
 
 namespace toucanmill::detail
@@ -28,7 +27,13 @@
   void send(const replica_address& to, const std::string& message);
 
 private:
-  struct link;
+  struct link
+  {
+    endpoint to;
+    bool connecting = false;
+    std::size_t in_flight = 0;
+    std::shared_ptr<rpc_connection> open;
+  };
 
   std::shared_ptr<link> link_to(const endpoint& to);
   void connect(const std::shared_ptr<link>& peer);
