--- a/src/packet/packet_builder_test.hpp
+++ b/src/packet/packet_builder_test.hpp
@@ -32,7 +32,7 @@
 
 inline void fix_checksum(octets& packet)
 {
-  const std::size_t length = (packet[0] & 0x0F) * 4U;
+  const std::size_t length = (packet[0] & 0x0FU) * detail::word_size;
   const auto sum = ipv4_checksum(packet, std::min(length, packet.size()));
   packet[10] = static_cast<std::uint8_t>(sum >> 8);
   packet[11] = static_cast<std::uint8_t>(sum);
