--- a/src/agent/bucket_views_core.cpp
+++ b/src/agent/bucket_views_core.cpp
@@ -16,6 +16,7 @@
 
 void bucket_views::take(const service_table& table)
 {
+  set_service(table.id);
   views_.resize(table.buckets.size());
   sized_by_table_ = true;
   for (std::size_t bucket = 0; bucket < views_.size(); ++bucket)
@@ -25,6 +26,7 @@
 
 const bucket_view* bucket_views::take(const route_stamp& stamp)
 {
+  set_service(stamp.service);
   const std::size_t limit = sized_by_table_ ? views_.size() : max_buckets;
   if (stamp.bucket >= limit)
     return nullptr;
@@ -36,8 +38,11 @@
   return &view;
 }
 
-void bucket_views::clear()
+void bucket_views::set_service(service_id service)
 {
+  if (service == service_)
+    return;
+  service_ = service;
   views_.clear();
   sized_by_table_ = false;
 }
--- a/src/agent/bucket_views_core.hpp
+++ b/src/agent/bucket_views_core.hpp
@@ -17,7 +17,9 @@
   stamped_chain chain;
 };
 
-/// Newest known chain of each bucket of a service.
+/// Newest known chain of each bucket of a service. Stamps of another service
+/// may arrive before the first table, if the endpoint was another agent's
+/// earlier; the views of one service never serve another.
 class bucket_views
 {
 public:
@@ -28,9 +30,10 @@
   /// null when the service cannot have such a bucket.
   const bucket_view* take(const route_stamp& stamp);
 
-  void clear();
-
 private:
+  void set_service(service_id service);
+
+  service_id service_;
   std::vector<bucket_view> views_;
   bool sized_by_table_ = false;
 };
--- a/src/agent/dispatch_core.cpp
+++ b/src/agent/dispatch_core.cpp
@@ -237,8 +237,6 @@
 {
   if (state_->table && table.version <= state_->table->version)
     return;
-  if (state_->table && state_->table->service != table.id)
-    state_->views.clear();
   state_->table = state::own_table{table.id, table.address, table.version};
   state_->views.take(table);
   state_->flows.set_service(table.id);
--- a/src/agent/dispatch_core_test.cpp
+++ b/src/agent/dispatch_core_test.cpp
@@ -298,3 +298,15 @@
   expect_drop(first.on_packet(syn_packet(), stamp, start),
               dispatch_drop::no_table);
 }
+
+// Guards against chains of another service whose stamps arrive before the first
+// table, because the endpoint was that of another agent earlier.
+TEST(dispatch, views_of_another_service_are_forgotten)
+{
+  auto other = make_stamp(9, {1, 3});
+  other.service = service_id{8};
+  first.on_packet(data_packet(), other, start);
+  first.on_table(make_table(2, {1}));
+  const auto action = first.on_packet(syn_packet(), make_stamp(2, {1}), start);
+  CHECK_TRUE(expect<deliver_packet>(action).new_flow);
+}
