--- a/include/toucanmill/agent/session_core.hpp
+++ b/include/toucanmill/agent/session_core.hpp
@@ -114,8 +114,10 @@
 };
 struct release_slot
 {
-};                   ///< gives back a slot or leaves the queue
-struct request_claim ///< repeated after `unavailable`: same claim id
+}; ///< gives back a slot or leaves the queue
+/// Needs a new claim id each time, except after `unavailable`: then it repeats
+/// the same claim.
+struct request_claim
 {
   std::string key;
   request_digest digest;
