--- a/src/agent/http_session_core.cpp
+++ b/src/agent/http_session_core.cpp
@@ -84,7 +84,14 @@
 {
   if (phase_ == phase::closed)
     return false;
-  return phase_ != phase::reading_head || !in_.empty();
+  return phase_ != phase::reading_head || head_started();
+}
+
+/// The parser keeps what it has read of a head, so that the buffer alone does
+/// not tell.
+bool http_session::head_started() const
+{
+  return !in_.empty() || (exchange_ && exchange_->request.get().got_some());
 }
 
 std::size_t http_session::buffered_from_caller() const
@@ -193,7 +200,7 @@
   draining_ = true;
   if (phase_ != phase::reading_head)
     return;
-  if (served_ && in_.empty())
+  if (served_ && !head_started())
     finish_session();
   else
     drain_close_ = now_ + drain_grace;
@@ -223,13 +230,13 @@
 bool http_session::read_head()
 {
   if (!exchange_)
-  {
-    // RFC 9112 section 2.2: an empty line before a request is ignored.
-    while (in_.compare(0, 2, "\r\n") == 0)
-      in_.erase(0, 2);
     exchange_.emplace(options_.max_head);
-  }
   auto& request = exchange_->request;
+  // RFC 9112 section 2.2: an empty line before a request is ignored.
+  while (!request.get().got_some() && in_.compare(0, 2, "\r\n") == 0)
+    in_.erase(0, 2);
+  if (in_ == "\r" && !request.get().got_some() && !caller_finished_)
+    return false;
   in_.erase(0, request.read_head(in_));
   switch (request.state())
   {
--- a/src/agent/http_session_core.hpp
+++ b/src/agent/http_session_core.hpp
@@ -65,6 +65,7 @@
 
   // Request (http_session_core.cpp).
   void read_caller();
+  bool head_started() const;
   bool read_head();
   bool read_claimed_body();
   bool relay_body();
--- a/src/agent/session_core_test.cpp
+++ b/src/agent/session_core_test.cpp
@@ -158,6 +158,14 @@
          inputs{drain_started{}} + running(get) + inputs{says(answer)},
          ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
          finished);
+  expect("a drain that cuts a head which the parser has already taken",
+         running(get) + inputs{says(answer), caller_bytes{"\r\n"},
+                               caller_bytes{"GET / HTTP/1.1\r\n"},
+                               drain_started{}, caller_bytes{"Host: a\r\n\r\n"},
+                               slot_granted{}, upstream_connected{},
+                               says(answer)},
+         answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
+         {ev::completed, ev::completed}, finished, 2);
   expect("a drain that waits for silent callers without limit",
          inputs{drain_started{}, timer_expired{}}, "", {}, finished, 0);
   expect("work for a caller who left", running(get) + inputs{caller_gone{}}, "",
