cluster: spread rebalance steps over the ticks

Cause: a rebalance check of all of 12,000 services in one tick took 220 ms and would hold up the log's thread. Change: a service that is balanced is skipped before its idle buckets and moves are computed; services are due in turn over the interval.

--- a/include/toucanmill/cluster/assignment.hpp
+++ b/include/toucanmill/cluster/assignment.hpp
@@ -48,6 +48,10 @@
 bucket_quotas(const holder_weights& weights,
               const std::vector<std::uint32_t>& owned, std::size_t buckets);
 
+/// True when every holder owns at least its quota.
+bool is_balanced(const std::vector<chain>& buckets,
+                 const holder_weights& weights);
+
 /// New owners for the buckets whose owner has no weight and for the orphaned
 /// ones, spread by weight. A bucket whose chain is full stays as it is unless
 /// an earlier holder can take it.
--- a/src/cluster/assignment.cpp
+++ b/src/cluster/assignment.cpp
@@ -225,6 +225,12 @@
 
 } // namespace
 
+bool is_balanced(const std::vector<chain>& buckets,
+                 const holder_weights& weights)
+{
+  return !neediest(balance(buckets, weights), 1);
+}
+
 std::vector<bucket_move>
 plan_replacement(const std::vector<chain>& buckets,
                  const holder_weights& weights,
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -81,7 +81,8 @@
   membership_options options;
   live_nodes nodes;
   time_point next_scan;
-  time_point next_rebalance;
+  time_point rebalanced; ///< services up to next_service were due until then
+  std::size_t next_service = 0;
 
   double ramp(const live_node& node, time_point now) const
   {
@@ -89,6 +90,24 @@
                       std::chrono::duration<double>(options.ramp);
     return std::clamp(part, first_ramp, 1.0);
   }
+
+  /// Services that are due for a rebalance step. Each is due once in an
+  /// interval; they are spread over the ticks because one step for all of
+  /// 12,000 services took 220 ms.
+  std::size_t due_services(std::size_t services, time_point now)
+  {
+    const auto interval = options.rebalance_interval;
+    if (services == 0 || interval <= now - rebalanced)
+    {
+      rebalanced = now;
+      return services;
+    }
+    const auto count = services *
+                       static_cast<std::size_t>((now - rebalanced).count()) /
+                       static_cast<std::size_t>(interval.count());
+    rebalanced += interval * count / services;
+    return count;
+  }
 };
 
 membership_core::membership_core(membership_options options)
@@ -112,7 +131,7 @@
     node.joined = now - data_->options.ramp;
   }
   data_->next_scan = now;
-  data_->next_rebalance = now + data_->options.rebalance_interval;
+  data_->rebalanced = now;
 }
 
 std::vector<command> membership_core::on_report(const state_machine& state,
@@ -255,17 +274,19 @@
   return idle;
 }
 
-bool would_move(const service_table& table, const rebalance& step,
-                std::size_t limit)
+holder_weights weights_by_holder(const service_table& table,
+                                 const rebalance& step)
 {
   std::map<node_id, std::uint32_t> by_node;
   for (const auto& [node, per_mille] : step.weights)
     by_node.emplace(node, per_mille);
   holder_weights weights;
   for (const auto& holder : table.holders)
-    weights.push_back(by_node.count(holder.node) != 0 ? by_node[holder.node]
-                                                      : 0);
-  return !plan_rebalance(table.buckets, weights, step.idle, limit).empty();
+    if (const auto found = by_node.find(holder.node); found != by_node.end())
+      weights.push_back(found->second);
+    else
+      weights.push_back(0);
+  return weights;
 }
 
 } // namespace
@@ -279,11 +300,10 @@
     data_->next_scan = now + lease_scan_interval;
     commands = scan_leases(data_->nodes, state, data_->options, now);
   }
-  if (now < data_->next_rebalance)
-    return commands;
-  data_->next_rebalance = now + data_->options.rebalance_interval;
-  for (const auto* const table : state.services())
-    if (auto step = rebalance_step(state, *table, now))
+  const auto services = state.services();
+  for (auto due = data_->due_services(services.size(), now); due > 0; --due)
+    if (auto step = rebalance_step(
+            state, *services[data_->next_service++ % services.size()], now))
       commands.push_back(std::move(*step));
   return commands;
 }
@@ -314,8 +334,11 @@
   for (std::size_t i = 0; i < weights.size(); ++i)
     step.weights[i].per_mille = weights[i];
   step.service = table.name;
+  const auto by_holder = weights_by_holder(table, step);
+  if (is_balanced(table.buckets, by_holder))
+    return {};
   step.idle = idle_buckets(table, data_->nodes);
-  if (!would_move(table, step, state.options().moves_per_rebalance))
+  if (plan_rebalance(table.buckets, by_holder, step.idle, 1).empty())
     return {};
   return step;
 }
