agent: share lwIP's listeners among the stacks of a process

lwIP allows one listener for an address and port, so the second of two agents in one process refused every flow. The stacks now share a listener and accept only on their own addresses. The reply to a refused SYN goes to the stamp's return endpoint.

--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -113,7 +113,7 @@
       dispatch_.on_packet(packet, stamp, monotonic_now()));
 }
 
-void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
+void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
                         const deliver_packet& action)
 {
   // Without a table nobody knows how to treat the flow; the caller resends.
@@ -123,8 +123,10 @@
     return count_drop(dispatch_drop::no_table);
   }
   ++counts_.delivered;
-  if (!stack_.inject(packet) && action.new_flow)
-    dispatch_.on_flow_closed(packet.flow);
+  if (stack_.inject(packet) || !action.new_flow)
+    return;
+  reset_targets_[packet.flow] = stamp.return_to;
+  dispatch_.on_flow_closed(packet.flow);
 }
 
 void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
@@ -308,12 +310,11 @@
   dispatch_.on_table(table);
   if (dispatch_.version() != table.version)
     return;
-  has_table_ = true;
   kind_ = table.kind;
   service_ = table.id;
-  if (listening_.count(table.address) == 0 &&
-      stack_.listen(table.address).has_value())
-    listening_.insert(table.address);
+  const auto listening = stack_.listen(table.address);
+  has_table_ =
+      listening || listening.error().code == error_code::already_exists;
   publish_holdings();
 }
 
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -6,7 +6,6 @@
 #include <mutex>
 #include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -135,10 +134,9 @@
   std::mt19937_64 claim_ids_;
 
   bool leaving_ = false;
-  bool has_table_ = false;
+  bool has_table_ = false; ///< and listens on its address
   service_kind kind_ = service_kind::stream;
   service_id service_;
-  std::set<endpoint> listening_;
   std::uint64_t last_session_ = 0;
   std::unordered_map<tcp_connection*, std::shared_ptr<agent_flow>> flows_;
   std::unordered_map<session_id, std::weak_ptr<agent_flow>> sessions_;
--- a/src/agent/tcp_stack_state.cpp
+++ b/src/agent/tcp_stack_state.cpp
@@ -5,6 +5,8 @@
 #include <mutex>
 #include <utility>
 
+#include "lwip_listeners.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -96,8 +98,8 @@
     tcp_abort(pcb);
     close(*connection, tcp_end::reset_locally);
   }
-  for (auto* const listener : listeners_)
-    tcp_close(listener);
+  for (const auto& address : listening_)
+    drop_listener(address);
   netif_remove(&interface_);
 }
 
@@ -124,26 +126,12 @@
 
 err_t tcp_stack_state::listen(const endpoint& address)
 {
-  auto* const pcb = tcp_new();
-  if (pcb == nullptr)
-    return ERR_MEM;
-  const auto local = to_lwip(address.address);
-  if (const auto error = tcp_bind(pcb, &local, address.port); error != ERR_OK)
-  {
-    tcp_abort(pcb);
-    return error;
-  }
-  tcp_bind_netif(pcb, &interface_);
-  err_t error = ERR_OK;
-  auto* const listener = tcp_listen_with_backlog_and_err(pcb, 0xff, &error);
-  if (listener == nullptr)
-  {
-    tcp_abort(pcb);
-    return error;
-  }
-  tcp_accept(listener, &tcp_stack_state::on_accept);
-  listeners_.push_back(listener);
-  return ERR_OK;
+  if (listening_.count(address) != 0)
+    return ERR_USE;
+  const auto error = take_listener(address, &tcp_stack_state::on_accept);
+  if (error == ERR_OK)
+    listening_.insert(address);
+  return error;
 }
 
 tcp_connection_ptr tcp_stack_state::open(const endpoint& local,
@@ -176,6 +164,12 @@
 
 bool tcp_stack_state::inject(const tcp_packet& packet)
 {
+  // A listener of another stack would accept the flow.
+  if (packet.opens_flow() && listening_.count(packet.flow.service) == 0)
+  {
+    send_reset(packet);
+    return false;
+  }
   auto* const copy =
       pbuf_alloc(PBUF_RAW, static_cast<u16_t>(packet.bytes.size), PBUF_RAM);
   if (copy == nullptr)
@@ -208,6 +202,8 @@
 
 tcp_connection_ptr tcp_stack_state::add(tcp_pcb* pcb, const flow_key& flow)
 {
+  // An accepted connection has no interface yet.
+  tcp_bind_netif(pcb, &interface_);
   auto state = std::make_shared<connection_state>();
   state->stack = this;
   state->pcb = pcb;
--- a/src/agent/tcp_stack_state.hpp
+++ b/src/agent/tcp_stack_state.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -83,7 +84,7 @@
   std::function<void()> notify_;
   netif interface_{};
   std::unordered_map<flow_key, entry> flows_;
-  std::vector<tcp_pcb*> listeners_;
+  std::set<endpoint> listening_;
   packet_batch packets_;
   std::vector<tcp_event> events_;
   std::uint64_t dropped_packets_ = 0;
