control: bind the server's tests to free ports

Cause: a port of the fixed range was in use on the machine and the group test ended the program. Change: tests ask the system for a free port and report a failed start.

--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -7,6 +7,8 @@
 #include <mutex>
 #include <thread>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <toucanmill/control/node_client.hpp>
@@ -39,19 +41,35 @@
   return options;
 }
 
-/// Starts a group of one on the first free port of a range.
+/// A loopback endpoint that no socket is bound to at this moment.
+endpoint free_endpoint()
+{
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof raw;
+  auto* const address = reinterpret_cast<sockaddr*>(&raw);
+  bind(descriptor, address, size);
+  getsockname(descriptor, address, &size);
+  close(descriptor);
+  return {{INADDR_LOOPBACK}, ntohs(raw.sin_port)};
+}
+
+std::unique_ptr<control_server> start(const control_server_options& options)
+{
+  auto server = control_server::start(options);
+  if (!server)
+    FAIL(server.error().message.c_str());
+  return std::move(server.value());
+}
+
+/// Starts a group of one.
 std::unique_ptr<control_server> start_single(const std::string& folder,
                                              endpoint& rpc)
 {
-  for (std::uint16_t port = 43300; port < 43400; ++port)
-  {
-    rpc = {{0x7F000001}, port};
-    const auto options = make_options(folder, {{{1}, rpc, true}}, 0);
-    if (auto server = control_server::start(options))
-      return std::move(server.value());
-  }
-  FAIL("no free port");
-  return nullptr;
+  rpc = free_endpoint();
+  return start(make_options(folder, {{{1}, rpc, true}}, 0));
 }
 
 template <class Condition>
@@ -227,16 +245,12 @@
 TEST(control_server, group_survives_the_loss_of_its_leader)
 {
   std::vector<replica_address> group;
-  for (std::uint16_t i = 0; i < 3; ++i)
-    group.push_back({{i + 1U},
-                     {{0x7F000001}, static_cast<std::uint16_t>(43400 + i)},
-                     true});
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    group.push_back({{id}, free_endpoint(), true});
   std::vector<std::unique_ptr<control_server>> servers;
   for (std::size_t i = 0; i < group.size(); ++i)
     servers.push_back(
-        std::move(control_server::start(
-                      make_options(folder + "/" + std::to_string(i), group, i))
-                      .value()));
+        start(make_options(folder + "/" + std::to_string(i), group, i)));
   const auto client = operator_client::connect(
       {group[0].rpc, group[1].rpc, group[2].rpc}, limit);
   CHECK_TRUE(client->change(create("r1", 0, "defects", 80)).value().accepted);
