agent, standin: let requests cross a drain, and end a drain on restore

Change: for 3 s after the drain began the next request of an open connection runs with "Connection: close"; later ones are refused as not run; idle connections end after 30 s. A restore order makes the agent accept flows again.

--- a/include/toucanmill/agent/agent.hpp
+++ b/include/toucanmill/agent/agent.hpp
@@ -89,8 +89,9 @@
   /// Control confirmed just now that the table is current.
   void confirmed();
 
-  /// No new flow is accepted; sessions end after their current request.
-  void set_leaving();
+  /// While leaving no new flow is accepted, and the sessions of that time end
+  /// after their current request.
+  void set_leaving(bool leaving);
 
   /// Resets the remaining flows and ends the thread.
   void stop();
--- a/include/toucanmill/agent/dispatch_core.hpp
+++ b/include/toucanmill/agent/dispatch_core.hpp
@@ -89,8 +89,8 @@
   /// Control confirmed at this time that the own table is current.
   void on_confirmed(time_point now);
 
-  /// From now on no new flow is accepted.
-  void set_leaving();
+  /// While leaving no new flow is accepted.
+  void set_leaving(bool leaving = true);
 
   dispatch_action on_packet(const tcp_packet& packet, const route_stamp& stamp,
                             time_point now);
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -69,12 +69,12 @@
       });
 }
 
-void agent::set_leaving()
+void agent::set_leaving(bool leaving)
 {
   state_->post(
-      [&runtime = state_->runtime]
+      [&runtime = state_->runtime, leaving]
       {
-        runtime.set_leaving();
+        runtime.set_leaving(leaving);
       });
 }
 
--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -323,11 +323,12 @@
   dispatch_.on_confirmed(now);
 }
 
-void agent_runtime::set_leaving()
+void agent_runtime::set_leaving(bool leaving)
 {
-  if (std::exchange(leaving_, true))
+  const bool before = std::exchange(leaving_, leaving);
+  dispatch_.set_leaving(leaving);
+  if (before || !leaving)
     return;
-  dispatch_.set_leaving();
   const auto flows = flows_;
   for (const auto& [connection, flow] : flows)
     flow->handle(drain_started{});
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -32,7 +32,7 @@
 
   void set_table(service_table table);
   void set_confirmed(time_point now);
-  void set_leaving();
+  void set_leaving(bool leaving);
   void stop();
 
   /// Any thread.
--- a/src/agent/dispatch_core.cpp
+++ b/src/agent/dispatch_core.cpp
@@ -247,9 +247,9 @@
   state_->confirmed_at = now;
 }
 
-void dispatch_core::set_leaving()
+void dispatch_core::set_leaving(bool leaving)
 {
-  state_->leaving = true;
+  state_->leaving = leaving;
 }
 
 dispatch_action dispatch_core::on_packet(const tcp_packet& packet,
--- a/src/agent/http_end_core.cpp
+++ b/src/agent/http_end_core.cpp
@@ -56,7 +56,6 @@
   TOUCANMILL_INVARIANT(!exchange_->ended, "a request ended twice");
   exchange_->ended = true;
   release_resources();
-  served_ = true;
   if (must_close())
     return finish_session();
   exchange_.reset();
@@ -148,7 +147,7 @@
   };
   if (phase_ == phase::closed)
     return next;
-  if (phase_ == phase::reading_head)
+  if (phase_ == phase::reading_head && draining_)
     consider(drain_close_);
   if (exchange_ && exchange_->started && !exchange_->relayed)
     consider(exchange_->deadline);
--- a/src/agent/http_session_core.cpp
+++ b/src/agent/http_session_core.cpp
@@ -30,9 +30,14 @@
 
 constexpr duration claim_retry_delay = std::chrono::milliseconds(100);
 
-/// Time that a draining agent leaves to a caller who has connected but not
-/// yet sent a complete head.
-constexpr duration drain_grace = std::chrono::seconds(2);
+/// A draining agent still runs the next request of an open connection for this
+/// long: a request may be on its way, and closing would cut it. The upstream
+/// must get no new work after a few seconds.
+constexpr duration drain_grace = std::chrono::seconds(3);
+
+/// A connection without a request is closed this long after the drain began. By
+/// then a request that crosses the close is unlikely.
+constexpr duration drain_idle_limit = std::chrono::seconds(30);
 
 /// Octets of an idempotency key (claim_key).
 constexpr std::size_t max_key = 256;
@@ -189,21 +194,15 @@
     ask_claim();
   if (exchange_ && exchange_->deadline && *exchange_->deadline <= now_)
     on_deadline();
-  if (phase_ == phase::reading_head && drain_close_ && *drain_close_ <= now_)
+  if (phase_ == phase::reading_head && draining_ && drain_close_ <= now_)
     finish_session();
 }
 
-/// A caller who has had an answer knows that an idle connection may end; one
-/// who has just connected is about to send a request.
 void http_session::on(drain_started&)
 {
   draining_ = true;
-  if (phase_ != phase::reading_head)
-    return;
-  if (served_ && !head_started())
-    finish_session();
-  else
-    drain_close_ = now_ + drain_grace;
+  drain_refuse_ = now_ + drain_grace;
+  drain_close_ = now_ + drain_idle_limit;
 }
 
 void http_session::read_caller()
@@ -267,6 +266,8 @@
   exchange.slot_deadline = now_ + options_.queue_deadline;
   if (const auto status = refused_status(exchange.request))
     return refuse(*status, request_event::refused_malformed);
+  if (draining_ && now_ >= drain_refuse_)
+    return refuse(503, request_event::refused_draining, options_.retry_after);
   if (const auto limit = deadline_of(head))
   {
     exchange.deadline = now_ + *limit;
--- a/src/agent/http_session_core.hpp
+++ b/src/agent/http_session_core.hpp
@@ -124,8 +124,8 @@
   std::optional<http_exchange> exchange_;
   bool caller_finished_ = false;
   bool draining_ = false;
-  bool served_ = false; ///< answered at least one request
-  std::optional<time_point> drain_close_;
+  time_point drain_refuse_; ///< when draining: end of the grace
+  time_point drain_close_;  ///< when draining: end of an idle connection
   std::optional<time_point> timer_;
   std::vector<session_action> actions_;
 };
--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -131,8 +131,7 @@
   std::vector<sample> samples() override
   {
     const auto status = agent_->status();
-    auto out = control_samples(client_->counters(), reachable_,
-                               status.version);
+    auto out = control_samples(client_->counters(), reachable_, status.version);
     add_drops(out, status.counts);
     add_events(out, status.counts);
     add_packets(out, status.counts);
@@ -175,19 +174,20 @@
   static void add_events(std::vector<sample>& out, const agent_counts& counts)
   {
     for (std::size_t i = 0; i < counts.requests.size(); ++i)
-      out.push_back(
-          {"toucanmill_requests_total",
-           "Requests by how they ended, and retries by reason.",
-           true,
-           static_cast<double>(counts.requests[i]),
-           {{"event", to_string(static_cast<request_event>(i))}}});
+      out.push_back({"toucanmill_requests_total",
+                     "Requests by how they ended, and retries by reason.",
+                     true,
+                     static_cast<double>(counts.requests[i]),
+                     {{"event", to_string(static_cast<request_event>(i))}}});
   }
 
   static void add_packets(std::vector<sample>& out, const agent_counts& counts)
   {
-    const auto count = [&out](const char* name, const char* help,
-                              std::uint64_t value)
-    { out.push_back({name, help, true, static_cast<double>(value), {}}); };
+    const auto count =
+        [&out](const char* name, const char* help, std::uint64_t value)
+    {
+      out.push_back({name, help, true, static_cast<double>(value), {}});
+    };
     count("toucanmill_packets_delivered_total",
           "Packets given to the TCP stack.", counts.delivered);
     count("toucanmill_packets_passed_on_total",
@@ -205,9 +205,11 @@
 
   static void add_gauges(std::vector<sample>& out, const agent_status& status)
   {
-    const auto gauge = [&out](const char* name, const char* help,
-                              std::size_t value)
-    { out.push_back({name, help, false, static_cast<double>(value), {}}); };
+    const auto gauge =
+        [&out](const char* name, const char* help, std::size_t value)
+    {
+      out.push_back({name, help, false, static_cast<double>(value), {}});
+    };
     gauge("toucanmill_flows", "Open flows.", status.open_flows);
     gauge("toucanmill_slots_in_use", "Requests that the upstream runs.",
           status.slots_in_use);
@@ -218,11 +220,26 @@
   node_callbacks callbacks()
   {
     node_callbacks out;
-    out.make_report = [this] { return make_report(); };
-    out.on_update = [this](const table_update& update) { take(update); };
-    out.on_confirmed = [this] { confirmed(); };
-    out.on_order = [this](node_order order) { take(order); };
-    out.on_reachable = [this](bool reachable) { set_reachable(reachable); };
+    out.make_report = [this]
+    {
+      return make_report();
+    };
+    out.on_update = [this](const table_update& update)
+    {
+      take(update);
+    };
+    out.on_confirmed = [this]
+    {
+      confirmed();
+    };
+    out.on_order = [this](node_order order)
+    {
+      take(order);
+    };
+    out.on_reachable = [this](bool reachable)
+    {
+      set_reachable(reachable);
+    };
     return out;
   }
 
@@ -263,10 +280,17 @@
 
   void take(node_order order)
   {
-    if (order != node_order::drain || leaving_)
-      return;
-    log_event(event::order_received, "drain");
-    leave();
+    if (order == node_order::drain && !leaving_)
+    {
+      log_event(event::order_received, "drain");
+      leave();
+    }
+    else if (order == node_order::none && leaving_ && !stopping_)
+    {
+      log_event(event::order_received, "restore");
+      leaving_ = false;
+      agent_->set_leaving(false);
+    }
   }
 
   void leave()
@@ -274,14 +298,13 @@
     if (leaving_.exchange(true))
       return;
     log_event(event::agent_leaving, identity_.name);
-    agent_->set_leaving();
+    agent_->set_leaving(true);
   }
 
   void set_reachable(bool reachable)
   {
     reachable_ = reachable;
-    log_event(reachable ? event::control_reachable
-                        : event::control_unreachable,
+    log_event(reachable ? event::control_reachable : event::control_unreachable,
               identity_.name);
   }
 
@@ -293,7 +316,7 @@
   delivered_tables tables_;       ///< used on the client's thread only
   table_version service_version_; ///< used on the client's thread only
   bool reported_empty_ = false;   ///< used on the client's thread only
-  time_point stopping_since_; ///< used on the main thread only
+  time_point stopping_since_;     ///< used on the main thread only
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> reachable_{true};
--- a/src/daemon/rpc_claims.cpp
+++ b/src/daemon/rpc_claims.cpp
@@ -38,12 +38,14 @@
                  });
 }
 
-void rpc_claims::complete(const claim_key& key, claim_id id,
-                          std::string answer, on_recorded done)
+void rpc_claims::complete(const claim_key& key, claim_id id, std::string answer,
+                          on_recorded done)
 {
   client_->complete({key, id, std::move(answer)},
                     [done](const result<void>& stored)
-                    { done(stored.has_value()); });
+                    {
+                      done(stored.has_value());
+                    });
 }
 
 void rpc_claims::release(const claim_key& key, claim_id id)
--- a/standin/sample_callers/caller.hpp
+++ b/standin/sample_callers/caller.hpp
@@ -40,6 +40,7 @@
 
 private:
   beast::error_code connect();
+  bool closed_by_peer() const;
   template <class Start>
   beast::error_code run(Start start);
 
--- a/standin/sample_callers/main.cpp
+++ b/standin/sample_callers/main.cpp
@@ -74,6 +74,8 @@
                  "callers that send submissions");
   app.add_option("--download-size", settings.download_size,
                  "octets of a download");
+  app.add_flag("--reconnect", settings.reconnect,
+               "new connection for each download and submission");
   app.add_option("--seed", settings.seed, "seed of the pauses and ids");
   add_milliseconds(app, "--feed-interval-ms", settings.feed_interval,
                    "time between the lines of a feed");
--- a/standin/sample_callers/options.hpp
+++ b/standin/sample_callers/options.hpp
@@ -20,6 +20,7 @@
   std::chrono::milliseconds pause{50}; ///< mean pause between requests
   std::chrono::milliseconds duration{10000};
   std::chrono::milliseconds timeout{30000}; ///< of one operation
+  bool reconnect = false;                   ///< new connection for each request
   std::uint64_t seed = 1;
 };
 
