--- a/src/agent/dispatch_core.cpp
+++ b/src/agent/dispatch_core.cpp
@@ -82,6 +82,8 @@
 dispatch_action pass(const route_stamp& stamp, const bucket_view& view,
                      std::size_t position, stamp_purpose purpose)
 {
+  TOUCANMILL_INVARIANT(position < view.chain.size,
+                       "a packet is passed to nobody");
   if (stamp.hops >= route_stamp::max_hops)
     return drop_packet{dispatch_drop::hop_limit};
   route_stamp next = stamp;
--- a/src/agent/dispatch_core_test.cpp
+++ b/src/agent/dispatch_core_test.cpp
@@ -310,3 +310,19 @@
   const auto action = first.on_packet(syn_packet(), make_stamp(2, {1}), start);
   CHECK_TRUE(expect<deliver_packet>(action).new_flow);
 }
+
+// Guards against an abort or a wrong report when tables of another service
+// come between an accepted flow and its end.
+TEST(dispatch, holdings_follow_the_service)
+{
+  first.on_table(make_table(1, {1}));
+  first.on_packet(syn_packet(), make_stamp(1, {1}), start);
+  auto other = make_table(2, {1});
+  other.id = service_id{8};
+  first.on_table(other);
+  CHECK_TRUE(first.held_buckets().empty());
+  first.on_table(make_table(3, {1}));
+  CHECK_EQUAL(1U, first.held_buckets().size());
+  first.on_flow_closed(syn_packet().flow);
+  CHECK_TRUE(first.held_buckets().empty());
+}
--- a/src/agent/held_flows_core.cpp
+++ b/src/agent/held_flows_core.cpp
@@ -21,6 +21,14 @@
 {
   const bool added = flows_.emplace(flow, value).second;
   TOUCANMILL_INVARIANT(added, "a held flow is accepted again");
+  count(value);
+}
+
+/// Flows of another service are not counted as holdings of this one.
+void held_flows::count(const held_flow& value)
+{
+  if (value.service != service_)
+    return;
   if (value.bucket >= counts_.size())
     counts_.resize(value.bucket + 1U);
   if (counts_[value.bucket]++ == 0)
@@ -48,6 +56,8 @@
   service_ = service;
   counts_.clear();
   touched_ = reported_;
+  for (const auto& [flow, value] : flows_)
+    count(value);
 }
 
 std::size_t held_flows::size() const
--- a/src/agent/held_flows_core.hpp
+++ b/src/agent/held_flows_core.hpp
@@ -39,6 +39,7 @@
 
 private:
   bool holds(std::uint16_t bucket) const;
+  void count(const held_flow& value);
 
   service_id service_;
   std::unordered_map<flow_key, held_flow> flows_;
