--- a/src/log/replicated_log_test.cpp
+++ b/src/log/replicated_log_test.cpp
@@ -2,14 +2,21 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
+#include <cstdio>
 #include <filesystem>
 #include <future>
 #include <map>
 #include <mutex>
 #include <thread>
 
+#include "log_runtime.hpp"
+#include "memory_files_test.hpp"
+
 using namespace toucanmill;
 
 namespace
@@ -251,3 +258,94 @@
   logs.start(first);
   logs.wait_for_state(first, expected);
 }
+
+// Guards against a change of the group that the runtime does not complete, and
+// a voter that was never a learner.
+TEST(replicated_log, new_instance_joins_as_a_learner_and_is_promoted)
+{
+  group_of_logs logs(1);
+  logs.start(1);
+  std::string expected;
+  for (int i = 0; i < 50; ++i)
+    expected = logs.propose(std::to_string(i));
+  auto group = logs.members_;
+  group.push_back(group_of_logs::address(2));
+  CHECK_FALSE(logs.change_at(1, group).has_value());
+  group.back().voter = false;
+  CHECK_TRUE(logs.change_at(1, group).has_value());
+  logs.members_.clear();
+  logs.start(2);
+  logs.wait_for_state(2, expected);
+  group.back().voter = true;
+  while (!logs.change_at(1, group))
+    std::this_thread::sleep_for(5ms);
+  CHECK_EQUAL(2U, logs.status(2).group.size());
+  logs.log(1)->transfer_leadership();
+  while (logs.leader() != 2)
+    std::this_thread::sleep_for(5ms);
+  CHECK_TRUE(logs.propose("last") == expected + "last;");
+}
+
+// Guards against callbacks that are never called, or called twice, when the log
+// stops or does not lead.
+TEST(replicated_log, every_callback_is_called_once)
+{
+  group_of_logs logs(1);
+  logs.start(1);
+  logs.leader();
+  const auto log = logs.log(1);
+  std::atomic<int> calls{0};
+  constexpr int proposals = 1000;
+  for (int i = 0; i < proposals; ++i)
+  {
+    log->propose("x",
+                 [&calls](const result<std::string>&)
+                 {
+                   ++calls;
+                 });
+    log->confirm_read(
+        [&calls](const result<table_version>&)
+        {
+          ++calls;
+        });
+  }
+  log->stop();
+  log->propose("x",
+               [&calls](const result<std::string>& outcome)
+               {
+                 calls += outcome ? 0 : 1;
+               });
+  CHECK_EQUAL(2 * proposals + 1, calls.load());
+}
+
+// Guards against a replica that goes on after a failed sync, with entries that
+// it may not have.
+TEST(replicated_log, failed_sync_ends_the_process_with_code_70)
+{
+  group_of_logs logs(1);
+  const auto child = fork();
+  if (child == 0)
+  {
+    std::freopen("/dev/null", "w", stderr);
+    auto disk = std::make_shared<log_detail::memory_disk>();
+    recording_client client(logs);
+    replicated_log_options options;
+    options.self = replica_id{1};
+    options.folder = "data";
+    options.initial_group = logs.members_;
+    const auto log = log_detail::open_with_files(
+        options, client,
+        std::make_unique<log_detail::memory_file_system>(disk));
+    log.value()->post(
+        [&disk]
+        {
+          disk->operations_left = 0;
+        });
+    for (;; std::this_thread::sleep_for(1ms))
+      log.value()->propose("x", [](const result<std::string>&) {});
+  }
+  int status = 0;
+  CHECK_EQUAL(child, waitpid(child, &status, 0));
+  CHECK_TRUE(WIFEXITED(status));
+  CHECK_EQUAL(70, WEXITSTATUS(status));
+}
