cluster: correct load faster, and only beyond chance

Cause: after a restart an empty upstream took long to fill, and chance differences of 3% kept buckets moving while nothing changed. Change: raise the gain of the load correction from 4 to 8 (bounds 0.1 to 10), subtract the dead band instead of jumping over it, and start a correction at 6% but end it at 2%.

--- a/include/toucanmill/cluster/load_weights.hpp
+++ b/include/toucanmill/cluster/load_weights.hpp
@@ -10,11 +10,13 @@
 /// How reported load bends the shares of buckets.
 struct load_options
 {
-  double gain = 4;        ///< change of share for a relative lack of flows
+  double gain = 8;        ///< change of share for a relative lack of flows
   double smoothing = 0.1; ///< part of a step taken at once, against delay
-  double least = 0.2;     ///< bounds of the correction
-  double most = 6;
-  double dead_band = 0.02;        ///< relative lack or excess that is ignored
+  double least = 0.1;     ///< bounds of the correction
+  double most = 10;
+  double start_band =
+      0.06;                ///< relative lack or excess that starts a correction
+  double dead_band = 0.02; ///< and that ends it
   std::uint32_t least_flows = 20; ///< mean per upstream; below, no correction
 };
 
--- a/src/cluster/load_weights.cpp
+++ b/src/cluster/load_weights.cpp
@@ -26,11 +26,16 @@
   return found;
 }
 
-double corrected(double lack, const load_options& options)
+/// A correction starts at a larger lack or excess than it ends, so that chance
+/// alone moves few buckets.
+double corrected(double lack, double present, const load_options& options)
 {
-  if (std::abs(lack) < options.dead_band)
+  const bool correcting = std::abs(present - 1) > options.dead_band;
+  const auto band = correcting ? options.dead_band : options.start_band;
+  if (std::abs(lack) < band)
     return 1;
-  return std::clamp(1 + options.gain * lack, options.least, options.most);
+  const double beyond = lack - std::copysign(options.dead_band, lack);
+  return std::clamp(1 + options.gain * beyond, options.least, options.most);
 }
 
 } // namespace
@@ -48,7 +53,8 @@
   for (std::size_t i = 0; i < loads.size(); ++i)
   {
     const double wanted =
-        enough ? corrected(1 - loads[i].flows / (flows * share[i]), options)
+        enough ? corrected(1 - loads[i].flows / (flows * share[i]),
+                           loads[i].correction, options)
                : 1;
     next.push_back(loads[i].correction +
                    options.smoothing * (wanted - loads[i].correction));
