balancer: bound the wait for a fabric message in the test

With the withdrawal replaced by an announcement the test read announcements for ever instead of failing.

Reads at most 100 messages. 24 mechanisms of the packet, table and balancer slices were disabled one by one in a scratch copy; each made a test fail, this one by the new bound.

--- a/src/balancer/balancer_test.cpp
+++ b/src/balancer/balancer_test.cpp
@@ -57,13 +57,15 @@
   /// Reads messages up to the first of this kind.
   void await(fabric_message expected) const
   {
-    while (true)
+    constexpr unsigned patience = 100;
+    for (unsigned i = 0; i < patience; ++i)
     {
       const auto datagram = receive();
       const auto decoded = decode_gue(view(datagram));
       if (std::get<fabric_message>(decoded) == expected)
         return;
     }
+    FAIL("the expected message is not among the first 100");
   }
 };
 
