agent: find the connection of a packet without lwIP's list search

lwIP searches a linked list for each packet, which made the cost grow with the number of connections.

--- a/src/agent/tcp_stack_state.cpp
+++ b/src/agent/tcp_stack_state.cpp
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <utility>
 
+#include "lookup_shortcut.hpp"
 #include "lwip_listeners.hpp"
 
 namespace toucanmill::detail
@@ -181,7 +182,10 @@
   ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr),
                    lwip_htonl(packet.flow.service.address.value));
   netif_set_default(&interface_);
-  ip4_input(copy, &interface_);
+  {
+    const lookup_shortcut shortcut(pcb_of(packet.flow));
+    ip4_input(copy, &interface_);
+  }
   ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr), placeholder_address());
   if (!packet.opens_flow())
     return true;
@@ -189,6 +193,12 @@
   return flows_.count(packet.flow) != 0;
 }
 
+tcp_pcb* tcp_stack_state::pcb_of(const flow_key& flow) const
+{
+  const auto found = flows_.find(flow);
+  return found == flows_.end() ? nullptr : found->second.state->pcb;
+}
+
 /// lwIP calls back only when the handshake is complete; an earlier end of the
 /// flow would go unnoticed.
 void tcp_stack_state::adopt_new_flow(const flow_key& flow)
--- a/src/agent/tcp_stack_state.hpp
+++ b/src/agent/tcp_stack_state.hpp
@@ -69,6 +69,7 @@
   static void on_timer(void* argument);
 
   void add_interface();
+  tcp_pcb* pcb_of(const flow_key& flow) const;
   void adopt_new_flow(const flow_key& flow);
   tcp_connection_ptr add(tcp_pcb* pcb, const flow_key& flow);
   void attach_callbacks(tcp_pcb* pcb, connection_state& connection) const;
