--- a/src/agent/dispatch_core.cpp
+++ b/src/agent/dispatch_core.cpp
@@ -82,6 +82,8 @@
 dispatch_action pass(const route_stamp& stamp, const bucket_view& view,
                      std::size_t position, stamp_purpose purpose)
 {
+  TOUCANMILL_INVARIANT(position < view.chain.size,
+                       "a packet is passed to nobody");
   if (stamp.hops >= route_stamp::max_hops)
     return drop_packet{dispatch_drop::hop_limit};
   route_stamp next = stamp;
@@ -237,8 +239,6 @@
 {
   if (state_->table && table.version <= state_->table->version)
     return;
-  if (state_->table && state_->table->service != table.id)
-    state_->views.clear();
   state_->table = state::own_table{table.id, table.address, table.version};
   state_->views.take(table);
   state_->flows.set_service(table.id);
