agent: test that a request which crosses a drain is answered

Cause: the runtime's test expected the idle close that cut such requests. Change: it now expects the answer with Connection: close, then the end of the connection, and still no new flow. Conclusion: as strict as before.

--- a/src/agent/agent_test.cpp
+++ b/src/agent/agent_test.cpp
@@ -282,9 +282,9 @@
   connect(40000);
 }
 
-// Guards against an idle connection that delays a graceful stop, and against
-// new work for an agent that leaves.
-TEST(agent, leaving_ends_idle_sessions_and_accepts_no_flow)
+// Guards against a drain that cuts a request which crosses it, a connection
+// that stays open after that request, and new flows for an agent that leaves.
+TEST(agent, leaving_ends_sessions_after_a_request_and_accepts_no_flow)
 {
   start(service_kind::http);
   const auto caller = connect(40000);
@@ -296,12 +296,17 @@
         return clients->received(caller).find("\r\n\r\nok") !=
                std::string::npos;
       }));
-  tested->set_leaving();
+  tested->set_leaving(true);
+  answer(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast");
   CHECK(clients->exchange_until(
       [&]
       {
         return clients->has<tcp_peer_finished>(caller);
       }));
+  CHECK(clients->received(caller).find("Connection: close\r\n"
+                                       "Content-Length: 4\r\n\r\nlast") !=
+        std::string::npos);
   clients->open(40001);
   CHECK(clients->exchange_until(
       [this]
