--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -63,8 +63,10 @@
         path.write_text(text)
         return path
 
-    def start_control(self, number):
+    def start_control(self, number, port_of=None):
+        """port_of: instance whose RPC port it takes over; itself if absent."""
         http = free_ports(1)[0]
+        port = self.control_ports[(port_of or number) - 1]
         group = "".join(
             f'[[control.group]]\nid = {i + 1}\nrpc = "{address(port)}"\n'
             for i, port in enumerate(self.control_ports))
@@ -75,7 +77,7 @@
 http = "{address(http)}"
 [control]
 id = {number}
-rpc = "{address(self.control_ports[number - 1])}"
+rpc = "{address(port)}"
 folder = "{self.folder}/control-{number}"
 {group}""")
         process = Process(self.folder, f"control-{number}", "toucanmilld",
@@ -83,6 +85,19 @@
         process.http = http
         self.controls[number] = process
 
+    def start_learner(self, lost):
+        """Starts an instance with a new id in place of one that lost its
+        disk; returns the id."""
+        fresh = max(self.controls) + 1
+        del self.controls[lost]
+        self.start_control(fresh, port_of=lost)
+        return fresh
+
+    def try_promote(self, number, rpc):
+        self.cli("control", "promote", number, "--rpc", rpc, check=False)
+        return any(member["id"] == number and member["voter"]
+                   for member in self.cli("status")["group"])
+
     def start_balancer(self, number):
         data, http = free_ports(2)
         settings = self.write(f"balancer-{number}", f"""
