cluster: drop a second way to end an earlier life

Cause: a trial showed that drop_from_chains had no effect: the node is already out of the service's upstreams when its holders are matched. Change: remove it; add tests for the restart of a holder and for reports of an older life after gone and before registration.

--- a/src/cluster/membership_core_test.cpp
+++ b/src/cluster/membership_core_test.cpp
@@ -150,6 +150,17 @@
                             at(seconds(2)))
                  .empty());
   CHECK_FALSE(membership.liveness(at(seconds(3))).front().lease_valid);
+  control.apply(set_node_state{node_id{1}, incarnation{5}, node_state::gone});
+  membership.on_leader(control.state, at(seconds(4)));
+  report(report_of(agent(1, "charts", 4)), seconds(4));
+  CHECK_TRUE(membership.liveness(at(seconds(4))).empty());
+  // The registration of life 6 is proposed but not yet applied.
+  membership.on_report(control.state, report_of(agent(1, "charts", 6)),
+                       at(seconds(5)));
+  CHECK_TRUE(membership
+                 .on_report(control.state, report_of(agent(1, "charts", 5)),
+                            at(seconds(6)))
+                 .empty());
 }
 
 // Guards against the loss of flows that an agent accepted before it knew that
--- a/src/cluster/node_changes.cpp
+++ b/src/cluster/node_changes.cpp
@@ -32,14 +32,8 @@
 /// Flows of an earlier life ended with its process: the node leaves its chains.
 void end_earlier_life(cluster_state& state, const node_entry& node)
 {
-  const auto& name = node.record.identity.service;
-  const auto found = state.services.find(name);
   unindex_node(state, node);
-  if (found == state.services.end())
-    return;
-  update_service(state, name,
-                 drop_from_chains(found->second, node.record.identity.id),
-                 true);
+  update_service(state, node.record.identity.service);
 }
 
 node_state resumed_state(node_order order)
--- a/src/cluster/service_buckets.cpp
+++ b/src/cluster/service_buckets.cpp
@@ -122,22 +122,6 @@
   return weights;
 }
 
-std::vector<bucket_index> drop_from_chains(service_entry& service, node_id node)
-{
-  std::vector<bucket_index> owned;
-  const auto holder = index_of(service, node);
-  if (!holder)
-    return owned;
-  auto& buckets = service.table.buckets;
-  for (std::size_t i = 0; i < buckets.size(); ++i)
-  {
-    if (buckets[i].size > 0 && buckets[i].holders[0] == *holder)
-      owned.push_back(static_cast<bucket_index>(i));
-    buckets[i] = without_holder(buckets[i], *holder);
-  }
-  return owned;
-}
-
 bool match_holders(service_entry& service,
                    const std::vector<upstream_view>& upstreams,
                    std::vector<bucket_index>& orphaned)
--- a/src/cluster/service_buckets.hpp
+++ b/src/cluster/service_buckets.hpp
@@ -32,10 +32,6 @@
 holder_weights weights_of(const service_entry& service,
                           const std::vector<upstream_view>& upstreams);
 
-/// Takes a node out of every chain; returns the buckets that it owned.
-std::vector<bucket_index> drop_from_chains(service_entry& service,
-                                           node_id node);
-
 /// Makes the holder list match the upstreams. Holders that are not among them
 /// leave their chains; the buckets that they owned are added to `orphaned`.
 /// True when anything changed.
--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -174,6 +174,24 @@
   CHECK_TRUE(control.state.find_node("agent-1")->state == node_state::active);
 }
 
+// Guards against packets that wait in a chain for flows of a process that
+// ended.
+TEST(state_machine, restarted_node_leaves_the_chains_of_its_earlier_life)
+{
+  control.change(charts());
+  control.apply(register_node{agent(1, "charts")});
+  control.apply(register_node{agent(2, "charts")});
+  control.change(drain_node{"agent-1"});
+  const auto& table = *control.state.find_service("charts");
+  CHECK_EQUAL(2, table.buckets[0].size);
+  control.apply(register_node{agent(1, "charts", 2)});
+  for (const auto& bucket : table.buckets)
+  {
+    CHECK_EQUAL(1, bucket.size);
+    CHECK_TRUE(table.holders[bucket.holders[0]].node == node_id{2});
+  }
+}
+
 // Guards against a second run of a submission.
 TEST(state_machine, claim_is_granted_once_and_replayed)
 {
