--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -236,6 +236,7 @@
 void measure_snapshot(const std::string& folder, std::size_t megabytes)
 {
   std::vector<double> writes;
+  std::vector<double> parts;
   std::vector<double> loads;
   const std::string data(megabytes * 1000 * 1000, 's');
   const auto files = make_posix_file_system();
@@ -245,9 +246,17 @@
     std::filesystem::create_directories(folder);
     snapshot_files snapshots(*files, folder);
     auto start = clock_type::now();
-    if (!snapshots.write({{1, 1}, {}, data.size()}, data))
-      std::exit(1);
+    snapshots.begin({{1, 1}, {}, data.size()}, data);
+    double longest = 0;
+    while (snapshots.in_progress())
+    {
+      const auto part = clock_type::now();
+      if (!snapshots.step())
+        std::exit(1);
+      longest = std::max(longest, milliseconds_since(part));
+    }
     writes.push_back(milliseconds_since(start));
+    parts.push_back(longest);
     start = clock_type::now();
     const auto loaded = snapshots.load();
     if (!loaded || loaded.value()->data.size() != data.size())
@@ -256,6 +265,7 @@
   }
   const auto name = std::to_string(megabytes) + " MB";
   report("snapshot write, " + name, writes, "ms");
+  report("longest part of a write, " + name, parts, "ms");
   report("snapshot restore, " + name, loads, "ms");
   std::filesystem::remove_all(folder);
 }
--- a/src/log/frame.cpp
+++ b/src/log/frame.cpp
@@ -1,7 +1,5 @@
 #include "frame.hpp"
 
-#include <boost/crc.hpp>
-
 namespace toucanmill::log_detail
 {
 
@@ -51,9 +49,9 @@
 
 std::uint32_t crc32c(std::string_view bytes)
 {
-  boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
-  crc.process_bytes(bytes.data(), bytes.size());
-  return crc.checksum();
+  crc32c_sum sum;
+  sum.add(bytes);
+  return sum.value();
 }
 
 std::string make_frame(std::string_view payload)
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -116,7 +116,8 @@
     return;
   while (!queue_.closed())
   {
-    for (const auto& task : queue_.pop(to_steady(next_tick_), tasks_per_batch))
+    for (const auto& task :
+         queue_.pop(to_steady(next_wakeup()), tasks_per_batch))
       task();
     tick_if_due();
     process();
@@ -282,6 +283,8 @@
 
 void log_runtime::snapshot_if_due()
 {
+  if (store_->snapshot_in_progress())
+    return continue_snapshot();
   const auto& last = core_->snapshot();
   const auto entries = core_->applied_index() - last.position.index;
   const auto max_bytes = std::max(min_log_bytes_per_snapshot, last.size);
@@ -289,14 +292,28 @@
                        bytes_since_snapshot_ < max_bytes))
     return;
   const auto position = applied_position();
-  const auto data = client_.snapshot();
+  auto data = client_.snapshot();
   const snapshot_meta meta{position, core_->group_at(position.index),
                            data.size()};
-  require(store_->save_snapshot(meta, data));
-  core_->compact(meta);
+  store_->begin_snapshot(meta, std::move(data));
   bytes_since_snapshot_ = 0;
 }
 
+void log_runtime::continue_snapshot()
+{
+  const auto written = store_->step_snapshot();
+  if (!written)
+    end_process(written.error());
+  if (written.value())
+    core_->compact(*written.value());
+}
+
+// Does not sleep while a snapshot is being written.
+time_point log_runtime::next_wakeup() const
+{
+  return store_->snapshot_in_progress() ? time_point{} : next_tick_;
+}
+
 table_version log_runtime::applied_position() const
 {
   const auto index = core_->applied_index();
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -178,10 +178,20 @@
 }
 
 result<void> log_store::save_snapshot(const snapshot_meta& meta,
-                                      const std::string& data)
+                                      std::string data)
 {
-  BOOST_OUTCOME_TRY(snapshots_.write(meta, data));
+  BOOST_OUTCOME_TRY(snapshots_.write(meta, std::move(data)));
   return log_.remove_up_to(meta.position.index);
 }
 
+result<std::optional<snapshot_meta>> log_store::step_snapshot()
+{
+  BOOST_OUTCOME_TRY(written, snapshots_.step());
+  if (written)
+  {
+    BOOST_OUTCOME_TRY(log_.remove_up_to(written->position.index));
+  }
+  return written;
+}
+
 } // namespace toucanmill::log_detail
--- a/src/log/log_store.hpp
+++ b/src/log/log_store.hpp
@@ -40,8 +40,19 @@
   result<void> save(const persist_request& request);
 
   /// Durable when it returns; then removes what the snapshot replaces.
-  result<void> save_snapshot(const snapshot_meta& meta,
-                             const std::string& data);
+  result<void> save_snapshot(const snapshot_meta& meta, std::string data);
+
+  /// Starts a snapshot; step_snapshot() writes it in parts and returns it once
+  /// it is durable. Installing another one abandons it.
+  void begin_snapshot(const snapshot_meta& meta, std::string data)
+  {
+    snapshots_.begin(meta, std::move(data));
+  }
+  bool snapshot_in_progress() const
+  {
+    return snapshots_.in_progress();
+  }
+  result<std::optional<snapshot_meta>> step_snapshot();
 
   /// Part of the newest snapshot's content.
   result<std::string> read_snapshot(std::uint64_t offset, std::size_t size)
--- a/src/log/log_store_test.cpp
+++ b/src/log/log_store_test.cpp
@@ -193,6 +193,27 @@
   }
 }
 
+// Guards against an unfinished snapshot that replaces a newer, installed one.
+TEST(log_store, installed_snapshot_replaces_an_unfinished_one)
+{
+  const auto disk = std::make_shared<memory_disk>();
+  {
+    store_on_disk opened(disk);
+    auto& store = *opened.store.value();
+    CHECK_TRUE(store.save(request(1, 5)).has_value());
+    store.begin_snapshot({{1, 4}, {group, {}}, 3}, "own");
+    CHECK_FALSE(store.step_snapshot().value().has_value());
+    auto install = request(12, 13, 2);
+    install.snapshot = {{{{2, 11}, {group, {}}, 5}, "other"}};
+    CHECK_TRUE(store.save(install).has_value());
+    CHECK_FALSE(store.snapshot_in_progress());
+  }
+  disk->crash(0);
+  store_on_disk again(disk);
+  CHECK_TRUE(again.store.value()->take_snapshot_data() == "other");
+  CHECK_EQUAL(2U, again.store.value()->take_stored().entries.size());
+}
+
 // Guards against a crash at any point of a snapshot, its installation or the
 // first start that loses state or leaves a folder that cannot be opened.
 TEST(log_store, crash_after_every_operation_recovers)
--- a/src/log/snapshot_files.cpp
+++ b/src/log/snapshot_files.cpp
@@ -15,6 +15,9 @@
 const std::string prefix = "snapshot-";
 const std::string temporary = snapshot_files::temporary_name;
 
+/// 100 MB in one part took 729 ms, longer than the election timeout.
+constexpr std::size_t part_bytes = std::size_t{4} * 1024 * 1024;
+
 } // namespace
 
 snapshot_files::snapshot_files(file_system& files, std::string folder)
@@ -42,26 +45,74 @@
   return folder_ + "/" + name;
 }
 
-result<void> snapshot_files::write(const snapshot_meta& meta,
-                                   const std::string& data)
+result<void> snapshot_files::write(const snapshot_meta& meta, std::string data)
+{
+  begin(meta, std::move(data));
+  while (in_progress())
+  {
+    BOOST_OUTCOME_TRY(step());
+  }
+  return outcome::success();
+}
+
+void snapshot_files::begin(const snapshot_meta& meta, std::string data)
+{
+  writing_.emplace();
+  writing_->meta = meta;
+  writing_->data = std::move(data);
+}
+
+result<std::optional<snapshot_meta>> snapshot_files::step()
 {
-  const auto header = make_frame(encode(snapshot_header{meta, crc32c(data)}));
+  auto& work = *writing_;
+  const std::string_view data = work.data;
+  if (work.summed < data.size())
+  {
+    const auto part = data.substr(work.summed, part_bytes);
+    work.checksum.add(part);
+    work.summed += part.size();
+    return std::optional<snapshot_meta>{};
+  }
+  if (!work.file)
+  {
+    BOOST_OUTCOME_TRY(open_temporary());
+  }
+  const auto part = data.substr(work.written, part_bytes);
+  BOOST_OUTCOME_TRY(work.file->append(part));
+  BOOST_OUTCOME_TRY(work.file->sync());
+  work.written += part.size();
+  if (work.written < data.size())
+    return std::optional<snapshot_meta>{};
+  BOOST_OUTCOME_TRY(finish());
+  const auto meta = work.meta;
+  writing_.reset();
+  return std::make_optional(meta);
+}
+
+result<void> snapshot_files::open_temporary()
+{
+  auto& work = *writing_;
   BOOST_OUTCOME_TRY(names, files_.list(folder_));
   if (std::count(names.begin(), names.end(), temporary) != 0)
   {
     BOOST_OUTCOME_TRY(files_.remove(path_of(temporary)));
   }
-  {
-    BOOST_OUTCOME_TRY(file, files_.open(path_of(temporary)));
-    BOOST_OUTCOME_TRY(file->append(header));
-    BOOST_OUTCOME_TRY(file->append(data));
-    BOOST_OUTCOME_TRY(file->sync());
-  }
-  const auto name = name_of(meta.position);
+  BOOST_OUTCOME_TRY(file, files_.open(path_of(temporary)));
+  const auto header =
+      make_frame(encode(snapshot_header{work.meta, work.checksum.value()}));
+  header_bytes_ = header.size();
+  BOOST_OUTCOME_TRY(file->append(header));
+  work.file = std::move(file);
+  return outcome::success();
+}
+
+result<void> snapshot_files::finish()
+{
+  const auto name = name_of(writing_->meta.position);
   BOOST_OUTCOME_TRY(files_.rename(path_of(temporary), path_of(name)));
   BOOST_OUTCOME_TRY(files_.sync_folder(folder_));
   newest_ = name;
-  content_offset_ = header.size();
+  content_offset_ = header_bytes_;
   return remove_others(name);
 }
 
--- a/src/log/snapshot_files.hpp
+++ b/src/log/snapshot_files.hpp
@@ -1,11 +1,13 @@
 #ifndef TOUCANMILL_SRC_LOG_SNAPSHOT_FILES_HPP
 #define TOUCANMILL_SRC_LOG_SNAPSHOT_FILES_HPP
 
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "codec.hpp"
 #include "file_system.hpp"
+#include "frame.hpp"
 
 namespace toucanmill::log_detail
 {
@@ -22,8 +24,20 @@
 public:
   snapshot_files(file_system& files, std::string folder);
 
-  /// Durable when it returns; then removes older snapshots.
-  result<void> write(const snapshot_meta& meta, const std::string& data);
+  /// Durable when it returns; then removes older snapshots. Abandons one that
+  /// begin() started.
+  result<void> write(const snapshot_meta& meta, std::string data);
+
+  /// Starts a snapshot that step() writes in parts, so that a large one does
+  /// not hold up the caller's other work.
+  void begin(const snapshot_meta& meta, std::string data);
+  bool in_progress() const
+  {
+    return writing_.has_value();
+  }
+
+  /// Continues; returns the snapshot once it is durable.
+  result<std::optional<snapshot_meta>> step();
 
   /// Reads the newest snapshot; removes older and unfinished ones. Errors:
   /// corrupt_data with file and offset.
@@ -37,7 +51,19 @@
   static std::string name_of(const table_version& position);
 
 private:
+  struct unfinished
+  {
+    snapshot_meta meta;
+    std::string data;
+    crc32c_sum checksum;
+    std::size_t summed = 0;
+    std::size_t written = 0;
+    std::unique_ptr<append_file> file; ///< null until the checksum is known
+  };
+
   std::string path_of(const std::string& name) const;
+  result<void> open_temporary();
+  result<void> finish();
   result<void> remove_others(const std::string& keep);
   result<loaded_snapshot> parse(const std::string& path, std::string bytes);
 
@@ -45,6 +71,8 @@
   std::string folder_;
   std::string newest_; ///< file name
   std::uint64_t content_offset_ = 0;
+  std::optional<unfinished> writing_;
+  std::size_t header_bytes_ = 0; ///< of the unfinished snapshot
 };
 
 } // namespace toucanmill::log_detail
