--- a/src/log/snapshot_files.cpp
+++ b/src/log/snapshot_files.cpp
@@ -57,9 +57,7 @@
 
 void snapshot_files::begin(const snapshot_meta& meta, std::string data)
 {
-  writing_.emplace();
-  writing_->meta = meta;
-  writing_->data = std::move(data);
+  writing_.emplace(meta, std::move(data));
 }
 
 result<std::optional<snapshot_meta>> snapshot_files::step()
--- a/src/log/snapshot_files.hpp
+++ b/src/log/snapshot_files.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "codec.hpp"
 #include "file_system.hpp"
@@ -53,6 +54,11 @@
 private:
   struct unfinished
   {
+    unfinished(snapshot_meta new_meta, std::string new_data)
+        : meta(std::move(new_meta)), data(std::move(new_data))
+    {
+    }
+
     snapshot_meta meta;
     std::string data;
     crc32c_sum checksum;
