log: test commits of earlier terms and campaigns of removed leaders

Change: two directed tests of the core. Measured: each test fails with its mechanism disabled and passes with it (trial on a scratch copy).

--- /dev/null
+++ b/src/log/replica_election_test.cpp
@@ -0,0 +1,87 @@
+#include "replica_core.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include "codec.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::log_detail;
+
+namespace
+{
+
+const std::vector<replica_address> three = {{replica_id{1}, {}, true},
+                                            {replica_id{2}, {}, true},
+                                            {replica_id{3}, {}, true}};
+
+/// Later than any election deadline of the default settings.
+constexpr moment later{time_point{std::chrono::seconds(10)}, 0};
+
+/// Replica 1 of three with one entry of term 1 that may not be committed.
+replica_core replica_with(log_entry entry)
+{
+  replica_settings settings;
+  settings.self = replica_id{1};
+  stored_state stored;
+  stored.hard = {1, {}, true};
+  stored.snapshot.group.members = three;
+  stored.entries = {std::move(entry)};
+  return replica_core(settings, std::move(stored), {});
+}
+
+/// Performs all actions at once; returns the messages.
+std::vector<outgoing_message> drain(replica_core& core)
+{
+  std::vector<outgoing_message> messages;
+  for (auto actions = core.take(); !actions.empty(); actions = core.take())
+  {
+    for (auto& message : actions.messages)
+      messages.push_back(std::move(message));
+    core.persisted(actions.persist.sequence, later);
+  }
+  return messages;
+}
+
+void reply(replica_core& core, message_kind kind, std::uint64_t index = 0)
+{
+  replica_message message;
+  message.kind = kind;
+  message.from = three[1];
+  message.to = replica_id{1};
+  message.term = 2;
+  message.granted = true;
+  message.index = index;
+  core.receive(message, later);
+  drain(core);
+}
+
+} // namespace
+
+TEST_GROUP(replica_election){};
+
+// Guards against committing an entry of an earlier term by counting replicas: a
+// later leader without it could still win.
+TEST(replica_election, leader_commits_earlier_terms_only_with_its_own)
+{
+  auto core = replica_with({{1, 1}, entry_kind::command, "old"});
+  core.tick(later);
+  drain(core);
+  reply(core, message_kind::pre_vote_reply);
+  reply(core, message_kind::vote_reply);
+  CHECK_TRUE(core.role() == replica_role::leader);
+  reply(core, message_kind::append_reply, 1);
+  CHECK_EQUAL(0U, core.commit_index());
+  reply(core, message_kind::append_reply, 2);
+  CHECK_EQUAL(2U, core.commit_index());
+}
+
+// Guards against a group that blocks because only the leader that was being
+// removed has the newest entries.
+TEST(replica_election, replica_campaigns_until_its_removal_is_committed)
+{
+  const group_record without_self{{three[1], three[2]}, {replica_id{1}}};
+  auto core =
+      replica_with({{1, 1}, entry_kind::membership, encode(without_self)});
+  core.tick(later);
+  CHECK_EQUAL(2U, drain(core).size());
+}
