cluster: option to take back buckets with long chains

Cause: with one change every 600 s and 7 upstreams, chains of 4 and more block every voluntary move; imbalance reaches 2.145 at the end of a change and exceeds 1.15 in 39.3% of the samples. Change: add take_back_chain_length. A bucket that goes back to a holder already in its chain does not lengthen it, so a greater value is safe for chain lengths.

--- a/bench/assignment_drill.cpp
+++ b/bench/assignment_drill.cpp
@@ -339,6 +339,10 @@
   measure("one earlier holder", one_earlier);
   chain_director full(max_chain_length);
   measure("chains", full);
+  assignment_options options;
+  options.take_back_chain_length = max_chain_length + 1;
+  chain_director take_back(max_chain_length, options);
+  measure("chains, take back", take_back);
 }
 
 } // namespace
--- a/bench/drill_directors.hpp
+++ b/bench/drill_directors.hpp
@@ -160,7 +160,8 @@
 class chain_director : public director
 {
 public:
-  explicit chain_director(std::size_t visible) : visible_(visible)
+  explicit chain_director(std::size_t visible, assignment_options options = {})
+      : visible_(visible), control_(options)
   {
     control_.change(create_service{"s", support::address_of(9999),
                                    service_kind::stream, bucket_count});
--- a/include/toucanmill/cluster/assignment.hpp
+++ b/include/toucanmill/cluster/assignment.hpp
@@ -62,11 +62,13 @@
 
 /// At most `limit` voluntary moves towards the quotas: buckets without live
 /// flows first, then buckets that an earlier holder can take back, then those
-/// with the shortest chains.
-std::vector<bucket_move> plan_rebalance(const std::vector<chain>& buckets,
-                                        const holder_weights& weights,
-                                        const std::vector<bucket_index>& idle,
-                                        std::size_t limit);
+/// with the shortest chains. Only chains shorter than voluntary_chain_length
+/// may get longer; an earlier holder may take back a bucket, which does not
+/// lengthen its chain, if that is shorter than `take_back_length`.
+std::vector<bucket_move>
+plan_rebalance(const std::vector<chain>& buckets, const holder_weights& weights,
+               const std::vector<bucket_index>& idle, std::size_t limit,
+               std::size_t take_back_length = voluntary_chain_length);
 
 } // namespace toucanmill
 
--- a/src/cluster/assignment.cpp
+++ b/src/cluster/assignment.cpp
@@ -173,10 +173,11 @@
   {
   }
 
-  void add(const std::vector<bucket_index>& candidates, target_choice choose)
+  void add(const std::vector<bucket_index>& candidates, target_choice choose,
+           std::size_t longest)
   {
     for (const auto bucket : candidates)
-      if (moves_.size() < limit_ && may_leave_its_owner(bucket))
+      if (moves_.size() < limit_ && may_leave_its_owner(bucket, longest))
         if (const auto to = choose(buckets_[bucket], now_))
           move(bucket, *to);
   }
@@ -187,12 +188,12 @@
   }
 
 private:
-  bool may_leave_its_owner(bucket_index bucket) const
+  bool may_leave_its_owner(bucket_index bucket, std::size_t longest) const
   {
     if (bucket >= buckets_.size() || taken_[bucket])
       return false;
     const auto& chain = buckets_[bucket];
-    return chain.size > 0 && chain.size < voluntary_chain_length &&
+    return chain.size > 0 && chain.size < longest &&
            now_.weights[chain.holders[0]] > 0 &&
            now_.deficit(chain.holders[0]) < 0;
   }
@@ -257,13 +258,14 @@
 std::vector<bucket_move> plan_rebalance(const std::vector<chain>& buckets,
                                         const holder_weights& weights,
                                         const std::vector<bucket_index>& idle,
-                                        std::size_t limit)
+                                        std::size_t limit,
+                                        std::size_t take_back_length)
 {
   rebalance_plan plan(buckets, weights, limit);
   const auto order = by_chain_length(buckets);
-  plan.add(idle, any_target);
-  plan.add(order, earlier_target);
-  plan.add(order, any_target);
+  plan.add(idle, any_target, voluntary_chain_length);
+  plan.add(order, earlier_target, take_back_length);
+  plan.add(order, any_target, voluntary_chain_length);
   return std::move(plan).moves();
 }
 
--- a/src/cluster/assignment_test.cpp
+++ b/src/cluster/assignment_test.cpp
@@ -121,6 +121,11 @@
              (std::vector<bucket_move>{{2, 1}}));
   buckets[1] = buckets[2] = buckets[3] = buckets[0];
   CHECK_TRUE(plan_rebalance(buckets, weights, {}, 4).empty());
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 4, 9).empty());
+  buckets[1] = chain_of({0, 2, 3, 1});
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 4).empty());
+  CHECK_TRUE(plan_rebalance(buckets, weights, {}, 4, 9) ==
+             (std::vector<bucket_move>{{1, 1}}));
 }
 
 // Guards against a drain that pushes a holder with flows out of a full chain.
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -338,7 +338,9 @@
   if (is_balanced(table.buckets, by_holder))
     return {};
   step.idle = idle_buckets(table, data_->nodes);
-  if (plan_rebalance(table.buckets, by_holder, step.idle, 1).empty())
+  if (plan_rebalance(table.buckets, by_holder, step.idle, 1,
+                     state.options().take_back_chain_length)
+          .empty())
     return {};
   return step;
 }
--- a/src/cluster/node_changes.cpp
+++ b/src/cluster/node_changes.cpp
@@ -126,9 +126,9 @@
       node->second.weight = std::clamp(per_mille, 1U, max_weight);
   auto& service = found->second;
   const auto views = upstream_views(state, value.service);
-  const auto moves =
-      plan_rebalance(service.table.buckets, weights_of(service, views),
-                     value.idle, state.options.moves_per_rebalance);
+  const auto moves = plan_rebalance(
+      service.table.buckets, weights_of(service, views), value.idle,
+      state.options.moves_per_rebalance, state.options.take_back_chain_length);
   if (apply_moves(service, moves, state.position.index,
                   state.options.keep_chains))
     update_service(state, value.service, {}, true);
