cluster, table: keep routing the former addresses of a service

Cause: a change of a service's address took the old one out of the table at once, so balancers dropped the packets of its established flows (guarantee 1), and another service could get the address while those flows lived. Change: a service keeps up to 8 former addresses; they are routed, accept no new flow, belong to no other service, and a further change is refused. An earlier holder may also take a bucket back at any chain length, since that does not lengthen the chain.

--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -17,7 +17,7 @@
 {
   std::size_t moves_per_rebalance = 16; ///< buckets of one service
   /// An earlier holder may take back a bucket whose chain is shorter than this.
-  std::size_t take_back_chain_length = voluntary_chain_length;
+  std::size_t take_back_chain_length = max_chain_length + 1;
   bool keep_chains = true;              ///< off only to show that chains matter
   std::uint32_t join_weight = 100;      ///< parts per thousand, before the ramp
   std::size_t claim_octets = 64U << 20; ///< of all claims; then limit_reached
--- a/include/toucanmill/table/routing_table.hpp
+++ b/include/toucanmill/table/routing_table.hpp
@@ -20,7 +20,8 @@
     return version_;
   }
 
-  /// Null when no service has this public address and port.
+  /// Null when no service has this public address and port, or had it before
+  /// a change of its address.
   const service_table* find(const endpoint& address) const
   {
     return by_address_.find(key_of(address));
--- a/include/toucanmill/table/service_table.hpp
+++ b/include/toucanmill/table/service_table.hpp
@@ -1,6 +1,7 @@
 #ifndef TOUCANMILL_TABLE_SERVICE_TABLE_HPP
 #define TOUCANMILL_TABLE_SERVICE_TABLE_HPP
 
+#include <algorithm>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -38,6 +39,11 @@
   service_id id;
   std::string name;
   endpoint address; ///< public address and port
+
+  /// Addresses before a change, oldest first: packets of established flows are
+  /// still routed, new flows are not accepted.
+  std::vector<endpoint> former_addresses;
+
   service_kind kind = service_kind::stream;
   table_version version; ///< log entry that last changed this service
   std::vector<holder> holders;
@@ -45,12 +51,31 @@
 
   bool operator==(const service_table& other) const
   {
-    return std::tie(id, name, address, kind, version, holders, buckets) ==
-           std::tie(other.id, other.name, other.address, other.kind,
-                    other.version, other.holders, other.buckets);
+    return std::tie(id, name, address, former_addresses, kind, version, holders,
+                    buckets) ==
+           std::tie(other.id, other.name, other.address, other.former_addresses,
+                    other.kind, other.version, other.holders, other.buckets);
+  }
+
+  bool routes(const endpoint& destination) const
+  {
+    return destination == address ||
+           std::find(former_addresses.begin(), former_addresses.end(),
+                     destination) != former_addresses.end();
+  }
+
+  /// The present address, then the former ones.
+  std::vector<endpoint> routed_addresses() const
+  {
+    std::vector<endpoint> all{address};
+    all.insert(all.end(), former_addresses.begin(), former_addresses.end());
+    return all;
   }
 };
 
+/// Former addresses of one service at most.
+inline constexpr std::size_t max_former_addresses = 8;
+
 /// Changes from one version of the routing table to a later one.
 struct table_update
 {
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -53,6 +53,7 @@
   holders @5 :List(Holder);
   bucketCount @6 :UInt32;
   chains @7 :Data;  # for each bucket: count octet, then that many uint16 (LE)
+  formerAddresses @8 :List(Endpoint);  # still routed for established flows
 }
 
 struct TableUpdate {
--- a/src/balancer/forward_core.cpp
+++ b/src/balancer/forward_core.cpp
@@ -69,7 +69,7 @@
   const auto* service = table_->find(packet.flow.service);
   if (service == nullptr)
     return forward_drop::no_service;
-  TOUCANMILL_INVARIANT(service->address == packet.flow.service,
+  TOUCANMILL_INVARIANT(service->routes(packet.flow.service),
                        "a packet goes only to agents of its own service");
   const auto hash = flow_hash(packet.flow);
   const auto bucket = bucket_of(hash, service->buckets.size());
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -64,6 +64,9 @@
 
 nlohmann::json to_json(const service_table& service)
 {
+  auto former = nlohmann::json::array();
+  for (const auto& address : service.former_addresses)
+    former.push_back(to_string(address));
   auto holders = nlohmann::json::array();
   const auto counts = count_holdings(service);
   for (std::size_t i = 0; i < counts.size(); ++i)
@@ -74,6 +77,7 @@
   return {{"id", service.id.value},
           {"name", service.name},
           {"address", to_string(service.address)},
+          {"formerAddresses", former},
           {"kind", name_of(service.kind)},
           {"changedAtIndex", service.version.index},
           {"buckets", service.buckets.size()},
--- a/src/cluster/cluster_state.cpp
+++ b/src/cluster/cluster_state.cpp
@@ -54,14 +54,16 @@
 {
   const auto& table = state.services.at(name).table;
   state.by_change.emplace(table.version.index, name);
-  state.addresses[table.address] = name;
+  for (const auto& address : table.routed_addresses())
+    state.addresses[address] = name;
 }
 
 void unindex_service(cluster_state& state, const std::string& name)
 {
   const auto& table = state.services.at(name).table;
   state.by_change.erase({table.version.index, name});
-  state.addresses.erase(table.address);
+  for (const auto& address : table.routed_addresses())
+    state.addresses.erase(address);
 }
 
 void index_node(cluster_state& state, const node_entry& node)
--- a/src/cluster/operator_changes.cpp
+++ b/src/cluster/operator_changes.cpp
@@ -1,5 +1,7 @@
 #include "cluster_state.hpp"
 
+#include <algorithm>
+
 #include <toucanmill/cluster/validation.hpp>
 
 namespace toucanmill
@@ -47,7 +49,17 @@
       return refused(error_code::invalid_argument,
                      "service \"" + value.name + "\" already has the address " +
                          to_string(value.address));
+    auto former = service->table.former_addresses;
+    former.erase(std::remove(former.begin(), former.end(), value.address),
+                 former.end());
+    former.push_back(service->table.address);
+    if (former.size() > max_former_addresses)
+      return refused(error_code::limit_reached,
+                     "service \"" + value.name + "\" has " +
+                         std::to_string(max_former_addresses) +
+                         " former addresses that established flows may use");
     unindex_service(state, value.name);
+    service->table.former_addresses = std::move(former);
     service->table.address = value.address;
     service->table.version = state.position;
     index_service(state, value.name);
--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -128,6 +128,32 @@
   CHECK_TRUE(first < control.state.find_service("charts")->id);
 }
 
+// Guards against a change of address that breaks established flows, and against
+// another service that gets the packets of those flows.
+TEST(state_machine, former_addresses_stay_with_their_service)
+{
+  const auto at = [](std::uint16_t port)
+  {
+    return endpoint{public_address.address, port};
+  };
+  control.change(charts());
+  CHECK_TRUE(control.change(change_service{"charts", at(1)}).accepted);
+  CHECK_TRUE(refused_with(
+      control.change(create_service{"other", public_address, {}, 16}),
+      error_code::already_exists));
+  const auto* service = control.state.find_service("charts");
+  CHECK_TRUE(service->former_addresses == std::vector{public_address});
+
+  CHECK_TRUE(control.change(change_service{"charts", public_address}).accepted);
+  CHECK_TRUE(service->former_addresses == std::vector{at(1)});
+  for (std::uint16_t port = 2; port <= max_former_addresses; ++port)
+    CHECK_TRUE(control.change(change_service{"charts", at(port)}).accepted);
+  CHECK_TRUE(refused_with(control.change(change_service{"charts", at(99)}),
+                          error_code::limit_reached));
+  const auto restored = state_machine::restore(control.state.snapshot());
+  CHECK_TRUE(*restored.value().find_service("charts") == *service);
+}
+
 // Guards against a deletion that breaks established flows.
 TEST(state_machine, service_with_upstreams_is_not_deleted)
 {
--- a/src/cluster/wire_table.cpp
+++ b/src/cluster/wire_table.cpp
@@ -119,6 +119,10 @@
   to.setBucketCount(static_cast<std::uint32_t>(value.buckets.size()));
   const auto packed = pack_chains(value.buckets);
   to.setChains(kj::arrayPtr(packed.data(), packed.size()));
+  const auto& former = value.former_addresses;
+  auto list = to.initFormerAddresses(static_cast<unsigned>(former.size()));
+  for (unsigned i = 0; i < list.size(); ++i)
+    write(list[i], former[i]);
 }
 
 result<service_table> read(schema::ServiceTable::Reader from)
@@ -141,6 +145,10 @@
   BOOST_OUTCOME_TRY(buckets, unpack_chains(packed.begin(), packed.size(), count,
                                            value.holders.size()));
   value.buckets = std::move(buckets);
+  if (from.getFormerAddresses().size() > max_former_addresses)
+    return corrupt("service \"" + value.name + "\" has too many addresses");
+  for (const auto address : from.getFormerAddresses())
+    value.former_addresses.push_back(read(address));
   return value;
 }
 
--- a/src/table/routing_table.cpp
+++ b/src/table/routing_table.cpp
@@ -8,11 +8,12 @@
 namespace
 {
 
-error shared_address(const service_table& first, const service_table& second)
+error shared_address(const service_table& first, const service_table& second,
+                     const endpoint& address)
 {
   return {error_code::corrupt_data,
           "services " + to_string(first.id) + " and " + to_string(second.id) +
-              " both have address " + to_string(first.address)};
+              " both have address " + to_string(address)};
 }
 
 /// Services of the update by id; null for those that it removes.
@@ -43,17 +44,21 @@
   // All old addresses go first: two services may exchange theirs in one update.
   for (const auto& [id, service] : by_id)
     if (const auto* old = by_id_.find(id))
-      changed[key_of(old->address)] = nullptr;
+      for (const auto& address : old->routed_addresses())
+        changed[key_of(address)] = nullptr;
   for (const auto& [id, service] : by_id)
   {
     if (service == nullptr)
       continue;
-    const auto key = key_of(service->address);
-    const auto [entry, added] = changed.try_emplace(key, nullptr);
-    const auto* other = added ? by_address_.find(key) : entry->second.get();
-    if (other != nullptr)
-      return shared_address(*other, *service);
-    entry->second = service;
+    for (const auto& address : service->routed_addresses())
+    {
+      const auto key = key_of(address);
+      const auto [entry, added] = changed.try_emplace(key, nullptr);
+      const auto* other = added ? by_address_.find(key) : entry->second.get();
+      if (other != nullptr)
+        return shared_address(*other, *service, address);
+      entry->second = service;
+    }
   }
   return changed;
 }
--- a/src/table/routing_table_test.cpp
+++ b/src/table/routing_table_test.cpp
@@ -104,6 +104,26 @@
   CHECK_TRUE(moved.find(public_address(2)) == nullptr);
 }
 
+// Guards against a change of address that breaks the established flows of the
+// old one, and against a former address that leads to another service.
+TEST(routing_table, former_addresses_are_routed_until_they_are_given_up)
+{
+  auto service = build_service(1, 4, 3);
+  service.former_addresses = {service.address};
+  service.address = public_address(9);
+  const auto moved = table_of(3).apply(delta(10, {service})).value();
+  CHECK_EQUAL(1U, moved.find(public_address(1))->id.value);
+  CHECK_EQUAL(1U, moved.find(public_address(9))->id.value);
+
+  auto thief = build_service(2, 4, 3);
+  thief.address = public_address(1);
+  CHECK_TRUE(moved.apply(delta(11, {thief})).has_error());
+
+  service.former_addresses.clear();
+  const auto given_up = moved.apply(delta(12, {service, thief})).value();
+  CHECK_EQUAL(2U, given_up.find(public_address(1))->id.value);
+}
+
 // Guards against tables that lead the packet thread out of bounds.
 TEST(routing_table, services_that_do_not_fit_together_are_corrupt)
 {
