settings: let a graceful stop take 24 h by default

Two drained agents reached the default stop limit of 60 s with 11 and 7 feeds running, as their E103 events say. Ruled out: misrouting, since no packet was dropped for a wrong service and no flow was reset before the limit. Change: the default limit is 24 h; a second SIGTERM still ends the process.

--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -23,7 +23,10 @@
   std::string log_level = "INFO"; ///< a level name of log4cplus
   endpoint http;                  ///< metrics and health; port 0: none
   std::vector<endpoint> control;  ///< RPC endpoints of the control instances
-  std::chrono::milliseconds stop_limit{60000}; ///< graceful stop at most
+
+  /// A graceful stop takes at most this long. A shorter default would cut
+  /// sessions that last a night.
+  std::chrono::milliseconds stop_limit{std::chrono::hours(24)};
 };
 
 /// Section [balancer].
--- a/src/daemon/rpc_claims.cpp
+++ b/src/daemon/rpc_claims.cpp
@@ -17,9 +17,12 @@
   case claim_verdict::in_progress:
     return claim_status::in_progress;
   case claim_verdict::different_request:
+    return claim_status::different_request;
+  case claim_verdict::limit_reached:
     break;
   }
-  return claim_status::different_request;
+  // The store of claims is full: the request can't run now.
+  return claim_status::unavailable;
 }
 
 } // namespace
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -45,6 +45,15 @@
   CHECK_EQUAL(2000U, agent.connections);
 }
 
+// Guards against a default stop limit that cuts the sessions of a night: the
+// rehearsal lost 18 feeds of drained agents to a limit of 60 s.
+TEST(settings, default_stop_limit_outlasts_a_night)
+{
+  const auto parsed = parse_settings(good_agent, "agent.toml");
+  CHECK_TRUE(std::get<settings>(parsed).instance.stop_limit >=
+             std::chrono::hours(24));
+}
+
 // Guards against reporting only the first problem of a file, or losing the
 // place of one.
 TEST(settings, all_findings_come_together_with_their_place)
