--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -50,7 +50,7 @@
         self.control_ports = free_ports(3)
         self.fabric_port = free_ports(1)[0]
         self.fabric = None
-        self.version_index = 0
+        self.preferred_port = None  # control instance that the tool asks first
 
     def data_centre(self, number):
         return self.centres[number % len(self.centres)]
@@ -129,7 +129,9 @@
 
     def cli(self, *arguments, check=True):
         """Runs the command-line tool; returns the parsed JSON."""
-        endpoints = ",".join(address(port) for port in self.control_ports)
+        ports = sorted(self.control_ports,
+                       key=lambda port: port != self.preferred_port)
+        endpoints = ",".join(address(port) for port in ports)
         done = subprocess.run(
             [str(BUILD / "toucanmill"), "--control", endpoints, "--json",
              *map(str, arguments)], capture_output=True, text=True)
