--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <filesystem>
 #include <mutex>
+#include <random>
 #include <thread>
 
 #include <netinet/in.h>
@@ -56,6 +57,11 @@
   return {{INADDR_LOOPBACK}, ntohs(raw.sin_port)};
 }
 
+int connect_socket(int descriptor, const sockaddr_in& to)
+{
+  return connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+}
+
 std::unique_ptr<control_server> start(const control_server_options& options)
 {
   auto server = control_server::start(options);
@@ -262,3 +268,26 @@
   CHECK_TRUE(after.value().accepted);
   CHECK_EQUAL(2U, client->services().value().services.size());
 }
+
+// Guards against bytes that are no RPC message and end the control instance.
+TEST(control_server, garbage_on_the_rpc_port_does_no_harm)
+{
+  const auto server = start_single(folder, rpc);
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_addr.s_addr = htonl(rpc.address.value);
+  raw.sin_port = htons(rpc.port);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 50; ++i)
+  {
+    std::string bytes(1 + random() % 256, '\0');
+    for (auto& octet : bytes)
+      octet = static_cast<char>(random());
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    CHECK_EQUAL(0, connect_socket(descriptor, raw));
+    CHECK_TRUE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+    close(descriptor);
+  }
+  CHECK_TRUE(
+      connect()->change(create("r1", 0, "defects", 80)).value().accepted);
+}
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -146,25 +146,41 @@
   return true;
 }
 
+/// Proposes a command whose outcome the caller does not need.
+template <class Context>
+kj::Promise<void> control_service::commit(Context context, const command& value)
+{
+  return propose(value).then(
+      [this, context](const answer<command_outcome>& reply) mutable
+      {
+        auto results = context.getResults();
+        refused(results, reply);
+      });
+}
+
+/// The value; counts a malformed call and ends it with the reason.
+template <class T>
+T control_service::well_formed(result<T> parsed)
+{
+  if (parsed)
+    return std::move(parsed.value());
+  ++counters_.malformed;
+  fail_call(parsed.error());
+}
+
 kj::Promise<void> control_service::change(ChangeContext context)
 {
   ++counters_.changes;
-  auto request = wire::read(context.getParams().getChange());
-  if (!request)
-  {
-    ++counters_.malformed;
-    fail_call(request.error());
-  }
-  request.value().wall_clock = wall_clock_seconds();
-  return propose(request.value())
-      .then(
-          [this, context](const answer<command_outcome>& reply) mutable
-          {
-            auto results = context.getResults();
-            if (!refused(results, reply))
-              wire::write(results.initOutcome(),
-                          std::get<change_outcome>(reply.value.value()));
-          });
+  auto request = well_formed(wire::read(context.getParams().getChange()));
+  request.wall_clock = wall_clock_seconds();
+  return propose(request).then(
+      [this, context](const answer<command_outcome>& reply) mutable
+      {
+        auto results = context.getResults();
+        if (!refused(results, reply))
+          wire::write(results.initOutcome(),
+                      std::get<change_outcome>(reply.value.value()));
+      });
 }
 
 kj::Promise<void> control_service::status(StatusContext context)
@@ -235,14 +251,9 @@
 kj::Promise<void> control_service::report(ReportContext context)
 {
   ++counters_.reports;
-  const auto report = wire::read(context.getParams().getReport());
-  if (!report)
-  {
-    ++counters_.malformed;
-    fail_call(report.error());
-  }
+  auto report = well_formed(wire::read(context.getParams().getReport()));
   return read_as_leader<report_reply>(
-             [this, report = report.value()](time_point now)
+             [this, report = std::move(report)](time_point now)
              {
                return state_.on_report(report, now);
              })
@@ -263,54 +274,32 @@
 kj::Promise<void> control_service::claim(ClaimContext context)
 {
   ++counters_.claims;
-  auto request = wire::read(context.getParams().getClaim());
-  if (!request)
-  {
-    ++counters_.malformed;
-    fail_call(request.error());
-  }
-  request.value().wall_clock = wall_clock_seconds();
-  return propose(request.value())
-      .then(
-          [this, context](const answer<command_outcome>& reply) mutable
-          {
-            auto results = context.getResults();
-            if (refused(results, reply))
-              return;
-            const auto& outcome = std::get<claim_outcome>(reply.value.value());
-            results.setVerdict(wire::to_schema(outcome.verdict));
-            results.setAnswer(to_data(outcome.answer));
-          });
+  auto request = well_formed(wire::read(context.getParams().getClaim()));
+  request.wall_clock = wall_clock_seconds();
+  return propose(request).then(
+      [this, context](const answer<command_outcome>& reply) mutable
+      {
+        auto results = context.getResults();
+        if (refused(results, reply))
+          return;
+        const auto& outcome = std::get<claim_outcome>(reply.value.value());
+        results.setVerdict(wire::to_schema(outcome.verdict));
+        results.setAnswer(to_data(outcome.answer));
+      });
 }
 
 kj::Promise<void> control_service::complete(CompleteContext context)
 {
   const auto params = context.getParams();
-  const auto request = wire::read(params.getClaim());
-  if (!request)
-    fail_call(request.error());
-  return propose(claim_completion{request.value().key, request.value().claim,
-                                  to_string(params.getAnswer())})
-      .then(
-          [this, context](const answer<command_outcome>& reply) mutable
-          {
-            auto results = context.getResults();
-            refused(results, reply);
-          });
+  const auto request = well_formed(wire::read(params.getClaim()));
+  return commit(context, claim_completion{request.key, request.claim,
+                                          to_string(params.getAnswer())});
 }
 
 kj::Promise<void> control_service::release(ReleaseContext context)
 {
-  const auto request = wire::read(context.getParams().getClaim());
-  if (!request)
-    fail_call(request.error());
-  return propose(claim_release{request.value().key, request.value().claim})
-      .then(
-          [this, context](const answer<command_outcome>& reply) mutable
-          {
-            auto results = context.getResults();
-            refused(results, reply);
-          });
+  const auto request = well_formed(wire::read(context.getParams().getClaim()));
+  return commit(context, claim_release{request.key, request.claim});
 }
 
 kj::Promise<void> control_service::step(StepContext context)
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -58,6 +58,12 @@
 
   kj::Promise<answer<command_outcome>> propose(const command& value);
 
+  template <class Context>
+  kj::Promise<void> commit(Context context, const command& value);
+
+  template <class T>
+  T well_formed(result<T> parsed);
+
   template <class Results, class T>
   bool refused(Results& results, const answer<T>& reply);
 
