--- a/include/toucanmill/agent/dispatch_core.hpp
+++ b/include/toucanmill/agent/dispatch_core.hpp
@@ -26,7 +26,7 @@
   hop_limit,           ///< passed on too often
   table_not_confirmed, ///< unknown flow, but the own table may be stale
   connection_limit,    ///< SYN beyond the connections of the upstream
-  leaving,             ///< SYN at a leaving agent with nobody to pass it to
+  leaving,             ///< SYN at a leaving agent that owns the bucket
   unexpected_reset,    ///< RST of an unknown flow
 };
 
--- a/include/toucanmill/base/invariant.hpp
+++ b/include/toucanmill/base/invariant.hpp
@@ -10,7 +10,7 @@
 
 } // namespace toucanmill
 
-/// Checked in every build type: a process that broke a promise must not go on.
+/// Checked in every build type: a process in an invalid state must end.
 #define TOUCANMILL_INVARIANT(condition, message)                               \
   do                                                                           \
   {                                                                            \
--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -49,7 +49,7 @@
   std::vector<command> on_report(const state_machine& state,
                                  const node_report& report, time_point now);
 
-  /// Expired leases, forgotten nodes and rebalance steps that are due.
+  /// Expired leases, nodes to remove and rebalance steps that are due.
   std::vector<command> on_tick(const state_machine& state, time_point now);
 
   std::vector<node_liveness> liveness(time_point now) const;
--- a/include/toucanmill/cluster/node.hpp
+++ b/include/toucanmill/cluster/node.hpp
@@ -56,7 +56,7 @@
   table_version applied;   ///< table that the node acts on
   bool fresh = false;      ///< no table yet: wants one confirmed by a quorum
   bool leaving = false;    ///< SIGTERM: wants no new work
-  bool empty = false;      ///< leaving and holds no flows: may be forgotten
+  bool empty = false;      ///< leaving and holds no flows: may be removed
   std::uint32_t flows = 0; ///< open flows
   std::uint32_t busy_slots = 0;
   std::vector<std::uint16_t> held_buckets; ///< agents only, ascending
--- a/include/toucanmill/packet/tcp_packet.hpp
+++ b/include/toucanmill/packet/tcp_packet.hpp
@@ -10,7 +10,7 @@
 namespace toucanmill
 {
 
-/// Read-only bytes owned by somebody else.
+/// Non-owning view of read-only octets.
 struct byte_view
 {
   const std::uint8_t* data = nullptr;
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -112,7 +112,7 @@
 """)
         process = Process(self.folder, f"balancer-{number}", "toucanmilld",
                           settings)
-        process.http = http
+        process.http, process.data = http, data
         self.balancers[number] = process
 
     def start_fabric(self, listens):
--- a/src/agent/agent_flow.cpp
+++ b/src/agent/agent_flow.cpp
@@ -152,7 +152,7 @@
     runtime_.count_busy(busy);
 }
 
-/// A caller that ignores the FIN would keep the bucket held for ever.
+/// A caller that ignores the FIN would keep the bucket held indefinitely.
 void agent_flow::start_linger()
 {
   linger_.emplace(runtime_.context(), runtime_.options().linger);
--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -116,7 +116,7 @@
 void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
                         const deliver_packet& action)
 {
-  // Without a table nobody knows how to treat the flow; the caller resends.
+  // Without a table the kind of the flow is unknown; the caller resends.
   if (action.new_flow && !has_table_)
   {
     dispatch_.on_flow_closed(packet.flow);
--- a/src/agent/dispatch_core_test.cpp
+++ b/src/agent/dispatch_core_test.cpp
@@ -214,7 +214,7 @@
               stamp_purpose::probe);
 }
 
-// Guards against a packet that circulates for ever.
+// Guards against a packet that circulates indefinitely.
 TEST(dispatch, hop_limit_ends_a_packet)
 {
   first.on_table(make_table(1, {2, 1}));
--- a/src/agent/tcp_stack_state.hpp
+++ b/src/agent/tcp_stack_state.hpp
@@ -50,7 +50,7 @@
   std::size_t flow_count() const;
   std::uint64_t dropped_packets() const;
 
-  /// The connection ends; its flow is forgotten.
+  /// The connection ends and its flow is removed.
   void close(connection_state& connection, tcp_end reason);
 
 private:
--- a/src/agent/tcp_stack_test.cpp
+++ b/src/agent/tcp_stack_test.cpp
@@ -138,7 +138,7 @@
 }
 
 // Guards against a flow that stays in the agent's books after both sides have
-// closed, which would keep its bucket held for ever.
+// closed, which would keep its bucket held indefinitely.
 TEST(tcp_stack, reports_the_end_of_both_sides_after_a_close)
 {
   connect();
@@ -209,7 +209,7 @@
   CHECK_EQUAL(1, of_kind<tcp_closed>(server.events).size());
 }
 
-// Guards against a SYN counted as a flow although nobody listens.
+// Guards against a SYN counted as a flow without a listener.
 TEST(tcp_stack, keeps_no_state_of_a_refused_syn)
 {
   opened = client.stack.open(caller, service).value();
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -50,7 +50,7 @@
   std::map<endpoint, std::string> addresses;
   std::set<std::pair<std::uint64_t, std::string>> by_change;
   std::deque<std::pair<std::uint64_t, service_id>> removals;
-  std::uint64_t removals_floor = 0; ///< index of the latest forgotten removal
+  std::uint64_t removals_floor = 0; ///< index of the latest discarded removal
 
   std::map<node_id, node_entry> nodes;
   std::map<std::string, node_id> node_names;
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -38,7 +38,7 @@
 
 using live_nodes = std::map<node_id, live_node>;
 
-bool may_be_forgotten(const node_record& record, const node_report& report)
+bool may_be_removed(const node_record& record, const node_report& report)
 {
   if (record.identity.role == node_role::balancer)
     return report.leaving && report.empty;
@@ -52,7 +52,7 @@
 {
   if (record.state == node_state::gone)
     return report.leaving ? std::optional<node_state>{} : node_state::active;
-  if (may_be_forgotten(record, report))
+  if (may_be_removed(record, report))
     return node_state::gone;
   if (report.leaving && record.state != node_state::draining)
     return node_state::draining;
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -82,8 +82,8 @@
 std::string control_state::apply(const log_entry& entry)
 {
   const auto decoded = decode_command(entry.payload);
-  // A committed entry that one instance can't read would make its state differ
-  // from the others for ever.
+  // Skipping a committed entry that cannot be decoded would make the state of
+  // this instance diverge from the others permanently.
   TOUCANMILL_INVARIANT(decoded.has_value(), "committed command is readable");
   const auto outcome = machine_.apply(entry.position, decoded.value());
   note_command(decoded.value(), outcome);
--- a/src/log/replica_core.cpp
+++ b/src/log/replica_core.cpp
@@ -43,7 +43,7 @@
   unsaved_from_ = 0;
   persisted_ = log_.last().index;
   reset_election_deadline();
-  // Nobody else can lead, so there is nothing to wait for.
+  // No other instance can lead, so there is nothing to wait for.
   if (is_voter(settings_.self) && quorum() == 1)
     election_deadline_ = now_;
 }
--- a/src/packet/gue_test.cpp
+++ b/src/packet/gue_test.cpp
@@ -72,7 +72,7 @@
   }
 }
 
-// Guards against fields that index beyond the chain or loop for ever.
+// Guards against fields that index beyond the chain or loop indefinitely.
 TEST(gue, stamp_fields_out_of_range_are_refused)
 {
   auto stamp = sample_stamp(3);
