daemon: build the roles' samples with shared functions

Cause: three roles each had their own copies of the code that makes a counter, a gauge and a drop counter. Change: samples.hpp serves all of them; names, help texts and values are the same.

--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -9,6 +9,7 @@
 
 #include "node_identity.hpp"
 #include "rpc_claims.hpp"
+#include "samples.hpp"
 
 namespace toucanmill::daemon
 {
@@ -150,16 +151,6 @@
   }
 
 private:
-  static void add_drop(std::vector<sample>& out, const char* reason,
-                       std::uint64_t value)
-  {
-    out.push_back({"toucanmill_drops_total",
-                   "Packets dropped, by reason.",
-                   true,
-                   static_cast<double>(value),
-                   {{"reason", reason}}});
-  }
-
   static void add_drops(std::vector<sample>& out, const agent_counts& counts)
   {
     for (std::size_t i = 0; i < counts.drops.size(); ++i)
@@ -183,38 +174,29 @@
 
   static void add_packets(std::vector<sample>& out, const agent_counts& counts)
   {
-    const auto count =
-        [&out](const char* name, const char* help, std::uint64_t value)
-    {
-      out.push_back({name, help, true, static_cast<double>(value), {}});
-    };
-    count("toucanmill_packets_delivered_total",
-          "Packets given to the TCP stack.", counts.delivered);
-    count("toucanmill_packets_passed_on_total",
-          "Packets sent to another agent.", counts.passed_on);
-    count("toucanmill_resets_total",
-          "Packets of unknown flows answered with a reset.", counts.resets);
-    count("toucanmill_flows_accepted_total", "Flows accepted.",
-          counts.new_flows);
-    count("toucanmill_flows_silent_total",
-          "Flows ended by keepalive or retransmission limits.",
-          counts.silent_flows);
-    count("toucanmill_flows_reset_by_caller_total", "Flows reset by callers.",
-          counts.reset_by_caller);
+    add_counter(out, "toucanmill_packets_delivered_total",
+                "Packets given to the TCP stack.", counts.delivered);
+    add_counter(out, "toucanmill_packets_passed_on_total",
+                "Packets sent to another agent.", counts.passed_on);
+    add_counter(out, "toucanmill_resets_total",
+                "Packets of unknown flows answered with a reset.",
+                counts.resets);
+    add_counter(out, "toucanmill_flows_accepted_total", "Flows accepted.",
+                counts.new_flows);
+    add_counter(out, "toucanmill_flows_silent_total",
+                "Flows ended by keepalive or retransmission limits.",
+                counts.silent_flows);
+    add_counter(out, "toucanmill_flows_reset_by_caller_total",
+                "Flows reset by callers.", counts.reset_by_caller);
   }
 
   static void add_gauges(std::vector<sample>& out, const agent_status& status)
   {
-    const auto gauge =
-        [&out](const char* name, const char* help, std::size_t value)
-    {
-      out.push_back({name, help, false, static_cast<double>(value), {}});
-    };
-    gauge("toucanmill_flows", "Open flows.", status.open_flows);
-    gauge("toucanmill_slots_in_use", "Requests that the upstream runs.",
-          status.slots_in_use);
-    gauge("toucanmill_queue_length", "Requests that wait for a slot.",
-          status.queue_length);
+    add_gauge(out, "toucanmill_flows", "Open flows.", status.open_flows);
+    add_gauge(out, "toucanmill_slots_in_use",
+              "Requests that the upstream runs.", status.slots_in_use);
+    add_gauge(out, "toucanmill_queue_length", "Requests that wait for a slot.",
+              status.queue_length);
   }
 
   node_callbacks callbacks()
--- a/src/daemon/balancer_role.cpp
+++ b/src/daemon/balancer_role.cpp
@@ -7,6 +7,7 @@
 #include <toucanmill/observe/event.hpp>
 
 #include "node_identity.hpp"
+#include "samples.hpp"
 
 namespace toucanmill::daemon
 {
@@ -65,13 +66,14 @@
                                packets_->applied_version());
     const auto counters = packets_->counters();
     add_forwarding(out, counters.forwarding);
-    add(out, "toucanmill_send_failures_total",
-        "Packets that the system did not send.", counters.send_failures);
-    add(out, "toucanmill_send_buffer_full_total",
-        "Packets dropped for want of socket buffer.",
-        counters.send_buffer_full);
-    add(out, "toucanmill_receive_failures_total", "Receive calls that failed.",
-        counters.receive_failures);
+    add_counter(out, "toucanmill_send_failures_total",
+                "Packets that the system did not send.",
+                counters.send_failures);
+    add_counter(out, "toucanmill_send_buffer_full_total",
+                "Packets dropped for want of socket buffer.",
+                counters.send_buffer_full);
+    add_counter(out, "toucanmill_receive_failures_total",
+                "Receive calls that failed.", counters.receive_failures);
     out.push_back({"toucanmill_flows",
                    "Estimate of active flows.",
                    false,
@@ -91,17 +93,11 @@
   }
 
 private:
-  static void add(std::vector<sample>& out, const char* name, const char* help,
-                  std::uint64_t value)
-  {
-    out.push_back({name, help, true, static_cast<double>(value), {}});
-  }
-
   static void add_forwarding(std::vector<sample>& out,
                              const forward_counters& counters)
   {
-    add(out, "toucanmill_forwarded_total", "Packets sent to agents.",
-        counters.forwarded);
+    add_counter(out, "toucanmill_forwarded_total", "Packets sent to agents.",
+                counters.forwarded);
     for (std::size_t i = 0; i < counters.faults.size(); ++i)
       add_drop(out, to_string(static_cast<packet_fault>(i)),
                counters.faults[i]);
@@ -109,16 +105,6 @@
       add_drop(out, to_string(static_cast<forward_drop>(i)), counters.drops[i]);
   }
 
-  static void add_drop(std::vector<sample>& out, const char* reason,
-                       std::uint64_t value)
-  {
-    out.push_back({"toucanmill_drops_total",
-                   "Packets dropped, by reason.",
-                   true,
-                   static_cast<double>(value),
-                   {{"reason", reason}}});
-  }
-
   node_callbacks callbacks()
   {
     node_callbacks out;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -7,6 +7,8 @@
 #include <toucanmill/control/control_server.hpp>
 #include <toucanmill/observe/event.hpp>
 
+#include "samples.hpp"
+
 namespace toucanmill::daemon
 {
 
@@ -86,27 +88,23 @@
   {
     const auto counters = server_->counters();
     std::vector<sample> out;
-    const auto count =
-        [&out](const char* name, const char* help, std::uint64_t value)
-    {
-      out.push_back({name, help, true, static_cast<double>(value), {}});
-    };
-    count("toucanmill_rpc_reports_total", "Reports received.",
-          counters.reports);
-    count("toucanmill_rpc_changes_total", "Operators' changes received.",
-          counters.changes);
-    count("toucanmill_rpc_claims_total", "Claims received.", counters.claims);
-    count("toucanmill_rpc_not_leader_total", "Calls sent on to the leader.",
-          counters.not_leader);
-    count("toucanmill_rpc_malformed_total", "Calls with invalid values.",
-          counters.malformed);
-    count("toucanmill_peer_messages_total", "Replication messages sent.",
-          counters.peer_messages);
-    count("toucanmill_peer_octets_total", "Octets of replication messages.",
-          counters.peer_octets);
-    count("toucanmill_peer_messages_lost_total",
-          "Replication messages dropped: peer slow or unreachable.",
-          counters.peer_messages_lost);
+    add_counter(out, "toucanmill_rpc_reports_total", "Reports received.",
+                counters.reports);
+    add_counter(out, "toucanmill_rpc_changes_total",
+                "Operators' changes received.", counters.changes);
+    add_counter(out, "toucanmill_rpc_claims_total", "Claims received.",
+                counters.claims);
+    add_counter(out, "toucanmill_rpc_not_leader_total",
+                "Calls sent on to the leader.", counters.not_leader);
+    add_counter(out, "toucanmill_rpc_malformed_total",
+                "Calls with invalid values.", counters.malformed);
+    add_counter(out, "toucanmill_peer_messages_total",
+                "Replication messages sent.", counters.peer_messages);
+    add_counter(out, "toucanmill_peer_octets_total",
+                "Octets of replication messages.", counters.peer_octets);
+    add_counter(out, "toucanmill_peer_messages_lost_total",
+                "Replication messages dropped: peer slow or unreachable.",
+                counters.peer_messages_lost);
     if (!stopper_.joinable())
       add_log_samples(out);
     return out;
@@ -125,17 +123,14 @@
   void add_log_samples(std::vector<sample>& out)
   {
     const auto status = server_->status();
-    const auto gauge =
-        [&out](const char* name, const char* help, std::uint64_t value)
-    {
-      out.push_back({name, help, false, static_cast<double>(value), {}});
-    };
-    gauge("toucanmill_log_term", "Term of the replicated log.", status.term);
-    gauge("toucanmill_log_commit_index", "Last committed entry.",
-          status.commit_index);
-    gauge("toucanmill_log_applied_index", "Last applied entry.",
-          status.applied_index);
-    gauge("toucanmill_log_leads", "1 on the leader.", status.leads ? 1 : 0);
+    add_gauge(out, "toucanmill_log_term", "Term of the replicated log.",
+              status.term);
+    add_gauge(out, "toucanmill_log_commit_index", "Last committed entry.",
+              status.commit_index);
+    add_gauge(out, "toucanmill_log_applied_index", "Last applied entry.",
+              status.applied_index);
+    add_gauge(out, "toucanmill_log_leads", "1 on the leader.",
+              status.leads ? 1 : 0);
   }
 
   std::unique_ptr<control_server> server_;
