--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -73,11 +73,6 @@
   return error{error_code::unavailable, "the replicated log is stopped"};
 }
 
-std::chrono::steady_clock::time_point to_steady(time_point time)
-{
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
-
 } // namespace
 
 log_runtime::log_runtime(replicated_log_options options, log_client& client,
@@ -117,7 +112,7 @@
   while (!queue_.closed())
   {
     for (const auto& task :
-         queue_.pop(to_steady(next_wakeup()), tasks_per_batch))
+         queue_.pop(time_to_wakeup(), tasks_per_batch))
       task();
     tick_if_due();
     process();
@@ -309,9 +304,11 @@
 }
 
 // Does not sleep while a snapshot is being written.
-time_point log_runtime::next_wakeup() const
+duration log_runtime::time_to_wakeup() const
 {
-  return store_->snapshot_in_progress() ? time_point{} : next_tick_;
+  if (store_->snapshot_in_progress())
+    return duration{0};
+  return std::max(next_tick_ - monotonic_now(), duration{0});
 }
 
 table_version log_runtime::applied_position() const
@@ -323,9 +320,9 @@
 void log_runtime::close()
 {
   closing_ = true;
-  const auto now = std::chrono::steady_clock::now();
-  for (auto tasks = queue_.pop(now, tasks_per_batch); !tasks.empty();
-       tasks = queue_.pop(now, tasks_per_batch))
+  constexpr duration no_wait{0};
+  for (auto tasks = queue_.pop(no_wait, tasks_per_batch); !tasks.empty();
+       tasks = queue_.pop(no_wait, tasks_per_batch))
     for (const auto& task : tasks)
       task();
   for (auto& [index, proposal] : std::exchange(proposals_, {}))
--- a/src/log/task_queue.hpp
+++ b/src/log/task_queue.hpp
@@ -34,16 +34,15 @@
     return push_up_to(work, static_cast<std::size_t>(-1));
   }
 
-  /// Waits for tasks until the deadline; returns at most `limit` of them.
-  std::vector<task> pop(std::chrono::steady_clock::time_point deadline,
-                        std::size_t limit)
+  /// Waits for tasks for at most `wait`; returns at most `limit` of them.
+  std::vector<task> pop(std::chrono::microseconds wait, std::size_t limit)
   {
     std::unique_lock lock(mutex_);
-    ready_.wait_until(lock, deadline,
-                      [this]
-                      {
-                        return !tasks_.empty() || closed_;
-                      });
+    ready_.wait_for(lock, wait,
+                    [this]
+                    {
+                      return !tasks_.empty() || closed_;
+                    });
     std::vector<task> batch;
     while (!tasks_.empty() && batch.size() < limit)
     {
