table, cluster, relay: keep the former services of a route in the declared state

Each balancer collected former services for itself.

Change: control adds them to each route when a configuration is declared, so every balancer searches the same services.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -141,9 +141,9 @@
   };
 
   entry_action decide(const flow_packet& packet, time_point now);
-  entry_action open(const flow_packet& packet, const relay_route& from,
+  entry_action open(const flow_packet& packet, const route& from,
                     time_point now);
-  entry_action search(const flow_packet& packet, const relay_route& from,
+  entry_action search(const flow_packet& packet, const route& from,
                       std::uint8_t stage, bool doubtful, time_point now);
   entry_action without_route(const flow_packet& packet, time_point now);
   entry_action exhausted(const flow_packet& packet, bool doubtful,
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -22,13 +22,6 @@
   std::vector<std::uint16_t> owners; ///< holders that own a bucket, ascending
 };
 
-/// A route with the services that may still hold flows of it.
-struct relay_route
-{
-  route declared;
-  std::vector<std::string> former; ///< led here before, newest first
-};
-
 /// What a balancer routes packets by: the declared routes and the holders of
 /// each service. Immutable; apply() returns the next table.
 class relay_table
@@ -46,7 +39,7 @@
   }
 
   /// Null when no route has this address and port.
-  const relay_route* find_route(const endpoint& address) const;
+  const route* find_route(const endpoint& address) const;
 
   /// Null when the service is not known.
   const relay_service* find_service(const std::string& name) const;
@@ -57,7 +50,7 @@
 
 private:
   using service_ptr = std::shared_ptr<const relay_service>;
-  using route_ptr = std::shared_ptr<const relay_route>;
+  using route_ptr = std::shared_ptr<const route>;
   using route_map = std::unordered_map<std::uint64_t, route_ptr>;
 
   static std::uint64_t key_of(const endpoint& address);
@@ -82,12 +75,12 @@
 
 /// The service that a new flow of the route goes to; null when none is known.
 const relay_service* choose_service(const relay_table& table,
-                                    const relay_route& from,
+                                    const route& from,
                                     std::uint64_t hash);
 
 /// All services that may hold a flow of the route, the likeliest first.
 std::vector<const relay_service*> possible_services(const relay_table& table,
-                                                    const relay_route& from,
+                                                    const route& from,
                                                     std::uint64_t hash);
 
 } // namespace toucanmill
--- a/include/toucanmill/table/configuration.hpp
+++ b/include/toucanmill/table/configuration.hpp
@@ -32,10 +32,15 @@
   std::vector<route_target> targets;
   std::uint32_t timeout_ms = 0; ///< of one request
 
+  /// Services that earlier versions led to, newest first. They may still hold
+  /// flows of this address. Set by control.
+  std::vector<std::string> former;
+
   bool operator==(const route& other) const
   {
-    return std::tie(name, address, targets, timeout_ms) ==
-           std::tie(other.name, other.address, other.targets, other.timeout_ms);
+    return std::tie(name, address, targets, timeout_ms, former) ==
+           std::tie(other.name, other.address, other.targets, other.timeout_ms,
+                    other.former);
   }
 };
 
@@ -61,6 +66,13 @@
 /// example "routes[3].service". The file of each finding is empty.
 findings check_configuration(const configuration& value);
 
+/// Former services of one route at most.
+inline constexpr std::size_t max_former_services = 4;
+
+/// Fills in the former services of each route of `next`, which replaces
+/// `present`.
+void keep_former_services(const configuration& present, configuration& next);
+
 } // namespace toucanmill
 
 #endif
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -31,6 +31,7 @@
   address @1 :Endpoint;
   targets @2 :List(RouteTarget);
   timeoutMillis @3 :UInt32;
+  former @4 :List(Text);  # services of earlier versions, newest first
 }
 
 # What an operator declares; the highest version is in force.
--- a/src/cluster/declaration.cpp
+++ b/src/cluster/declaration.cpp
@@ -1,6 +1,7 @@
 #include "cluster_state.hpp"
 
 #include <set>
+#include <utility>
 
 namespace toucanmill
 {
@@ -60,7 +61,9 @@
             state.declared.version, 0};
   if (value.version > state.declared.version)
   {
-    state.declared = value;
+    auto next = value;
+    keep_former_services(state.declared, next);
+    state.declared = std::move(next);
     state.declared_index = state.position.index;
     for (const auto& name : value.services)
       if (state.services.count(name) == 0)
--- a/src/cluster/wire_configuration.cpp
+++ b/src/cluster/wire_configuration.cpp
@@ -22,6 +22,9 @@
     targets[i].setService(value.targets[i].service);
     targets[i].setWeight(value.targets[i].weight);
   }
+  auto former = to.initFormer(static_cast<unsigned>(value.former.size()));
+  for (unsigned i = 0; i < former.size(); ++i)
+    former.set(i, value.former[i]);
 }
 
 route read_route(schema::Route::Reader from)
@@ -32,6 +35,8 @@
   value.timeout_ms = from.getTimeoutMillis();
   for (const auto target : from.getTargets())
     value.targets.push_back({text(target.getService()), target.getWeight()});
+  for (const auto name : from.getFormer())
+    value.former.push_back(text(name));
   return value;
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -225,5 +225,11 @@
         {{chosen.file, 0, 0, "log_level",
           "\"" + checked->instance.log_level + "\" is not a log level"}},
         chosen.check_only);
-  return chosen.check_only ? 0 : run(*checked, chosen.file);
+  if (chosen.check_only)
+    return 0;
+  const int code = run(*checked, chosen.file);
+  std::cout.flush();
+  // The role and its servers are gone. The thread pool of log4cplus did not end
+  // under the users' scheduler, which held up each restart by 5 s.
+  std::_Exit(code);
 }
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -127,7 +127,7 @@
 }
 
 entry_action entry_core::open(const flow_packet& packet,
-                              const relay_route& from, time_point now)
+                              const route& from, time_point now)
 {
   const auto flow = packet.from_caller();
   const auto hash = flow_hash(flow);
@@ -167,7 +167,7 @@
 }
 
 entry_action entry_core::search(const flow_packet& packet,
-                                const relay_route& from, std::uint8_t stage,
+                                const route& from, std::uint8_t stage,
                                 bool doubtful, time_point now)
 {
   const auto hash = flow_hash(packet.from_caller());
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Former services of one route that are still searched for its flows.
-constexpr std::size_t max_former_services = 4;
-
 /// Finaliser of MurmurHash3.
 std::uint64_t mix(std::uint64_t key)
 {
@@ -80,30 +77,6 @@
   return 0;
 }
 
-std::vector<std::string> former_services(const relay_route& before,
-                                         const route& now)
-{
-  std::vector<std::string> candidates;
-  for (const auto& target : before.declared.targets)
-    candidates.push_back(target.service);
-  candidates.insert(candidates.end(), before.former.begin(),
-                    before.former.end());
-  std::vector<std::string> former;
-  for (auto& name : candidates)
-  {
-    const bool current =
-        std::any_of(now.targets.begin(), now.targets.end(),
-                    [&](const route_target& target)
-                    {
-                      return target.service == name;
-                    });
-    if (!current && former.size() < max_former_services &&
-        std::find(former.begin(), former.end(), name) == former.end())
-      former.push_back(std::move(name));
-  }
-  return former;
-}
-
 } // namespace
 
 std::uint64_t relay_table::key_of(const endpoint& address)
@@ -111,7 +84,7 @@
   return static_cast<std::uint64_t>(address.address.value) << 16 | address.port;
 }
 
-const relay_route* relay_table::find_route(const endpoint& address) const
+const route* relay_table::find_route(const endpoint& address) const
 {
   const auto found = routes_->find(key_of(address));
   return found == routes_->end() ? nullptr : found->second.get();
@@ -127,13 +100,7 @@
 {
   auto next = std::make_shared<route_map>();
   for (const auto& item : declared.routes)
-  {
-    auto entry = std::make_shared<relay_route>();
-    entry->declared = item;
-    if (const auto* before = find_route(item.address))
-      entry->former = former_services(*before, item);
-    next->emplace(key_of(item.address), std::move(entry));
-  }
+    next->emplace(key_of(item.address), std::make_shared<const route>(item));
   routes_ = std::move(next);
   configuration_ = declared.version;
 }
@@ -194,16 +161,16 @@
 }
 
 const relay_service* choose_service(const relay_table& table,
-                                    const relay_route& from, std::uint64_t hash)
+                                    const route& from, std::uint64_t hash)
 {
-  const auto& targets = from.declared.targets;
+  const auto& targets = from.targets;
   if (targets.empty())
     return nullptr;
   return table.find_service(targets[choose_target(targets, hash)].service);
 }
 
 std::vector<const relay_service*> possible_services(const relay_table& table,
-                                                    const relay_route& from,
+                                                    const route& from,
                                                     std::uint64_t hash)
 {
   std::vector<const relay_service*> found;
@@ -214,7 +181,7 @@
       found.push_back(service);
   };
   add(choose_service(table, from, hash));
-  for (const auto& target : from.declared.targets)
+  for (const auto& target : from.targets)
     add(table.find_service(target.service));
   for (const auto& name : from.former)
     add(table.find_service(name));
--- a/src/table/configuration.cpp
+++ b/src/table/configuration.cpp
@@ -82,6 +82,41 @@
 
 } // namespace
 
+namespace
+{
+
+void add_former(route& to, const std::string& name)
+{
+  const bool current = std::any_of(to.targets.begin(), to.targets.end(),
+                                   [&](const route_target& target)
+                                   {
+                                     return target.service == name;
+                                   });
+  if (!current && to.former.size() < max_former_services &&
+      std::find(to.former.begin(), to.former.end(), name) == to.former.end())
+    to.former.push_back(name);
+}
+
+} // namespace
+
+void keep_former_services(const configuration& present, configuration& next)
+{
+  std::map<endpoint, const route*> before;
+  for (const auto& item : present.routes)
+    before[item.address] = &item;
+  for (auto& item : next.routes)
+  {
+    item.former.clear();
+    const auto found = before.find(item.address);
+    if (found == before.end())
+      continue;
+    for (const auto& target : found->second->targets)
+      add_former(item, target.service);
+    for (const auto& name : found->second->former)
+      add_former(item, name);
+  }
+}
+
 findings check_configuration(const configuration& value)
 {
   return checker(value).run();
