log, control: recover sooner after a loss of power of the whole group

Change: a replica that heard no leader in its life asks for votes after a quarter of the timeout; messages wait while a connection is opened; a report without an answer is repeated after 100 ms; the election timeout is a setting.

--- a/include/toucanmill/control/node_client.hpp
+++ b/include/toucanmill/control/node_client.hpp
@@ -42,6 +42,8 @@
 {
   std::vector<endpoint> control;
   duration report_interval = std::chrono::milliseconds(500);
+  /// After a report without an answer of a leader.
+  duration retry_interval = std::chrono::milliseconds(100);
   duration claim_limit = std::chrono::seconds(3); ///< then unavailable
 };
 
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -82,6 +82,8 @@
   std::vector<group_member_settings> group; ///< first members, voters
   bool bootstrap = false; ///< mode seeds: the system starts for the first time
   std::chrono::milliseconds lease{3000};
+  /// Silence of the leader after which another instance may take over.
+  std::chrono::milliseconds election_timeout{600};
   std::chrono::milliseconds ramp{10000}; ///< until a new upstream has its share
   std::chrono::milliseconds rebalance_interval{1000};
   std::uint32_t entries_per_snapshot = 10000;
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -94,7 +94,9 @@
         .then(
             [this]
             {
-              return timer_.afterDelay(to_kj(options_.report_interval));
+              return timer_.afterDelay(to_kj(answered_
+                                                 ? options_.report_interval
+                                                 : options_.retry_interval));
             })
         .then(
             [this]
@@ -106,6 +108,7 @@
   kj::Promise<void> report_once()
   {
     reporting_ = true;
+    answered_ = false;
     return reports_
         .limited(reports_.client().then(
             [this](schema::Control::Client control)
@@ -153,6 +156,7 @@
     const auto reply = response.getReply();
     counters_.octets_received += response.totalSize().wordCount * 8;
     last_answer_ = monotonic_now();
+    answered_ = true;
     set_reachable(true);
     if (const auto update = wire::read(reply.getUpdate()))
     {
@@ -254,6 +258,7 @@
   bool reachable_ = true;
   bool reporting_ = false;
   bool report_again_ = false;
+  bool answered_ = false; ///< by a leader, the latest report
   error_handler errors_;
   kj::TaskSet tasks_;
 
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,5 +1,7 @@
 #include "peer_links.hpp"
 
+#include <utility>
+
 namespace toucanmill::detail
 {
 
@@ -26,11 +28,21 @@
   const auto peer = link_to(to.rpc);
   if (peer->open != nullptr && peer->in_flight < max_in_flight)
     return deliver(peer, message);
-  ++lost_;
-  if (peer->open == nullptr && !peer->connecting)
+  const bool closed = peer->open == nullptr;
+  if (closed && peer->waiting.size() < max_waiting)
+    peer->waiting.push_back(message);
+  else
+    ++lost_;
+  if (closed && !peer->connecting)
     connect(peer);
 }
 
+void peer_links::deliver_waiting(const std::shared_ptr<link>& peer)
+{
+  for (const auto& message : std::exchange(peer->waiting, {}))
+    deliver(peer, message);
+}
+
 std::shared_ptr<peer_links::link> peer_links::link_to(const endpoint& to)
 {
   auto& peer = links_[to];
@@ -47,16 +59,19 @@
   peer->connecting = true;
   tasks_.add(connect_rpc(io_, peer->to, connect_limit)
                  .then(
-                     [peer](kj::Own<kj::AsyncIoStream> stream)
+                     [this, peer](kj::Own<kj::AsyncIoStream> stream)
                      {
                        peer->open =
                            std::make_shared<rpc_connection>(kj::mv(stream));
                        peer->in_flight = 0;
                        peer->connecting = false;
+                       deliver_waiting(peer);
                      })
                  .catch_(
                      [this, peer](kj::Exception&&)
                      {
+                       lost_ += peer->waiting.size();
+                       peer->waiting.clear();
                        return io_.provider->getTimer()
                            .afterDelay(reconnect_pause)
                            .then(
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <kj/async-io.h>
 
@@ -22,6 +23,10 @@
   /// Replication messages under way to one instance at most.
   static constexpr std::size_t max_in_flight = 256;
 
+  /// Messages kept for an instance while the connection to it is opened; an
+  /// election starts with the first of them.
+  static constexpr std::size_t max_waiting = 16;
+
   peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost);
 
   void send(const replica_address& to, const std::string& message);
@@ -32,11 +37,13 @@
     endpoint to;
     bool connecting = false;
     std::size_t in_flight = 0;
+    std::vector<std::string> waiting;
     std::shared_ptr<rpc_connection> open;
   };
 
   std::shared_ptr<link> link_to(const endpoint& to);
   void connect(const std::shared_ptr<link>& peer);
+  void deliver_waiting(const std::shared_ptr<link>& peer);
   void deliver(const std::shared_ptr<link>& peer, const std::string& message);
   void taskFailed(kj::Exception&& exception) override;
 
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -63,6 +63,7 @@
     options.log.entries_per_snapshot = settings_.entries_per_snapshot;
     options.log.octets_per_snapshot =
         settings_.mb_per_snapshot * octets_per_mb;
+    options.log.election_timeout = settings_.election_timeout;
     options.log.random_seed = std::random_device{}();
     options.membership.lease = settings_.lease;
     options.membership.ramp = settings_.ramp;
--- a/src/log/replica_election_core.cpp
+++ b/src/log/replica_election_core.cpp
@@ -5,9 +5,13 @@
 namespace toucanmill::log_detail
 {
 
+// A replica that never heard a leader in this life has nobody to wait for: a
+// pre-vote tells whether the others do. After a loss of power of the whole group
+// the full timeout would only delay its recovery.
 void replica_core::reset_election_deadline()
 {
-  const auto timeout = settings_.election_timeout;
+  const bool heard_one = leader_heard_ != time_point{};
+  const auto timeout = settings_.election_timeout / (heard_one ? 1 : 4);
   const auto spread = static_cast<std::uint64_t>(timeout.count()) + 1;
   election_deadline_ =
       now_ + timeout + duration(static_cast<duration::rep>(draw_ % spread));
--- a/src/log/replica_election_test.cpp
+++ b/src/log/replica_election_test.cpp
@@ -85,3 +85,14 @@
   core.tick(later);
   CHECK_EQUAL(2U, drain(core).size());
 }
+
+// Guards against a group that waits a full election timeout after all of its
+// instances lost power at once.
+TEST(replica_election, restarted_replica_asks_for_votes_early)
+{
+  auto core = replica_with({{1, 1}, entry_kind::command, "old"});
+  core.tick({time_point{replica_settings{}.election_timeout / 2}, 0});
+  const auto messages = drain(core);
+  CHECK_EQUAL(2U, messages.size());
+  CHECK_TRUE(messages[0].message.kind == message_kind::pre_vote_request);
+}
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -59,6 +59,10 @@
 const std::vector<field<control_settings>> control_fields = {
     {"mode", &control_settings::mode},
     {"bootstrap", &control_settings::bootstrap},
+    {"election_timeout_ms",
+     &control_settings::election_timeout,
+     false,
+     {200, 60'000}},
     {"ramp_ms", &control_settings::ramp, false, {1, 600'000}},
     {"rebalance_interval_ms",
      &control_settings::rebalance_interval,
