relay: search past dead agents; observe: structured decision log

Change: suspect holders are asked after all live ones of every service; a second search for the same flow within 2 s asks all holders at once; a new flow is remembered when its opening packet is sent; an agent whose upstream ended waits until control knows that it holds nothing. Log lines are logfmt on standard output, from a bounded queue, with a budget for each event.

--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include <toucanmill/observe/log_line.hpp>
+
 namespace toucanmill
 {
 
@@ -21,14 +23,25 @@
   start_failed = 105,
   settings_reloaded = 106,
   reload_refused = 107,
+  log_lines_dropped = 110,
+  log_lines_suppressed = 111,
   table_applied = 200,
   table_rejected = 201,
   control_unreachable = 202,
   control_reachable = 203,
   order_received = 204,
   balancer_withdrawn = 300,
+  flow_reset = 301,
+  flow_searched = 302,
+  packet_unplaced = 303,
+  packet_returned = 304,
   agent_leaving = 400,
   upstream_announced = 401,
+  flow_refused = 410,
+  flow_bounced = 411,
+  flow_ended = 412,
+  request_unanswered = 413,
+  upstream_left = 414,
   leadership_gained = 500,
   leadership_lost = 501,
   change_accepted = 502,
@@ -58,13 +71,32 @@
 
 const std::vector<event_description>& event_catalogue();
 
-/// Sends log lines to standard error. The level is a name of log4cplus; false
-/// when there is no such level.
+/// Starts writing lines to standard output. The level is a name of log4cplus;
+/// false when there is no such level. Before the call, lines are dropped.
 bool start_logging(const std::string& level);
 
-/// Logs "E<number> <name>: <detail>".
+/// Adds these fields to every later line, for example role and name of a node.
+void set_log_context(const log_fields& context);
+
+/// Writes one logfmt line: time, level, event, name, context, fields. Never
+/// blocks. An event that exceeds its budget of lines for the present second is
+/// counted and reported later instead.
+void log_event(event id, const log_fields& fields);
+
+/// The same with one field "detail".
 void log_event(event id, std::string_view detail);
 
+/// Lines that were not written.
+struct log_losses
+{
+  std::uint64_t dropped = 0;    ///< the queue was full
+  std::uint64_t suppressed = 0; ///< beyond the budget of the event
+};
+log_losses logging_losses();
+
+/// Writes what is queued and ends the writer.
+void stop_logging();
+
 } // namespace toucanmill
 
 #endif
--- a/include/toucanmill/packet/flow_packet.hpp
+++ b/include/toucanmill/packet/flow_packet.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include <toucanmill/base/flow.hpp>
@@ -27,6 +28,10 @@
   std::uint32_t tag = 0;         ///< comes back unchanged with a bounced packet
   std::uint16_t payload_size = 0; ///< octets of data
 
+  /// Id of the request that starts in this packet; empty when none does, or
+  /// its id is in a later packet. Points into the packet.
+  std::string_view request_id;
+
   /// The flow of a packet that a caller sent.
   flow_key from_caller() const
   {
--- a/include/toucanmill/relay/entry_balancer.hpp
+++ b/include/toucanmill/relay/entry_balancer.hpp
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <toucanmill/base/outcome.hpp>
 #include <toucanmill/relay/entry_core.hpp>
@@ -10,6 +12,20 @@
 namespace toucanmill
 {
 
+/// A decision about a packet, with what it was based on.
+struct entry_note
+{
+  entry_action action;
+  flow_key flow;
+  bool opens = false;
+  std::string request_id;
+  std::optional<endpoint> returned_by; ///< the agent that could not use it
+  miss_reason returned_for = miss_reason::unknown_flow;
+  table_version table;
+  std::uint64_t configuration = 0;
+  duration confirmed_ago{-1}; ///< age of the table's confirmation; -1: none
+};
+
 struct entry_balancer_options
 {
   entry_options entry;           ///< `self` is the endpoint of the agents
@@ -19,6 +35,10 @@
   /// Called on the packet thread when an agent showed a newer configuration.
   /// Must not block.
   std::function<void()> on_newer_configuration;
+
+  /// Called on the packet thread with each decision but the routine ones: a
+  /// visit of a remembered or a new flow. Must not block.
+  std::function<void(const entry_note&)> on_note;
 };
 
 struct entry_status
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
@@ -22,6 +23,12 @@
   relay_header header;
 };
 
+/// Send the packet to several agents at once, each with its own header.
+struct visit_all
+{
+  std::vector<visit_agent> visits;
+};
+
 /// Why a flow was reset by the system.
 enum class reset_reason : std::uint8_t
 {
@@ -50,14 +57,17 @@
   no_upstream,  ///< the service has no holder
   unconfirmed,  ///< nobody holds the flow, but the table may be old
   newer_table,  ///< an agent has a newer configuration; the caller sends again
-  not_a_caller, ///< bounced or a reset: not for a balancer
+  not_a_caller, ///< bounced: not for a balancer
+  unknown_reset, ///< the caller's reset of a flow that is not remembered
+  probe_missed, ///< an agent does not hold a flow that all were asked for
 };
 
-inline constexpr std::size_t entry_drop_count = 6;
+inline constexpr std::size_t entry_drop_count = 8;
 
 const char* to_string(entry_drop reason);
 
-using entry_action = std::variant<visit_agent, reset_caller, entry_drop>;
+using entry_action =
+    std::variant<visit_agent, visit_all, reset_caller, entry_drop>;
 
 struct entry_options
 {
@@ -71,12 +81,16 @@
   std::size_t opening_stops = 4;
   /// An agent that lost an opening packet is asked last for this long.
   duration doubt = std::chrono::seconds(1);
+  /// A packet of a flow that was searched for within this time, and not found,
+  /// asks all holders at once: a dead agent may have swallowed the first one.
+  duration search_patience = std::chrono::seconds(2);
 };
 
 struct entry_counters
 {
   std::uint64_t visits = 0;
   std::uint64_t searches = 0; ///< established flows that were not remembered
+  std::uint64_t wide_searches = 0; ///< of them, that asked all holders at once
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
   std::array<std::uint64_t, reset_reason_count> resets{};
@@ -122,6 +136,12 @@
     return newest_seen_ > table_->configuration_version();
   }
 
+  /// Time since a quorum confirmed the table; -1 before the first time.
+  duration confirmed_ago(time_point now) const
+  {
+    return confirmed_at_ ? now - *confirmed_at_ : duration{-1};
+  }
+
   std::size_t remembered_flows() const
   {
     return memory_.size();
@@ -144,7 +164,10 @@
   entry_action open(const flow_packet& packet, const route& from,
                     time_point now);
   entry_action search(const flow_packet& packet, const route& from,
-                      std::uint8_t stage, bool doubtful, time_point now);
+                      time_point now);
+  entry_action search_from(const flow_packet& packet, const route& from,
+                           std::uint8_t stage, bool doubtful, time_point now);
+  entry_action search_everywhere(const flow_packet& packet, const route& from);
   entry_action without_route(const flow_packet& packet, time_point now);
   entry_action exhausted(const flow_packet& packet, bool doubtful,
                          time_point now);
@@ -162,6 +185,7 @@
   std::optional<time_point> confirmed_at_;
   std::uint64_t newest_seen_ = 0;
   std::unordered_map<flow_key, memory_entry> memory_;
+  std::unordered_map<flow_key, time_point> searched_;
   std::unordered_map<std::uint64_t, time_point> doubted_until_;
   entry_counters counters_;
 };
--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -21,6 +21,10 @@
   /// Called on the packet thread when another process showed a newer
   /// configuration. Must not block.
   std::function<void()> on_newer_configuration;
+
+  /// Called on the packet thread with what the log should show. Must not
+  /// block.
+  std::function<void(const relay_note&)> on_note;
 };
 
 /// Runs a relay_core on a thread of its own, with its two sockets.
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -37,6 +37,9 @@
 
   /// A reset of the system's own.
   virtual void reset(const flow_key& flow, std::uint32_t sequence) = 0;
+
+  /// Something that an operator's log should show.
+  virtual void note(const struct relay_note& value) = 0;
 };
 
 /// Why an agent did not deliver a packet, or ended a flow.
@@ -54,13 +57,28 @@
   older_routing,  ///< opening packet; routed by an older configuration
   unknown_bounce, ///< bounced packet whose visit is not known any more
   malformed,
-  flow_reset, ///< of an upstream that ended
+  flow_reset,         ///< of an upstream that ended
+  request_waits,      ///< no response after request_patience
+  request_unanswered, ///< its flow ended without a response
 };
 
-inline constexpr std::size_t relay_event_count = 13;
+inline constexpr std::size_t relay_event_count = 15;
 
 const char* to_string(relay_event event);
 
+/// A decision about one flow, with what it was based on.
+struct relay_note
+{
+  relay_event event = relay_event::delivered;
+  flow_key flow;
+  std::string request_id;          ///< of the request in progress, if known
+  std::optional<endpoint> next;    ///< agent or balancer that gets the packet
+  std::uint64_t routed_by = 0;     ///< configuration of the balancer
+  std::uint64_t configuration = 0; ///< of this agent
+  std::size_t busy = 0;            ///< flows with a request in progress
+  duration waited{0};              ///< since the request arrived
+};
+
 struct relay_options
 {
   upstream_core::options upstream;
@@ -71,6 +89,8 @@
   std::uint32_t queue = 16;
   /// Pause between two found messages for one flow.
   duration found_interval = std::chrono::milliseconds(200);
+  /// A request without a response for this long is noted.
+  duration request_patience = std::chrono::seconds(1);
   /// Visits that can wait for a bounced packet; a power of two.
   std::size_t visits = 4096;
 };
@@ -126,7 +146,7 @@
                           time_point now, relay_sink& sink);
 
   /// Forgets idle flows; call about once a second.
-  void on_tick(time_point now);
+  void on_tick(time_point now, relay_sink& sink);
 
   relay_status status(time_point now) const;
 
@@ -151,6 +171,9 @@
     std::uint32_t acknowledged = 0; ///< by the caller, last
     time_point used;
     time_point found_sent;
+    time_point busy_since;
+    bool noted = false;     ///< that the request waits
+    std::string request_id; ///< of the request in progress
   };
 
   struct open_visit
@@ -170,14 +193,21 @@
                relay_sink& sink);
   void note_caller_packet(const relay_header& header, const flow_packet& packet,
                           time_point now, relay_sink& sink);
+  void send_found(const relay_header& header, const flow_key& key,
+                  flow_state& flow, time_point now, relay_sink& sink);
   void pass_on(relay_header header, byte_view packet, miss_reason reason,
                relay_sink& sink);
   void on_bounced(byte_view bytes, const flow_packet& packet, time_point now,
                   relay_sink& sink);
-  void note_upstream_packet(const flow_packet& packet, time_point now);
+  void note_upstream_packet(const flow_packet& packet, time_point now,
+                            relay_sink& sink);
   void set_busy(flow_state& flow, bool busy);
-  void erase(const flow_key& flow);
-  void reset_flows(relay_sink& sink);
+  void erase(const flow_key& flow, time_point now, relay_sink& sink);
+  void note_unanswered(const flow_key& flow, const flow_state& state,
+                       relay_event event, time_point now, relay_sink& sink);
+  relay_note make_note(relay_event event, const flow_key& flow,
+                       const relay_header& header) const;
+  void reset_flows(time_point now, relay_sink& sink);
   void count(relay_event event)
   {
     ++events_[static_cast<std::size_t>(event)];
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -69,9 +69,17 @@
 visit_stops opening_stops(const relay_service& service, std::uint64_t hash,
                           std::size_t limit);
 
-/// Agents in the order in which a packet of an established flow asks them: the
-/// chain of the bucket, then all other holders by rendezvous hashing.
-visit_stops search_stops(const relay_service& service, std::uint64_t hash);
+/// Whether a holder's lease is valid.
+enum class holder_health : std::uint8_t
+{
+  live,
+  suspect,
+};
+
+/// Holders of this health in the order in which a packet of an established flow
+/// asks them: the chain of the bucket, then the others by rendezvous hashing.
+visit_stops search_stops(const relay_service& service, std::uint64_t hash,
+                         holder_health health);
 
 /// The service that a new flow of the route goes to; null when none is known.
 const relay_service* choose_service(const relay_table& table,
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -10,6 +10,7 @@
 #include <platform/packet_layout.hpp>
 #include <platform/pages.hpp>
 
+#include "flow_log.hpp"
 #include "node_identity.hpp"
 #include "samples.hpp"
 #include "table_feed.hpp"
@@ -54,6 +55,10 @@
       if (running_)
         feed_.report_now();
     };
+    options.on_note = [](const entry_note& value)
+    {
+      log_decision(value);
+    };
     BOOST_OUTCOME_TRY(started, entry_balancer::start(std::move(options)));
     packets_ = std::move(started);
     feed_.start(instance_, callbacks());
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -38,6 +38,7 @@
       std::cerr << to_string(item) << "\n";
     else
       log_event(event::settings_invalid, to_string(item));
+  stop_logging();
   return exit_bad_settings;
 }
 
@@ -188,6 +189,9 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
+  set_log_context(log_fields()
+                      .add("role", checked.instance.role)
+                      .add("node", checked.instance.name));
   const auto role = start_role(checked);
   if (!role)
     return fail_start(role.error());
@@ -228,7 +232,7 @@
   if (chosen.check_only)
     return 0;
   const int code = run(*checked, chosen.file);
-  std::cout.flush();
+  stop_logging();
   // The role and its servers are gone. The thread pool of log4cplus did not end
   // under the users' scheduler, which held up each restart by 5 s.
   std::_Exit(code);
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -12,6 +12,7 @@
 #include <platform/packet_layout.hpp>
 #include <platform/pages.hpp>
 
+#include "flow_log.hpp"
 #include "node_identity.hpp"
 #include "samples.hpp"
 #include "table_feed.hpp"
@@ -29,6 +30,10 @@
 /// long, so that balancers learn of it before packets are lost.
 constexpr duration handover_time = std::chrono::seconds(1);
 
+/// An agent whose upstream ended waits this long for control to know that no
+/// flow is here any more.
+constexpr duration departure_limit = std::chrono::seconds(4);
+
 node_identity relay_identity(const instance_settings& instance,
                              const agent_settings& settings)
 {
@@ -79,6 +84,10 @@
       if (running_)
         feed_.report_now();
     };
+    options.on_note = [](const relay_note& value)
+    {
+      log_decision(value);
+    };
     BOOST_OUTCOME_TRY(started, relay_agent::start(std::move(options)));
     agent_ = std::move(started);
     feed_.start(instance_, callbacks());
@@ -97,7 +106,14 @@
 
   bool stopped() override
   {
-    return stopping_ && monotonic_now() - stopping_since_ >= handover_time;
+    if (!stopping_)
+      return false;
+    const auto since = monotonic_now() - stopping_since_;
+    const auto status = agent_->status();
+    const bool nothing_left = status.ended || status.life == incarnation{};
+    if (!nothing_left)
+      return since >= handover_time;
+    return departure_known_ || since >= departure_limit;
   }
 
   std::string unfinished_work() override
@@ -187,7 +203,10 @@
     {
       take(update);
     };
-    out.on_confirmed = [] {};
+    out.on_confirmed = [this]
+    {
+      departure_known_ = reported_departure_;
+    };
     out.on_order = [](node_order) {};
     out.on_known_life = [this](incarnation life)
     {
@@ -209,6 +228,7 @@
     report.observes = status.life == incarnation{};
     report.leaving = !status.present || status.draining;
     report.empty = report.leaving && status.ended;
+    reported_departure_ = report.observes || report.empty;
     report.flows = static_cast<std::uint32_t>(status.flows);
     report.busy_slots = static_cast<std::uint32_t>(status.busy);
     report.held_buckets = status.held_buckets;
@@ -241,6 +261,8 @@
   std::string announced_;           ///< used on the packet thread only
   bool announced_draining_ = false; ///< used on the packet thread only
   time_point stopping_since_;       ///< used on the main thread only
+  bool reported_departure_ = false; ///< used on the client's thread only
+  std::atomic<bool> departure_known_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<bool> running_{false};
   table_feed feed_;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -1,11 +1,23 @@
 #include <toucanmill/observe/event.hpp>
 
-#include <log4cplus/configurator.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
-#include <algorithm>
+#include <toucanmill/observe/line_writer.hpp>
 
 namespace toucanmill
 {
@@ -59,6 +71,11 @@
        "A changed settings file was taken over while running."},
       {event::reload_refused, severity::error, "reload_refused",
        "A changed settings file has a finding; the present settings stay."},
+      {event::log_lines_dropped, severity::warning, "log_lines_dropped",
+       "Standard output took lines too slowly; the count was lost."},
+      {event::log_lines_suppressed, severity::warning, "log_lines_suppressed",
+       "An event exceeded its lines for one second; the count was not "
+       "written."},
       {event::table_applied, severity::info, "table_applied",
        "The node acts on a newer routing table."},
       {event::table_rejected, severity::error, "table_rejected",
@@ -71,10 +88,30 @@
        "An operator's drain or retire order reached the node."},
       {event::balancer_withdrawn, severity::info, "balancer_withdrawn",
        "The balancer asked the fabric to send no more packets."},
+      {event::flow_reset, severity::warning, "flow_reset",
+       "The balancer reset a flow: no route, refused, or held by no upstream."},
+      {event::flow_searched, severity::info, "flow_searched",
+       "A packet of a flow that the balancer does not remember asks the "
+       "agents in order."},
+      {event::packet_unplaced, severity::warning, "packet_unplaced",
+       "The balancer stayed silent on a packet; names the reason."},
+      {event::packet_returned, severity::info, "packet_returned",
+       "No agent on a packet's way could use it; the last one returned it."},
       {event::agent_leaving, severity::info, "agent_leaving",
        "The agent accepts no new flows and finishes what runs."},
       {event::upstream_announced, severity::info, "upstream_announced",
        "The upstream beside the agent started, or began to drain."},
+      {event::flow_refused, severity::warning, "flow_refused",
+       "The agent did not admit an opening packet; names why and the next "
+       "stop."},
+      {event::flow_bounced, severity::info, "flow_bounced",
+       "The upstream does not hold the flow of a packet; names the next stop."},
+      {event::flow_ended, severity::warning, "flow_ended",
+       "The agent reset a flow of an upstream that left or started again."},
+      {event::request_unanswered, severity::warning, "request_unanswered",
+       "A flow ended, or was given up, with a request that had no response."},
+      {event::upstream_left, severity::info, "upstream_left",
+       "The upstream beside the agent said that it ends."},
       {event::leadership_gained, severity::info, "leadership_gained",
        "This control instance leads."},
       {event::leadership_lost, severity::info, "leadership_lost",
@@ -98,28 +135,200 @@
   return all;
 }
 
+namespace
+{
+
+/// Lines of one event in one second; a resent storm of packets must not cost
+/// more processor time than the packets themselves.
+constexpr std::uint32_t lines_per_second = 20;
+
+/// Lines that wait for standard output.
+constexpr std::size_t queued_lines = 4096;
+
+/// Lines left of each event in the present second.
+class line_budget
+{
+public:
+  /// False when the event has used up its lines. `suppressed` gets the number
+  /// of lines that were refused in the seconds before, once.
+  bool take(event id, std::int64_t second, std::uint64_t& suppressed)
+  {
+    const std::lock_guard lock(mutex_);
+    auto& used = used_[id];
+    if (used.second != second)
+    {
+      suppressed = std::exchange(used.refused, 0);
+      used.second = second;
+      used.lines = 0;
+    }
+    if (used.lines < lines_per_second)
+    {
+      ++used.lines;
+      return true;
+    }
+    ++used.refused;
+    ++total_refused_;
+    return false;
+  }
+
+  std::uint64_t total_refused()
+  {
+    const std::lock_guard lock(mutex_);
+    return total_refused_;
+  }
+
+private:
+  struct usage
+  {
+    std::int64_t second = 0;
+    std::uint32_t lines = 0;
+    std::uint64_t refused = 0;
+  };
+
+  std::mutex mutex_;
+  std::map<event, usage> used_;
+  std::uint64_t total_refused_ = 0;
+};
+
+/// Hands the lines of log4cplus to the writer.
+class queue_appender final : public log4cplus::Appender
+{
+public:
+  explicit queue_appender(line_writer& writer) : writer_(writer) {}
+  ~queue_appender() override
+  {
+    destructorImpl();
+  }
+  void close() override {}
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& line) override
+  {
+    writer_.write(line.getMessage());
+  }
+
+private:
+  line_writer& writer_;
+};
+
+struct logging
+{
+  line_budget budget;
+  std::unique_ptr<line_writer> writer;
+  std::string context;
+};
+
+logging& state()
+{
+  static logging value;
+  return value;
+}
+
+const char* level_name(severity level)
+{
+  switch (level)
+  {
+  case severity::info:
+    return "info";
+  case severity::warning:
+    return "warn";
+  case severity::error:
+    break;
+  }
+  return "error";
+}
+
+/// "2026-12-03T22:31:42.123Z"
+std::string time_text(std::chrono::system_clock::time_point now)
+{
+  const auto seconds = std::chrono::system_clock::to_time_t(now);
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now.time_since_epoch())
+                          .count() %
+                      1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 40> text{};
+  const auto size =
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::snprintf(text.data() + size, text.size() - size, ".%03dZ",
+                static_cast<int>(millis));
+  return text.data();
+}
+
+void write_line(const event_description& description, const std::string& fields)
+{
+  auto logger = log4cplus::Logger::getRoot();
+  const auto level = log_level(description.level);
+  if (!logger.isEnabledFor(level))
+    return;
+  auto line = "time=" + time_text(std::chrono::system_clock::now()) +
+              " level=" + level_name(description.level) + " event=E" +
+              std::to_string(static_cast<unsigned>(description.id)) +
+              " name=" + description.name + state().context;
+  if (!fields.empty())
+    line += " " + fields;
+  logger.log(level, line);
+}
+
+} // namespace
+
 bool start_logging(const std::string& level)
 {
   static log4cplus::Initializer initializer;
   const auto parsed = log4cplus::getLogLevelManager().fromString(level);
   if (parsed == log4cplus::NOT_SET_LOG_LEVEL)
     return false;
-  log4cplus::BasicConfigurator configurator(
-      log4cplus::Logger::getDefaultHierarchy(), true);
-  configurator.configure();
-  log4cplus::Logger::getRoot().setLogLevel(parsed);
+  auto root = log4cplus::Logger::getRoot();
+  root.setLogLevel(parsed);
+  if (state().writer != nullptr)
+    return true;
+  state().writer = std::make_unique<line_writer>(STDOUT_FILENO, queued_lines);
+  root.addAppender(log4cplus::SharedAppenderPtr(
+      new queue_appender(*state().writer)));
   return true;
 }
 
-void log_event(event id, std::string_view detail)
+void set_log_context(const log_fields& context)
 {
-  const auto& description = describe(id);
-  const auto level = log_level(description.level);
-  auto logger = log4cplus::Logger::getRoot();
-  if (!logger.isEnabledFor(level))
+  state().context = " " + context.text();
+}
+
+void log_event(event id, const log_fields& fields)
+{
+  if (state().writer == nullptr)
     return;
-  logger.log(level, "E" + std::to_string(static_cast<unsigned>(id)) + " " +
-                        description.name + ": " + std::string(detail));
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+                          std::chrono::steady_clock::now().time_since_epoch())
+                          .count();
+  std::uint64_t suppressed = 0;
+  const bool allowed = state().budget.take(id, second, suppressed);
+  if (suppressed != 0)
+    write_line(describe(event::log_lines_suppressed),
+               log_fields()
+                   .add("of", describe(id).name)
+                   .add("count", static_cast<std::int64_t>(suppressed))
+                   .text());
+  if (allowed)
+    write_line(describe(id), fields.text());
+}
+
+void log_event(event id, std::string_view detail)
+{
+  log_event(id, log_fields().add("detail", detail));
+}
+
+log_losses logging_losses()
+{
+  const auto& writer = state().writer;
+  return {writer == nullptr ? 0 : writer->dropped(),
+          state().budget.total_refused()};
+}
+
+void stop_logging()
+{
+  if (state().writer != nullptr)
+    state().writer->stop();
 }
 
 } // namespace toucanmill
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -88,7 +88,11 @@
         [&](byte_view datagram, const endpoint&)
         {
           ++packets_;
-          act(core_.on_packet(options_.codec->parse(datagram), now), datagram);
+          const auto packet = options_.codec->parse(datagram);
+          const auto action = core_.on_packet(packet, now);
+          act(action, datagram);
+          if (packet && !is_routine(action, *packet))
+            note(action, *packet, nullptr, {}, now);
         });
     return count == udp_channel::batch_size;
   }
@@ -109,17 +113,56 @@
   {
     const auto& [header, packet] = message;
     if (header.kind == relay_kind::missed)
-      act(core_.on_missed(header, agent, options_.codec->parse(packet), now),
-          packet);
+    {
+      const auto parsed = options_.codec->parse(packet);
+      const auto action = core_.on_missed(header, agent, parsed, now);
+      act(action, packet);
+      if (parsed && !header.probe)
+        note(action, *parsed, &header, agent, now);
+    }
     else if (header.kind == relay_kind::found)
       if (const auto flow = decode_flow(packet))
         core_.on_found(header, agent, *flow, now);
   }
 
+  static bool is_routine(const entry_action& action, const flow_packet& packet)
+  {
+    if (const auto* drop = std::get_if<entry_drop>(&action))
+      return *drop == entry_drop::unknown_reset;
+    const auto* visit = std::get_if<visit_agent>(&action);
+    return visit != nullptr && (visit->header.remembered || packet.opens);
+  }
+
+  /// `returned`: header of the visit that an agent ended; null for a packet
+  /// from the caller.
+  void note(const entry_action& action, const flow_packet& packet,
+            const relay_header* returned, const endpoint& agent, time_point now)
+  {
+    if (!options_.on_note)
+      return;
+    entry_note value;
+    value.action = action;
+    value.flow = packet.from_caller();
+    value.opens = packet.opens;
+    value.request_id = packet.request_id;
+    if (returned != nullptr)
+    {
+      value.returned_by = agent;
+      value.returned_for = returned->reason;
+    }
+    value.table = core_.table().version();
+    value.configuration = core_.table().configuration_version();
+    value.confirmed_ago = core_.confirmed_ago(now);
+    options_.on_note(value);
+  }
+
   void act(const entry_action& action, byte_view packet)
   {
     if (const auto* visit = std::get_if<visit_agent>(&action))
       agents_.send(visit->agent, encode(visit->header).view(), packet);
+    if (const auto* all = std::get_if<visit_all>(&action))
+      for (const auto& visit : all->visits)
+        agents_.send(visit.agent, encode(visit.header).view(), packet);
     if (const auto* reset = std::get_if<reset_caller>(&action))
     {
       const auto bytes =
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -56,6 +56,10 @@
     return "newer_table";
   case entry_drop::not_a_caller:
     return "not_a_caller";
+  case entry_drop::unknown_reset:
+    return "unknown_reset";
+  case entry_drop::probe_missed:
+    return "probe_missed";
   }
   return "unknown";
 }
@@ -103,7 +107,7 @@
 
 entry_action entry_core::decide(const flow_packet& packet, time_point now)
 {
-  if (packet.bounced || packet.resets)
+  if (packet.bounced)
     return entry_drop::not_a_caller;
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
@@ -122,8 +126,9 @@
     header.stops.add(found->second.agent);
     return visit_agent{found->second.agent, header};
   }
-  ++counters_.searches;
-  return search(packet, *from, 0, false, now);
+  if (packet.resets)
+    return entry_drop::unknown_reset;
+  return search(packet, *from, now);
 }
 
 entry_action entry_core::open(const flow_packet& packet,
@@ -147,6 +152,9 @@
   stops = by_doubt(rotated(stops, copies), now);
   auto header = make_header(*service, hash);
   header.stops = stops;
+  // Another stop that admits the flow says so with found.
+  if (memory_.size() < options_.memory)
+    memory_[flow] = {stops.agents[0], service->key, now};
   return visit_agent{stops.agents[0], header};
 }
 
@@ -166,16 +174,34 @@
   return out;
 }
 
-entry_action entry_core::search(const flow_packet& packet,
-                                const route& from, std::uint8_t stage,
-                                bool doubtful, time_point now)
+entry_action entry_core::search(const flow_packet& packet, const route& from,
+                                time_point now)
+{
+  ++counters_.searches;
+  const auto [found, added] = searched_.try_emplace(packet.from_caller(), now);
+  const bool again =
+      !added && now - found->second <= options_.search_patience;
+  found->second = now;
+  return again ? search_everywhere(packet, from)
+               : search_from(packet, from, 0, false, now);
+}
+
+// The stages are the live holders of each service, then the suspect ones: a
+// dead agent swallows the packet, so that no later stage is reached.
+entry_action entry_core::search_from(const flow_packet& packet,
+                                     const route& from, std::uint8_t stage,
+                                     bool doubtful, time_point now)
 {
   const auto hash = flow_hash(packet.from_caller());
   const auto services = possible_services(*table_, from, hash);
-  for (; stage < services.size(); ++stage)
+  for (; stage < 2 * services.size(); ++stage)
   {
-    auto header = make_header(*services[stage], hash);
-    header.stops = search_stops(*services[stage], hash);
+    const auto& service = *services[stage % services.size()];
+    auto header = make_header(service, hash);
+    header.stops = search_stops(service, hash,
+                                stage < services.size()
+                                    ? holder_health::live
+                                    : holder_health::suspect);
     if (header.stops.size == 0)
       continue;
     header.stage = stage;
@@ -185,6 +211,29 @@
   return exhausted(packet, doubtful, now);
 }
 
+entry_action entry_core::search_everywhere(const flow_packet& packet,
+                                           const route& from)
+{
+  ++counters_.wide_searches;
+  const auto hash = flow_hash(packet.from_caller());
+  visit_all out;
+  for (const auto* service : possible_services(*table_, from, hash))
+    for (const auto health : {holder_health::live, holder_health::suspect})
+    {
+      const auto stops = search_stops(*service, hash, health);
+      for (std::size_t i = 0; i < stops.size; ++i)
+      {
+        auto header = make_header(*service, hash);
+        header.probe = true;
+        header.stops.add(stops.agents[i]);
+        out.visits.push_back({stops.agents[i], header});
+      }
+    }
+  if (out.visits.empty())
+    return entry_drop::no_upstream;
+  return out;
+}
+
 entry_action entry_core::without_route(const flow_packet& packet,
                                        time_point now)
 {
@@ -221,6 +270,8 @@
                                 const endpoint& agent,
                                 const flow_packet& packet, time_point now)
 {
+  if (header.probe)
+    return entry_drop::probe_missed;
   const auto flow = packet.from_caller();
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
@@ -232,13 +283,15 @@
     return reset_caller{flow, 0, reset_reason::refused};
   }
   if (!header.remembered)
-    return search(packet, *from, static_cast<std::uint8_t>(header.stage + 1),
-                  header.doubtful, now);
+    return search_from(packet, *from,
+                       static_cast<std::uint8_t>(header.stage + 1),
+                       header.doubtful, now);
   if (const auto found = memory_.find(flow);
       found != memory_.end() && found->second.agent == agent)
     memory_.erase(found);
-  ++counters_.searches;
-  return search(packet, *from, 0, header.doubtful, now);
+  if (packet.resets)
+    return entry_drop::unknown_reset;
+  return search(packet, *from, now);
 }
 
 void entry_core::on_found(const relay_header& header, const endpoint& agent,
@@ -247,6 +300,7 @@
   ++counters_.found;
   newest_seen_ = std::max(newest_seen_, header.configuration);
   doubted_until_.erase(key_of(agent));
+  searched_.erase(flow);
   if (memory_.size() >= options_.memory && memory_.count(flow) == 0)
     return;
   memory_[flow] = {agent, header.service, now};
@@ -257,6 +311,9 @@
   for (auto it = memory_.begin(); it != memory_.end();)
     it = now - it->second.used > options_.memory_limit ? memory_.erase(it)
                                                        : std::next(it);
+  for (auto it = searched_.begin(); it != searched_.end();)
+    it = now - it->second > options_.search_patience ? searched_.erase(it)
+                                                     : std::next(it);
   for (auto it = doubted_until_.begin(); it != doubted_until_.end();)
     it = it->second <= now ? doubted_until_.erase(it) : std::next(it);
 }
@@ -265,6 +322,8 @@
 {
   if (std::holds_alternative<visit_agent>(action))
     ++counters_.visits;
+  else if (const auto* all = std::get_if<visit_all>(&action))
+    counters_.visits += all->visits.size();
   else if (const auto* reset = std::get_if<reset_caller>(&action))
     ++counters_.resets[static_cast<std::size_t>(reset->reason)];
   else
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -49,7 +49,7 @@
     loop_.every(tick_interval,
                 [this]
                 {
-                  core_.on_tick(monotonic_now());
+                  core_.on_tick(monotonic_now(), *this);
                 });
     loop_.after_each_round(
         [this]
@@ -193,6 +193,12 @@
                {packet.data(), packet.size()});
   }
 
+  void note(const relay_note& value) override
+  {
+    if (options_.on_note)
+      options_.on_note(value);
+  }
+
   const relay_agent_options options_;
   udp_channel data_;
   udp_channel outbound_;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -53,6 +53,10 @@
     return "malformed";
   case relay_event::flow_reset:
     return "flow_reset";
+  case relay_event::request_waits:
+    return "request_waits";
+  case relay_event::request_unanswered:
+    return "request_unanswered";
   }
   return "unknown";
 }
@@ -85,7 +89,7 @@
   const auto before = upstream_.life();
   const auto verdict = upstream_.announce(value, wall_clock_ms, now);
   if (before != incarnation{} && before != upstream_.life())
-    reset_flows(sink);
+    reset_flows(now, sink);
   return verdict;
 }
 
@@ -94,7 +98,7 @@
 {
   const auto verdict = upstream_.leave(instance, now);
   if (verdict == announcement_verdict::accepted)
-    reset_flows(sink);
+    reset_flows(now, sink);
   return verdict;
 }
 
@@ -103,12 +107,13 @@
   stopping_ = true;
 }
 
-void relay_core::reset_flows(relay_sink& sink)
+void relay_core::reset_flows(time_point now, relay_sink& sink)
 {
   for (const auto& [flow, state] : flows_)
   {
     count(relay_event::flow_reset);
     sink.reset(flow, state.acknowledged);
+    note_unanswered(flow, state, relay_event::flow_reset, now, sink);
   }
   flows_.clear();
   busy_ = 0;
@@ -171,6 +176,7 @@
       refused && !(known && upstream_.present(now)))
   {
     count(*refused);
+    sink.note(make_note(*refused, packet.from_caller(), message.header));
     // Which configuration is right is known in a moment, and the caller sends
     // a copy.
     if (*refused == relay_event::older_routing)
@@ -181,9 +187,24 @@
   auto& flow = flows_[packet.from_caller()];
   flow.bucket = message.header.bucket;
   flow.used = now;
+  if (message.header.stop > 0)
+    send_found(message.header, packet.from_caller(), flow, now, sink);
   deliver(message, packet, sink);
 }
 
+/// Tells the balancer where the flow is.
+void relay_core::send_found(const relay_header& header, const flow_key& key,
+                            flow_state& flow, time_point now, relay_sink& sink)
+{
+  flow.found_sent = now;
+  relay_header reply;
+  reply.kind = relay_kind::found;
+  reply.service = service_;
+  reply.configuration = newest_seen_;
+  const auto bytes = encode(key);
+  sink.send(header.balancer, reply, {bytes.data(), bytes.size()});
+}
+
 void relay_core::deliver(const relay_message& message,
                          const flow_packet& packet, relay_sink& sink)
 {
@@ -210,17 +231,19 @@
   if (!header.remembered)
     flow.bucket = header.bucket;
   if (packet.payload_size > 0)
+  {
+    if (!flow.busy)
+    {
+      flow.busy_since = now;
+      flow.noted = false;
+      flow.request_id = packet.request_id;
+    }
     set_busy(flow, true);
+  }
   flow.caller_finished |= packet.finishes;
-  if (header.remembered || now - flow.found_sent < options_.found_interval)
-    return;
-  flow.found_sent = now;
-  relay_header reply;
-  reply.kind = relay_kind::found;
-  reply.service = service_;
-  reply.configuration = newest_seen_;
-  const auto bytes = encode(packet.from_caller());
-  sink.send(header.balancer, reply, {bytes.data(), bytes.size()});
+  if (!header.remembered &&
+      now - flow.found_sent >= options_.found_interval)
+    send_found(header, packet.from_caller(), flow, now, sink);
 }
 
 void relay_core::pass_on(relay_header header, byte_view packet,
@@ -250,30 +273,32 @@
   upstream_.on_packet(now);
   if (packet->bounced)
     return on_bounced(bytes, *packet, now, sink);
-  note_upstream_packet(*packet, now);
+  note_upstream_packet(*packet, now, sink);
   count(relay_event::replied);
   sink.reply(packet->destination, bytes);
 }
 
 void relay_core::on_bounced(byte_view bytes, const flow_packet& packet,
-                            time_point, relay_sink& sink)
+                            time_point now, relay_sink& sink)
 {
   count(relay_event::bounced);
   const auto& visit = visits_[packet.tag & (visits_.size() - 1)];
   const auto flow = packet.from_caller();
   if (visit.tag != packet.tag || !(visit.flow == flow))
     return count(relay_event::unknown_bounce);
-  erase(flow);
+  sink.note(make_note(relay_event::bounced, flow, visit.header));
+  erase(flow, now, sink);
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
           sink);
 }
 
-void relay_core::note_upstream_packet(const flow_packet& packet, time_point now)
+void relay_core::note_upstream_packet(const flow_packet& packet, time_point now,
+                                      relay_sink& sink)
 {
   const auto key = packet.from_upstream();
   if (packet.resets)
-    return erase(key);
+    return erase(key, now, sink);
   // A bare acknowledgement may follow the end of a flow, so it opens no entry.
   if (packet.payload_size == 0 && !packet.accepts && flows_.count(key) == 0)
     return;
@@ -283,7 +308,7 @@
     set_busy(flow, false);
   flow.upstream_finished |= packet.finishes;
   if (flow.caller_finished && flow.upstream_finished)
-    erase(key);
+    erase(key, now, sink);
 }
 
 void relay_core::set_busy(flow_state& flow, bool busy)
@@ -294,25 +319,70 @@
   busy_ += busy ? 1 : std::size_t(-1);
 }
 
-void relay_core::erase(const flow_key& flow)
+void relay_core::erase(const flow_key& flow, time_point now, relay_sink& sink)
 {
   const auto found = flows_.find(flow);
   if (found == flows_.end())
     return;
+  if (found->second.busy)
+    note_unanswered(flow, found->second, relay_event::request_unanswered, now,
+                    sink);
   set_busy(found->second, false);
   flows_.erase(found);
 }
 
-void relay_core::on_tick(time_point now)
+void relay_core::note_unanswered(const flow_key& flow, const flow_state& state,
+                                 relay_event event, time_point now,
+                                 relay_sink& sink)
+{
+  if (event != relay_event::flow_reset)
+    count(event);
+  relay_note value;
+  value.event = event;
+  value.flow = flow;
+  value.configuration = configuration_;
+  value.busy = busy_;
+  if (state.busy)
+  {
+    value.request_id = state.request_id;
+    value.waited = now - state.busy_since;
+  }
+  sink.note(value);
+}
+
+relay_note relay_core::make_note(relay_event event, const flow_key& flow,
+                                 const relay_header& header) const
+{
+  relay_note value;
+  value.event = event;
+  value.flow = flow;
+  value.routed_by = header.configuration;
+  value.configuration = configuration_;
+  value.busy = busy_;
+  value.next = header.stop + 1 < header.stops.size
+                   ? header.stops.agents[header.stop + 1U]
+                   : header.balancer;
+  return value;
+}
+
+void relay_core::on_tick(time_point now, relay_sink& sink)
 {
   for (auto it = flows_.begin(); it != flows_.end();)
   {
-    if (now - it->second.used <= options_.flow_limit)
+    auto& [key, flow] = *it;
+    const bool waits = flow.busy && !flow.noted &&
+                       now - flow.busy_since > options_.request_patience;
+    if (waits)
+    {
+      flow.noted = true;
+      note_unanswered(key, flow, relay_event::request_waits, now, sink);
+    }
+    if (now - flow.used <= options_.flow_limit)
     {
       ++it;
       continue;
     }
-    set_busy(it->second, false);
+    set_busy(flow, false);
     it = flows_.erase(it);
   }
 }
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t fixed_size = 36;
 constexpr std::uint8_t remembered_bit = 1;
 constexpr std::uint8_t doubtful_bit = 2;
+constexpr std::uint8_t probe_bit = 4;
 
 std::uint8_t* store(std::uint8_t* to, const endpoint& value)
 {
@@ -68,6 +69,7 @@
 {
   return kind == other.kind && reason == other.reason &&
          remembered == other.remembered && doubtful == other.doubtful &&
+         probe == other.probe &&
          stage == other.stage && stop == other.stop && bucket == other.bucket &&
          service == other.service && configuration == other.configuration &&
          balancer == other.balancer && stops == other.stops;
@@ -97,7 +99,8 @@
   to[5] = static_cast<std::uint8_t>(header.kind);
   to[6] = static_cast<std::uint8_t>(header.reason);
   to[7] = static_cast<std::uint8_t>((header.remembered ? remembered_bit : 0) |
-                                    (header.doubtful ? doubtful_bit : 0));
+                                    (header.doubtful ? doubtful_bit : 0) |
+                                    (header.probe ? probe_bit : 0));
   to[8] = header.stage;
   to[9] = header.stop;
   boost::endian::store_big_u16(to + 10, header.bucket);
@@ -134,6 +137,7 @@
   header.reason = static_cast<miss_reason>(from[6]);
   header.remembered = (from[7] & remembered_bit) != 0;
   header.doubtful = (from[7] & doubtful_bit) != 0;
+  header.probe = (from[7] & probe_bit) != 0;
   header.stage = from[8];
   header.stop = from[9];
   header.bucket = boost::endian::load_big_u16(from + 10);
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -141,22 +141,20 @@
   return stops;
 }
 
-visit_stops search_stops(const relay_service& service, std::uint64_t hash)
+visit_stops search_stops(const relay_service& service, std::uint64_t hash,
+                         holder_health health)
 {
   visit_stops stops;
   const auto& table = service.table;
-  std::vector<std::uint16_t> live;
-  std::vector<std::uint16_t> suspect;
-  const auto& bucket = chain_of(table, hash);
-  for (const auto index : bucket)
-    if (!table.holders[index].suspect)
+  const bool suspect = health == holder_health::suspect;
+  for (const auto index : chain_of(table, hash))
+    if (table.holders[index].suspect == suspect)
       stops.add(table.holders[index].agent);
+  std::vector<std::uint16_t> others;
   for (std::size_t i = 0; i < table.holders.size(); ++i)
-    (table.holders[i].suspect ? suspect : live)
-        .push_back(static_cast<std::uint16_t>(i));
-  add_by_score(stops, table, std::move(live), hash, visit_stops::capacity);
-  // A dead agent swallows the packet, so suspects come last.
-  add_by_score(stops, table, std::move(suspect), hash, visit_stops::capacity);
+    if (table.holders[i].suspect == suspect)
+      others.push_back(static_cast<std::uint16_t>(i));
+  add_by_score(stops, table, std::move(others), hash, visit_stops::capacity);
   return stops;
 }
 
