--- a/include/toucanmill/cluster/command.hpp
+++ b/include/toucanmill/cluster/command.hpp
@@ -120,10 +120,10 @@
   claim_id claim;
 };
 
-using command = std::variant<operator_request, register_node, set_node_state,
-                             release_buckets, rebalance, claim_request,
-                             claim_completion, claim_release,
-                             declare_configuration>;
+using command =
+    std::variant<operator_request, register_node, set_node_state,
+                 release_buckets, rebalance, claim_request, claim_completion,
+                 claim_release, declare_configuration>;
 
 /// Outcome of an operator's change.
 struct change_outcome
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -19,8 +19,8 @@
 {
   table_update update;
   node_order order = node_order::none;
-  service_id service; ///< agents: 0 when the service does not exist
-  incarnation life;   ///< latest life of the node that control knows
+  service_id service;            ///< agents: 0 when the service does not exist
+  incarnation life;              ///< latest life of the node that control knows
   std::vector<endpoint> members; ///< RPC endpoints of the control instances
 };
 
--- a/include/toucanmill/control/node_client.hpp
+++ b/include/toucanmill/control/node_client.hpp
@@ -31,11 +31,11 @@
 
   std::function<void(node_order)> on_order;
 
-  /// Latest life of this node that control knows. May be empty.
-  std::function<void(incarnation)> on_known_life;
-
   /// False after no control instance answered for the lease time.
   std::function<void(bool)> on_reachable;
+
+  /// Latest life of this node that control knows. May be empty.
+  std::function<void(incarnation)> on_known_life;
 };
 
 struct node_client_options
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -67,12 +67,12 @@
   std::uint64_t last_index = 0;
   std::uint64_t snapshot_index = 0;
   std::vector<replica_address> group;
-  std::vector<replica_id> removed; ///< committed; never members again
+  std::vector<replica_id> removed;      ///< committed; never members again
   std::uint64_t malformed_messages = 0; ///< received and dropped
 };
 
-/// The id under which a data folder was used; none for a folder that is empty or
-/// was never completely set up. Errors: io_failure, corrupt_data.
+/// The id under which a data folder was used; none for a folder that is empty
+/// or was never completely set up. Errors: io_failure, corrupt_data.
 result<std::optional<replica_id>> stored_replica_id(const std::string& folder);
 
 /// Removes everything in a data folder whose instance was removed from the
--- a/include/toucanmill/packet/flow_packet.hpp
+++ b/include/toucanmill/packet/flow_packet.hpp
@@ -22,10 +22,10 @@
   bool acknowledges = false; ///< `acknowledged` is valid
   bool finishes = false;     ///< its sender sends no more data
   bool resets = false;
-  bool bounced = false;          ///< returned by an upstream without the flow
-  std::uint32_t sequence = 0;    ///< position of the data in the stream
+  bool bounced = false;           ///< returned by an upstream without the flow
+  std::uint32_t sequence = 0;     ///< position of the data in the stream
   std::uint32_t acknowledged = 0; ///< opening packet: number of earlier copies
-  std::uint32_t tag = 0;         ///< comes back unchanged with a bounced packet
+  std::uint32_t tag = 0; ///< comes back unchanged with a bounced packet
   std::uint16_t payload_size = 0; ///< octets of data
 
   /// Id of the request that starts in this packet; empty when none does, or
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -52,14 +52,14 @@
 /// Why a balancer stayed silent on a packet.
 enum class entry_drop : std::uint8_t
 {
-  malformed,    ///< not a packet
-  no_route,     ///< no route, and the table is not known to be current
-  no_upstream,  ///< the service has no holder
-  unconfirmed,  ///< nobody holds the flow, but the table may be old
-  newer_table,  ///< an agent has a newer configuration; the caller sends again
-  not_a_caller, ///< bounced: not for a balancer
+  malformed,     ///< not a packet
+  no_route,      ///< no route, and the table is not known to be current
+  no_upstream,   ///< the service has no holder
+  unconfirmed,   ///< nobody holds the flow, but the table may be old
+  newer_table,   ///< an agent has a newer configuration; the caller sends again
+  not_a_caller,  ///< bounced: not for a balancer
   unknown_reset, ///< the caller's reset of a flow that is not remembered
-  probe_missed, ///< an agent does not hold a flow that all were asked for
+  probe_missed,  ///< an agent does not hold a flow that all were asked for
 };
 
 inline constexpr std::size_t entry_drop_count = 8;
--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -14,8 +14,8 @@
 struct relay_agent_options
 {
   relay_options relay;
-  endpoint data;     ///< UDP, for balancers and other agents
-  endpoint outbound; ///< UDP, where the upstream sends its packets
+  endpoint data;                 ///< UDP, for balancers and other agents
+  endpoint outbound;             ///< UDP, where the upstream sends its packets
   std::uint16_t caller_port = 0; ///< UDP port at which callers get packets
   std::shared_ptr<const packet_codec> codec;
   /// Called on the packet thread when another process showed a newer
@@ -34,7 +34,8 @@
   using verdict_callback = std::function<void(announcement_verdict)>;
 
   /// Error io_failure when a socket can't be bound.
-  static result<std::unique_ptr<relay_agent>> start(relay_agent_options options);
+  static result<std::unique_ptr<relay_agent>>
+  start(relay_agent_options options);
   virtual ~relay_agent() = default;
 
   virtual void set_configuration(configuration declared) = 0;
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -60,7 +60,7 @@
   relay_kind kind = relay_kind::visit;
   miss_reason reason = miss_reason::unknown_flow;
   bool remembered = false; ///< the first stop is the balancer's memory
-  bool probe = false; ///< one of several copies; the others go elsewhere
+  bool probe = false;      ///< one of several copies; the others go elsewhere
   bool doubtful = false;   ///< a stop on the way could not say for certain
   std::uint8_t stage = 0;  ///< number of services already searched
   std::uint8_t stop = 0;   ///< index of the present stop
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -82,8 +82,7 @@
                          holder_health health);
 
 /// The service that a new flow of the route goes to; null when none is known.
-const relay_service* choose_service(const relay_table& table,
-                                    const route& from,
+const relay_service* choose_service(const relay_table& table, const route& from,
                                     std::uint64_t hash);
 
 /// All services that may hold a flow of the route, the likeliest first.
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -42,9 +42,9 @@
   /// "fabric": encapsulated TCP from fabric edges. "direct": packets of callers
   /// whose flows end at the upstream.
   std::string mode = "fabric";
-  endpoint data; ///< UDP endpoint for packets
+  endpoint data;                ///< UDP endpoint for packets
   std::vector<endpoint> fabric; ///< mode fabric only
-  endpoint relay; ///< mode direct: UDP endpoint for agents
+  endpoint relay;               ///< mode direct: UDP endpoint for agents
 };
 
 /// Section [agent].
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -57,8 +57,7 @@
   if (report.leaving && record.state != node_state::draining)
     return node_state::draining;
   const bool left_earlier = record.state == node_state::draining &&
-                            record.order == node_order::none &&
-                            !report.leaving;
+                            record.order == node_order::none && !report.leaving;
   if (record.state == node_state::suspect || left_earlier)
     return node_state::active;
   return {};
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -368,20 +368,19 @@
 kj::Promise<void> control_service::join(JoinContext context)
 {
   const auto joining = wire::read(context.getParams().getReplica());
-  auto [promise, reply] =
-      cross_thread_reply<answer<replica_standing>>::make();
+  auto [promise, reply] = cross_thread_reply<answer<replica_standing>>::make();
   log_.confirm_read(
       [this, joining, reply = reply](const result<table_version>& confirmed)
       {
         if (!confirmed)
           return reply->fulfiller->fulfill(
               answer<replica_standing>{confirmed.error(), leader_hint()});
-        step_join(joining,
-                  [reply](replica_standing standing)
-                  {
-                    reply->fulfiller->fulfill(
-                        answer<replica_standing>{standing, {}});
-                  });
+        step_join(
+            joining,
+            [reply](replica_standing standing)
+            {
+              reply->fulfiller->fulfill(answer<replica_standing>{standing, {}});
+            });
       });
   return promise.then(
       [this, context](const answer<replica_standing>& found) mutable
@@ -400,13 +399,13 @@
   auto step = plan_join(status.group, status.removed, joining);
   if (!step.next)
     return done(step.standing);
-  log_.change_group(
-      std::move(*step.next),
-      [standing = step.standing, done](const result<std::string>&)
-      {
-        // A step that failed is made again when the instance asks again.
-        done(standing);
-      });
+  log_.change_group(std::move(*step.next),
+                    [standing = step.standing, done](const result<std::string>&)
+                    {
+                      // A step that failed is made again when the instance asks
+                      // again.
+                      done(standing);
+                    });
 }
 
 } // namespace toucanmill::detail
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -80,9 +80,8 @@
 control_notice declaration_notice(const configuration& value,
                                   const change_outcome& outcome)
 {
-  const auto what =
-      "configuration version " + std::to_string(value.version) + " with " +
-      std::to_string(value.routes.size()) + " routes";
+  const auto what = "configuration version " + std::to_string(value.version) +
+                    " with " + std::to_string(value.routes.size()) + " routes";
   if (outcome.accepted)
     return {notice::kind::change_accepted,
             what + ", in force: " + std::to_string(outcome.version)};
@@ -162,12 +161,12 @@
   const auto status = log_->status();
   if (status.leader)
     leader_known_ = now;
-  const bool voter = std::any_of(status.group.begin(), status.group.end(),
-                                 [&](const replica_address& member)
-                                 {
-                                   return member.id == status.self &&
-                                          member.voter;
-                                 });
+  const bool voter =
+      std::any_of(status.group.begin(), status.group.end(),
+                  [&](const replica_address& member)
+                  {
+                    return member.id == status.self && member.voter;
+                  });
   const bool settled = voter && now - leader_known_ < leader_patience;
   if (settled_ == settled)
     return;
@@ -246,8 +245,8 @@
   if (const auto* request = std::get_if<operator_request>(&value))
     options_.notify(change_notice(*request, std::get<change_outcome>(outcome)));
   if (const auto* declared = std::get_if<declare_configuration>(&value))
-    options_.notify(declaration_notice(declared->value,
-                                       std::get<change_outcome>(outcome)));
+    options_.notify(
+        declaration_notice(declared->value, std::get<change_outcome>(outcome)));
   if (const auto* added = std::get_if<register_node>(&value))
     options_.notify({notice::kind::node_registered, added->identity.name});
   if (const auto* set = std::get_if<set_node_state>(&value))
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -61,8 +61,7 @@
     options.log.initial_group = std::move(identity.initial_group);
     options.log.folder = settings_.folder;
     options.log.entries_per_snapshot = settings_.entries_per_snapshot;
-    options.log.octets_per_snapshot =
-        settings_.mb_per_snapshot * octets_per_mb;
+    options.log.octets_per_snapshot = settings_.mb_per_snapshot * octets_per_mb;
     options.log.election_timeout = settings_.election_timeout;
     options.log.random_seed = std::random_device{}();
     options.membership.lease = settings_.lease;
@@ -144,8 +143,8 @@
   {
     platform::operator_calls calls;
     calls.port = api_port_;
-    calls.declare = [this](configuration value,
-                           platform::operator_calls::declared done)
+    calls.declare =
+        [this](configuration value, platform::operator_calls::declared done)
     {
       const auto current = server();
       if (current == nullptr)
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -195,9 +195,9 @@
   instance_settings instance_;
   node_identity identity_;
   std::unique_ptr<entry_balancer> packets_;
-  relay_table table_;           ///< used on the client's thread only
-  time_point leaving_since_;    ///< used on the main thread only
-  time_point quiet_since_;      ///< used on the main thread only
+  relay_table table_;        ///< used on the client's thread only
+  time_point leaving_since_; ///< used on the main thread only
+  time_point quiet_since_;   ///< used on the main thread only
   std::uint64_t packets_seen_ = 0;
   std::atomic<bool> leaving_{false};
   std::atomic<bool> has_routes_{false};
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -147,13 +147,13 @@
   http_handler api() override
   {
     platform::upstream_calls calls;
-    calls.announce = [this](upstream_announcement value,
-                            platform::upstream_calls::done done)
+    calls.announce =
+        [this](upstream_announcement value, platform::upstream_calls::done done)
     {
       return announce(std::move(value), std::move(done));
     };
-    calls.leave = [this](std::string instance,
-                         platform::upstream_calls::done done)
+    calls.leave =
+        [this](std::string instance, platform::upstream_calls::done done)
     {
       return agent_->leave(std::move(instance),
                            [this, done](announcement_verdict verdict)
@@ -171,7 +171,8 @@
   }
 
 private:
-  bool announce(upstream_announcement value, platform::upstream_calls::done done)
+  bool announce(upstream_announcement value,
+                platform::upstream_calls::done done)
   {
     const bool draining = value.draining;
     const auto instance = value.instance;
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -106,8 +106,7 @@
     return;
   while (!queue_.closed())
   {
-    for (const auto& task :
-         queue_.pop(time_to_wakeup(), tasks_per_batch))
+    for (const auto& task : queue_.pop(time_to_wakeup(), tasks_per_batch))
       task();
     tick_if_due();
     process();
--- a/src/log/replica_election_core.cpp
+++ b/src/log/replica_election_core.cpp
@@ -6,8 +6,8 @@
 {
 
 // A replica that never heard a leader in this life has nobody to wait for: a
-// pre-vote tells whether the others do. After a loss of power of the whole group
-// the full timeout would only delay its recovery.
+// pre-vote tells whether the others do. After a loss of power of the whole
+// group the full timeout would only delay its recovery.
 void replica_core::reset_election_deadline()
 {
   const bool heard_one = leader_heard_ != time_point{};
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -284,8 +284,8 @@
   if (state().writer != nullptr)
     return true;
   state().writer = std::make_unique<line_writer>(STDOUT_FILENO, queued_lines);
-  root.addAppender(log4cplus::SharedAppenderPtr(
-      new queue_appender(*state().writer)));
+  root.addAppender(
+      log4cplus::SharedAppenderPtr(new queue_appender(*state().writer)));
   return true;
 }
 
--- a/src/observe/http_server.cpp
+++ b/src/observe/http_server.cpp
@@ -19,15 +19,14 @@
 
 struct server_traits : restinio::default_traits_t
 {
-  using request_handler_t =
-      std::function<restinio::request_handling_status_t(
-          restinio::request_handle_t)>;
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
 };
 
 void respond(const restinio::request_handle_t& request, http_response response)
 {
-  const auto code = restinio::http_status_code_t(
-      static_cast<std::uint16_t>(response.status));
+  const auto code =
+      restinio::http_status_code_t(static_cast<std::uint16_t>(response.status));
   auto out = request->create_response(restinio::http_status_line_t(code, ""));
   out.append_header(restinio::http_field::content_type, response.content_type);
   if (!response.location.empty())
@@ -85,8 +84,7 @@
             });
   }
 
-  restinio::request_handling_status_t
-  handle(restinio::request_handle_t request)
+  restinio::request_handling_status_t handle(restinio::request_handle_t request)
   {
     const auto& header = request->header();
     http_request values{std::string(header.method().c_str()),
@@ -126,8 +124,8 @@
   }
   catch (const std::exception& failure)
   {
-    return error{error_code::io_failure, "HTTP server on " + to_string(listen) +
-                                             ": " + failure.what()};
+    return error{error_code::io_failure,
+                 "HTTP server on " + to_string(listen) + ": " + failure.what()};
   }
 }
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -90,8 +90,8 @@
 {
   relay_header header;
   header.service = service.key;
-  header.bucket = static_cast<std::uint16_t>(
-      bucket_of(hash, service.table.buckets.size()));
+  header.bucket =
+      static_cast<std::uint16_t>(bucket_of(hash, service.table.buckets.size()));
   header.configuration = table_->configuration_version();
   header.balancer = options_.self;
   return header;
@@ -131,8 +131,8 @@
   return search(packet, *from, now);
 }
 
-entry_action entry_core::open(const flow_packet& packet,
-                              const route& from, time_point now)
+entry_action entry_core::open(const flow_packet& packet, const route& from,
+                              time_point now)
 {
   const auto flow = packet.from_caller();
   const auto hash = flow_hash(flow);
@@ -141,9 +141,9 @@
     return entry_drop::no_upstream;
   auto stops = opening_stops(*service, hash, options_.opening_stops);
   if (stops.size == 0)
-    return confirmed(now) ? entry_action{reset_caller{flow, 0,
-                                                      reset_reason::refused}}
-                          : entry_action{entry_drop::no_upstream};
+    return confirmed(now)
+               ? entry_action{reset_caller{flow, 0, reset_reason::refused}}
+               : entry_action{entry_drop::no_upstream};
   // The number of earlier copies says how many attempts were lost, so a copy
   // starts at another agent than they did.
   const std::size_t copies = packet.acknowledged % stops.size;
@@ -179,8 +179,7 @@
 {
   ++counters_.searches;
   const auto [found, added] = searched_.try_emplace(packet.from_caller(), now);
-  const bool again =
-      !added && now - found->second <= options_.search_patience;
+  const bool again = !added && now - found->second <= options_.search_patience;
   found->second = now;
   return again ? search_everywhere(packet, from)
                : search_from(packet, from, 0, false, now);
@@ -198,10 +197,9 @@
   {
     const auto& service = *services[stage % services.size()];
     auto header = make_header(service, hash);
-    header.stops = search_stops(service, hash,
-                                stage < services.size()
-                                    ? holder_health::live
-                                    : holder_health::suspect);
+    header.stops = search_stops(
+        service, hash,
+        stage < services.size() ? holder_health::live : holder_health::suspect);
     if (header.stops.size == 0)
       continue;
     header.stage = stage;
--- /dev/null
+++ b/src/relay/entry_core_test.cpp
@@ -0,0 +1,227 @@
+#include <toucanmill/relay/entry_core.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+#include "relay_fixture_test.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+namespace
+{
+
+const visit_agent& visit_of(const entry_action& action)
+{
+  const auto* visit = std::get_if<visit_agent>(&action);
+  CHECK_TRUE(visit != nullptr);
+  return *visit;
+}
+
+entry_drop drop_of(const entry_action& action)
+{
+  const auto* drop = std::get_if<entry_drop>(&action);
+  CHECK_TRUE(drop != nullptr);
+  return *drop;
+}
+
+bool is_reset(const entry_action& action, reset_reason reason)
+{
+  const auto* reset = std::get_if<reset_caller>(&action);
+  return reset != nullptr && reset->reason == reason;
+}
+
+entry_options options()
+{
+  entry_options value;
+  value.self = at(1, 7720);
+  return value;
+}
+
+/// The header as the last stop returns it.
+relay_header returned(relay_header header,
+                      miss_reason reason = miss_reason::unknown_flow)
+{
+  header.kind = relay_kind::missed;
+  header.reason = reason;
+  return header;
+}
+
+} // namespace
+
+TEST_GROUP(entry_core)
+{
+  entry_core core{options()};
+
+  void use(std::shared_ptr<const relay_table> table)
+  {
+    core.set_table(std::move(table));
+    core.set_confirmed(start);
+  }
+
+  void use_one_service()
+  {
+    use(table_of(1, routes_to(5, {{"notes", 1}}),
+                 {service("notes", 1, 10, 3)}));
+  }
+};
+
+// Guards against a balancer that spreads the packets of one flow.
+TEST(entry_core, flow_is_remembered_from_its_opening_packet)
+{
+  use_one_service();
+  const auto opened = visit_of(core.on_packet(opening(), start));
+  CHECK_TRUE(opened.agent == at(10));
+  CHECK_EQUAL(3, opened.header.stops.size);
+  const auto next = visit_of(core.on_packet(data(), start));
+  CHECK_TRUE(next.agent == at(10));
+  CHECK_TRUE(next.header.remembered);
+}
+
+// Guards against sending every copy of an opening packet to the same dead
+// agent.
+TEST(entry_core, copy_of_an_opening_packet_starts_at_another_agent)
+{
+  use_one_service();
+  const auto first = visit_of(core.on_packet(opening(1), start)).agent;
+  const auto copy = visit_of(core.on_packet(opening(1, 1), start)).agent;
+  CHECK_FALSE(first == copy);
+  // The first agent lost a packet, so that other flows avoid it for a while.
+  CHECK_FALSE(visit_of(core.on_packet(opening(2), start)).agent == first);
+  CHECK_TRUE(visit_of(core.on_packet(opening(2), start + 2s)).agent == first);
+}
+
+// Guards against an open flow that is reset because its route leads to another
+// service now, or by its weight.
+TEST(entry_core, all_services_of_a_route_are_searched_before_a_reset)
+{
+  auto declared = routes_to(5, {{"notes", 1}});
+  declared.services = {"notes", "old"};
+  declared.routes[0].former = {"old"};
+  use(table_of(1, declared,
+               {service("notes", 1, 10, 2), service("old", 2, 20, 1)}));
+  const auto first = visit_of(core.on_packet(data(), start));
+  CHECK_EQUAL(2, first.header.stops.size);
+  const auto second =
+      visit_of(core.on_missed(returned(first.header), at(11), data(), start));
+  CHECK_TRUE(second.agent == at(20));
+  CHECK_TRUE(
+      is_reset(core.on_missed(returned(second.header), at(20), data(), start),
+               reset_reason::unknown_flow));
+}
+
+// Guards against an open flow that nobody reaches because a dead agent of
+// another service swallows each packet (FLOW, 2.5 s of silence).
+TEST(entry_core, suspect_agents_are_asked_after_all_live_ones)
+{
+  auto first = service("notes", 1, 10, 2);
+  first.holders[0].suspect = true;
+  auto declared = routes_to(5, {{"notes", 1}, {"old", 0}});
+  use(table_of(1, declared, {first, service("old", 2, 20, 1)}));
+  const auto live = visit_of(core.on_packet(data(), start));
+  CHECK_EQUAL(1, live.header.stops.size);
+  CHECK_TRUE(live.agent == at(11));
+  const auto other =
+      visit_of(core.on_missed(returned(live.header), at(11), data(), start));
+  CHECK_TRUE(other.agent == at(20));
+  const auto suspect =
+      visit_of(core.on_missed(returned(other.header), at(20), data(), start));
+  CHECK_TRUE(suspect.agent == at(10));
+}
+
+// Guards against a flow behind an agent that died a moment ago and is not yet
+// suspect.
+TEST(entry_core, repeated_search_asks_all_agents_at_once)
+{
+  use_one_service();
+  visit_of(core.on_packet(data(), start));
+  const auto again = core.on_packet(data(), start + 200ms);
+  const auto* all = std::get_if<visit_all>(&again);
+  CHECK_TRUE(all != nullptr);
+  std::set<endpoint> asked;
+  for (const auto& visit : all->visits)
+  {
+    CHECK_TRUE(visit.header.probe);
+    CHECK_EQUAL(1, visit.header.stops.size);
+    asked.insert(visit.agent);
+  }
+  CHECK_EQUAL(3U, asked.size());
+  // One answer of several says nothing about the others.
+  CHECK_TRUE(drop_of(core.on_missed(returned(all->visits[0].header), at(10),
+                                    data(), start)) ==
+             entry_drop::probe_missed);
+}
+
+// Guards against a reset on the word of an agent that a stale table named, or
+// of a balancer that has lost touch with control.
+TEST(entry_core, doubt_keeps_silent)
+{
+  use_one_service();
+  auto header = visit_of(core.on_packet(data(), start)).header;
+  CHECK_TRUE(drop_of(core.on_missed(returned(header), at(12), data(),
+                                    start + 3s)) == entry_drop::unconfirmed);
+  header.doubtful = true;
+  CHECK_TRUE(drop_of(core.on_missed(returned(header), at(12), data(), start)) ==
+             entry_drop::unconfirmed);
+}
+
+// Guards against callers that wait although every upstream has refused.
+TEST(entry_core, refused_flow_is_reset_at_once)
+{
+  use_one_service();
+  const auto header = visit_of(core.on_packet(opening(), start)).header;
+  CHECK_TRUE(is_reset(core.on_missed(returned(header, miss_reason::refused),
+                                     at(12), opening(), start),
+                      reset_reason::refused));
+}
+
+// Guards against a reset of a new flow by a balancer that has not heard of the
+// newest configuration.
+TEST(entry_core, newer_configuration_at_an_agent_asks_for_the_table)
+{
+  use_one_service();
+  auto header = visit_of(core.on_packet(opening(), start)).header;
+  header.configuration = 9;
+  CHECK_TRUE(drop_of(core.on_missed(
+                 returned(header, miss_reason::route_replaced), at(12),
+                 opening(), start)) == entry_drop::newer_table);
+  CHECK_TRUE(core.wants_table());
+  use(table_of(2, routes_to(9, {{"notes", 1}}), {service("notes", 1, 10, 1)}));
+  CHECK_FALSE(core.wants_table());
+}
+
+// Guards against a missing route that is called missing by a balancer without
+// a current table, and against silence where it is certain.
+TEST(entry_core, address_without_a_route_is_reset_only_with_a_current_table)
+{
+  CHECK_TRUE(drop_of(core.on_packet(opening(), start)) == entry_drop::no_route);
+  use_one_service();
+  auto packet = opening();
+  packet.destination = public_address(444);
+  CHECK_TRUE(is_reset(core.on_packet(packet, start), reset_reason::no_route));
+  CHECK_TRUE(drop_of(core.on_packet(packet, start + 3s)) ==
+             entry_drop::no_route);
+}
+
+// Guards against a memory of flows that grows without bound.
+TEST(entry_core, idle_flows_are_forgotten)
+{
+  use_one_service();
+  core.on_packet(opening(), start);
+  core.on_tick(start + 60s);
+  CHECK_EQUAL(1U, core.remembered_flows());
+  core.on_tick(start + 80s);
+  CHECK_EQUAL(0U, core.remembered_flows());
+}
+
+// Guards against shares of new flows that differ from the declared weights.
+TEST(entry_core, weights_share_the_new_flows)
+{
+  use(table_of(1, routes_to(5, {{"notes", 90}, {"other", 10}}),
+               {service("notes", 1, 10, 1), service("other", 2, 20, 1)}));
+  int others = 0;
+  for (std::uint16_t port = 1; port <= 10000; ++port)
+    others += visit_of(core.on_packet(opening(port), start)).agent == at(20);
+  CHECK_TRUE(others > 900 && others < 1100);
+}
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -81,10 +81,9 @@
         routes_[key_of(item.address)] = true;
 }
 
-announcement_verdict
-relay_core::announce(const upstream_announcement& value,
-                     std::uint64_t wall_clock_ms, time_point now,
-                     relay_sink& sink)
+announcement_verdict relay_core::announce(const upstream_announcement& value,
+                                          std::uint64_t wall_clock_ms,
+                                          time_point now, relay_sink& sink)
 {
   const auto before = upstream_.life();
   const auto verdict = upstream_.announce(value, wall_clock_ms, now);
@@ -139,8 +138,7 @@
   // The first stop passes a flow on where all slots are taken, so that the
   // queue of one upstream does not grow while another is idle.
   const bool first = header.stop == 0 && header.stops.size > 1;
-  const auto limit =
-      upstream_.slots() + (first ? 0 : options_.queue);
+  const auto limit = upstream_.slots() + (first ? 0 : options_.queue);
   if (busy_ >= limit)
     return relay_event::busy;
   return std::nullopt;
@@ -241,8 +239,7 @@
     set_busy(flow, true);
   }
   flow.caller_finished |= packet.finishes;
-  if (!header.remembered &&
-      now - flow.found_sent >= options_.found_interval)
+  if (!header.remembered && now - flow.found_sent >= options_.found_interval)
     send_found(header, packet.from_caller(), flow, now, sink);
 }
 
--- /dev/null
+++ b/src/relay/relay_core_test.cpp
@@ -0,0 +1,277 @@
+#include <toucanmill/relay/relay_core.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "relay_fixture_test.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+namespace
+{
+
+const endpoint balancer = at(1, 7720);
+const endpoint next_agent = at(2);
+const endpoint upstream_address = at(3, 8080);
+
+upstream_announcement announcement(std::uint64_t sequence = 1,
+                                   const std::string& instance = "i-1",
+                                   std::uint64_t born = 1000)
+{
+  upstream_announcement value;
+  value.instance = instance;
+  value.service = "notes";
+  value.address = upstream_address;
+  value.slots = 2;
+  value.sequence = sequence;
+  value.born_ms = born;
+  return value;
+}
+
+relay_options options()
+{
+  relay_options value;
+  value.upstream.service = "notes";
+  value.upstream.address = upstream_address;
+  value.queue = 1;
+  return value;
+}
+
+relay_message visit(bool last = false, std::uint64_t version = 5)
+{
+  relay_message message;
+  message.header.service = key_of_service("notes");
+  message.header.configuration = version;
+  message.header.balancer = balancer;
+  message.header.bucket = 3;
+  message.header.stops.add(at(9));
+  if (!last)
+    message.header.stops.add(next_agent);
+  return message;
+}
+
+} // namespace
+
+TEST_GROUP(relay_core)
+{
+  relay_core core{options()};
+  recording_sink sink;
+
+  void announce(const upstream_announcement& value = announcement())
+  {
+    core.announce(value, 1, start, sink);
+  }
+
+  void start_serving()
+  {
+    core.set_configuration(routes_to(5, {{"notes", 1}}));
+    announce();
+  }
+
+  void open_flow(std::uint16_t port)
+  {
+    core.on_visit(visit(), opening(port), start, sink);
+    auto accepted = answer(data(port));
+    accepted.accepts = true;
+    accepted.payload_size = 0;
+    core.on_upstream_packet({}, accepted, start, sink);
+  }
+};
+
+// Guards against new work for an upstream that a restarted agent knows nothing
+// about; it may be draining.
+TEST(relay_core, admits_nothing_before_the_upstream_announced_itself)
+{
+  core.set_configuration(routes_to(5, {{"notes", 1}}));
+  core.on_visit(visit(), opening(), start, sink);
+  CHECK_TRUE(sink.delivered.empty());
+  CHECK_TRUE(sink.messages.at(0).to == next_agent);
+  announce();
+  core.on_visit(visit(), opening(), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+}
+
+// Guards against an agent that breaks the flows of its upstream by restarting:
+// it must deliver packets of flows that it never saw opened.
+TEST(relay_core, delivers_packets_of_unknown_flows)
+{
+  core.on_visit(visit(), data(), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+}
+
+// Guards against a bounced packet that is lost, or sent on with marks of the
+// wrong visit.
+TEST(relay_core, bounced_packet_goes_to_the_next_stop_then_to_the_balancer)
+{
+  core.on_visit(visit(), data(), start, sink);
+  core.on_upstream_packet({}, bounced(data(), sink.delivered[0]), start, sink);
+  CHECK_TRUE(sink.messages.at(0).to == next_agent);
+  CHECK_EQUAL(1, sink.messages[0].header.stop);
+  core.on_visit(visit(true), data(), start, sink);
+  core.on_upstream_packet({}, bounced(data(), sink.delivered[1]), start, sink);
+  CHECK_TRUE(sink.messages.at(1).to == balancer);
+  CHECK_TRUE(sink.messages[1].header.kind == relay_kind::missed);
+  CHECK_TRUE(sink.messages[1].header.reason == miss_reason::unknown_flow);
+  core.on_upstream_packet({}, bounced(data(), 999), start, sink);
+  CHECK_EQUAL(2U, sink.messages.size());
+}
+
+// Guards against new flows for an upstream that said it leaves, and against
+// cutting the flows that it still has.
+TEST(relay_core, draining_upstream_keeps_its_flows_and_gets_no_new_ones)
+{
+  start_serving();
+  open_flow(1);
+  auto draining = announcement(2);
+  draining.draining = true;
+  announce(draining);
+  const auto before = sink.delivered.size();
+  core.on_visit(visit(), data(1), start, sink);
+  CHECK_EQUAL(before + 1, sink.delivered.size());
+  core.on_visit(visit(), opening(2), start, sink);
+  CHECK_EQUAL(before + 1, sink.delivered.size());
+}
+
+// Guards against an announcement that was delayed by a partition and brings
+// back a state, or an upstream, of before.
+TEST(relay_core, late_and_foreign_announcements_change_nothing)
+{
+  start_serving();
+  auto draining = announcement(3);
+  draining.draining = true;
+  announce(draining);
+  CHECK_TRUE(core.announce(announcement(2), 1, start, sink) ==
+             announcement_verdict::late);
+  CHECK_TRUE(core.announce(announcement(9, "i-0", 900), 1, start, sink) ==
+             announcement_verdict::late);
+  auto foreign = announcement(4);
+  foreign.service = "other";
+  CHECK_TRUE(core.announce(foreign, 1, start, sink) ==
+             announcement_verdict::foreign);
+  CHECK_TRUE(core.status(start).draining);
+}
+
+// Guards against callers that wait for a flow that ended with its upstream,
+// also when the upstream came back under the same id.
+TEST(relay_core, new_start_of_the_upstream_resets_the_flows_of_the_one_before)
+{
+  start_serving();
+  open_flow(1);
+  core.on_visit(visit(), data(1), start, sink);
+  announce(announcement(1, "i-1", 2000));
+  CHECK_EQUAL(1U, sink.resets.size());
+  CHECK_EQUAL(77U, sink.resets[0].second);
+  CHECK_EQUAL(2000U, core.status(start).life.value);
+  CHECK_EQUAL(0U, core.status(start).flows);
+}
+
+// Guards against a flow on a route that the newest configuration moved away,
+// opened by a balancer that has not heard of it.
+TEST(relay_core, newest_configuration_decides_about_opening_packets)
+{
+  start_serving();
+  core.set_configuration(routes_to(8, {{"other", 1}}));
+  core.on_visit(visit(true, 5), opening(), start, sink);
+  CHECK_TRUE(sink.messages.at(0).header.reason == miss_reason::route_replaced);
+  CHECK_EQUAL(8U, sink.messages[0].header.configuration);
+  CHECK_TRUE(sink.delivered.empty());
+  core.on_visit(visit(true, 9), opening(), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+}
+
+// Guards against an agent that obeys an older configuration after it has obeyed
+// a newer one.
+TEST(relay_core, older_routing_waits_until_the_newer_configuration_is_known)
+{
+  start_serving();
+  core.on_visit(visit(true, 9), opening(1), start, sink);
+  core.on_visit(visit(true, 5), opening(2), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+  CHECK_TRUE(sink.messages.empty());
+  CHECK_EQUAL(9U, core.newest_seen());
+  core.set_configuration(routes_to(9, {{"notes", 1}}));
+  core.on_visit(visit(true, 5), opening(2), start, sink);
+  CHECK_EQUAL(2U, sink.delivered.size());
+}
+
+// Guards against packets for a service that had the address before.
+TEST(relay_core, other_service_is_never_delivered)
+{
+  start_serving();
+  auto message = visit(true);
+  message.header.service = key_of_service("other");
+  core.on_visit(message, data(), start, sink);
+  CHECK_TRUE(sink.delivered.empty());
+  CHECK_TRUE(sink.messages.at(0).header.doubtful);
+}
+
+// Load: more requests in progress than slots. A new flow goes to the next stop
+// while this one is busy; the last stop takes it up to the queue's length, then
+// refuses at once.
+TEST(relay_core, busy_upstream_passes_new_flows_on)
+{
+  start_serving();
+  for (std::uint16_t port = 1; port <= 2; ++port)
+  {
+    open_flow(port);
+    core.on_visit(visit(), data(port), start, sink);
+  }
+  CHECK_EQUAL(2U, core.status(start).busy);
+  const auto before = sink.delivered.size();
+  core.on_visit(visit(), opening(3), start, sink);
+  CHECK_TRUE(sink.messages.back().to == next_agent);
+  core.on_visit(visit(true), opening(4), start, sink);
+  CHECK_EQUAL(before + 1, sink.delivered.size());
+  open_flow(5);
+  core.on_visit(visit(true), data(4), start, sink);
+  core.on_visit(visit(true), opening(6), start, sink);
+  CHECK_TRUE(sink.messages.back().header.kind == relay_kind::missed);
+  CHECK_TRUE(sink.messages.back().header.reason == miss_reason::refused);
+  core.on_upstream_packet({}, answer(data(1)), start, sink);
+  CHECK_EQUAL(2U, core.status(start).busy);
+}
+
+// Guards against callers that wait for an upstream that crashed: it answers no
+// opening packet, so the next stop gets the others.
+TEST(relay_core, silent_upstream_gets_no_more_opening_packets)
+{
+  start_serving();
+  core.on_visit(visit(), opening(1), start, sink);
+  core.on_visit(visit(), opening(2), start + 50ms, sink);
+  CHECK_EQUAL(2U, sink.delivered.size());
+  core.on_visit(visit(), opening(3), start + 150ms, sink);
+  CHECK_EQUAL(2U, sink.delivered.size());
+  core.on_upstream_packet({}, answer(data(1)), start + 160ms, sink);
+  core.on_visit(visit(), opening(4), start + 160ms, sink);
+  CHECK_EQUAL(3U, sink.delivered.size());
+}
+
+// Guards against balancers that search for a flow forever.
+TEST(relay_core, balancer_learns_where_a_flow_is)
+{
+  start_serving();
+  open_flow(1);
+  core.on_visit(visit(), data(1), start, sink);
+  CHECK_TRUE(sink.messages.at(0).header.kind == relay_kind::found);
+  CHECK_TRUE(sink.messages[0].to == balancer);
+  auto remembered = visit();
+  remembered.header.remembered = true;
+  core.on_visit(remembered, data(1), start + 1s, sink);
+  CHECK_EQUAL(1U, sink.messages.size());
+}
+
+// Guards against a failed request that no line of the log explains.
+TEST(relay_core, request_without_a_response_is_noted_with_its_id)
+{
+  start_serving();
+  open_flow(1);
+  auto request = data(1);
+  request.request_id = "abc";
+  core.on_visit(visit(), request, start, sink);
+  core.on_tick(start + 2s, sink);
+  CHECK_EQUAL(1U, sink.notes.size());
+  CHECK_TRUE(sink.notes[0].event == relay_event::request_waits);
+  STRCMP_EQUAL("abc", sink.notes[0].request_id.c_str());
+  core.on_tick(start + 3s, sink);
+  CHECK_EQUAL(1U, sink.notes.size());
+}
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -60,19 +60,18 @@
 
 bool visit_stops::operator==(const visit_stops& other) const
 {
-  return size == other.size &&
-         std::equal(agents.begin(), agents.begin() + size,
-                    other.agents.begin());
+  return size == other.size && std::equal(agents.begin(), agents.begin() + size,
+                                          other.agents.begin());
 }
 
 bool relay_header::operator==(const relay_header& other) const
 {
   return kind == other.kind && reason == other.reason &&
          remembered == other.remembered && doubtful == other.doubtful &&
-         probe == other.probe &&
-         stage == other.stage && stop == other.stop && bucket == other.bucket &&
-         service == other.service && configuration == other.configuration &&
-         balancer == other.balancer && stops == other.stops;
+         probe == other.probe && stage == other.stage && stop == other.stop &&
+         bucket == other.bucket && service == other.service &&
+         configuration == other.configuration && balancer == other.balancer &&
+         stops == other.stops;
 }
 
 const char* to_string(miss_reason reason)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -158,8 +158,8 @@
   return stops;
 }
 
-const relay_service* choose_service(const relay_table& table,
-                                    const route& from, std::uint64_t hash)
+const relay_service* choose_service(const relay_table& table, const route& from,
+                                    std::uint64_t hash)
 {
   const auto& targets = from.targets;
   if (targets.empty())
--- a/src/relay/upstream_core.cpp
+++ b/src/relay/upstream_core.cpp
@@ -19,9 +19,9 @@
          value.instance != previous_instance_;
 }
 
-announcement_verdict
-upstream_core::announce(const upstream_announcement& value,
-                        std::uint64_t wall_clock_ms, time_point now)
+announcement_verdict upstream_core::announce(const upstream_announcement& value,
+                                             std::uint64_t wall_clock_ms,
+                                             time_point now)
 {
   if (value.service != options_.service || value.address != options_.address)
     return announcement_verdict::foreign;
@@ -73,8 +73,8 @@
 
 bool upstream_core::admits(time_point now) const
 {
-  const bool silent = unanswered_since_ &&
-                      now - *unanswered_since_ > options_.answer_limit;
+  const bool silent =
+      unanswered_since_ && now - *unanswered_since_ > options_.answer_limit;
   return present(now) && !current_->draining && !silent;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -231,8 +231,8 @@
 {
   auto found = instance.control;
   for (const auto& seed : instance.control_seeds)
-    found.push_back({seed.address, static_cast<std::uint16_t>(
-                                       instance.control_rpc_port)});
+    found.push_back(
+        {seed.address, static_cast<std::uint16_t>(instance.control_rpc_port)});
   return found;
 }
 
--- /dev/null
+++ b/src/table/configuration_test.cpp
@@ -0,0 +1,72 @@
+#include <toucanmill/table/configuration.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace toucanmill;
+
+namespace
+{
+
+route route_at(std::uint16_t port, const std::string& service)
+{
+  route item;
+  item.name = "r" + std::to_string(port);
+  item.address = {{0xC6120001}, port};
+  item.targets = {{service, 1}};
+  item.timeout_ms = 1000;
+  return item;
+}
+
+configuration valid()
+{
+  configuration value;
+  value.version = 3;
+  value.services = {"a", "b"};
+  value.routes = {route_at(80, "a"), route_at(81, "b")};
+  return value;
+}
+
+} // namespace
+
+TEST_GROUP(configuration){};
+
+TEST(configuration, valid_one_has_no_findings)
+{
+  CHECK_TRUE(check_configuration(valid()).empty());
+}
+
+// Guards against a configuration that cannot be obeyed but is accepted, and
+// against findings that come one at a time.
+TEST(configuration, all_findings_come_together)
+{
+  auto value = valid();
+  value.version = 0;
+  value.routes[0].targets = {{"missing", 1}};
+  value.routes[1].address = value.routes[0].address;
+  value.routes[1].timeout_ms = 0;
+  value.routes.push_back(route_at(82, "a"));
+  value.routes[2].targets[0].weight = 0;
+  value.services.push_back("a");
+  std::string keys;
+  for (const auto& item : check_configuration(value))
+    keys += item.key + " ";
+  STRCMP_EQUAL("version services[2].name routes[0] routes[1].timeout "
+               "routes[1].address routes[2] ",
+               keys.c_str());
+}
+
+// Guards against balancers that do not know where flows opened under earlier
+// versions are (FLOW on six of seven days of cpl-obsnet).
+TEST(configuration, former_services_of_a_route_are_kept)
+{
+  auto first = valid();
+  auto second = valid();
+  second.routes[0].targets = {{"b", 1}};
+  keep_former_services(first, second);
+  CHECK_TRUE(second.routes[0].former == std::vector<std::string>{"a"});
+  CHECK_TRUE(second.routes[1].former.empty());
+  auto third = valid();
+  third.routes[0].targets = {{"c", 1}};
+  keep_former_services(second, third);
+  CHECK_TRUE((third.routes[0].former == std::vector<std::string>{"b", "a"}));
+}
