relay: never reset after a search over two tables; log: wait for room on a full disk

Change: visits carry the index of their table; a search that spans two starts again and cannot reset. Of repeated searches each second one asks all holders. A write to a full disk is repeated until there is room.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -81,8 +81,9 @@
   std::size_t opening_stops = 4;
   /// An agent that lost an opening packet is asked last for this long.
   duration doubt = std::chrono::seconds(1);
-  /// A packet of a flow that was searched for within this time, and not found,
-  /// asks all holders at once: a dead agent may have swallowed the first one.
+  /// Of the packets of a flow that was searched for within this time, and not
+  /// found, each second one asks all holders at once: a dead agent may have
+  /// swallowed the one before.
   duration search_patience = std::chrono::seconds(2);
 };
 
@@ -160,6 +161,12 @@
     time_point used;
   };
 
+  struct search_state
+  {
+    time_point last;
+    std::uint32_t attempts = 0;
+  };
+
   entry_action decide(const flow_packet& packet, time_point now);
   entry_action open(const flow_packet& packet, const route& from,
                     time_point now);
@@ -185,7 +192,7 @@
   std::optional<time_point> confirmed_at_;
   std::uint64_t newest_seen_ = 0;
   std::unordered_map<flow_key, memory_entry> memory_;
-  std::unordered_map<flow_key, time_point> searched_;
+  std::unordered_map<flow_key, search_state> searched_;
   std::unordered_map<std::uint64_t, time_point> doubted_until_;
   entry_counters counters_;
 };
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -67,7 +67,8 @@
   std::uint16_t bucket = 0;
   service_key service = 0;
   std::uint64_t configuration = 0; ///< version that the packet was routed by
-  endpoint balancer;               ///< gets found and missed
+  std::uint64_t table = 0; ///< log index of the table that chose the stops
+  endpoint balancer;       ///< gets found and missed
   visit_stops stops;
 
   bool operator==(const relay_header& other) const;
@@ -81,7 +82,7 @@
 };
 
 /// Octets of the longest header.
-inline constexpr std::size_t max_relay_header = 36 + 6 * visit_stops::capacity;
+inline constexpr std::size_t max_relay_header = 44 + 6 * visit_stops::capacity;
 
 struct encoded_relay_header
 {
--- a/src/log/posix_file_system.cpp
+++ b/src/log/posix_file_system.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <filesystem>
+#include <thread>
 #include <utility>
 
 namespace toucanmill::log_detail
@@ -15,6 +17,9 @@
 namespace
 {
 
+/// Pause before another attempt to write to a full disk.
+constexpr auto full_disk_pause = std::chrono::milliseconds(50);
+
 error failure(const std::string& operation, const std::string& path, int code)
 {
   return error{error_code::io_failure,
@@ -56,6 +61,13 @@
       const auto written = write(file_.get(), bytes.data(), bytes.size());
       if (written < 0 && errno == EINTR)
         continue;
+      // The rest follows once there is room. Until then this replica stands
+      // still like one with a stalled disk, and another one leads.
+      if (written < 0 && errno == ENOSPC)
+      {
+        std::this_thread::sleep_for(full_disk_pause);
+        continue;
+      }
       if (written <= 0)
         return failure("write", path_, written < 0 ? errno : EIO);
       bytes.remove_prefix(static_cast<std::size_t>(written));
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -93,6 +93,7 @@
   header.bucket =
       static_cast<std::uint16_t>(bucket_of(hash, service.table.buckets.size()));
   header.configuration = table_->configuration_version();
+  header.table = table_->version().index;
   header.balancer = options_.self;
   return header;
 }
@@ -178,11 +179,12 @@
                                 time_point now)
 {
   ++counters_.searches;
-  const auto [found, added] = searched_.try_emplace(packet.from_caller(), now);
-  const bool again = !added && now - found->second <= options_.search_patience;
-  found->second = now;
-  return again ? search_everywhere(packet, from)
-               : search_from(packet, from, 0, false, now);
+  auto& state = searched_[packet.from_caller()];
+  const bool again =
+      state.attempts > 0 && now - state.last <= options_.search_patience;
+  state = {now, again ? state.attempts + 1 : 1};
+  return state.attempts % 2 == 0 ? search_everywhere(packet, from)
+                                 : search_from(packet, from, 0, false, now);
 }
 
 // The stages are the live holders of each service, then the suspect ones: a
@@ -280,6 +282,10 @@
       return entry_drop::newer_table;
     return reset_caller{flow, 0, reset_reason::refused};
   }
+  // The stages of another table have another order: nothing that was asked
+  // counts, and a reset would not be certain.
+  if (!header.remembered && header.table != table_->version().index)
+    return search_from(packet, *from, 0, true, now);
   if (!header.remembered)
     return search_from(packet, *from,
                        static_cast<std::uint8_t>(header.stage + 1),
@@ -310,8 +316,8 @@
     it = now - it->second.used > options_.memory_limit ? memory_.erase(it)
                                                        : std::next(it);
   for (auto it = searched_.begin(); it != searched_.end();)
-    it = now - it->second > options_.search_patience ? searched_.erase(it)
-                                                     : std::next(it);
+    it = now - it->second.last > options_.search_patience ? searched_.erase(it)
+                                                          : std::next(it);
   for (auto it = doubted_until_.begin(); it != doubted_until_.end();)
     it = it->second <= now ? doubted_until_.erase(it) : std::next(it);
 }
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -225,3 +225,24 @@
     others += visit_of(core.on_packet(opening(port), start)).agent == at(20);
   CHECK_TRUE(others > 900 && others < 1100);
 }
+
+// Guards against an open flow that is reset because the order of the services
+// changed between two stages of its search (FLOW, cpl-obsnet trouble-3 with
+// seed 412204822735).
+TEST(entry_core, search_over_two_tables_starts_again_and_never_resets)
+{
+  use(table_of(1, routes_to(5, {{"notes", 1}, {"other", 0}}),
+               {service("notes", 1, 10, 1), service("other", 2, 20, 1)}));
+  const auto first = visit_of(core.on_packet(data(), start));
+  CHECK_TRUE(first.agent == at(10));
+  use(table_of(2, routes_to(6, {{"notes", 0}, {"other", 1}}),
+               {service("notes", 1, 10, 1), service("other", 2, 20, 1)}));
+  const auto again =
+      visit_of(core.on_missed(returned(first.header), at(10), data(), start));
+  CHECK_TRUE(again.agent == at(20));
+  const auto last =
+      visit_of(core.on_missed(returned(again.header), at(20), data(), start));
+  CHECK_TRUE(last.agent == at(10));
+  CHECK_TRUE(drop_of(core.on_missed(returned(last.header), at(10), data(),
+                                    start)) == entry_drop::unconfirmed);
+}
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -13,10 +13,10 @@
 namespace
 {
 
-constexpr std::uint8_t message_format = 2;
+constexpr std::uint8_t message_format = 3;
 constexpr std::size_t endpoint_size = 6;
 constexpr std::size_t check_size = 4;
-constexpr std::size_t fixed_size = 36;
+constexpr std::size_t fixed_size = 44;
 constexpr std::uint8_t remembered_bit = 1;
 constexpr std::uint8_t doubtful_bit = 2;
 constexpr std::uint8_t probe_bit = 4;
@@ -70,8 +70,8 @@
          remembered == other.remembered && doubtful == other.doubtful &&
          probe == other.probe && stage == other.stage && stop == other.stop &&
          bucket == other.bucket && service == other.service &&
-         configuration == other.configuration && balancer == other.balancer &&
-         stops == other.stops;
+         configuration == other.configuration && table == other.table &&
+         balancer == other.balancer && stops == other.stops;
 }
 
 const char* to_string(miss_reason reason)
@@ -108,6 +108,7 @@
   store(to + 28, header.balancer);
   to[34] = header.stops.size;
   to[35] = 0;
+  boost::endian::store_big_u64(to + 36, header.table);
   auto* at = to + fixed_size;
   for (std::size_t i = 0; i < header.stops.size; ++i)
     at = store(at, header.stops.agents[i]);
@@ -143,6 +144,7 @@
   header.service = boost::endian::load_big_u64(from + 12);
   header.configuration = boost::endian::load_big_u64(from + 20);
   header.balancer = load_endpoint(from + 28);
+  header.table = boost::endian::load_big_u64(from + 36);
   header.stops.size = from[34];
   if (header.kind == relay_kind::visit && header.stop >= header.stops.size)
     return std::nullopt;
--- a/src/relay/relay_message_test.cpp
+++ b/src/relay/relay_message_test.cpp
@@ -24,6 +24,7 @@
   header.bucket = 513;
   header.service = key_of_service("notes");
   header.configuration = 0x0123456789ABCDEF;
+  header.table = 0xFEDCBA9876543210;
   header.balancer = at(1, 7720);
   for (std::uint32_t i = 0; i < visit_stops::capacity; ++i)
     header.stops.add(at(i + 2));
