control: give up a connection attempt after 200 ms

Cause: after a power loss a node's first attempt went to an instance without power and hung for 500 ms.

Change: the limit is 200 ms.

--- a/include/toucanmill/control/control_channel.hpp
+++ b/include/toucanmill/control/control_channel.hpp
@@ -21,8 +21,9 @@
 class control_channel
 {
 public:
-  /// Limit of one connection attempt.
-  static constexpr auto connect_timeout = 500 * kj::MILLISECONDS;
+  /// Limit of one connection attempt. Regions are 25 ms apart; an instance
+  /// without power swallows the attempt.
+  static constexpr auto connect_timeout = 200 * kj::MILLISECONDS;
 
   /// Limit of one call. A connection that went silent is replaced after it, and
   /// a change must be in force within 3 s.
