--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -195,16 +195,16 @@
 {
   const auto hash = flow_hash(packet.from_caller());
   const auto services = possible_services(*table_, from, hash);
-  for (; stage < 2 * services.size(); ++stage)
+  for (std::size_t next = stage; next < 2 * services.size(); ++next)
   {
-    const auto& service = *services[stage % services.size()];
+    const auto& service = *services[next % services.size()];
     auto header = make_header(service, hash);
     header.stops = search_stops(
         service, hash,
-        stage < services.size() ? holder_health::live : holder_health::suspect);
+        next < services.size() ? holder_health::live : holder_health::suspect);
     if (header.stops.size == 0)
       continue;
-    header.stage = stage;
+    header.stage = static_cast<std::uint8_t>(next);
     header.doubtful = doubtful;
     return visit_agent{header.stops.agents[0], header};
   }
