control: control instances that stop or fell silent leave the group

Cause: an instance that was replaced stayed a voter.

Change: a voter that stops asks the leader to let it go; the leader removes a voter that is silent for 2 s; both only while three live voters stay.

Ruled out: removing only replaced instances by the group's former size; a leader that changes meanwhile does not know it.

--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -9,6 +9,7 @@
 
 #include <toucanmill/cluster/membership_core.hpp>
 #include <toucanmill/cluster/state_machine.hpp>
+#include <toucanmill/control/group_core.hpp>
 #include <toucanmill/log/replicated_log.hpp>
 
 namespace toucanmill
@@ -35,6 +36,7 @@
     change_refused,
     node_state_changed,
     node_registered,
+    group_changed,
   };
 
   kind what;
@@ -53,6 +55,9 @@
 
 struct control_state_options
 {
+  /// Silent control instances are removed from the group; off for a group that
+  /// the settings name.
+  bool remove_silent = false;
   membership_options membership;
   assignment_options assignment;
   std::function<void(const replica_address&, std::string)> send;
@@ -105,11 +110,13 @@
 private:
   void propose(std::vector<command> commands);
   void check_settled(time_point now);
+  void remove_silent_members(time_point now);
   void note_command(const command& value, const command_outcome& outcome);
 
   control_state_options options_;
   state_machine machine_;
   membership_core membership_;
+  time_point next_group_check_;
   replicated_log* log_ = nullptr;
   bool leads_ = false;
   std::optional<bool> settled_;
--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <toucanmill/base/time.hpp>
+#include <toucanmill/log/replicated_log.hpp>
 #include <toucanmill/log/types.hpp>
 
 namespace toucanmill
@@ -35,6 +36,29 @@
                     const std::vector<replica_id>& removed,
                     const replica_address& joining);
 
+struct group_options
+{
+  /// Voters below which a group never shrinks: with two, the loss of one disk
+  /// would end it.
+  std::size_t least_voters = 3;
+  /// A silent voter is removed after this time. It is shorter than the time
+  /// that a new instance has to catch up, since the next one may be replaced
+  /// then. A voter that comes back joins again by itself.
+  duration silence_limit = std::chrono::seconds(2);
+  /// A silent learner, which holds up nothing, is removed after this time.
+  duration learner_limit = std::chrono::seconds(15);
+};
+
+/// The group without one silent member, if one should leave.
+std::optional<std::vector<replica_address>>
+plan_removal(const replicated_log_status& status,
+             const group_options& options = {});
+
+/// The group without a voter that stops, if enough live voters stay.
+std::optional<std::vector<replica_address>>
+plan_leave(const replicated_log_status& status, replica_id leaving,
+           const group_options& options = {});
+
 } // namespace toucanmill
 
 #endif
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -56,6 +56,13 @@
   std::uint64_t random_seed = 0;
 };
 
+/// How long the leader has not heard another member.
+struct replica_silence
+{
+  replica_id id;
+  duration silent{0};
+};
+
 struct replicated_log_status
 {
   replica_id self;
@@ -67,8 +74,9 @@
   std::uint64_t last_index = 0;
   std::uint64_t snapshot_index = 0;
   std::vector<replica_address> group;
-  std::vector<replica_id> removed;      ///< committed; never members again
-  std::uint64_t malformed_messages = 0; ///< received and dropped
+  std::vector<replica_id> removed;       ///< committed; never members again
+  std::vector<replica_silence> silences; ///< on the leader, of other members
+  std::uint64_t malformed_messages = 0;  ///< received and dropped
 };
 
 /// The id under which a data folder was used; none for a folder that is empty
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -240,6 +240,8 @@
   # A control instance asks to become a member, or whether it still is one.
   join @12 (replica :ReplicaStatus) -> (standing :Standing,
                                         notLeader :NotLeader);
+  # A control instance that stops leaves the group, if enough others stay.
+  leave @13 (replica :ReplicaStatus) -> (notLeader :NotLeader);
 }
 
 enum Standing {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -148,6 +148,7 @@
     if (log_ == nullptr || stopped_.exchange(true))
       return;
     hand_over_leadership();
+    leave_group();
     log_->stop();
     rpc_.stop();
   }
@@ -161,10 +162,32 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
 
+  /// So that an instance that does not come back no longer counts.
+  void leave_group()
+  {
+    if (options_.others.empty())
+      return;
+    auto left = std::make_shared<handover<bool>>();
+    const bool posted = rpc_.post(
+        [this, left](kj::AsyncIoContext&)
+        {
+          if (side_ == nullptr || side_->joiner.get() == nullptr)
+            return left->set(false);
+          side_->joiner->leave(
+              [left]
+              {
+                left->set(true);
+              });
+        });
+    if (posted)
+      left->wait();
+  }
+
   control_state_options state_options()
   {
     control_state_options out;
     out.membership = options_.membership;
+    out.remove_silent = !options_.others.empty();
     out.notify = options_.notify;
     out.on_settled = [this](bool settled)
     {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -392,6 +392,34 @@
       });
 }
 
+kj::Promise<void> control_service::leave(LeaveContext context)
+{
+  const auto leaving = wire::read(context.getParams().getReplica());
+  auto [promise, reply] = cross_thread_reply<answer<bool>>::make();
+  log_.confirm_read(
+      [this, leaving, reply = reply](const result<table_version>& confirmed)
+      {
+        if (!confirmed)
+          return reply->fulfiller->fulfill(
+              answer<bool>{confirmed.error(), leader_hint()});
+        auto next = plan_leave(log_.status(), leaving.id);
+        if (!next)
+          return reply->fulfiller->fulfill(answer<bool>{false, {}});
+        log_.change_group(
+            std::move(*next),
+            [reply](const result<std::string>& changed)
+            {
+              reply->fulfiller->fulfill(answer<bool>{changed.has_value(), {}});
+            });
+      });
+  return promise.then(
+      [this, context](const answer<bool>& done) mutable
+      {
+        auto results = context.getResults();
+        refused(results, done);
+      });
+}
+
 void control_service::step_join(const replica_address& joining,
                                 std::function<void(replica_standing)> done)
 {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -45,6 +45,7 @@
   kj::Promise<void> declare(DeclareContext context) override;
   kj::Promise<void> declared(DeclaredContext context) override;
   kj::Promise<void> join(JoinContext context) override;
+  kj::Promise<void> leave(LeaveContext context) override;
 
 private:
   /// Reply of a call that only the leader answers.
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -13,6 +13,9 @@
 
 using notice = control_notice;
 
+/// Pause between two looks for silent members.
+constexpr duration group_check_interval = std::chrono::milliseconds(500);
+
 /// Time without a leader after which an instance asks whether it still is a
 /// member; longer than two elections.
 constexpr duration leader_patience = std::chrono::seconds(3);
@@ -150,10 +153,27 @@
 void control_state::on_tick(time_point now)
 {
   if (leads_)
+  {
     propose(membership_.on_tick(machine_, now));
+    remove_silent_members(now);
+  }
   check_settled(now);
 }
 
+void control_state::remove_silent_members(time_point now)
+{
+  if (log_ == nullptr || !options_.remove_silent || now < next_group_check_)
+    return;
+  next_group_check_ = now + group_check_interval;
+  auto next = plan_removal(log_->status());
+  if (!next)
+    return;
+  options_.notify(
+      {notice::kind::group_changed,
+       "removing a silent member, " + std::to_string(next->size()) + " stay"});
+  log_->change_group(std::move(*next), [](const result<std::string>&) {});
+}
+
 void control_state::check_settled(time_point now)
 {
   if (log_ == nullptr || !options_.on_settled)
--- a/src/control/group_core_test.cpp
+++ b/src/control/group_core_test.cpp
@@ -46,3 +46,56 @@
   CHECK_TRUE(step.standing == replica_standing::removed);
   CHECK_FALSE(step.next.has_value());
 }
+
+namespace
+{
+
+replicated_log_status status_of(std::vector<replica_address> group,
+                                std::vector<replica_silence> silences)
+{
+  replicated_log_status status;
+  status.group = std::move(group);
+  status.silences = std::move(silences);
+  return status;
+}
+
+constexpr duration dead = std::chrono::seconds(2);
+constexpr duration long_dead = std::chrono::seconds(20);
+
+} // namespace
+
+// Guards against a group that loses its quorum because instances that were
+// replaced stay in it (cpl-obsnet, two replacements: 3 of 6 voters left).
+TEST(group_core, replaced_voter_leaves_soon)
+{
+  CHECK_FALSE(plan_removal(status_of(three, {{{3}, dead}})).has_value());
+  auto four = three;
+  four.push_back(replica(9, 9));
+  const auto next = plan_removal(status_of(four, {{{3}, dead}}));
+  CHECK_TRUE((*next == std::vector<replica_address>{
+                           replica(1, 1), replica(2, 2), replica(9, 9)}));
+  CHECK_FALSE(plan_removal(status_of(four, {{{3}, dead / 2}})).has_value());
+}
+
+// Guards against a group of two voters, which one lost disk ends for good.
+TEST(group_core, group_never_shrinks_below_three)
+{
+  CHECK_FALSE(plan_removal(status_of(three, {{{3}, long_dead}})).has_value());
+  auto four = three;
+  four.push_back(replica(4, 4));
+  CHECK_FALSE(
+      plan_removal(status_of(four, {{{3}, dead}, {{4}, dead}})).has_value());
+}
+
+// Guards against an instance that was replaced as planned and counts as a voter
+// when the next one is lost right after it.
+TEST(group_core, stopping_voter_leaves_if_enough_stay)
+{
+  CHECK_FALSE(plan_leave(status_of(three, {}), {3}).has_value());
+  auto four = three;
+  four.push_back(replica(4, 4));
+  CHECK_FALSE(plan_leave(status_of(four, {{{2}, dead}}), {3}).has_value());
+  const auto next = plan_leave(status_of(four, {}), {3});
+  CHECK_EQUAL(3U, next->size());
+  CHECK_FALSE(plan_leave(status_of(four, {}), {8}).has_value());
+}
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -11,6 +11,12 @@
 /// Pause between two requests; the time to catch up dominates.
 constexpr auto ask_interval = 300 * kj::MILLISECONDS;
 
+/// A stop must not wait long for a leader; the silence limit of the group does
+/// the same later.
+constexpr auto leave_limit = 500 * kj::MILLISECONDS;
+constexpr auto leave_pause = 50 * kj::MILLISECONDS;
+constexpr int leave_attempts = 4;
+
 } // namespace
 
 group_joiner::group_joiner(kj::AsyncIoContext& io, std::vector<endpoint> others,
@@ -66,6 +72,56 @@
           });
 }
 
+kj::Promise<void> group_joiner::ask_to_leave(int attempts)
+{
+  return channel_
+      .limited(channel_.client().then(
+          [this](schema::Control::Client control)
+          {
+            auto request = control.leaveRequest();
+            wire::write(request.initReplica(), self_);
+            return request.send().then(
+                [this](auto&& response)
+                {
+                  if (!response.hasNotLeader())
+                    return true;
+                  channel_.redirect(
+                      wire::read(response.getNotLeader().getHint()));
+                  return false;
+                });
+          }))
+      .catch_(
+          [this](kj::Exception&&)
+          {
+            channel_.move_on();
+            return false;
+          })
+      .then(
+          [this, attempts](bool answered) -> kj::Promise<void>
+          {
+            if (answered || attempts <= 1)
+              return kj::READY_NOW;
+            return timer_.afterDelay(leave_pause)
+                .then(
+                    [this, attempts]
+                    {
+                      return ask_to_leave(attempts - 1);
+                    });
+          });
+}
+
+void group_joiner::leave(std::function<void()> done)
+{
+  needed_ = false;
+  tasks_.add(timer_.timeoutAfter(leave_limit, ask_to_leave(leave_attempts))
+                 .catch_([](kj::Exception&&) {})
+                 .then(
+                     [done]
+                     {
+                       done();
+                     }));
+}
+
 void group_joiner::taskFailed(kj::Exception&&) {}
 
 } // namespace toucanmill::detail
--- a/src/control/group_joiner.hpp
+++ b/src/control/group_joiner.hpp
@@ -27,9 +27,14 @@
   /// False stops asking until it is true again.
   void set_needed(bool needed);
 
+  /// Asks the leader to let this instance go; calls back when it answered or
+  /// did not in time.
+  void leave(std::function<void()> done);
+
 private:
   kj::Promise<void> ask_forever();
   kj::Promise<void> ask();
+  kj::Promise<void> ask_to_leave(int attempts);
   void taskFailed(kj::Exception&& failure) override;
 
   kj::Timer& timer_;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -36,6 +36,8 @@
     return log_event(event::node_state_changed, notice.detail);
   case kind::node_registered:
     return log_event(event::node_registered, notice.detail);
+  case kind::group_changed:
+    return log_event(event::group_changed, notice.detail);
   }
 }
 
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "codec.hpp"
+#include <toucanmill/base/clock.hpp>
 
 namespace toucanmill::log_detail
 {
@@ -149,6 +150,7 @@
   status.snapshot_index = core_->snapshot().position.index;
   status.group = core_->group().members;
   status.removed = core_->group_at(core_->applied_index()).removed;
+  status.silences = core_->silences(monotonic_now());
   status.malformed_messages = malformed_messages_;
   return status;
 }
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -14,6 +14,7 @@
 #include "message.hpp"
 #include <toucanmill/base/outcome.hpp>
 #include <toucanmill/base/time.hpp>
+#include <toucanmill/log/replicated_log.hpp>
 
 namespace toucanmill::log_detail
 {
@@ -166,6 +167,9 @@
   {
     return log_;
   }
+  /// Time since the leader heard each other member; empty elsewhere.
+  std::vector<replica_silence> silences(time_point now) const;
+
   /// The newest group in the log, committed or not.
   const group_record& group() const
   {
--- a/src/log/replica_group_core.cpp
+++ b/src/log/replica_group_core.cpp
@@ -197,6 +197,15 @@
   return position;
 }
 
+std::vector<replica_silence> replica_core::silences(time_point now) const
+{
+  std::vector<replica_silence> found;
+  if (role_ == replica_role::leader)
+    for (const auto& [id, peer] : peers_)
+      found.push_back({id, std::max(now - peer.heard, duration{0})});
+  return found;
+}
+
 void replica_core::step_down_if_removed()
 {
   if (commit_ < groups_.back().first || is_voter(settings_.self))
