--- a/include/toucanmill/control/operator_client.hpp
+++ b/include/toucanmill/control/operator_client.hpp
@@ -65,6 +65,13 @@
   virtual result<service_list> services() = 0;
   virtual result<in_force_state> in_force(std::uint64_t index) = 0;
 
+  /// Makes the configuration the declared one if its version is the highest. A
+  /// refused one is a value with accepted == false.
+  virtual result<change_outcome> declare(const configuration& value) = 0;
+
+  /// The configuration in force, confirmed by a quorum; version 0: none.
+  virtual result<configuration> declared() = 0;
+
   /// Status of the leader.
   virtual result<system_status> status() = 0;
 
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -120,6 +120,34 @@
         });
   }
 
+  result<change_outcome> declare(const configuration& value) override
+  {
+    return repeat<change_outcome>(
+        [&](schema::Control::Client& control)
+        {
+          auto request = control.declareRequest();
+          wire::write(request.initConfiguration(), value);
+          return request.send();
+        },
+        [](auto&& response)
+        {
+          return wire::read(response.getOutcome());
+        });
+  }
+
+  result<configuration> declared() override
+  {
+    return repeat<configuration>(
+        [](schema::Control::Client& control)
+        {
+          return control.declaredRequest().send();
+        },
+        [](auto&& response)
+        {
+          return result<configuration>(wire::read(response.getConfiguration()));
+        });
+  }
+
   result<system_status> status() override
   {
     const auto until = monotonic_now() + limit_;
--- a/src/observe/line_writer.cpp
+++ b/src/observe/line_writer.cpp
@@ -1,8 +1,10 @@
 #include <toucanmill/observe/line_writer.hpp>
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 
@@ -108,8 +110,9 @@
         return false;
       continue;
     }
-    const auto count =
-        ::write(descriptor_, batch.data() + done, batch.size() - done);
+    // A pipe that is ready takes PIPE_BUF octets without blocking, not more.
+    const auto size = std::min<std::size_t>(batch.size() - done, PIPE_BUF);
+    const auto count = ::write(descriptor_, batch.data() + done, size);
     if (count < 0 && errno != EINTR && errno != EAGAIN)
       return false;
     if (count > 0)
