--- a/include/toucanmill/control/configuration_file.hpp
+++ b/include/toucanmill/control/configuration_file.hpp
@@ -11,7 +11,7 @@
 namespace toucanmill
 {
 
-/// Reads a declared configuration from TOML (config/configuration.toml is a
+/// Reads a declared configuration from TOML (examples/configuration.toml is a
 /// commented example). Either the configuration, with the text as its document,
 /// or everything that is wrong with it; the file name is used in findings only.
 std::variant<configuration, findings>
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -377,7 +377,7 @@
   auto file = std::make_shared<std::string>();
   auto* apply = app.add_subcommand(
       "apply", "Declare a configuration; the highest version is in force");
-  apply->footer("Example: toucanmill apply config/configuration.toml");
+  apply->footer("Example: toucanmill apply examples/configuration.toml");
   apply->add_option("file", *file, "TOML file")->required();
   apply->callback(
       [&common, &run, file]
@@ -440,8 +440,8 @@
   auto* command = app.add_subcommand(
       "trace", "Lines of all processes about a request or flow, in order");
   command->footer("Example: toucanmill trace --request 4f1a node-*.log");
-  auto* request = command->add_option("--request", options->subject.request,
-                                      "Request id");
+  auto* request =
+      command->add_option("--request", options->subject.request, "Request id");
   command
       ->add_option("--flow", options->subject.flow,
                    "caller>service, each address:port")
--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -267,3 +267,68 @@
   CHECK_TRUE(small.claim("b", 5).verdict == claim_verdict::completed);
   STRCMP_EQUAL("", small.claim("b", 5).answer.c_str());
 }
+
+namespace
+{
+
+configuration declared_version(std::uint64_t version)
+{
+  configuration value;
+  value.version = version;
+  value.services = {"notes"};
+  value.routes = {{"r", {{0xC6120001}, 443}, {{"notes", 1}}, 1000, {}}};
+  value.document = "document " + std::to_string(version);
+  return value;
+}
+
+change_outcome declare(state_machine& machine, std::uint64_t index,
+                       configuration value)
+{
+  const auto outcome =
+      machine.apply({1, index}, declare_configuration{std::move(value)});
+  return std::get<change_outcome>(outcome);
+}
+
+} // namespace
+
+TEST_GROUP(declaration){};
+
+// Guards against an acknowledged configuration that an older or resent one
+// replaces, and against other content under the version in force.
+TEST(declaration, highest_version_is_in_force)
+{
+  state_machine machine;
+  CHECK_TRUE(declare(machine, 1, declared_version(5)).accepted);
+  CHECK_TRUE(declare(machine, 2, declared_version(3)).accepted);
+  auto other = declared_version(5);
+  other.document = "other";
+  CHECK_TRUE(declare(machine, 3, other).accepted);
+  CHECK_EQUAL(5U, machine.declared().version);
+  STRCMP_EQUAL("document 5", machine.declared().document.c_str());
+}
+
+// Guards against an invalid configuration that is accepted because a newer one
+// has overtaken it.
+TEST(declaration, validity_comes_before_the_version)
+{
+  state_machine machine;
+  declare(machine, 1, declared_version(5));
+  auto invalid = declared_version(4);
+  invalid.routes[0].timeout_ms = 0;
+  CHECK_FALSE(declare(machine, 2, invalid).accepted);
+}
+
+// Guards against nodes that never hear of a configuration, and against a
+// snapshot that loses it.
+TEST(declaration, reaches_nodes_and_survives_a_snapshot)
+{
+  state_machine machine;
+  declare(machine, 1, declared_version(5));
+  const auto update = machine.changes_since({});
+  CHECK_EQUAL(5U, update.declared->version);
+  CHECK_TRUE(update.declared->document.empty());
+  CHECK_EQUAL(1U, update.changed.size());
+  CHECK_FALSE(machine.changes_since({1, 1}).declared.has_value());
+  const auto restored = state_machine::restore(machine.snapshot());
+  CHECK_TRUE(restored.value().declared() == machine.declared());
+}
--- a/src/cluster/wire_test.cpp
+++ b/src/cluster/wire_test.cpp
@@ -44,8 +44,15 @@
 // Guards against fields that are lost between control and the other roles.
 TEST(wire, table_update_round_trip)
 {
-  const table_update update{
-      {3, 91}, true, {sample_service()}, {service_id{4}, service_id{5}}};
+  table_update update{
+      {3, 91}, true, {sample_service()}, {service_id{4}, service_id{5}}, {}};
+  configuration declared;
+  declared.version = 12;
+  declared.services = {"a", "b"};
+  declared.idle_timeout_ms = 15000;
+  declared.routes = {
+      {"r", {ipv4_address{9}, 443}, {{"a", 90}, {"b", 10}}, 1000, {"c"}}};
+  update.declared = declared;
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::TableUpdate>();
   wire::write(root, update);
@@ -89,7 +96,7 @@
   check_corrupt(message.getRoot<schema::ServiceTable>());
   written(message).initHolders(1);
   check_corrupt(message.getRoot<schema::ServiceTable>());
-  written(message).setKind(static_cast<schema::ServiceKind>(2));
+  written(message).setKind(static_cast<schema::ServiceKind>(3));
   check_corrupt(message.getRoot<schema::ServiceTable>());
   auto root = written(message);
   root.getChains()[0] = 9;
--- a/src/control/configuration_file.cpp
+++ b/src/control/configuration_file.cpp
@@ -62,8 +62,8 @@
                    const std::string& name)
   {
     const auto* node = from.get(key);
-    if (const auto value = node != nullptr ? node->value_exact<std::string>()
-                                           : std::nullopt)
+    if (const auto value =
+            node != nullptr ? node->value_exact<std::string>() : std::nullopt)
       return *value;
     add(node != nullptr ? *node : from, name, "must be a string");
     return {};
--- a/src/control/configuration_file_test.cpp
+++ b/src/control/configuration_file_test.cpp
@@ -12,7 +12,7 @@
 // Guards against an example in the repository that the program refuses.
 TEST(configuration_file, example_is_valid)
 {
-  std::ifstream input(TOUCANMILL_SOURCE_DIR "/config/configuration.toml");
+  std::ifstream input(TOUCANMILL_SOURCE_DIR "/examples/configuration.toml");
   const std::string text{std::istreambuf_iterator<char>(input), {}};
   const auto read = parse_configuration(text, "configuration.toml");
   const auto* value = std::get_if<configuration>(&read);
--- a/src/observe/log_trace_test.cpp
+++ b/src/observe/log_trace_test.cpp
@@ -26,8 +26,7 @@
 {
   const std::vector<std::string> lines = {
       "time=3 name=request_unanswered flow=a>b request=77",
-      "time=1 name=flow_refused flow=a>b",
-      "time=2 name=flow_refused flow=c>d",
+      "time=1 name=flow_refused flow=a>b", "time=2 name=flow_refused flow=c>d",
       "time=2 name=table_applied detail=x"};
   const auto found = trace_lines(lines, {"77", ""});
   CHECK_EQUAL(2U, found.size());
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -108,3 +108,36 @@
   }
   CHECK_EQUAL(3, files);
 }
+
+// Guards against a mode whose keys are not checked when the process starts.
+TEST(settings, modes_name_the_keys_that_they_need)
+{
+  const std::string relay = R"(role = "agent"
+name = "a"
+data_centre = "z"
+control_seeds = ["10.0.0.1:80", "10.0.0.2:80"]
+control_rpc_port = 7720
+[agent]
+mode = "relay"
+data = "10.0.0.9:7000"
+upstream = "10.0.0.9:8080"
+service = "notes"
+)";
+  STRCMP_CONTAINS("agent.outbound: is required",
+                  messages(parse_settings(relay, "x")).c_str());
+  const auto parsed =
+      parse_settings(relay + "outbound = \"10.0.0.9:7001\"\n", "x");
+  STRCMP_EQUAL("", messages(parsed).c_str());
+  const auto control = control_endpoints(std::get<settings>(parsed).instance);
+  CHECK_EQUAL(2U, control.size());
+  STRCMP_EQUAL("10.0.0.2:7720", to_string(control[1]).c_str());
+  STRCMP_CONTAINS(
+      "balancer.relay: is required",
+      messages(parse_settings("role = \"balancer\"\nname = \"b\"\n"
+                              "data_centre = \"z\"\n"
+                              "control_endpoints = [\"10.0.0.1:1\"]\n"
+                              "[balancer]\nmode = \"direct\"\n"
+                              "data = \"10.0.0.9:7000\"\n",
+                              "x"))
+          .c_str());
+}
