--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -12,6 +12,8 @@
 
 std::int64_t milliseconds(duration value)
 {
+  if (value < duration{0})
+    return -1; // never
   return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
