cluster: upstreams that start again together keep their buckets

Change: in relay services a new life takes over the buckets of the one before; its agent passes on packets of flows that ended with that.

--- a/src/cluster/node_changes.cpp
+++ b/src/cluster/node_changes.cpp
@@ -52,6 +52,30 @@
   update_service(state, identity.service);
 }
 
+/// Whether a new life may take over the buckets of the one before. A relay
+/// agent passes on what its upstream does not hold, so it needs no empty
+/// chains. When all upstreams start again at once, emptying them one by one
+/// would send all new flows to the few that were emptied last.
+bool takes_over_buckets(const cluster_state& state, const node_entry& node,
+                        const node_identity& identity)
+{
+  const auto& before = node.record.identity;
+  const auto service = state.services.find(identity.service);
+  return service != state.services.end() &&
+         service->second.table.kind == service_kind::relay &&
+         node.record.state == node_state::active &&
+         before.service == identity.service && before.data == identity.data;
+}
+
+void replace_life(cluster_state& state, node_entry& node,
+                  const node_identity& identity)
+{
+  unindex_node(state, node);
+  node.record.identity = identity;
+  node.record.changed = state.position;
+  index_node(state, node);
+}
+
 } // namespace
 
 void change_state(cluster_state& state, node_entry& node, node_state to)
@@ -77,7 +101,9 @@
     return start_life(state, identity);
   auto& node = found->second;
   const auto life = node.record.identity.life;
-  if (life < identity.life)
+  if (life < identity.life && takes_over_buckets(state, node, identity))
+    replace_life(state, node, identity);
+  else if (life < identity.life)
   {
     end_earlier_life(state, node);
     start_life(state, identity);
--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -332,3 +332,53 @@
   const auto restored = state_machine::restore(machine.snapshot());
   CHECK_TRUE(restored.value().declared() == machine.declared());
 }
+
+namespace
+{
+
+node_identity relay_agent(std::uint64_t id, std::uint64_t life)
+{
+  node_identity identity;
+  identity.id = {id};
+  identity.life = {life};
+  identity.role = node_role::agent;
+  identity.name = "agent-" + std::to_string(id);
+  identity.data_centre = "z";
+  identity.data = {{static_cast<std::uint32_t>(id)}, 7000};
+  identity.service = "notes";
+  return identity;
+}
+
+std::size_t owned_by(const state_machine& machine, std::uint64_t id)
+{
+  const auto& table = *machine.find_service("notes");
+  std::size_t count = 0;
+  for (const auto& bucket : table.buckets)
+    if (bucket.size > 0 && table.holders[bucket.holders[0]].node == node_id{id})
+      ++count;
+  return count;
+}
+
+} // namespace
+
+// Guards against new flows that all go to the last upstreams to announce
+// themselves after a loss of power (cpl-obsnet, 338 refusals in two seconds).
+TEST(declaration, upstreams_that_start_again_together_keep_their_shares)
+{
+  state_machine machine;
+  declare(machine, 1, declared_version(1));
+  std::uint64_t index = 2;
+  for (std::uint64_t id = 1; id <= 4; ++id)
+    machine.apply({1, index++}, register_node{relay_agent(id, 1)});
+  for (int round = 0; round < 100; ++round)
+    machine.apply(
+        {1, index++},
+        rebalance{
+            "notes", {{{1}, 1000}, {{2}, 1000}, {{3}, 1000}, {{4}, 1000}}, {}});
+  const auto before = owned_by(machine, 4);
+  CHECK_TRUE(before >= 60 && before <= 68);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    machine.apply({1, index++}, register_node{relay_agent(id, 2)});
+  CHECK_EQUAL(before, owned_by(machine, 4));
+  CHECK_EQUAL(2U, machine.find_node(node_id{1})->identity.life.value);
+}
