relay: let an opening packet ask eight agents

Cause: after a loss of power the four agents that an opening packet asked were full while others had room, and the flow was refused.

Change: it asks up to eight.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -78,7 +78,7 @@
   duration memory_limit = std::chrono::seconds(70);
   std::size_t memory = 65536; ///< flows
   /// Agents that an opening packet asks at most.
-  std::size_t opening_stops = 4;
+  std::size_t opening_stops = 8;
   /// An agent that lost an opening packet is asked last for this long.
   duration doubt = std::chrono::seconds(1);
   /// Of the packets of a flow that was searched for within this time, and not
