daemon, relay: guard the control client at its end; one key of an endpoint

Cause: on a read of the whole change: both relay roles kept their own flag for whether the control client had started, and neither guarded its end, so a packet that showed a newer configuration while the process stopped could use a client that was gone. Three files had the same function for the key of an endpoint.

Change: table_feed guards the client's start and end itself; key_of stands once. Decisions are unchanged. No test for the end: the window is a few microseconds.

--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -19,6 +19,12 @@
 
 service_key key_of_service(std::string_view name);
 
+/// Key of an endpoint in a hash table.
+inline std::uint64_t key_of(const endpoint& value)
+{
+  return static_cast<std::uint64_t>(value.address.value) << 16 | value.port;
+}
+
 /// Agents that a packet may visit, in order.
 struct visit_stops
 {
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -53,7 +53,6 @@
   using route_ptr = std::shared_ptr<const route>;
   using route_map = std::unordered_map<std::uint64_t, route_ptr>;
 
-  static std::uint64_t key_of(const endpoint& address);
   void replace_routes(const configuration& declared);
   void replace_services(const table_update& update);
 
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -52,8 +52,7 @@
     options.codec = platform::make_packet_codec();
     options.on_newer_configuration = [this]
     {
-      if (running_)
-        feed_.report_now();
+      feed_.report_now();
     };
     options.on_note = [](const entry_note& value)
     {
@@ -62,7 +61,6 @@
     BOOST_OUTCOME_TRY(started, entry_balancer::start(std::move(options)));
     packets_ = std::move(started);
     feed_.start(instance_, callbacks());
-    running_ = true;
     return outcome::success();
   }
 
@@ -201,7 +199,6 @@
   std::uint64_t packets_seen_ = 0;
   std::atomic<bool> leaving_{false};
   std::atomic<bool> has_routes_{false};
-  std::atomic<bool> running_{false};
   table_feed feed_;
 };
 
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -81,8 +81,7 @@
     auto options = make_options(settings);
     options.on_newer_configuration = [this]
     {
-      if (running_)
-        feed_.report_now();
+      feed_.report_now();
     };
     options.on_note = [](const relay_note& value)
     {
@@ -91,7 +90,6 @@
     BOOST_OUTCOME_TRY(started, relay_agent::start(std::move(options)));
     agent_ = std::move(started);
     feed_.start(instance_, callbacks());
-    running_ = true;
     return outcome::success();
   }
 
@@ -265,7 +263,6 @@
   bool reported_departure_ = false; ///< used on the client's thread only
   std::atomic<bool> departure_known_{false};
   std::atomic<bool> stopping_{false};
-  std::atomic<bool> running_{false};
   table_feed feed_;
 };
 
--- a/src/daemon/table_feed.hpp
+++ b/src/daemon/table_feed.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -31,12 +32,21 @@
     };
     node_client_options options;
     options.control = control_endpoints(instance);
-    client_ = node_client::start(options, std::move(callbacks));
+    auto client = node_client::start(options, std::move(callbacks));
+    const std::lock_guard lock(mutex_);
+    client_ = std::move(client);
   }
 
+  // The client's thread may wait for the packet thread, which may be in
+  // report_now(); so the client ends outside the lock.
   void stop()
   {
-    client_.reset();
+    std::unique_ptr<node_client> client;
+    {
+      const std::lock_guard lock(mutex_);
+      client = std::move(client_);
+    }
+    client.reset();
   }
 
   bool reachable() const
@@ -44,9 +54,12 @@
     return reachable_;
   }
 
+  /// Any thread; has no effect before start() and after stop().
   void report_now()
   {
-    client_->report_now();
+    const std::lock_guard lock(mutex_);
+    if (client_ != nullptr)
+      client_->report_now();
   }
 
   void reload(const instance_settings& instance)
@@ -62,6 +75,7 @@
 private:
   std::string name_;
   std::atomic<bool> reachable_{true};
+  std::mutex mutex_; ///< of client_ against start() and stop()
   std::unique_ptr<node_client> client_;
 };
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -10,11 +10,6 @@
 namespace
 {
 
-std::uint64_t key_of(const endpoint& address)
-{
-  return static_cast<std::uint64_t>(address.address.value) << 16 | address.port;
-}
-
 /// The stops from `first` on, then those before it.
 visit_stops rotated(const visit_stops& stops, std::size_t first)
 {
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -10,11 +10,6 @@
 namespace
 {
 
-std::uint64_t key_of(const endpoint& address)
-{
-  return static_cast<std::uint64_t>(address.address.value) << 16 | address.port;
-}
-
 miss_reason reason_of(relay_event event)
 {
   return event == relay_event::route_replaced ? miss_reason::route_replaced
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -79,11 +79,6 @@
 
 } // namespace
 
-std::uint64_t relay_table::key_of(const endpoint& address)
-{
-  return static_cast<std::uint64_t>(address.address.value) << 16 | address.port;
-}
-
 const route* relay_table::find_route(const endpoint& address) const
 {
   const auto found = routes_->find(key_of(address));
