control: a removed seed never forms the first group again

Cause: read while planning for more control instances. An instance that the group removed clears its folder and starts again inside the process, with the settings of the process's start. A seed whose settings said bootstrap took its first id and the first group again; two of three removed seeds would have been a quorum of a second group that knows nothing of what was accepted. Change: choosing the identity says why the instance starts; only the start of the process may form the first group. The function moves to the control slice, beside its test. Ruled out: the settings file. The platform writes bootstrap = false at the next start, but an in-process start does not read it. Measured: control_test, group replica_identity: with the condition removed removed_seed_never_forms_a_group_again fails, with it all pass.

--- a/src/daemon/replica_identity.hpp
+++ b/include/toucanmill/control/replica_identity.hpp
@@ -1,5 +1,5 @@
-#ifndef TOUCANMILL_DAEMON_REPLICA_IDENTITY_HPP
-#define TOUCANMILL_DAEMON_REPLICA_IDENTITY_HPP
+#ifndef TOUCANMILL_CONTROL_REPLICA_IDENTITY_HPP
+#define TOUCANMILL_CONTROL_REPLICA_IDENTITY_HPP
 
 #include <string>
 #include <vector>
@@ -8,7 +8,7 @@
 #include <toucanmill/log/types.hpp>
 #include <toucanmill/settings/settings.hpp>
 
-namespace toucanmill::daemon
+namespace toucanmill
 {
 
 /// Under which id a control instance runs, and how it got it.
@@ -19,14 +19,22 @@
   std::string origin;                         ///< for the log
 };
 
+/// Why an instance needs an identity.
+enum class replica_start : std::uint8_t
+{
+  of_process,
+  after_removal, ///< the group removed it; its folder was cleared
+};
+
 /// A folder that was used keeps its id. With an empty folder, a seed forms the
 /// first group at the first start of the system; any other instance gets a
 /// random id, so that an earlier life whose disk was lost never votes again.
 /// Errors: io_failure or corrupt_data of the folder.
 result<replica_identity>
 choose_replica_identity(const control_settings& settings,
-                        const std::vector<endpoint>& seeds);
+                        const std::vector<endpoint>& seeds,
+                        replica_start start);
 
-} // namespace toucanmill::daemon
+} // namespace toucanmill
 
 #endif
--- a/src/daemon/replica_identity.cpp
+++ b/src/control/replica_identity.cpp
@@ -1,11 +1,11 @@
-#include "replica_identity.hpp"
+#include <toucanmill/control/replica_identity.hpp>
 
 #include <algorithm>
 #include <random>
 
 #include <toucanmill/log/replicated_log.hpp>
 
-namespace toucanmill::daemon
+namespace toucanmill
 {
 
 namespace
@@ -38,7 +38,7 @@
 
 result<replica_identity>
 choose_replica_identity(const control_settings& settings,
-                        const std::vector<endpoint>& seeds)
+                        const std::vector<endpoint>& seeds, replica_start start)
 {
   if (settings.mode != "seeds")
   {
@@ -47,15 +47,20 @@
       given.initial_group.push_back({{member.id}, member.rpc, true});
     return given;
   }
-  BOOST_OUTCOME_TRY(stored, stored_replica_id(settings.folder));
-  if (stored)
-    return replica_identity{*stored, {}, "data folder"};
+  if (!settings.folder.empty())
+  {
+    BOOST_OUTCOME_TRY(stored, stored_replica_id(settings.folder));
+    if (stored)
+      return replica_identity{*stored, {}, "data folder"};
+  }
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), settings.rpc) != seeds.end();
-  if (settings.bootstrap && is_seed)
+  // The group exists once it removed somebody: two seeds that formed one anew
+  // would be a quorum without what was declared before.
+  if (start == replica_start::of_process && settings.bootstrap && is_seed)
     return replica_identity{id_from(settings.rpc), first_group(seeds),
                             "first group"};
   return replica_identity{random_id(), {}, "joins as a learner"};
 }
 
-} // namespace toucanmill::daemon
+} // namespace toucanmill
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -6,11 +6,11 @@
 #include <thread>
 
 #include <toucanmill/control/control_server.hpp>
+#include <toucanmill/control/replica_identity.hpp>
 #include <toucanmill/observe/event.hpp>
 
 #include <platform/pages.hpp>
 
-#include "replica_identity.hpp"
 #include "samples.hpp"
 
 namespace toucanmill::daemon
@@ -52,9 +52,10 @@
   }
 
   result<std::unique_ptr<control_server>>
-  start(std::function<void()> on_removed) const
+  start(replica_start why, std::function<void()> on_removed) const
   {
-    BOOST_OUTCOME_TRY(identity, choose_replica_identity(settings_, seeds_));
+    BOOST_OUTCOME_TRY(identity,
+                      choose_replica_identity(settings_, seeds_, why));
     log_event(event::replica_started,
               to_string(identity.id) + ", " + identity.origin);
     control_server_options options;
@@ -110,13 +111,13 @@
       stopper_.join();
   }
 
-  result<void> open()
+  result<void> open(replica_start why)
   {
-    BOOST_OUTCOME_TRY(server, starter_.start(
-                                  [this]
-                                  {
-                                    removed_ = true;
-                                  }));
+    BOOST_OUTCOME_TRY(server, starter_.start(why,
+                                             [this]
+                                             {
+                                               removed_ = true;
+                                             }));
     const std::lock_guard lock(mutex_);
     server_ = std::move(server);
     return outcome::success();
@@ -248,7 +249,7 @@
     removed_ = false;
     auto cleared = starter_.clear();
     if (cleared)
-      cleared = open();
+      cleared = open(replica_start::after_removal);
     if (cleared.has_error())
     {
       log_event(event::start_failed, cleared.error().message);
@@ -285,7 +286,7 @@
                           const control_settings& settings)
 {
   auto started = std::make_unique<control_role>(instance, settings);
-  BOOST_OUTCOME_TRYV(started->open());
+  BOOST_OUTCOME_TRYV(started->open(replica_start::of_process));
   return std::unique_ptr<role>(std::move(started));
 }
 
