control: instances without a disk, and groups that tolerate more than one loss

Cause: the deployments that grew have two front machines with a disk in each zone and ask for the loss of two. Change: two control instances a zone. Where only one machine of a zone has a disk the other instance keeps the log in memory, stays a learner and sends callers to the leader; as a seed of the first start it votes only until enough instances with a disk do. The group does not shrink below 2f + 1 voters for f tolerated losses (setting tolerated_losses), and has nine voters at most. A learner forgets a leader that it does not hear.

--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -17,10 +17,12 @@
   endpoint rpc; ///< TCP endpoint of the RPC server
   replicated_log_options log;
   membership_options membership;
+  group_options group;
   std::function<void(const control_notice&)> notify;
 
   /// RPC endpoints of other control instances. With at least one, an instance
-  /// that is no voter joins the group by itself.
+  /// that is no voter joins the group by itself; without a data folder it stays
+  /// a learner.
   std::vector<endpoint> others;
 
   /// The group removed this instance: it must be started again with a cleared
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -58,13 +58,15 @@
   /// Silent control instances are removed from the group; off for a group that
   /// the settings name.
   bool remove_silent = false;
+  bool stores = true; ///< this instance keeps the log on a disk
+  group_options group;
   membership_options membership;
   assignment_options assignment;
   std::function<void(const replica_address&, std::string)> send;
   std::function<void(const control_notice&)> notify;
 
-  /// Called when this changes: whether this instance is a voter of a group
-  /// with a leader. False at the start.
+  /// Called when this changes: whether this instance is what it can be, a voter
+  /// or without a disk a learner, in a group with a leader. False at the start.
   std::function<void(bool)> on_settled;
 };
 
@@ -107,6 +109,11 @@
     return leads_;
   }
 
+  const group_options& group() const
+  {
+    return options_.group;
+  }
+
 private:
   void propose(std::vector<command> commands);
   void check_settled(time_point now);
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -45,7 +45,7 @@
 struct replicated_log_options
 {
   replica_id self;
-  std::string folder;
+  std::string folder; ///< empty: the log is kept in memory
   std::vector<replica_address> initial_group; ///< used with an empty folder
   duration heartbeat_interval = std::chrono::milliseconds(100);
   duration election_timeout = std::chrono::milliseconds(600); ///< up to twice
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -78,7 +78,11 @@
   std::string mode = "static";
   std::uint32_t id = 0;
   endpoint rpc;
+  /// Mode seeds: without a folder the instance keeps the log in memory and
+  /// does not vote.
   std::string folder;
+  /// Control instances that may be lost at the same time.
+  std::uint32_t tolerated_losses = 1;
   std::vector<group_member_settings> group; ///< first members, voters
   bool bootstrap = false; ///< mode seeds: the system starts for the first time
   std::chrono::milliseconds lease{3000};
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -238,8 +238,9 @@
   # Answered by the leader after a quorum confirmed it.
   declared @11 () -> (configuration :Configuration, notLeader :NotLeader);
   # A control instance asks to become a member, or whether it still is one.
-  join @12 (replica :ReplicaStatus) -> (standing :Standing,
-                                        notLeader :NotLeader);
+  # One that keeps its log in memory never votes for long.
+  join @12 (replica :ReplicaStatus, inMemory :Bool)
+      -> (standing :Standing, notLeader :NotLeader);
   # A control instance that stops leaves the group, if enough others stay.
   leave @13 (replica :ReplicaStatus) -> (notLeader :NotLeader);
 }
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -188,6 +188,8 @@
     control_state_options out;
     out.membership = options_.membership;
     out.remove_silent = !options_.others.empty();
+    out.stores = stores();
+    out.group = options_.group;
     out.notify = options_.notify;
     out.on_settled = [this](bool settled)
     {
@@ -239,7 +241,8 @@
     if (options_.others.empty())
       return {};
     return kj::heap<detail::group_joiner>(
-        io, options_.others, replica_address{options_.log.self, options_.rpc},
+        io, options_.others,
+        join_request{{options_.log.self, options_.rpc}, stores()},
         [this](replica_standing standing)
         {
           if (standing == replica_standing::removed && options_.on_removed)
@@ -247,7 +250,12 @@
         });
   }
 
-  /// Whether this instance is a voter that hears a leader.
+  bool stores() const
+  {
+    return !options_.log.folder.empty();
+  }
+
+  /// Whether this instance is a member that hears a leader.
   void set_settled(bool settled)
   {
     rpc_.post(
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -367,7 +367,9 @@
 
 kj::Promise<void> control_service::join(JoinContext context)
 {
-  const auto joining = wire::read(context.getParams().getReplica());
+  const auto params = context.getParams();
+  const join_request joining{wire::read(params.getReplica()),
+                             !params.getInMemory()};
   auto [promise, reply] = cross_thread_reply<answer<replica_standing>>::make();
   log_.confirm_read(
       [this, joining, reply = reply](const result<table_version>& confirmed)
@@ -402,7 +404,7 @@
         if (!confirmed)
           return reply->fulfiller->fulfill(
               answer<bool>{confirmed.error(), leader_hint()});
-        auto next = plan_leave(log_.status(), leaving.id);
+        auto next = plan_leave(log_.status(), leaving.id, state_.group());
         if (!next)
           return reply->fulfiller->fulfill(answer<bool>{false, {}});
         log_.change_group(
@@ -420,11 +422,10 @@
       });
 }
 
-void control_service::step_join(const replica_address& joining,
+void control_service::step_join(const join_request& joining,
                                 std::function<void(replica_standing)> done)
 {
-  const auto status = log_.status();
-  auto step = plan_join(status.group, status.removed, joining);
+  auto step = plan_join(log_.status(), joining, state_.group());
   if (!step.next)
     return done(step.standing);
   log_.change_group(std::move(*step.next),
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -75,7 +75,7 @@
   endpoint leader_hint() const;
 
   /// Makes the next step of a join; runs on the log's thread.
-  void step_join(const replica_address& joining,
+  void step_join(const join_request& joining,
                  std::function<void(replica_standing)> done);
 
   replicated_log& log_;
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -165,7 +165,7 @@
   if (log_ == nullptr || !options_.remove_silent || now < next_group_check_)
     return;
   next_group_check_ = now + group_check_interval;
-  auto next = plan_removal(log_->status());
+  auto next = plan_removal(log_->status(), options_.group);
   if (!next)
     return;
   options_.notify(
@@ -181,13 +181,13 @@
   const auto status = log_->status();
   if (status.leader)
     leader_known_ = now;
-  const bool voter =
-      std::any_of(status.group.begin(), status.group.end(),
-                  [&](const replica_address& member)
-                  {
-                    return member.id == status.self && member.voter;
-                  });
-  const bool settled = voter && now - leader_known_ < leader_patience;
+  const bool placed = std::any_of(status.group.begin(), status.group.end(),
+                                  [&](const replica_address& member)
+                                  {
+                                    return member.id == status.self &&
+                                           member.voter == options_.stores;
+                                  });
+  const bool settled = placed && now - leader_known_ < leader_patience;
   if (settled_ == settled)
     return;
   settled_ = settled;
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -5,37 +5,6 @@
 namespace toucanmill
 {
 
-join_step plan_join(const std::vector<replica_address>& group,
-                    const std::vector<replica_id>& removed,
-                    const replica_address& joining)
-{
-  if (std::find(removed.begin(), removed.end(), joining.id) != removed.end())
-    return {replica_standing::removed, {}};
-  auto next = group;
-  const auto same_id = std::find_if(next.begin(), next.end(),
-                                    [&](const replica_address& member)
-                                    {
-                                      return member.id == joining.id;
-                                    });
-  if (same_id != next.end() && same_id->voter)
-    return {replica_standing::voter, {}};
-  if (same_id != next.end())
-  {
-    same_id->voter = true;
-    return {replica_standing::learner, std::move(next)};
-  }
-  const auto same_place = std::find_if(next.begin(), next.end(),
-                                       [&](const replica_address& member)
-                                       {
-                                         return member.rpc == joining.rpc;
-                                       });
-  if (same_place != next.end())
-    next.erase(same_place);
-  else
-    next.push_back({joining.id, joining.rpc, false});
-  return {replica_standing::waiting, std::move(next)};
-}
-
 namespace
 {
 
@@ -57,6 +26,16 @@
   return live;
 }
 
+std::size_t count_voters(const std::vector<replica_address>& group)
+{
+  return static_cast<std::size_t>(
+      std::count_if(group.begin(), group.end(),
+                    [](const replica_address& member)
+                    {
+                      return member.voter;
+                    }));
+}
+
 std::vector<replica_address> without(const std::vector<replica_address>& group,
                                      replica_id id)
 {
@@ -72,6 +51,51 @@
 
 } // namespace
 
+group_options make_group_options(std::size_t tolerated_losses)
+{
+  group_options options;
+  options.least_voters =
+      std::max(options.least_voters, 2 * tolerated_losses + 1);
+  return options;
+}
+
+join_step plan_join(const replicated_log_status& status,
+                    const join_request& joining, const group_options& options)
+{
+  const auto& self = joining.replica;
+  if (std::find(status.removed.begin(), status.removed.end(), self.id) !=
+      status.removed.end())
+    return {replica_standing::removed, {}};
+  auto next = status.group;
+  if (const auto same_id = std::find_if(next.begin(), next.end(),
+                                        [&](const replica_address& member)
+                                        {
+                                          return member.id == self.id;
+                                        });
+      same_id != next.end())
+  {
+    if (same_id->voter && !joining.stores &&
+        count_live(status, options) > options.least_voters)
+      return {replica_standing::waiting, without(next, self.id)};
+    if (same_id->voter)
+      return {replica_standing::voter, {}};
+    if (!joining.stores || count_voters(next) >= options.most_voters)
+      return {replica_standing::learner, {}};
+    same_id->voter = true;
+    return {replica_standing::learner, std::move(next)};
+  }
+  const auto same_place = std::find_if(next.begin(), next.end(),
+                                       [&](const replica_address& member)
+                                       {
+                                         return member.rpc == self.rpc;
+                                       });
+  if (same_place != next.end())
+    next.erase(same_place);
+  else
+    next.push_back({self.id, self.rpc, false});
+  return {replica_standing::waiting, std::move(next)};
+}
+
 std::optional<std::vector<replica_address>>
 plan_removal(const replicated_log_status& status, const group_options& options)
 {
--- a/src/control/group_core_test.cpp
+++ b/src/control/group_core_test.cpp
@@ -16,6 +16,17 @@
 const std::vector<replica_address> three = {replica(1, 1), replica(2, 2),
                                             replica(3, 3)};
 
+replicated_log_status status_of(std::vector<replica_address> group,
+                                std::vector<replica_silence> silences,
+                                std::vector<replica_id> removed = {})
+{
+  replicated_log_status status;
+  status.group = std::move(group);
+  status.silences = std::move(silences);
+  status.removed = std::move(removed);
+  return status;
+}
+
 } // namespace
 
 TEST_GROUP(group_core){};
@@ -25,16 +36,16 @@
 TEST(group_core, wiped_instance_becomes_a_voter_step_by_step)
 {
   const auto wiped = replica(9, 3);
-  auto step = plan_join(three, {}, wiped);
+  auto step = plan_join(status_of(three, {}), {wiped});
   CHECK_TRUE(step.standing == replica_standing::waiting);
   CHECK_TRUE((*step.next ==
               std::vector<replica_address>{replica(1, 1), replica(2, 2)}));
-  step = plan_join(*step.next, {{3}}, wiped);
+  step = plan_join(status_of(*step.next, {}, {{3}}), {wiped});
   CHECK_FALSE(step.next->back().voter);
-  step = plan_join(*step.next, {{3}}, wiped);
+  step = plan_join(status_of(*step.next, {}, {{3}}), {wiped});
   CHECK_TRUE(step.standing == replica_standing::learner);
   CHECK_TRUE(step.next->back().voter);
-  step = plan_join(*step.next, {{3}}, wiped);
+  step = plan_join(status_of(*step.next, {}, {{3}}), {wiped});
   CHECK_TRUE(step.standing == replica_standing::voter);
   CHECK_FALSE(step.next.has_value());
 }
@@ -42,7 +53,7 @@
 // Guards against an id that was removed and joins again with its old log.
 TEST(group_core, removed_id_must_return_under_a_new_one)
 {
-  const auto step = plan_join(three, {{7}}, replica(7, 7));
+  const auto step = plan_join(status_of(three, {}, {{7}}), {replica(7, 7)});
   CHECK_TRUE(step.standing == replica_standing::removed);
   CHECK_FALSE(step.next.has_value());
 }
@@ -50,15 +61,6 @@
 namespace
 {
 
-replicated_log_status status_of(std::vector<replica_address> group,
-                                std::vector<replica_silence> silences)
-{
-  replicated_log_status status;
-  status.group = std::move(group);
-  status.silences = std::move(silences);
-  return status;
-}
-
 constexpr duration dead = std::chrono::seconds(2);
 constexpr duration long_dead = std::chrono::seconds(20);
 
@@ -99,3 +101,52 @@
   CHECK_EQUAL(3U, next->size());
   CHECK_FALSE(plan_leave(status_of(four, {}), {8}).has_value());
 }
+
+// Guards against a group that tolerates two losses and shrinks until it
+// tolerates one.
+TEST(group_core, group_keeps_the_voters_that_its_tolerance_needs)
+{
+  const auto options = make_group_options(2);
+  auto six = three;
+  for (std::uint32_t i = 4; i <= 6; ++i)
+    six.push_back(replica(i, i));
+  CHECK_TRUE(plan_removal(status_of(six, {{{3}, dead}}), options).has_value());
+  CHECK_FALSE(plan_removal(status_of(six, {{{2}, dead}, {{3}, dead}}), options)
+                  .has_value());
+}
+
+// Guards against votes that are forgotten with the process.
+TEST(group_core, instance_without_a_disk_stays_a_learner)
+{
+  auto four = three;
+  four.push_back(replica(4, 4, false));
+  const auto step = plan_join(status_of(four, {}), {replica(4, 4), false});
+  CHECK_TRUE(step.standing == replica_standing::learner);
+  CHECK_FALSE(step.next.has_value());
+}
+
+// Guards against a first group whose seeds have no disk and vote for ever.
+TEST(group_core, voter_without_a_disk_leaves_once_enough_others_vote)
+{
+  const join_request second{replica(2, 2), false};
+  CHECK_FALSE(plan_join(status_of(three, {}), second).next.has_value());
+  auto four = three;
+  four.push_back(replica(4, 4));
+  const auto step = plan_join(status_of(four, {}), second);
+  CHECK_TRUE((*step.next == std::vector<replica_address>{
+                                replica(1, 1), replica(3, 3), replica(4, 4)}));
+  CHECK_FALSE(
+      plan_join(status_of(four, {{{4}, dead}}), second).next.has_value());
+}
+
+// Guards against a quorum that grows with every instance of a large system.
+TEST(group_core, instances_beyond_the_most_voters_stay_learners)
+{
+  std::vector<replica_address> nine;
+  for (std::uint32_t i = 1; i <= 9; ++i)
+    nine.push_back(replica(i, i));
+  nine.push_back(replica(10, 10, false));
+  const auto step = plan_join(status_of(nine, {}), {replica(10, 10)});
+  CHECK_TRUE(step.standing == replica_standing::learner);
+  CHECK_FALSE(step.next.has_value());
+}
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 group_joiner::group_joiner(kj::AsyncIoContext& io, std::vector<endpoint> others,
-                           replica_address self, standing_callback on_standing)
+                           join_request self, standing_callback on_standing)
     : timer_(io.provider->getTimer()), channel_(io, std::move(others)),
       self_(self), on_standing_(std::move(on_standing)), tasks_(*this)
 {
@@ -54,7 +54,8 @@
           [this](schema::Control::Client control)
           {
             auto request = control.joinRequest();
-            wire::write(request.initReplica(), self_);
+            wire::write(request.initReplica(), self_.replica);
+            request.setInMemory(!self_.stores);
             return request.send().then(
                 [this](auto&& response)
                 {
@@ -79,7 +80,7 @@
           [this](schema::Control::Client control)
           {
             auto request = control.leaveRequest();
-            wire::write(request.initReplica(), self_);
+            wire::write(request.initReplica(), self_.replica);
             return request.send().then(
                 [this](auto&& response)
                 {
--- a/src/control/group_joiner.hpp
+++ b/src/control/group_joiner.hpp
@@ -13,7 +13,7 @@
 namespace toucanmill::detail
 {
 
-/// Asks the leader to make this instance a voter, and whether it still is one
+/// Asks the leader to make this instance a member, and whether it still is one
 /// when it hears of no leader. Lives on the RPC thread.
 class group_joiner : private kj::TaskSet::ErrorHandler
 {
@@ -22,7 +22,7 @@
 
   /// others: RPC endpoints of further instances, at least one.
   group_joiner(kj::AsyncIoContext& io, std::vector<endpoint> others,
-               replica_address self, standing_callback on_standing);
+               join_request self, standing_callback on_standing);
 
   /// False stops asking until it is true again.
   void set_needed(bool needed);
@@ -39,7 +39,7 @@
 
   kj::Timer& timer_;
   control_channel channel_;
-  replica_address self_;
+  join_request self_;
   standing_callback on_standing_;
   bool needed_ = false;
   kj::TaskSet tasks_;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -67,6 +67,7 @@
     options.log.octets_per_snapshot = settings_.mb_per_snapshot * octets_per_mb;
     options.log.election_timeout = settings_.election_timeout;
     options.log.random_seed = std::random_device{}();
+    options.group = make_group_options(settings_.tolerated_losses);
     options.membership.lease = settings_.lease;
     options.membership.ramp = settings_.ramp;
     options.membership.rebalance_interval = settings_.rebalance_interval;
@@ -81,6 +82,8 @@
 
   result<void> clear() const
   {
+    if (settings_.folder.empty())
+      return outcome::success();
     return clear_data_folder(settings_.folder);
   }
 
--- a/src/log/file_system.hpp
+++ b/src/log/file_system.hpp
@@ -52,6 +52,9 @@
 
 std::unique_ptr<file_system> make_posix_file_system();
 
+/// Files in the memory of this process, for an instance without a disk.
+std::unique_ptr<file_system> make_memory_file_system();
+
 } // namespace toucanmill::log_detail
 
 #endif
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -214,8 +214,10 @@
 result<std::unique_ptr<replicated_log>>
 replicated_log::open(replicated_log_options options, log_client& client)
 {
+  auto files = options.folder.empty() ? log_detail::make_memory_file_system()
+                                      : log_detail::make_posix_file_system();
   return log_detail::open_with_files(std::move(options), client,
-                                     log_detail::make_posix_file_system());
+                                     std::move(files));
 }
 
 } // namespace toucanmill
--- a/src/log/replica_election_core.cpp
+++ b/src/log/replica_election_core.cpp
@@ -67,7 +67,12 @@
 {
   reset_election_deadline();
   if (!may_campaign())
+  {
+    // A learner that the group removed hears nothing more; it must not send
+    // callers to a leader of long ago.
+    leader_.reset();
     return;
+  }
   role_ = replica_role::pre_candidate;
   leader_.reset();
   votes_ = {settings_.self};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -71,7 +71,8 @@
     {"mb_per_snapshot", &control_settings::mb_per_snapshot, false, {1, 4096}},
     {"id", &control_settings::id, false, {1, 0xFFFFFFFF}},
     {"rpc", &control_settings::rpc, true},
-    {"folder", &control_settings::folder, true},
+    {"folder", &control_settings::folder},
+    {"tolerated_losses", &control_settings::tolerated_losses, false, {0, 16}},
     {"lease_ms", &control_settings::lease, false, {500, 60'000}},
     {"entries_per_snapshot",
      &control_settings::entries_per_snapshot,
@@ -174,6 +175,7 @@
   check_mode(section, "control.", control.mode, "static", "seeds", list);
   if (control.mode == "seeds")
     return control;
+  require(section, "folder", "control.", list);
   require(section, "id", "control.", list);
   read_group(section, control, list);
   return control;
