relay: a search asks every holder of a service

Cause: a visit has at most 16 stops and a search made one visit for each service and health. Change: a search is a list of visits of up to 16 stops each; a list that was cut at 255 visits never justifies a reset. Ruled out: longer visits. A header with 55 stops is 374 octets in front of each searching packet.

--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -68,7 +68,7 @@
   bool remembered = false; ///< the first stop is the balancer's memory
   bool probe = false;      ///< one of several copies; the others go elsewhere
   bool doubtful = false;   ///< a stop on the way could not say for certain
-  std::uint8_t stage = 0;  ///< number of services already searched
+  std::uint8_t stage = 0;  ///< number of visits of this search before
   std::uint8_t stop = 0;   ///< index of the present stop
   std::uint16_t bucket = 0;
   service_key service = 0;
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -77,8 +77,8 @@
 
 /// Holders of this health in the order in which a packet of an established flow
 /// asks them: the chain of the bucket, then the others by rendezvous hashing.
-visit_stops search_stops(const relay_service& service, std::uint64_t hash,
-                         holder_health health);
+std::vector<endpoint> search_order(const relay_service& service,
+                                   std::uint64_t hash, holder_health health);
 
 /// The service that a new flow of the route goes to; null when none is known.
 const relay_service* choose_service(const relay_table& table, const route& from,
@@ -89,6 +89,22 @@
                                                     const route& from,
                                                     std::uint64_t hash);
 
+/// One visit of a search.
+struct search_stage
+{
+  const relay_service* service = nullptr;
+  visit_stops stops;
+};
+
+/// The number of a stage is one octet of the header.
+inline constexpr std::size_t max_search_stages = 255;
+
+/// All visits that a search for a flow of the route needs, in order: the live
+/// holders of each possible service, then the suspect ones, since a dead agent
+/// swallows the packet. At most max_search_stages, the rest is left out.
+std::vector<search_stage> search_stages(const relay_table& table,
+                                        const route& from, std::uint64_t hash);
+
 } // namespace toucanmill
 
 #endif
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -182,28 +182,20 @@
                                  : search_from(packet, from, 0, false, now);
 }
 
-// The stages are the live holders of each service, then the suspect ones: a
-// dead agent swallows the packet, so that no later stage is reached.
 entry_action entry_core::search_from(const flow_packet& packet,
                                      const route& from, std::uint8_t stage,
                                      bool doubtful, time_point now)
 {
   const auto hash = flow_hash(packet.from_caller());
-  const auto services = possible_services(*table_, from, hash);
-  for (std::size_t next = stage; next < 2 * services.size(); ++next)
-  {
-    const auto& service = *services[next % services.size()];
-    auto header = make_header(service, hash);
-    header.stops = search_stops(
-        service, hash,
-        next < services.size() ? holder_health::live : holder_health::suspect);
-    if (header.stops.size == 0)
-      continue;
-    header.stage = static_cast<std::uint8_t>(next);
-    header.doubtful = doubtful;
-    return visit_agent{header.stops.agents[0], header};
-  }
-  return exhausted(packet, doubtful, now);
+  const auto stages = search_stages(*table_, from, hash);
+  if (stage >= stages.size())
+    return exhausted(packet, doubtful || stages.size() == max_search_stages,
+                     now);
+  auto header = make_header(*stages[stage].service, hash);
+  header.stops = stages[stage].stops;
+  header.stage = stage;
+  header.doubtful = doubtful;
+  return visit_agent{header.stops.agents[0], header};
 }
 
 entry_action entry_core::search_everywhere(const flow_packet& packet,
@@ -212,17 +204,13 @@
   ++counters_.wide_searches;
   const auto hash = flow_hash(packet.from_caller());
   visit_all out;
-  for (const auto* service : possible_services(*table_, from, hash))
-    for (const auto health : {holder_health::live, holder_health::suspect})
+  for (const auto& [service, stops] : search_stages(*table_, from, hash))
+    for (std::size_t i = 0; i < stops.size; ++i)
     {
-      const auto stops = search_stops(*service, hash, health);
-      for (std::size_t i = 0; i < stops.size; ++i)
-      {
-        auto header = make_header(*service, hash);
-        header.probe = true;
-        header.stops.add(stops.agents[i]);
-        out.visits.push_back({stops.agents[i], header});
-      }
+      auto header = make_header(*service, hash);
+      header.probe = true;
+      header.stops.add(stops.agents[i]);
+      out.visits.push_back({stops.agents[i], header});
     }
   if (out.visits.empty())
     return entry_drop::no_upstream;
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -111,6 +111,28 @@
                reset_reason::unknown_flow));
 }
 
+// Guards against an open flow that is reset although its upstream was never
+// asked, where a service has more upstreams than one visit has stops.
+TEST(entry_core, every_holder_is_asked_before_a_reset)
+{
+  constexpr std::size_t agents = 55;
+  use(table_of(1, routes_to(5, {{"notes", 1}}),
+               {service("notes", 1, 10, agents)}));
+  std::set<std::uint32_t> asked;
+  auto action = core.on_packet(data(), start);
+  while (const auto* visit = std::get_if<visit_agent>(&action))
+  {
+    const auto header = visit->header;
+    for (std::size_t i = 0; i < header.stops.size; ++i)
+      asked.insert(header.stops.agents[i].address.value);
+    action = core.on_missed(returned(header),
+                            header.stops.agents[header.stops.size - 1U], data(),
+                            start);
+  }
+  CHECK_TRUE(is_reset(action, reset_reason::unknown_flow));
+  CHECK_EQUAL(agents, asked.size());
+}
+
 // Guards against an open flow that nobody reaches because a dead agent of
 // another service swallows each packet (FLOW, 2.5 s of silence).
 TEST(entry_core, suspect_agents_are_asked_after_all_live_ones)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -34,10 +34,10 @@
   return owners;
 }
 
-/// Adds the holders, those with the highest score for this flow first.
-void add_by_score(visit_stops& stops, const service_table& table,
-                  std::vector<std::uint16_t> candidates, std::uint64_t hash,
-                  std::size_t limit)
+/// The holders, those with the highest score for this flow first.
+std::vector<std::uint16_t> by_score(const service_table& table,
+                                    std::vector<std::uint16_t> candidates,
+                                    std::uint64_t hash)
 {
   const auto score = [&](std::uint16_t index)
   {
@@ -48,9 +48,7 @@
             {
               return score(left) > score(right);
             });
-  for (const auto index : candidates)
-    if (stops.size < limit)
-      stops.add(table.holders[index].agent);
+  return candidates;
 }
 
 const chain& chain_of(const service_table& table, std::uint64_t hash)
@@ -132,25 +130,31 @@
   if (const auto& bucket = chain_of(table, hash); bucket.size > 0)
     if (const auto& owner = table.holders[bucket.holders[0]]; !owner.suspect)
       stops.add(owner.agent);
-  add_by_score(stops, table, service.owners, hash, limit);
+  for (const auto index : by_score(table, service.owners, hash))
+    if (stops.size < limit)
+      stops.add(table.holders[index].agent);
   return stops;
 }
 
-visit_stops search_stops(const relay_service& service, std::uint64_t hash,
-                         holder_health health)
+std::vector<endpoint> search_order(const relay_service& service,
+                                   std::uint64_t hash, holder_health health)
 {
-  visit_stops stops;
+  std::vector<endpoint> order;
   const auto& table = service.table;
   const bool suspect = health == holder_health::suspect;
-  for (const auto index : chain_of(table, hash))
+  const auto& first = chain_of(table, hash);
+  for (const auto index : first)
     if (table.holders[index].suspect == suspect)
-      stops.add(table.holders[index].agent);
+      order.push_back(table.holders[index].agent);
   std::vector<std::uint16_t> others;
   for (std::size_t i = 0; i < table.holders.size(); ++i)
-    if (table.holders[i].suspect == suspect)
-      others.push_back(static_cast<std::uint16_t>(i));
-  add_by_score(stops, table, std::move(others), hash, visit_stops::capacity);
-  return stops;
+    if (const auto index = static_cast<std::uint16_t>(i);
+        table.holders[i].suspect == suspect &&
+        std::find(first.begin(), first.end(), index) == first.end())
+      others.push_back(index);
+  for (const auto index : by_score(table, std::move(others), hash))
+    order.push_back(table.holders[index].agent);
+  return order;
 }
 
 const relay_service* choose_service(const relay_table& table, const route& from,
@@ -181,4 +185,27 @@
   return found;
 }
 
+std::vector<search_stage> search_stages(const relay_table& table,
+                                        const route& from, std::uint64_t hash)
+{
+  std::vector<search_stage> stages;
+  const auto services = possible_services(table, from, hash);
+  for (const auto health : {holder_health::live, holder_health::suspect})
+    for (const auto* service : services)
+    {
+      const auto order = search_order(*service, hash, health);
+      for (std::size_t i = 0; i < order.size(); ++i)
+      {
+        if (i % visit_stops::capacity == 0)
+        {
+          if (stages.size() == max_search_stages)
+            return stages;
+          stages.push_back({service, {}});
+        }
+        stages.back().stops.add(order[i]);
+      }
+    }
+  return stages;
+}
+
 } // namespace toucanmill
