relay: an agent resets only flows that its upstream holds for certain

Cause: several upstreams may accept copies of one opening packet. Change: an agent resets a flow only after its upstream sent a packet other than the answer to the opening one. Any other flow of an ended upstream is found to be lost when its caller sends again. The test new_start_of_the_upstream_resets_the_flows_of_the_one_before now lets the upstream answer the request first: without an answer the reset that it asked for was the fault. Ruled out: a delay before the reset; the other upstream may stay silent longer. Measured: relay_test: flow_that_may_be_open_elsewhere_is_not_reset fails before, passes after.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -166,6 +166,7 @@
   {
     std::uint16_t bucket = 0;
     bool busy = false;
+    bool open = false; ///< the upstream took a packet after the opening one
     bool caller_finished = false;
     bool upstream_finished = false;
     std::uint32_t acknowledged = 0; ///< by the caller, last
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -105,6 +105,10 @@
 {
   for (const auto& [flow, state] : flows_)
   {
+    // Several upstreams may have accepted copies of an opening packet; the flow
+    // may be open at another one.
+    if (!state.open)
+      continue;
     count(relay_event::flow_reset);
     sink.reset(flow, state.acknowledged);
     note_unanswered(flow, state, relay_event::flow_reset, now, sink);
@@ -296,6 +300,7 @@
     return;
   auto& flow = flows_[key];
   flow.used = now;
+  flow.open |= !packet.accepts;
   if (packet.payload_size > 0)
     set_busy(flow, false);
   flow.upstream_finished |= packet.finishes;
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -158,6 +158,7 @@
   start_serving();
   open_flow(1);
   core.on_visit(visit(), data(1), start, sink);
+  core.on_upstream_packet({}, answer(data(1)), start, sink);
   announce(announcement(1, "i-1", 2000));
   CHECK_EQUAL(1U, sink.resets.size());
   CHECK_EQUAL(77U, sink.resets[0].second);
@@ -165,6 +166,18 @@
   CHECK_EQUAL(0U, core.status(start).flows);
 }
 
+// Guards against a reset of a flow that is open at another upstream, which
+// accepted another copy of its opening packet (fault_soak seed 3).
+TEST(relay_core, flow_that_may_be_open_elsewhere_is_not_reset)
+{
+  start_serving();
+  open_flow(1);
+  core.on_visit(visit(), data(1), start, sink);
+  announce(announcement(1, "i-1", 2000));
+  CHECK_TRUE(sink.resets.empty());
+  CHECK_EQUAL(0U, core.status(start).flows);
+}
+
 // Guards against a flow on a route that the newest configuration moved away,
 // opened by a balancer that has not heard of it.
 TEST(relay_core, newest_configuration_decides_about_opening_packets)
