scripts: a fault soak of the relay path; control: listen behind a translation

The stand-ins of relay_path move to scripts/relay_system.py. The setting control.listen lets an instance bind another endpoint than the one at which others reach it. Ruled out: changing the clock of the machine or a file system of its own, which need root.

--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -14,7 +14,8 @@
 
 struct control_server_options
 {
-  endpoint rpc; ///< TCP endpoint of the RPC server
+  endpoint rpc;    ///< TCP endpoint at which others reach the RPC server
+  endpoint listen; ///< bound in place of `rpc`; port 0: the same
   replicated_log_options log;
   membership_options membership;
   group_options group;
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -77,7 +77,8 @@
   /// first group and others join by themselves.
   std::string mode = "static";
   std::uint32_t id = 0;
-  endpoint rpc;
+  endpoint rpc;    ///< as other instances reach it
+  endpoint listen; ///< bound in place of `rpc` if given, behind a translation
   /// Mode seeds: without a folder the instance keeps the log in memory and
   /// does not vote.
   std::string folder;
--- /dev/null
+++ b/scripts/fault_proxy.py
@@ -0,0 +1,93 @@
+"""TCP proxy in front of a control instance, with faults on its connections."""
+import asyncio
+import threading
+
+CHUNK = 65536  # octets
+
+
+class Connection:
+    """The two sides of a proxied connection."""
+
+    def __init__(self, writer):
+        self.writers = [writer]
+        self.silent = False
+
+    def abort(self):
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Proxy:
+    """Passes connections on to the target, as the present faults allow."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target = listen, target
+        self.delay_s = 0.0
+        self.refusing = False  # new connections are reset
+        self.dropped = set()   # "in", "out": octets in that direction are lost
+        self.connections = []
+
+    async def accept(self, reader, writer):
+        connection = Connection(writer)
+        if self.refusing:
+            return connection.abort()
+        try:
+            to_reader, to_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            return connection.abort()
+        connection.writers.append(to_writer)
+        self.connections.append(connection)
+        await asyncio.gather(self.pump(reader, to_writer, "in", connection),
+                             self.pump(to_reader, writer, "out", connection))
+        self.connections.remove(connection)
+
+    async def pump(self, reader, writer, direction, connection):
+        try:
+            while octets := await reader.read(CHUNK):
+                # A connection that lost octets carries nothing more.
+                connection.silent |= direction in self.dropped
+                if connection.silent:
+                    continue
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(octets)
+                await writer.drain()
+        except OSError:
+            connection.abort()
+        writer.close()
+
+    def reset_all(self):
+        for connection in list(self.connections):
+            connection.abort()
+
+    def silence_all(self):
+        """Open connections carry nothing more; new ones work."""
+        for connection in self.connections:
+            connection.silent = True
+
+    def heal(self):
+        self.delay_s, self.refusing, self.dropped = 0.0, False, set()
+
+
+class ProxyThread:
+    """Runs the proxies on an event loop of their own."""
+
+    def __init__(self, proxies):
+        self.loop = asyncio.new_event_loop()
+        ready = threading.Event()
+
+        async def serve():
+            for proxy in proxies:
+                await asyncio.start_server(proxy.accept, *proxy.listen)
+            ready.set()
+
+        def run():
+            self.loop.run_until_complete(serve())
+            self.loop.run_forever()
+
+        threading.Thread(target=run, daemon=True).start()
+        ready.wait()
+
+    def do(self, task, *arguments):
+        """Runs a function of a proxy on the loop's thread."""
+        self.loop.call_soon_threadsafe(task, *arguments)
--- /dev/null
+++ b/scripts/relay_system.py
@@ -0,0 +1,257 @@
+"""Processes and stand-ins of the relay path on loopback addresses.
+
+Upstreams end flows themselves, as on the users' platform; callers speak the
+same packets. scripts/relay_path and scripts/fault_soak drive them.
+"""
+import dataclasses
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import threading
+import time
+import urllib.error
+import urllib.request
+
+HEAD = struct.Struct(">IIIIHBBHHII")
+RST, FIN, SYN, ACK, BOUNCED = 1, 8, 16, 32, 64
+
+DATA_PORT = 21072      # of balancers, agents and callers
+RPC_PORT = 21020       # at which control instances are reached
+LISTEN_PORT = 21021    # of control instances behind a proxy
+API_PORT = 21066
+OUTBOUND_PORT = 21062
+UPSTREAM_PORT = 21080
+PUBLIC = ("198.18.0.1", 443)
+SERVICE = "notes"
+
+ANNOUNCE_INTERVAL_S = 0.3
+START_LIMIT_S = 60.0   # of the whole system
+
+
+def number(address):
+    return struct.unpack(">I", socket.inet_aton(address))[0]
+
+
+def text(address):
+    return socket.inet_ntoa(struct.pack(">I", address))
+
+
+@dataclasses.dataclass(frozen=True)
+class Packet:
+    """Head of a packet with its data."""
+    flags: int
+    source: tuple
+    destination: tuple
+    seq: int = 0
+    ack: int = 0
+    data: bytes = b""
+
+    def encode(self):
+        return HEAD.pack(self.seq, self.ack, 0, 0, len(self.data), self.flags,
+                         0, self.source[1], self.destination[1],
+                         number(self.destination[0]),
+                         number(self.source[0])) + self.data
+
+    @staticmethod
+    def decode(octets):
+        (seq, ack, _, _, _, flags, _, sport, dport, dst,
+         src) = HEAD.unpack(octets[:HEAD.size])
+        return Packet(flags, (text(src), sport), (text(dst), dport), seq, ack,
+                      octets[HEAD.size:])
+
+
+def marked_bounced(octets):
+    """The packet as an upstream returns what it does not hold."""
+    bounced = bytearray(octets)
+    bounced[18] |= BOUNCED
+    bounced[19] = 0
+    return bytes(bounced)
+
+
+class Upstream(threading.Thread):
+    """Ends flows itself; bounces packets of flows that it does not hold."""
+
+    def __init__(self, address, index):
+        super().__init__(daemon=True)
+        self.address, self.index = address, index
+        self.lives, self.state, self.sequence = 0, "ready", 0
+        self.clock_offset_s = 0.0
+        self.openings = []        # (time, caller) of this life
+        self.begin_life()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, UPSTREAM_PORT))
+
+    def begin_life(self):
+        """A new start holds nothing of before."""
+        self.lives += 1
+        self.instance = f"u-{self.index}-{self.lives}"
+        self.state, self.sequence = "ready", 0
+        self.born = int((time.time() + self.clock_offset_s) * 1e3)
+        self.flows, self.openings = {}, []
+
+    def first_sequence(self, caller):
+        """Names the upstream and its life, so that a caller can tell them."""
+        return (self.index << 24) | ((self.lives & 0xFF) << 16) | (caller[1])
+
+    def run(self):
+        while True:
+            octets = self.socket.recv(2048)
+            answer = self.handle(octets, Packet.decode(octets))
+            if answer:
+                self.socket.sendto(answer, (self.address, OUTBOUND_PORT))
+
+    def handle(self, octets, packet):
+        flow = (packet.source, packet.destination)
+        if packet.flags & SYN:
+            own = self.flows.setdefault(flow, self.first_sequence(flow[0]))
+            self.openings.append((time.monotonic(), flow[0]))
+            return Packet(SYN | ACK, flow[1], flow[0], own,
+                          packet.seq + 1).encode()
+        own = self.flows.get(flow)
+        if own is None or packet.ack != own + 1:
+            return marked_bounced(octets)
+        self.serve(flow, packet)
+        return Packet(ACK, flow[1], flow[0], own + 1,
+                      packet.seq + len(packet.data),
+                      self.instance.encode() + b" " + packet.data).encode()
+
+    def serve(self, flow, packet):
+        """A request arrived, or a copy of it."""
+
+    def announce(self):
+        self.sequence += 1
+        return call("PUT", self.address, f"/toucanmill/instances/{self.instance}",
+                    self.announcement())[0] == 200
+
+    def announcement(self):
+        return {"service": SERVICE, "address": f"{self.address}:{UPSTREAM_PORT}",
+                "zone": "z", "version": "v1", "slots": 64, "state": self.state,
+                "coldLeftMs": 0, "seqNo": self.sequence, "born": self.born}
+
+
+def call(method, address, path, body=None, timeout=2):
+    """Status and body; follows one redirect. Status 0: no answer."""
+    request = urllib.request.Request(
+        f"http://{address}:{API_PORT}{path}", method=method,
+        data=None if body is None else json.dumps(body).encode())
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as refused:
+        if refused.code == 307:
+            leader = refused.headers["Location"].split("//")[1].split(":")[0]
+            return call(method, leader, path, body, timeout)
+        return refused.code, refused.read()
+    except OSError:
+        return 0, b""
+
+
+class System:
+    """The daemons, each with its settings and log in the work folder."""
+
+    def __init__(self, build, folder, net="127.0", control=3, balancers=2,
+                 agents=3, proxied=False):
+        self.build, self.folder, self.net = build, folder, net
+        self.running, self.proxied = {}, proxied
+        self.control = [f"{net}.10.{i + 1}" for i in range(control)]
+        self.balancers = [f"{net}.11.{i + 1}" for i in range(balancers)]
+        self.agents = [f"{net}.12.{i + 1}" for i in range(agents)]
+        self.seeds = self.control[:3]
+        self.started = set()
+
+    def role(self, address):
+        return {"10": "control", "11": "balancer",
+                "12": "agent"}[address.split(".")[2]]
+
+    def data_folder(self, address):
+        return os.path.join(self.folder, "data-" + address)
+
+    def settings(self, address):
+        role = self.role(address)
+        seeds = ", ".join(f'"{seed}:{API_PORT}"' for seed in self.seeds)
+        common = (f'role = "{role}"\nname = "{role}-{address.split(".")[-1]}"\n'
+                  f'data_centre = "z"\napi = "{address}:{API_PORT}"\n'
+                  f"control_seeds = [{seeds}]\ncontrol_rpc_port = {RPC_PORT}\n"
+                  f"stop_limit_ms = 6000\n[{role}]\n")
+        if role == "control":
+            first = "false" if address in self.started else "true"
+            listen = f'listen = "{address}:{LISTEN_PORT}"\n' if self.proxied else ""
+            return common + (f'mode = "seeds"\nrpc = "{address}:{RPC_PORT}"\n'
+                             f'folder = "{self.data_folder(address)}"\n'
+                             f"bootstrap = {first}\nelection_timeout_ms = 500\n"
+                             f"lease_ms = 2500\n{listen}")
+        if role == "balancer":
+            return common + (f'mode = "direct"\ndata = "{address}:{DATA_PORT}"\n'
+                             f'relay = "{address}:{RPC_PORT}"\n')
+        return common + (f'mode = "relay"\ndata = "{address}:{DATA_PORT}"\n'
+                         f'upstream = "{address}:{UPSTREAM_PORT}"\n'
+                         f'outbound = "{address}:{OUTBOUND_PORT}"\n'
+                         f'service = "{SERVICE}"\nannounce_interval_ms = 300\n')
+
+    def write_settings(self, address):
+        path = os.path.join(self.folder, address + ".toml")
+        with open(path, "w", encoding="utf-8") as out:
+            out.write(self.settings(address))
+        return path
+
+    def start(self, address):
+        path = self.write_settings(address)
+        self.started.add(address)
+        with open(os.path.join(self.folder, address + ".log"), "ab") as log:
+            self.running[address] = subprocess.Popen(
+                [os.path.join(self.build, "toucanmilld"), path], stdout=log,
+                stderr=log)
+
+    def start_all(self):
+        for address in self.control + self.balancers + self.agents:
+            self.start(address)
+
+    def end(self, address, how):
+        process = self.running.pop(address)
+        process.send_signal(how)
+        process.wait(timeout=20)
+        return process.returncode
+
+    def signal(self, address, how):
+        self.running[address].send_signal(how)
+
+    def end_all(self):
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+
+def wait_until(what, check, limit=START_LIMIT_S):
+    until = time.monotonic() + limit
+    while time.monotonic() < until:
+        if check():
+            return
+        time.sleep(0.1)
+    raise TimeoutError(what)
+
+
+def is_ready(address):
+    return call("GET", address, "/toucanmill/readiness")[0] == 200
+
+
+def configuration(version):
+    """One route in use, and as many others as the version says."""
+    routes = [{"name": "r", "host": PUBLIC[0], "pathPrefix": f"/{PUBLIC[1]}/",
+               "timeoutMs": 1000, "service": SERVICE}]
+    routes += [{"name": f"x{i}", "host": PUBLIC[0], "pathPrefix": f"/{1000 + i}/",
+                "timeoutMs": 1000, "service": SERVICE} for i in range(version)]
+    return {"version": version, "routes": routes,
+            "services": [{"name": SERVICE}], "limits": {"idleTimeoutMs": 15000}}
+
+
+def announce_all(upstreams, stopping):
+    """Keeps announcing until the event is set; each upstream by itself."""
+    def forever(upstream):
+        while not stopping.wait(ANNOUNCE_INTERVAL_S):
+            upstream.announce()
+    for upstream in upstreams:
+        threading.Thread(target=forever, args=(upstream,), daemon=True).start()
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -219,7 +219,7 @@
     try
     {
       auto side = kj::heap<rpc_side>(
-          io, options_.rpc,
+          io, options_.listen.port != 0 ? options_.listen : options_.rpc,
           kj::heap<detail::control_service>(*log_, state_, service_counters_),
           peer_messages_lost_);
       side->joiner = make_joiner(io);
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -60,6 +60,7 @@
               to_string(identity.id) + ", " + identity.origin);
     control_server_options options;
     options.rpc = settings_.rpc;
+    options.listen = settings_.listen;
     options.log.self = identity.id;
     options.log.initial_group = std::move(identity.initial_group);
     options.log.folder = settings_.folder;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -71,6 +71,7 @@
     {"mb_per_snapshot", &control_settings::mb_per_snapshot, false, {1, 4096}},
     {"id", &control_settings::id, false, {1, 0xFFFFFFFF}},
     {"rpc", &control_settings::rpc, true},
+    {"listen", &control_settings::listen},
     {"folder", &control_settings::folder},
     {"tolerated_losses", &control_settings::tolerated_losses, false, {0, 16}},
     {"lease_ms", &control_settings::lease, false, {500, 60'000}},
