relay: no reset by a table that may be older than the flow

Cause: a balancer reset a flow that nobody in its table held if a quorum had confirmed the table within two seconds. Change: the packet waits (at most 256 of them) until a confirmation that was asked for after it arrived; the balancer asks at once, at most every 20 ms. Then it is decided again: reset by the same table, searched by a newer one. The client hands on when its confirmed report was sent. Ruled out: a shorter age limit; any limit above the time since the packet's arrival leaves the gap.

--- a/include/toucanmill/control/node_client.hpp
+++ b/include/toucanmill/control/node_client.hpp
@@ -26,8 +26,9 @@
   /// A newer table, or the part of it that this node needs.
   std::function<void(const table_update&)> on_update;
 
-  /// A quorum confirmed that the table of this node is current.
-  std::function<void()> on_confirmed;
+  /// A quorum confirmed that the table of this node is current, at some time
+  /// after the report was sent.
+  std::function<void(time_point asked)> on_confirmed;
 
   std::function<void(node_order)> on_order;
 
--- a/include/toucanmill/relay/entry_balancer.hpp
+++ b/include/toucanmill/relay/entry_balancer.hpp
@@ -32,9 +32,9 @@
   endpoint callers;              ///< UDP, packets of callers
   std::uint16_t caller_port = 0; ///< UDP port at which callers get packets
   std::shared_ptr<const packet_codec> codec;
-  /// Called on the packet thread when an agent showed a newer configuration.
-  /// Must not block.
-  std::function<void()> on_newer_configuration;
+  /// Called on the packet thread when an agent showed a newer configuration, or
+  /// packets wait for the table to be confirmed. Must not block.
+  std::function<void()> on_table_wanted;
 
   /// Called on the packet thread with each decision but the routine ones: a
   /// visit of a remembered or a new flow. Must not block.
@@ -60,7 +60,8 @@
   virtual ~entry_balancer() = default;
 
   virtual void set_table(std::shared_ptr<const relay_table> table) = 0;
-  virtual void set_confirmed() = 0;
+  /// A quorum confirmed the table at this time or later.
+  virtual void set_confirmed(time_point at) = 0;
 
   /// Waits for the packet thread.
   virtual entry_status status() = 0;
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -49,6 +49,12 @@
   reset_reason reason = reset_reason::no_route;
 };
 
+/// Keep the packet until a quorum confirms the table, then decide again: a flow
+/// may be younger than the table.
+struct await_table
+{
+};
+
 /// Why a balancer stayed silent on a packet.
 enum class entry_drop : std::uint8_t
 {
@@ -67,7 +73,7 @@
 const char* to_string(entry_drop reason);
 
 using entry_action =
-    std::variant<visit_agent, visit_all, reset_caller, entry_drop>;
+    std::variant<visit_agent, visit_all, reset_caller, entry_drop, await_table>;
 
 struct entry_options
 {
@@ -94,6 +100,7 @@
   std::uint64_t wide_searches = 0; ///< of them, that asked all holders at once
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
+  std::uint64_t awaited = 0; ///< packets kept until the table is confirmed
   std::array<std::uint64_t, reset_reason_count> resets{};
   std::array<std::uint64_t, entry_drop_count> drops{};
 };
@@ -108,8 +115,8 @@
   /// Takes a newer table; returns false for any other.
   bool set_table(std::shared_ptr<const relay_table> table);
 
-  /// A quorum confirmed the table.
-  void set_confirmed(time_point now);
+  /// A quorum confirmed the table at this time or later.
+  void set_confirmed(time_point at);
 
   entry_action on_packet(const std::optional<flow_packet>& packet,
                          time_point now);
@@ -161,10 +168,18 @@
     time_point used;
   };
 
+  /// By which table nobody holds a flow, or its route does not exist.
+  struct verdict
+  {
+    table_version table;
+    time_point at;
+  };
+
   struct search_state
   {
     time_point last;
     std::uint32_t attempts = 0;
+    std::optional<verdict> lost;
   };
 
   entry_action decide(const flow_packet& packet, time_point now);
@@ -178,6 +193,9 @@
   entry_action without_route(const flow_packet& packet, time_point now);
   entry_action exhausted(const flow_packet& packet, bool doubtful,
                          time_point now);
+  bool is_lost(const search_state& state, time_point now) const;
+  entry_action reset_if_current(const flow_packet& packet, reset_reason reason,
+                                time_point since, time_point now);
   entry_action missed(const relay_header& header, const endpoint& agent,
                       const flow_packet& packet, time_point now);
   visit_stops by_doubt(const visit_stops& stops, time_point now) const;
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -179,7 +179,7 @@
     if (!hold)
       applied = update.version.index;
   };
-  callbacks.on_confirmed = [] {};
+  callbacks.on_confirmed = [](time_point) {};
   callbacks.on_order = [](node_order) {};
   callbacks.on_reachable = [](bool) {};
   node_client_options options;
@@ -215,8 +215,8 @@
                            {
                              return node_report{};
                            },
-                           [](const table_update&) {}, [] {}, [](node_order) {},
-                           [](bool) {}};
+                           [](const table_update&) {}, [](time_point) {},
+                           [](node_order) {}, [](bool) {}};
   node_client_options options;
   options.control = {rpc};
   const auto node = node_client::start(options, callbacks);
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -138,14 +138,14 @@
     ++counters_.reports;
     counters_.octets_sent += request.totalSize().wordCount * 8;
     return request.send().then(
-        [this](auto&& response)
+        [this, asked = monotonic_now()](auto&& response)
         {
-          take_reply(response);
+          take_reply(response, asked);
         });
   }
 
   template <class Response>
-  void take_reply(const Response& response)
+  void take_reply(const Response& response, time_point asked)
   {
     if (response.hasNotLeader())
     {
@@ -161,7 +161,7 @@
     if (const auto update = wire::read(reply.getUpdate()))
     {
       callbacks_.on_update(update.value());
-      callbacks_.on_confirmed();
+      callbacks_.on_confirmed(asked);
     }
     if (const auto order = wire::read(reply.getOrder()))
       callbacks_.on_order(order.value());
--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -210,7 +210,7 @@
     {
       take(update);
     };
-    out.on_confirmed = [this]
+    out.on_confirmed = [this](time_point)
     {
       confirmed();
     };
--- a/src/daemon/balancer_role.cpp
+++ b/src/daemon/balancer_role.cpp
@@ -116,7 +116,7 @@
     {
       take(update);
     };
-    out.on_confirmed = [this]
+    out.on_confirmed = [this](time_point)
     {
       departure_known_ = reported_empty_;
     };
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -50,7 +50,7 @@
     options.callers = settings.data;
     options.caller_port = settings.data.port;
     options.codec = platform::make_packet_codec();
-    options.on_newer_configuration = [this]
+    options.on_table_wanted = [this]
     {
       feed_.report_now();
     };
@@ -108,6 +108,9 @@
                 counters.searches);
     add_counter(out, "toucanmill_missed_total", "Packets that agents returned.",
                 counters.missed);
+    add_counter(out, "toucanmill_awaited_total",
+                "Packets kept until the table was confirmed.",
+                counters.awaited);
     for (std::size_t i = 0; i < counters.drops.size(); ++i)
       add_drop(out, to_string(static_cast<entry_drop>(i)), counters.drops[i]);
     for (std::size_t i = 0; i < counters.resets.size(); ++i)
@@ -157,9 +160,9 @@
     {
       take(update);
     };
-    out.on_confirmed = [this]
+    out.on_confirmed = [this](time_point asked)
     {
-      packets_->set_confirmed();
+      packets_->set_confirmed(asked);
     };
     out.on_order = [](node_order) {};
     return out;
--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -53,6 +53,11 @@
     to.add("reason", to_string(reset.reason));
     return event::flow_reset;
   }
+  event operator()(await_table) const
+  {
+    to.add("reason", "table_not_confirmed");
+    return event::packet_unplaced;
+  }
   event operator()(entry_drop reason) const
   {
     to.add("reason", to_string(reason));
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -202,7 +202,7 @@
     {
       take(update);
     };
-    out.on_confirmed = [this]
+    out.on_confirmed = [this](time_point)
     {
       departure_known_ = reported_departure_;
     };
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -14,6 +14,12 @@
 
 constexpr duration tick_interval = std::chrono::seconds(1);
 
+/// Pause between two requests for a confirmation of the table.
+constexpr duration ask_interval = std::chrono::milliseconds(20);
+
+/// Packets that wait for a confirmation of the table.
+constexpr std::size_t max_waiting = 256;
+
 class entry_balancer_thread final : public entry_balancer
 {
 public:
@@ -59,12 +65,13 @@
         });
   }
 
-  void set_confirmed() override
+  void set_confirmed(time_point at) override
   {
     loop_.post(
-        [this, now = monotonic_now()]
+        [this, at]
         {
-          core_.set_confirmed(now);
+          core_.set_confirmed(at);
+          decide_again();
         });
   }
 
@@ -88,15 +95,28 @@
         [&](byte_view datagram, const endpoint&)
         {
           ++packets_;
-          const auto packet = options_.codec->parse(datagram);
-          const auto action = core_.on_packet(packet, now);
-          act(action, datagram);
-          if (packet && !is_routine(action, *packet))
-            note(action, *packet, nullptr, {}, now);
+          take(datagram, now);
         });
     return count == udp_channel::batch_size;
   }
 
+  void take(byte_view datagram, time_point now)
+  {
+    const auto packet = options_.codec->parse(datagram);
+    const auto action = core_.on_packet(packet, now);
+    act(action, datagram);
+    if (packet && !is_routine(action, *packet))
+      note(action, *packet, nullptr, {}, now);
+  }
+
+  /// Takes the packets that waited for a confirmation of the table.
+  void decide_again()
+  {
+    const auto now = monotonic_now();
+    for (const auto& packet : std::exchange(waiting_, {}))
+      take({packet.data(), packet.size()}, now);
+  }
+
   bool read_agents()
   {
     const auto now = monotonic_now();
@@ -170,16 +190,25 @@
       callers_.send({reset->flow.caller.address, options_.caller_port}, {},
                     {bytes.data(), bytes.size()});
     }
+    // Beyond the limit the caller's next copy does the same.
+    if (std::holds_alternative<await_table>(action) &&
+        waiting_.size() < max_waiting)
+      waiting_.emplace_back(packet.data, packet.data + packet.size);
   }
 
   void flush()
   {
     agents_.flush();
     callers_.flush();
-    const bool wants = core_.wants_table();
-    if (wants && !asked_ && options_.on_newer_configuration)
-      options_.on_newer_configuration();
-    asked_ = wants;
+    const bool newer = core_.wants_table();
+    const auto now = monotonic_now();
+    const bool waits = !waiting_.empty() && now - asked_at_ >= ask_interval;
+    if ((waits || (newer && !asked_)) && options_.on_table_wanted)
+    {
+      asked_at_ = now;
+      options_.on_table_wanted();
+    }
+    asked_ = newer;
   }
 
   const entry_balancer_options options_;
@@ -187,7 +216,9 @@
   udp_channel agents_;
   entry_core core_;
   std::uint64_t packets_ = 0;
-  bool asked_ = false;
+  bool asked_ = false; ///< for the newer configuration
+  time_point asked_at_;
+  std::vector<std::vector<std::uint8_t>> waiting_;
   packet_loop loop_;
 };
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -69,9 +69,9 @@
   return true;
 }
 
-void entry_core::set_confirmed(time_point now)
+void entry_core::set_confirmed(time_point at)
 {
-  confirmed_at_ = now;
+  confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
 }
 
 bool entry_core::confirmed(time_point now) const
@@ -131,6 +131,7 @@
                               time_point now)
 {
   const auto flow = packet.from_caller();
+  searched_.erase(flow);
   const auto hash = flow_hash(flow);
   const auto* service = choose_service(*table_, from, hash);
   if (service == nullptr)
@@ -173,11 +174,13 @@
 entry_action entry_core::search(const flow_packet& packet, const route& from,
                                 time_point now)
 {
-  ++counters_.searches;
   auto& state = searched_[packet.from_caller()];
-  const bool again =
-      state.attempts > 0 && now - state.last <= options_.search_patience;
-  state = {now, again ? state.attempts + 1 : 1};
+  if (is_lost(state, now))
+    return reset_if_current(packet, reset_reason::unknown_flow, now, now);
+  ++counters_.searches;
+  const bool again = !state.lost && state.attempts > 0 &&
+                     now - state.last <= options_.search_patience;
+  state = {now, again ? state.attempts + 1 : 1, {}};
   return state.attempts % 2 == 0 ? search_everywhere(packet, from)
                                  : search_from(packet, from, 0, false, now);
 }
@@ -222,10 +225,38 @@
 {
   if (!confirmed(now) || table_->configuration_version() == 0)
     return entry_drop::no_route;
+  memory_.erase(packet.from_caller());
+  if (packet.opens)
+    return reset_caller{packet.from_caller(), 0, reset_reason::no_route};
+  return reset_if_current(packet, reset_reason::no_route, now, now);
+}
+
+bool entry_core::is_lost(const search_state& state, time_point now) const
+{
+  return state.lost && state.lost->table == table_->version() &&
+         now - state.lost->at <= options_.search_patience;
+}
+
+// Another balancer may have opened the flow by a table that this one does not
+// have yet, on an upstream or a route that is new. A confirmation that was
+// asked for after the packet arrived excludes that.
+entry_action entry_core::reset_if_current(const flow_packet& packet,
+                                          reset_reason reason, time_point since,
+                                          time_point now)
+{
   const auto flow = packet.from_caller();
-  memory_.erase(flow);
-  return reset_caller{flow, packet.opens ? 0 : packet.acknowledged,
-                      reset_reason::no_route};
+  auto& state = searched_[flow];
+  state.last = now;
+  if (is_lost(state, now))
+    since = state.lost->at;
+  if (confirmed(now) && *confirmed_at_ >= since)
+  {
+    searched_.erase(flow);
+    return reset_caller{flow, packet.acknowledged, reason};
+  }
+  state.lost = verdict{table_->version(), since};
+  ++counters_.awaited;
+  return await_table{};
 }
 
 entry_action entry_core::exhausted(const flow_packet& packet, bool doubtful,
@@ -233,8 +264,10 @@
 {
   if (doubtful || !confirmed(now))
     return entry_drop::unconfirmed;
-  return reset_caller{packet.from_caller(), packet.acknowledged,
-                      reset_reason::unknown_flow};
+  const auto found = searched_.find(packet.from_caller());
+  return reset_if_current(packet, reset_reason::unknown_flow,
+                          found != searched_.end() ? found->second.last : now,
+                          now);
 }
 
 entry_action entry_core::on_missed(const relay_header& header,
@@ -313,8 +346,8 @@
     counters_.visits += all->visits.size();
   else if (const auto* reset = std::get_if<reset_caller>(&action))
     ++counters_.resets[static_cast<std::size_t>(reset->reason)];
-  else
-    ++counters_.drops[static_cast<std::size_t>(std::get<entry_drop>(action))];
+  else if (const auto* drop = std::get_if<entry_drop>(&action))
+    ++counters_.drops[static_cast<std::size_t>(*drop)];
   return action;
 }
 
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -268,3 +268,48 @@
   CHECK_TRUE(drop_of(core.on_missed(returned(last.header), at(10), data(),
                                     start)) == entry_drop::unconfirmed);
 }
+
+// Guards against a flow that is reset by a balancer whose table is older than
+// the flow's upstream (fault_soak seed 1: an upstream that joined 30 ms
+// before).
+TEST(entry_core, flow_younger_than_the_table_is_not_reset)
+{
+  use_one_service();
+  const auto arrival = start + 500ms;
+  const auto header = visit_of(core.on_packet(data(), arrival)).header;
+  CHECK_TRUE(std::holds_alternative<await_table>(
+      core.on_missed(returned(header), at(12), data(), arrival)));
+  core.set_table(
+      table_of(2, routes_to(6, {{"notes", 1}}), {service("notes", 1, 20, 1)}));
+  core.set_confirmed(arrival + 5ms);
+  CHECK_TRUE(visit_of(core.on_packet(data(), arrival + 6ms)).agent == at(20));
+}
+
+// Guards against a caller that waits for an upstream that is gone although the
+// table is certain.
+TEST(entry_core, lost_flow_is_reset_once_the_table_is_confirmed)
+{
+  use_one_service();
+  const auto arrival = start + 500ms;
+  const auto header = visit_of(core.on_packet(data(), arrival)).header;
+  core.on_missed(returned(header), at(12), data(), arrival);
+  core.set_confirmed(arrival - 1ms);
+  CHECK_TRUE(std::holds_alternative<await_table>(
+      core.on_packet(data(), arrival + 1ms)));
+  core.set_confirmed(arrival + 2ms);
+  CHECK_TRUE(is_reset(core.on_packet(data(), arrival + 5ms),
+                      reset_reason::unknown_flow));
+}
+
+// Guards against the same for a route that is new.
+TEST(entry_core, flow_on_a_route_younger_than_the_table_is_not_reset)
+{
+  use_one_service();
+  auto packet = data();
+  packet.destination = public_address(444);
+  CHECK_TRUE(std::holds_alternative<await_table>(
+      core.on_packet(packet, start + 500ms)));
+  core.set_confirmed(start + 505ms);
+  CHECK_TRUE(
+      is_reset(core.on_packet(packet, start + 510ms), reset_reason::no_route));
+}
