relay: bound the copies of packets that search

Cause: a repeated search sent a copy to every holder. Change: only the stops of the visit that did not come back are asked at once; the search goes on past them and then never justifies a reset. At most 200 such packets a second. Ruled out: lost knowledge of the chains; the first stops find most flows.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -88,16 +88,19 @@
   /// An agent that lost an opening packet is asked last for this long.
   duration doubt = std::chrono::seconds(1);
   /// Of the packets of a flow that was searched for within this time, and not
-  /// found, each second one asks all holders at once: a dead agent may have
-  /// swallowed the one before.
+  /// found, each second one asks all stops of the visit that did not come back
+  /// at once: a dead agent may have swallowed the one before.
   duration search_patience = std::chrono::seconds(2);
+  /// Packets a second for such copies, between two ticks; beyond it a search
+  /// starts again instead. Keeps them to a fifth of a link of 4 Mbit/s.
+  std::size_t probes = 200;
 };
 
 struct entry_counters
 {
   std::uint64_t visits = 0;
   std::uint64_t searches = 0; ///< established flows that were not remembered
-  std::uint64_t wide_searches = 0; ///< of them, that asked all holders at once
+  std::uint64_t wide_searches = 0; ///< of them, past a visit that was lost
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
   std::uint64_t awaited = 0; ///< packets kept until the table is confirmed
@@ -179,6 +182,7 @@
   {
     time_point last;
     std::uint32_t attempts = 0;
+    std::uint8_t stage = 0; ///< the visit that has not come back
     std::optional<verdict> lost;
   };
 
@@ -189,7 +193,8 @@
                       time_point now);
   entry_action search_from(const flow_packet& packet, const route& from,
                            std::uint8_t stage, bool doubtful, time_point now);
-  entry_action search_everywhere(const flow_packet& packet, const route& from);
+  entry_action search_past(const flow_packet& packet, const route& from,
+                           std::uint8_t stage);
   entry_action without_route(const flow_packet& packet, time_point now);
   entry_action exhausted(const flow_packet& packet, bool doubtful,
                          time_point now);
@@ -212,6 +217,7 @@
   std::unordered_map<flow_key, memory_entry> memory_;
   std::unordered_map<flow_key, search_state> searched_;
   std::unordered_map<std::uint64_t, time_point> doubted_until_;
+  std::size_t probes_sent_ = 0; ///< since the last tick
   entry_counters counters_;
 };
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -180,9 +180,10 @@
   ++counters_.searches;
   const bool again = !state.lost && state.attempts > 0 &&
                      now - state.last <= options_.search_patience;
-  state = {now, again ? state.attempts + 1 : 1, {}};
-  return state.attempts % 2 == 0 ? search_everywhere(packet, from)
-                                 : search_from(packet, from, 0, false, now);
+  state = {now, again ? state.attempts + 1 : 1, again ? state.stage : 0U, {}};
+  const bool past = state.attempts % 2 == 0 && probes_sent_ < options_.probes;
+  return past ? search_past(packet, from, state.stage)
+              : search_from(packet, from, 0, false, now);
 }
 
 entry_action entry_core::search_from(const flow_packet& packet,
@@ -198,25 +199,42 @@
   header.stops = stages[stage].stops;
   header.stage = stage;
   header.doubtful = doubtful;
+  if (const auto found = searched_.find(packet.from_caller());
+      found != searched_.end())
+    found->second.stage = stage;
   return visit_agent{header.stops.agents[0], header};
 }
 
-entry_action entry_core::search_everywhere(const flow_packet& packet,
-                                           const route& from)
+// Copies to every holder would fill the link of a small balancer when the flows
+// of a lost agent search: with 50 holders each is 20 KB.
+entry_action entry_core::search_past(const flow_packet& packet,
+                                     const route& from, std::uint8_t stage)
 {
   ++counters_.wide_searches;
   const auto hash = flow_hash(packet.from_caller());
-  visit_all out;
-  for (const auto& [service, stops] : search_stages(*table_, from, hash))
-    for (std::size_t i = 0; i < stops.size; ++i)
-    {
-      auto header = make_header(*service, hash);
-      header.probe = true;
-      header.stops.add(stops.agents[i]);
-      out.visits.push_back({stops.agents[i], header});
-    }
-  if (out.visits.empty())
+  const auto stages = search_stages(*table_, from, hash);
+  if (stage >= stages.size())
     return entry_drop::no_upstream;
+  visit_all out;
+  auto header = make_header(*stages[stage].service, hash);
+  header.probe = true;
+  const auto& stops = stages[stage].stops;
+  probes_sent_ += stops.size;
+  for (std::size_t i = 0; i < stops.size; ++i)
+  {
+    header.stops = {};
+    header.stops.add(stops.agents[i]);
+    out.visits.push_back({stops.agents[i], header});
+  }
+  if (stage + 1U < stages.size())
+  {
+    auto rest = make_header(*stages[stage + 1U].service, hash);
+    rest.stops = stages[stage + 1U].stops;
+    rest.stage = static_cast<std::uint8_t>(stage + 1);
+    rest.doubtful = true;
+    searched_[packet.from_caller()].stage = rest.stage;
+    out.visits.push_back({rest.stops.agents[0], rest});
+  }
   return out;
 }
 
@@ -328,6 +346,7 @@
 
 void entry_core::on_tick(time_point now)
 {
+  probes_sent_ = 0;
   for (auto it = memory_.begin(); it != memory_.end();)
     it = now - it->second.used > options_.memory_limit ? memory_.erase(it)
                                                        : std::next(it);
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -175,6 +175,52 @@
              entry_drop::probe_missed);
 }
 
+// Guards against copies to every holder, which fill the link of a balancer when
+// the flows of a lost agent search (kad-lease-return-grown trouble-3).
+TEST(entry_core, repeated_search_passes_only_the_lost_visit)
+{
+  use(table_of(1, routes_to(5, {{"notes", 1}}), {service("notes", 1, 10, 55)}));
+  const auto first = visit_of(core.on_packet(data(), start));
+  const auto second = visit_of(
+      core.on_missed(returned(first.header), at(9), data(), start + 1ms));
+  const auto again = core.on_packet(data(), start + 200ms);
+  const auto& visits = std::get<visit_all>(again).visits;
+  CHECK_EQUAL(visit_stops::capacity + 1, visits.size());
+  CHECK_TRUE(visits[0].agent == second.agent);
+  CHECK_TRUE(visits[0].header.probe);
+  const auto& rest = visits.back().header;
+  CHECK_FALSE(rest.probe);
+  CHECK_EQUAL(2, rest.stage);
+  CHECK_EQUAL(visit_stops::capacity, rest.stops.size);
+  // The lost visit may have had the flow, so that nothing is certain.
+  const auto last =
+      visit_of(core.on_missed(returned(rest), at(9), data(), start + 201ms));
+  CHECK_TRUE(drop_of(core.on_missed(returned(last.header), at(9), data(),
+                                    start + 202ms)) == entry_drop::unconfirmed);
+}
+
+// Guards against the same where many flows search at once.
+TEST(entry_core, copies_of_searching_packets_are_bounded)
+{
+  use(table_of(1, routes_to(5, {{"notes", 1}}), {service("notes", 1, 10, 55)}));
+  std::size_t visits = 0;
+  for (std::uint16_t port = 1; port <= 1000; ++port)
+  {
+    core.on_packet(data(port), start);
+    const auto again = core.on_packet(data(port), start + 200ms);
+    if (const auto* all = std::get_if<visit_all>(&again))
+      visits += all->visits.size();
+    else
+      visit_of(again);
+  }
+  CHECK_TRUE(visits > options().probes);
+  CHECK_TRUE(visits < options().probes + 2 * visit_stops::capacity);
+  core.on_tick(start + 1s);
+  core.on_packet(data(1), start + 1s);
+  CHECK_TRUE(std::holds_alternative<visit_all>(
+      core.on_packet(data(1), start + 1200ms)));
+}
+
 // Guards against a reset on the word of an agent that a stale table named, or
 // of a balancer that has lost touch with control.
 TEST(entry_core, doubt_keeps_silent)
