observe, daemon: latency histograms; metrics on the users' platform

Change: histograms (prometheus-cpp) of handshakes and requests at the agent, of reports at every node, of declarations, reads, the time until a configuration is in force, and durable writes at control.

--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -21,6 +21,9 @@
   group_options group;
   std::function<void(const control_notice&)> notify;
 
+  /// As in control_state_options; called on the log's thread. May be empty.
+  std::function<void(duration)> on_in_force;
+
   /// RPC endpoints of other control instances. With at least one, an instance
   /// that is no voter joins the group by itself; without a data folder it stays
   /// a learner.
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -2,9 +2,11 @@
 #define TOUCANMILL_CONTROL_CONTROL_STATE_HPP
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <toucanmill/cluster/membership_core.hpp>
@@ -68,6 +70,10 @@
   /// Called when this changes: whether this instance is what it can be, a voter
   /// or without a disk a learner, in a group with a leader. False at the start.
   std::function<void(bool)> on_settled;
+
+  /// Called on the leader with the time from the commit of a configuration
+  /// until every live node acts on it. May be empty.
+  std::function<void(duration)> on_in_force;
 };
 
 /// State machine and membership of a control instance. Every function runs on
@@ -119,6 +125,7 @@
   void check_settled(time_point now);
   void remove_silent_members(time_point now);
   void note_command(const command& value, const command_outcome& outcome);
+  void check_in_force(time_point now);
 
   control_state_options options_;
   state_machine machine_;
@@ -126,6 +133,10 @@
   time_point next_group_check_;
   replicated_log* log_ = nullptr;
   bool leads_ = false;
+
+  /// Index and time of commit of configurations that are not yet in force
+  /// everywhere.
+  std::deque<std::pair<std::uint64_t, time_point>> spreading_;
   std::optional<bool> settled_;
   time_point leader_known_; ///< latest time at which there was one
 };
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -54,6 +54,9 @@
   /// snapshot is taken regardless of the number of entries.
   std::uint64_t octets_per_snapshot = std::uint64_t{64} * 1024 * 1024;
   std::uint64_t random_seed = 0;
+
+  /// Called on the log's thread with the time that a durable write took.
+  std::function<void(duration)> on_persisted;
 };
 
 /// How long the leader has not heard another member.
--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -25,6 +25,9 @@
   /// Called on the packet thread with what the log should show. Must not
   /// block.
   std::function<void(const relay_note&)> on_note;
+
+  /// Called on the packet thread. Must not block.
+  std::function<void(relay_timing, duration)> on_timed;
 };
 
 /// Runs a relay_core on a thread of its own, with its two sockets.
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -18,6 +18,13 @@
 namespace toucanmill
 {
 
+/// What the agent times of its upstream.
+enum class relay_timing : std::uint8_t
+{
+  handshake, ///< from an opening packet to the answer that accepts it
+  request,   ///< from the first packet of a request to that of its response
+};
+
 /// What the decisions of relay_core do. Packets are copied before return.
 class relay_sink
 {
@@ -40,6 +47,8 @@
 
   /// Something that an operator's log should show.
   virtual void note(const struct relay_note& value) = 0;
+
+  virtual void timed(relay_timing what, duration taken) = 0;
 };
 
 /// Why an agent did not deliver a packet, or ended a flow.
@@ -171,6 +180,7 @@
     bool upstream_finished = false;
     std::uint32_t acknowledged = 0; ///< by the caller, last
     time_point used;
+    std::optional<time_point> opening; ///< delivered and not accepted yet
     time_point found_sent;
     time_point busy_since;
     bool noted = false;     ///< that the request waits
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -191,6 +191,7 @@
     out.stores = stores();
     out.group = options_.group;
     out.notify = options_.notify;
+    out.on_in_force = options_.on_in_force;
     out.on_settled = [this](bool settled)
     {
       set_settled(settled);
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -16,6 +16,9 @@
 /// Pause between two looks for silent members.
 constexpr duration group_check_interval = std::chrono::milliseconds(500);
 
+/// Configurations whose spreading is timed at once.
+constexpr std::size_t max_spreading = 64;
+
 /// Time without a leader after which an instance asks whether it still is a
 /// member; longer than two elections.
 constexpr duration leader_patience = std::chrono::seconds(3);
@@ -123,6 +126,9 @@
   TOUCANMILL_INVARIANT(decoded.has_value(), "committed command is readable");
   const auto outcome = machine_.apply(entry.position, decoded.value());
   note_command(decoded.value(), outcome);
+  if (leads_ && spreading_.size() < max_spreading &&
+      std::holds_alternative<declare_configuration>(decoded.value()))
+    spreading_.emplace_back(entry.position.index, monotonic_now());
   return encode(outcome);
 }
 
@@ -143,6 +149,7 @@
 void control_state::on_leadership(bool leads, std::uint64_t term)
 {
   leads_ = leads;
+  spreading_.clear();
   if (leads)
     membership_.on_leader(machine_, monotonic_now());
   options_.notify(
@@ -156,10 +163,22 @@
   {
     propose(membership_.on_tick(machine_, now));
     remove_silent_members(now);
+    check_in_force(now);
   }
   check_settled(now);
 }
 
+void control_state::check_in_force(time_point now)
+{
+  while (!spreading_.empty() &&
+         membership_.in_force(spreading_.front().first, now))
+  {
+    if (options_.on_in_force)
+      options_.on_in_force(now - spreading_.front().second);
+    spreading_.pop_front();
+  }
+}
+
 void control_state::remove_silent_members(time_point now)
 {
   if (log_ == nullptr || !options_.remove_silent || now < next_group_check_)
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -5,9 +5,11 @@
 #include <random>
 #include <thread>
 
+#include <toucanmill/base/clock.hpp>
 #include <toucanmill/control/control_server.hpp>
 #include <toucanmill/control/replica_identity.hpp>
 #include <toucanmill/observe/event.hpp>
+#include <toucanmill/observe/latency_histogram.hpp>
 
 #include <platform/pages.hpp>
 
@@ -41,13 +43,35 @@
   }
 }
 
+/// What a control instance times.
+struct control_timings
+{
+  latency_histogram declare{"toucanmill_declare_seconds",
+                            "Time to answer a declaration, by the leader."};
+  latency_histogram read{
+      "toucanmill_configuration_read_seconds",
+      "Time to answer a read, which a quorum confirmed, by the leader."};
+  latency_histogram in_force{
+      "toucanmill_in_force_seconds",
+      "Time from the commit of a configuration until all live nodes use it."};
+  latency_histogram persist{"toucanmill_persist_seconds",
+                            "Time of a durable write of the log."};
+
+  void add_to(std::vector<sample>& out) const
+  {
+    for (const auto* histogram : {&declare, &read, &in_force, &persist})
+      out.push_back(histogram->read());
+  }
+};
+
 /// Opens the control server; each start after a removal has a new id.
 class server_starter
 {
 public:
   server_starter(const instance_settings& instance,
-                 const control_settings& settings)
-      : settings_(settings), seeds_(control_endpoints(instance))
+                 const control_settings& settings, control_timings& timings)
+      : settings_(settings), seeds_(control_endpoints(instance)),
+        timings_(timings)
   {
   }
 
@@ -73,6 +97,14 @@
     options.membership.ramp = settings_.ramp;
     options.membership.rebalance_interval = settings_.rebalance_interval;
     options.notify = log_notice;
+    options.on_in_force = [this](duration taken)
+    {
+      timings_.in_force.observe(taken);
+    };
+    options.log.on_persisted = [this](duration taken)
+    {
+      timings_.persist.observe(taken);
+    };
     options.on_removed = std::move(on_removed);
     if (settings_.mode == "seeds")
       for (const auto& seed : seeds_)
@@ -98,6 +130,7 @@
 
   control_settings settings_;
   std::vector<endpoint> seeds_;
+  control_timings& timings_;
 };
 
 class control_role final : public role
@@ -105,7 +138,7 @@
 public:
   control_role(const instance_settings& instance,
                const control_settings& settings)
-      : starter_(instance, settings), api_port_(instance.api.port)
+      : starter_(instance, settings, timings_), api_port_(instance.api.port)
   {
   }
 
@@ -157,8 +190,11 @@
       if (current == nullptr)
         return done(not_running(), {});
       current->declare(std::move(value),
-                       [done](result<change_outcome> outcome, endpoint leader)
+                       [this, done, begun = monotonic_now()](
+                           result<change_outcome> outcome, endpoint leader)
                        {
+                         if (outcome)
+                           timings_.declare.observe(monotonic_now() - begun);
                          done(std::move(outcome), leader.address);
                        });
     };
@@ -168,8 +204,11 @@
       if (current == nullptr)
         return done(not_running(), {});
       current->read_configuration(
-          [done](result<configuration> found, endpoint leader)
+          [this, done, begun = monotonic_now()](result<configuration> found,
+                                                endpoint leader)
           {
+            if (found)
+              timings_.read.observe(monotonic_now() - begun);
             done(std::move(found), leader.address);
           });
     };
@@ -210,6 +249,7 @@
     add_counter(out, "toucanmill_peer_messages_lost_total",
                 "Replication messages dropped: peer slow or unreachable.",
                 counters.peer_messages_lost);
+    timings_.add_to(out);
     if (!stopping_)
       add_log_samples(out, *current);
     return out;
@@ -274,6 +314,7 @@
               status.leads ? 1 : 0);
   }
 
+  control_timings timings_;
   server_starter starter_;
   const std::uint16_t api_port_;
   mutable std::mutex mutex_;
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -119,6 +119,7 @@
                      true,
                      static_cast<double>(counters.resets[i]),
                      {{"reason", to_string(static_cast<reset_reason>(i))}}});
+    out.push_back(feed_.report_times());
     add_gauge(out, "toucanmill_flows", "Flows that are remembered.",
               status.remembered_flows);
     return out;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -7,6 +7,7 @@
 
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/observe/event.hpp>
+#include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/relay/relay_agent.hpp>
 
 #include <platform/packet_layout.hpp>
@@ -87,6 +88,11 @@
     {
       log_decision(value);
     };
+    options.on_timed = [this](relay_timing what, duration taken)
+    {
+      (what == relay_timing::handshake ? handshakes_ : requests_)
+          .observe(taken);
+    };
     BOOST_OUTCOME_TRY(started, relay_agent::start(std::move(options)));
     agent_ = std::move(started);
     feed_.start(instance_, callbacks());
@@ -131,6 +137,9 @@
                      true,
                      static_cast<double>(status.events[i]),
                      {{"event", to_string(static_cast<relay_event>(i))}}});
+    out.push_back(handshakes_.read());
+    out.push_back(requests_.read());
+    out.push_back(feed_.report_times());
     add_gauge(out, "toucanmill_flows", "Open flows.", status.flows);
     add_gauge(out, "toucanmill_busy_flows",
               "Flows whose request has no response yet.", status.busy);
@@ -153,9 +162,11 @@
     calls.leave =
         [this](std::string instance, platform::upstream_calls::done done)
     {
-      return agent_->leave(std::move(instance),
-                           [this, done](announcement_verdict verdict)
+      return agent_->leave(instance,
+                           [this, done, instance](announcement_verdict verdict)
                            {
+                             if (verdict == announcement_verdict::accepted)
+                               log_event(event::upstream_left, instance);
                              feed_.report_now();
                              done(verdict);
                            });
@@ -263,6 +274,12 @@
   bool reported_departure_ = false; ///< used on the client's thread only
   std::atomic<bool> departure_known_{false};
   std::atomic<bool> stopping_{false};
+  latency_histogram handshakes_{
+      "toucanmill_handshake_seconds",
+      "Time from an opening packet to the answer of the upstream."};
+  latency_histogram requests_{
+      "toucanmill_request_seconds",
+      "Time from a request to the first packet of its response."};
   table_feed feed_;
 };
 
--- a/src/daemon/table_feed.hpp
+++ b/src/daemon/table_feed.hpp
@@ -7,19 +7,20 @@
 #include <string>
 #include <utility>
 
+#include <toucanmill/base/clock.hpp>
 #include <toucanmill/control/node_client.hpp>
 #include <toucanmill/observe/event.hpp>
+#include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/settings/settings.hpp>
 
 namespace toucanmill::daemon
 {
 
 /// Connection of a node to control: reports, and what comes back. The node's
-/// callbacks run on the client's thread.
+/// callbacks run on the client's thread. All but on_reachable are the node's.
 class table_feed
 {
 public:
-  /// The callback on_reachable is the feed's own.
   void start(const instance_settings& instance, node_callbacks callbacks)
   {
     name_ = instance.name;
@@ -30,6 +31,12 @@
                           : event::control_unreachable,
                 name_);
     };
+    callbacks.on_confirmed =
+        [this, confirmed = callbacks.on_confirmed](time_point asked)
+    {
+      report_times_.observe(monotonic_now() - asked);
+      confirmed(asked);
+    };
     node_client_options options;
     options.control = control_endpoints(instance);
     auto client = node_client::start(options, std::move(callbacks));
@@ -72,11 +79,20 @@
     return client_->counters();
   }
 
+  /// Times from a report to its answer, which a quorum confirmed.
+  sample report_times() const
+  {
+    return report_times_.read();
+  }
+
 private:
   std::string name_;
   std::atomic<bool> reachable_{true};
   std::mutex mutex_; ///< of client_ against start() and stop()
   std::unique_ptr<node_client> client_;
+  latency_histogram report_times_{
+      "toucanmill_report_seconds",
+      "Time from a report to its answer, which a quorum confirmed."};
 };
 
 } // namespace toucanmill::daemon
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -233,7 +233,10 @@
 
 void log_runtime::persist(const persist_request& request)
 {
+  const auto begun = monotonic_now();
   require(store_->save(request));
+  if (options_.on_persisted)
+    options_.on_persisted(monotonic_now() - begun);
   if (request.snapshot)
   {
     bytes_since_snapshot_ = 0;
--- a/src/observe/prometheus_text.cpp
+++ b/src/observe/prometheus_text.cpp
@@ -17,13 +17,29 @@
   prometheus::ClientMetric metric;
   for (const auto& [name, label] : value.labels)
     metric.label.push_back({name, label});
-  if (value.counter)
+  if (!value.buckets.empty())
+  {
+    metric.histogram.sample_count = static_cast<std::uint64_t>(value.value);
+    metric.histogram.sample_sum = value.sum;
+    for (const auto& bucket : value.buckets)
+      metric.histogram.bucket.push_back(
+          {bucket.cumulative_count, bucket.upper_bound});
+  }
+  else if (value.counter)
     metric.counter.value = value.value;
   else
     metric.gauge.value = value.value;
   return metric;
 }
 
+prometheus::MetricType type_of(const sample& value)
+{
+  if (!value.buckets.empty())
+    return prometheus::MetricType::Histogram;
+  return value.counter ? prometheus::MetricType::Counter
+                       : prometheus::MetricType::Gauge;
+}
+
 } // namespace
 
 std::string to_prometheus_text(const std::vector<sample>& samples)
@@ -34,8 +50,7 @@
     auto& family = families[value.name];
     family.name = value.name;
     family.help = value.help;
-    family.type = value.counter ? prometheus::MetricType::Counter
-                                : prometheus::MetricType::Gauge;
+    family.type = type_of(value);
     family.metric.push_back(to_metric(value));
   }
   std::vector<prometheus::MetricFamily> list;
--- a/src/observe/status_server_test.cpp
+++ b/src/observe/status_server_test.cpp
@@ -1,3 +1,4 @@
+#include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/observe/status_server.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -48,3 +49,21 @@
   CHECK_FALSE(second.has_value());
   CHECK_TRUE(second.error().code == error_code::io_failure);
 }
+
+// Guards against a histogram that Prometheus cannot read.
+TEST(status_server, histogram_is_written_with_cumulative_buckets)
+{
+  latency_histogram answers("toucanmill_answer_seconds", "Time to answer.");
+  answers.observe(std::chrono::milliseconds(3));
+  answers.observe(std::chrono::seconds(60));
+  const auto text = to_prometheus_text({answers.read()});
+  const auto has = [&](const char* line)
+  {
+    return text.find(line) != std::string::npos;
+  };
+  CHECK_TRUE(has("# TYPE toucanmill_answer_seconds histogram\n"));
+  CHECK_TRUE(has("toucanmill_answer_seconds_bucket{le=\"0.002\"} 0\n"));
+  CHECK_TRUE(has("toucanmill_answer_seconds_bucket{le=\"0.005\"} 1\n"));
+  CHECK_TRUE(has("toucanmill_answer_seconds_bucket{le=\"+Inf\"} 2\n"));
+  CHECK_TRUE(has("toucanmill_answer_seconds_sum 60.003\n"));
+}
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -199,6 +199,12 @@
       options_.on_note(value);
   }
 
+  void timed(relay_timing what, duration taken) override
+  {
+    if (options_.on_timed)
+      options_.on_timed(what, taken);
+  }
+
   const relay_agent_options options_;
   udp_channel data_;
   udp_channel outbound_;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -184,6 +184,8 @@
   auto& flow = flows_[packet.from_caller()];
   flow.bucket = message.header.bucket;
   flow.used = now;
+  if (!known)
+    flow.opening = now;
   if (message.header.stop > 0)
     send_found(message.header, packet.from_caller(), flow, now, sink);
   deliver(message, packet, sink);
@@ -301,8 +303,15 @@
   auto& flow = flows_[key];
   flow.used = now;
   flow.open |= !packet.accepts;
+  if (const auto opening = std::exchange(flow.opening, {});
+      opening && packet.accepts)
+    sink.timed(relay_timing::handshake, now - *opening);
   if (packet.payload_size > 0)
+  {
+    if (flow.busy)
+      sink.timed(relay_timing::request, now - flow.busy_since);
     set_busy(flow, false);
+  }
   flow.upstream_finished |= packet.finishes;
   if (flow.caller_finished && flow.upstream_finished)
     erase(key, now, sink);
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -288,3 +288,26 @@
   core.on_tick(start + 3s, sink);
   CHECK_EQUAL(1U, sink.notes.size());
 }
+
+// Guards against histograms that count a handshake twice, or a request by its
+// last packet.
+TEST(relay_core, handshakes_and_requests_are_timed_once)
+{
+  start_serving();
+  core.on_visit(visit(), opening(1), start, sink);
+  core.on_visit(visit(), opening(1, 1), start + 1ms, sink);
+  auto accepted = answer(data(1));
+  accepted.accepts = true;
+  accepted.payload_size = 0;
+  core.on_upstream_packet({}, accepted, start + 3ms, sink);
+  core.on_upstream_packet({}, accepted, start + 4ms, sink);
+  core.on_visit(visit(), data(1), start + 10ms, sink);
+  core.on_visit(visit(), data(1), start + 12ms, sink);
+  core.on_upstream_packet({}, answer(data(1)), start + 50ms, sink);
+  core.on_upstream_packet({}, answer(data(1)), start + 60ms, sink);
+  CHECK_EQUAL(2U, sink.timings.size());
+  CHECK_TRUE(sink.timings[0] ==
+             std::make_pair(relay_timing::handshake, duration(3ms)));
+  CHECK_TRUE(sink.timings[1] ==
+             std::make_pair(relay_timing::request, duration(40ms)));
+}
--- a/src/relay/relay_fixture_test.hpp
+++ b/src/relay/relay_fixture_test.hpp
@@ -144,12 +144,17 @@
   {
     notes.push_back(value);
   }
+  void timed(relay_timing what, duration taken) override
+  {
+    timings.emplace_back(what, taken);
+  }
 
   std::vector<std::uint32_t> delivered;
   std::vector<sent> messages;
   std::vector<endpoint> replies;
   std::vector<std::pair<flow_key, std::uint32_t>> resets;
   std::vector<relay_note> notes;
+  std::vector<std::pair<relay_timing, duration>> timings;
 };
 
 } // namespace toucanmill::relay_test
