base, cli: one copy of the socket address and of the hash finaliser; split commands

Change: moves only: base/socket_address, base/hash, cli/report, cli/configuration_commands, cli/trace_command.

--- a/include/toucanmill/table/service_index.hpp
+++ b/include/toucanmill/table/service_index.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <toucanmill/base/hash.hpp>
 #include <toucanmill/table/service_table.hpp>
 
 namespace toucanmill
@@ -62,16 +63,6 @@
   static constexpr std::size_t shard_count = 256;
   using shard_list = std::array<shard_ptr, shard_count>;
 
-  /// Finaliser of MurmurHash3; addresses in sequence would share a shard.
-  static std::uint64_t mix(std::uint64_t key)
-  {
-    key ^= key >> 33;
-    key *= 0xFF51AFD7ED558CCDULL;
-    key ^= key >> 33;
-    key *= 0xC4CEB9FE1A85EC53ULL;
-    return key ^ key >> 33;
-  }
-
   static std::size_t shard_of(std::uint64_t hash)
   {
     return static_cast<std::size_t>(hash >> 56);
--- a/src/balancer/udp_socket.hpp
+++ b/src/balancer/udp_socket.hpp
@@ -1,17 +1,13 @@
 #ifndef TOUCANMILL_SRC_BALANCER_UDP_SOCKET_HPP
 #define TOUCANMILL_SRC_BALANCER_UDP_SOCKET_HPP
 
-#include <netinet/in.h>
-
 #include <toucanmill/base/address.hpp>
 #include <toucanmill/base/outcome.hpp>
+#include <toucanmill/base/socket_address.hpp>
 
 namespace toucanmill
 {
 
-sockaddr_in to_sockaddr(const endpoint& value);
-endpoint from_sockaddr(const sockaddr_in& value);
-
 /// Bound, non-blocking UDP socket.
 class udp_socket
 {
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,21 +1,15 @@
 #include "options.hpp"
 
 #include <cstdio>
-#include <fstream>
-#include <iostream>
-#include <iterator>
 #include <thread>
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
 #include <toucanmill/base/clock.hpp>
-#include <toucanmill/control/configuration_file.hpp>
-#include <toucanmill/observe/log_trace.hpp>
 
-#include "exit_code.hpp"
 #include "explain.hpp"
-#include "output.hpp"
+#include "report.hpp"
 
 namespace toucanmill::cli
 {
@@ -23,43 +17,6 @@
 namespace
 {
 
-int fail(const error& why)
-{
-  std::cerr << "toucanmill: " << why.message << "\n";
-  return exit_code_of(why.code);
-}
-
-template <class T>
-int print(const result<T>& found, bool json)
-{
-  if (!found)
-    return fail(found.error());
-  std::cout << (json ? to_json(found.value()).dump(2) + "\n"
-                     : to_text(found.value()));
-  return done;
-}
-
-int report_outcome(const change_outcome& outcome, const std::string& request_id,
-                   bool json)
-{
-  if (json)
-    std::cout << nlohmann::json{{"accepted", outcome.accepted},
-                                {"requestId", request_id},
-                                {"version", outcome.version},
-                                {"index", outcome.index},
-                                {"message", outcome.message}}
-                     .dump(2)
-              << "\n";
-  else if (outcome.accepted)
-    std::cout << "accepted: version " << outcome.version << ", index "
-              << outcome.index << ", request id " << request_id << "\n";
-  if (outcome.accepted)
-    return done;
-  std::cerr << "toucanmill: refused: " << outcome.message << " (request id "
-            << request_id << ")\n";
-  return exit_code_of(outcome.reason);
-}
-
 result<operator_request> complete_request(operator_client& control,
                                           const change_options& options,
                                           operator_change change)
@@ -351,113 +308,6 @@
   return group;
 }
 
-int run_apply(operator_client& control, const std::string& file,
-              const common_options& common)
-{
-  std::ifstream input(file, std::ios::binary);
-  if (!input)
-    return fail({error_code::not_found, file + " cannot be read"});
-  const std::string text{std::istreambuf_iterator<char>(input), {}};
-  const auto read = parse_configuration(text, file);
-  if (const auto* found = std::get_if<findings>(&read))
-  {
-    for (const auto& item : *found)
-      std::cerr << to_string(item) << "\n";
-    return bad_usage;
-  }
-  const auto outcome = control.declare(std::get<configuration>(read));
-  if (!outcome)
-    return fail(outcome.error());
-  return report_outcome(outcome.value(), "none", common.json);
-}
-
-void declare_configuration_commands(CLI::App& app, const common_options& common,
-                                    run_function& run)
-{
-  auto file = std::make_shared<std::string>();
-  auto* apply = app.add_subcommand(
-      "apply", "Declare a configuration; the highest version is in force");
-  apply->footer("Example: toucanmill apply examples/configuration.toml");
-  apply->add_option("file", *file, "TOML file")->required();
-  apply->callback(
-      [&common, &run, file]
-      {
-        run = [&common, file](operator_client& control)
-        {
-          return run_apply(control, *file, common);
-        };
-      });
-  app.add_subcommand("config", "Print the configuration in force")
-      ->callback(
-          [&run]
-          {
-            run = [](operator_client& control)
-            {
-              const auto found = control.declared();
-              if (!found)
-                return fail(found.error());
-              if (found.value().version == 0)
-                return fail(
-                    {error_code::not_found, "no configuration is declared"});
-              std::cout << found.value().document << "\n";
-              return int(done);
-            };
-          });
-}
-
-struct trace_options
-{
-  trace_subject subject;
-  std::vector<std::string> files;
-};
-
-int run_trace(const trace_options& options)
-{
-  std::vector<std::string> lines;
-  const auto read = [&lines](std::istream& input)
-  {
-    for (std::string line; std::getline(input, line);)
-      lines.push_back(line);
-  };
-  for (const auto& name : options.files)
-  {
-    std::ifstream input(name);
-    if (!input)
-      return fail({error_code::not_found, name + " cannot be read"});
-    read(input);
-  }
-  if (options.files.empty())
-    read(std::cin);
-  const auto found = trace_lines(lines, options.subject);
-  for (const auto& line : found)
-    std::cout << line << "\n";
-  return found.empty() ? int(not_found) : int(done);
-}
-
-void declare_trace(CLI::App& app, run_function& run)
-{
-  auto options = std::make_shared<trace_options>();
-  auto* command = app.add_subcommand(
-      "trace", "Lines of all processes about a request or flow, in order");
-  command->footer("Example: toucanmill trace --request 4f1a node-*.log");
-  auto* request =
-      command->add_option("--request", options->subject.request, "Request id");
-  command
-      ->add_option("--flow", options->subject.flow,
-                   "caller>service, each address:port")
-      ->excludes(request);
-  command->add_option("files", options->files,
-                      "Log files; none: standard input");
-  command->callback(
-      [&run, options]
-      {
-        run = [options](operator_client&)
-        {
-          return run_trace(*options);
-        };
-      });
-}
-
 void declare_group(CLI::App& app, run_function& run)
 {
   struct options
--- a/src/cli/options.hpp
+++ b/src/cli/options.hpp
@@ -33,6 +33,13 @@
 /// A parsed command line: runs against control and returns the exit code.
 using run_function = std::function<int(operator_client&)>;
 
+/// Declares `apply` and `config`.
+void declare_configuration_commands(CLI::App& app, const common_options& common,
+                                    run_function& run);
+
+/// Declares `trace`.
+void declare_trace(CLI::App& app, run_function& run);
+
 /// Declares all commands; the chosen one sets run.
 void declare_commands(CLI::App& app, common_options& common, run_function& run);
 
--- a/src/control/control_channel.cpp
+++ b/src/control/control_channel.cpp
@@ -1,24 +1,10 @@
 #include <toucanmill/control/control_channel.hpp>
 
-#include <netinet/in.h>
+#include <toucanmill/base/socket_address.hpp>
 
 namespace toucanmill
 {
 
-namespace
-{
-
-sockaddr_in to_sockaddr(const endpoint& value)
-{
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_addr.s_addr = htonl(value.address.value);
-  raw.sin_port = htons(value.port);
-  return raw;
-}
-
-} // namespace
-
 kj::Promise<kj::Own<kj::AsyncIoStream>>
 connect_rpc(kj::AsyncIoContext& io, const endpoint& to, kj::Duration limit)
 {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -6,8 +6,8 @@
 #include <thread>
 
 #include <capnp/rpc-twoparty.h>
-#include <netinet/in.h>
 
+#include <toucanmill/base/socket_address.hpp>
 #include <toucanmill/control/rpc_loop.hpp>
 
 #include "configuration_store.hpp"
@@ -70,10 +70,7 @@
   static kj::Own<kj::ConnectionReceiver> bind(kj::AsyncIoContext& io,
                                               const endpoint& listen)
   {
-    sockaddr_in raw{};
-    raw.sin_family = AF_INET;
-    raw.sin_addr.s_addr = htonl(listen.address.value);
-    raw.sin_port = htons(listen.port);
+    const auto raw = to_sockaddr(listen);
     return io.provider->getNetwork().getSockaddr(&raw, sizeof raw)->listen();
   }
 
--- a/src/net/udp_channel.cpp
+++ b/src/net/udp_channel.cpp
@@ -1,6 +1,5 @@
 #include <toucanmill/net/udp_channel.hpp>
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +8,8 @@
 #include <cstring>
 #include <utility>
 
+#include <toucanmill/base/socket_address.hpp>
+
 namespace toucanmill
 {
 
@@ -22,20 +23,6 @@
 /// may grant less.
 constexpr int socket_buffer = 4 << 20;
 
-sockaddr_in to_sockaddr(const endpoint& value)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(value.address.value);
-  address.sin_port = htons(value.port);
-  return address;
-}
-
-endpoint from_sockaddr(const sockaddr_in& address)
-{
-  return {{ntohl(address.sin_addr.s_addr)}, ntohs(address.sin_port)};
-}
-
 error socket_error(const char* what, const endpoint& local)
 {
   return {error_code::io_failure, std::string(what) + " " + to_string(local) +
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <toucanmill/base/hash.hpp>
 #include <toucanmill/table/flow_hash.hpp>
 
 namespace toucanmill
@@ -11,16 +12,6 @@
 namespace
 {
 
-/// Finaliser of MurmurHash3.
-std::uint64_t mix(std::uint64_t key)
-{
-  key ^= key >> 33;
-  key *= 0xFF51AFD7ED558CCDULL;
-  key ^= key >> 33;
-  key *= 0xC4CEB9FE1A85EC53ULL;
-  return key ^ key >> 33;
-}
-
 std::vector<std::uint16_t> owners_of(const service_table& table)
 {
   std::vector<bool> owns(table.holders.size());
