relay: a flow that a service refuses goes to the next of its route

Cause: with a weighted split a flow was refused when the service that the weights select was full or had no upstream, while another one of the route had room; callers came back at once and kept the full one full. Change: opening packets ask the selected service, then the others with a weight above 0, then are refused.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -188,7 +188,7 @@
 
   entry_action decide(const flow_packet& packet, time_point now);
   entry_action open(const flow_packet& packet, const route& from,
-                    time_point now);
+                    std::uint8_t stage, time_point now);
   entry_action search(const flow_packet& packet, const route& from,
                       time_point now);
   entry_action search_from(const flow_packet& packet, const route& from,
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -80,9 +80,12 @@
 std::vector<endpoint> search_order(const relay_service& service,
                                    std::uint64_t hash, holder_health health);
 
-/// The service that a new flow of the route goes to; null when none is known.
-const relay_service* choose_service(const relay_table& table, const route& from,
-                                    std::uint64_t hash);
+/// The services that a new flow of the route may go to: the one that the
+/// weights select, then the others with a weight, which take a flow that the
+/// first refuses. Services without holders are left out.
+std::vector<const relay_service*> opening_services(const relay_table& table,
+                                                   const route& from,
+                                                   std::uint64_t hash);
 
 /// All services that may hold a flow of the route, the likeliest first.
 std::vector<const relay_service*> possible_services(const relay_table& table,
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -109,7 +109,7 @@
   if (from == nullptr)
     return without_route(packet, now);
   if (packet.opens)
-    return open(packet, *from, now);
+    return open(packet, *from, 0, now);
   const auto flow = packet.from_caller();
   if (const auto found = memory_.find(flow); found != memory_.end())
   {
@@ -127,31 +127,34 @@
   return search(packet, *from, now);
 }
 
+// Where the service that the weights select is full, the next one of the route
+// takes the flow: callers that are refused come back at once and would keep the
+// full one overloaded.
 entry_action entry_core::open(const flow_packet& packet, const route& from,
-                              time_point now)
+                              std::uint8_t stage, time_point now)
 {
   const auto flow = packet.from_caller();
   searched_.erase(flow);
   const auto hash = flow_hash(flow);
-  const auto* service = choose_service(*table_, from, hash);
-  if (service == nullptr)
-    return entry_drop::no_upstream;
-  auto stops = opening_stops(*service, hash, options_.opening_stops);
-  if (stops.size == 0)
+  const auto services = opening_services(*table_, from, hash);
+  if (stage >= services.size())
     return confirmed(now)
                ? entry_action{reset_caller{flow, 0, reset_reason::refused}}
                : entry_action{entry_drop::no_upstream};
+  const auto& service = *services[stage];
+  auto stops = opening_stops(service, hash, options_.opening_stops);
   // The number of earlier copies says how many attempts were lost, so a copy
   // starts at another agent than they did.
   const std::size_t copies = packet.acknowledged % stops.size;
   if (copies > 0)
     doubted_until_[key_of(stops.agents[copies - 1])] = now + options_.doubt;
   stops = by_doubt(rotated(stops, copies), now);
-  auto header = make_header(*service, hash);
+  auto header = make_header(service, hash);
+  header.stage = stage;
   header.stops = stops;
   // Another stop that admits the flow says so with found.
   if (memory_.size() < options_.memory)
-    memory_[flow] = {stops.agents[0], service->key, now};
+    memory_[flow] = {stops.agents[0], service.key, now};
   return visit_agent{stops.agents[0], header};
 }
 
@@ -312,9 +315,11 @@
     return without_route(packet, now);
   if (packet.opens)
   {
-    if (header.reason != miss_reason::refused || !confirmed(now))
+    if (header.reason != miss_reason::refused || !confirmed(now) ||
+        header.table != table_->version().index)
       return entry_drop::newer_table;
-    return reset_caller{flow, 0, reset_reason::refused};
+    return open(packet, *from, static_cast<std::uint8_t>(header.stage + 1),
+                now);
   }
   // The stages of another table have another order: nothing that was asked
   // counts, and a reset would not be certain.
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -244,6 +244,40 @@
                       reset_reason::refused));
 }
 
+// Guards against an overloaded service that callers come back to at once while
+// another one of the route is idle.
+TEST(entry_core, flow_that_a_service_refuses_goes_to_the_next_of_the_route)
+{
+  use(table_of(1, routes_to(5, {{"notes", 100}, {"other", 1}, {"off", 0}}),
+               {service("notes", 1, 10, 1), service("other", 2, 20, 1),
+                service("off", 3, 30, 1)}));
+  std::size_t spilled = 0;
+  for (std::uint16_t port = 1; port <= 50; ++port)
+  {
+    const auto first = visit_of(core.on_packet(opening(port), start));
+    const auto second =
+        visit_of(core.on_missed(returned(first.header, miss_reason::refused),
+                                first.agent, opening(port), start));
+    CHECK_FALSE(second.agent == first.agent);
+    CHECK_FALSE(second.agent == at(30));
+    spilled += second.agent == at(20) ? 1 : 0;
+    CHECK_TRUE(
+        is_reset(core.on_missed(returned(second.header, miss_reason::refused),
+                                second.agent, opening(port), start),
+                 reset_reason::refused));
+  }
+  CHECK_TRUE(spilled > 40);
+}
+
+// Guards against a caller that is refused because the service that the weights
+// select has no upstream.
+TEST(entry_core, service_without_upstreams_takes_no_flows)
+{
+  use(table_of(1, routes_to(5, {{"notes", 100}, {"other", 1}}),
+               {service("notes", 1, 10, 0), service("other", 2, 20, 1)}));
+  CHECK_TRUE(visit_of(core.on_packet(opening(), start)).agent == at(20));
+}
+
 // Guards against a reset of a new flow by a balancer that has not heard of the
 // newest configuration.
 TEST(entry_core, newer_configuration_at_an_agent_asks_for_the_table)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -148,13 +148,24 @@
   return order;
 }
 
-const relay_service* choose_service(const relay_table& table, const route& from,
-                                    std::uint64_t hash)
+std::vector<const relay_service*> opening_services(const relay_table& table,
+                                                   const route& from,
+                                                   std::uint64_t hash)
 {
-  const auto& targets = from.targets;
-  if (targets.empty())
-    return nullptr;
-  return table.find_service(targets[choose_target(targets, hash)].service);
+  std::vector<const relay_service*> found;
+  const auto add = [&](const route_target& target)
+  {
+    const auto* service =
+        target.weight > 0 ? table.find_service(target.service) : nullptr;
+    if (service != nullptr && !service->owners.empty() &&
+        std::find(found.begin(), found.end(), service) == found.end())
+      found.push_back(service);
+  };
+  if (!from.targets.empty())
+    add(from.targets[choose_target(from.targets, hash)]);
+  for (const auto& target : from.targets)
+    add(target);
+  return found;
 }
 
 std::vector<const relay_service*> possible_services(const relay_table& table,
@@ -168,7 +179,9 @@
         std::find(found.begin(), found.end(), service) == found.end())
       found.push_back(service);
   };
-  add(choose_service(table, from, hash));
+  if (!from.targets.empty())
+    add(table.find_service(
+        from.targets[choose_target(from.targets, hash)].service));
   for (const auto& target : from.targets)
     add(table.find_service(target.service));
   for (const auto& name : from.former)
