control: the leader invites seeds that it does not hear

The settings had named three instances without a disk as seeds. After the final loss of power these knew only each other and all nodes only them; the members elected a leader that nobody found. Besides, the list of members in the answer to a report was read from freed memory (a range over a member of a temporary), so that nodes did not learn the other instances. Change: a new leader names the members to all seeds, later to seeds that it does not hear; the invited one asks to join at once. Members are read from a value. Ruled out: lost votes; the leader was elected within 0.21 s.

--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -71,6 +71,11 @@
   /// or without a disk a learner, in a group with a leader. False at the start.
   std::function<void(bool)> on_settled;
 
+  /// Called on the leader about every 0.5 s with the RPC endpoints of the
+  /// members, and of those of them that it hears. May be empty.
+  std::function<void(std::vector<endpoint> all, std::vector<endpoint> heard)>
+      on_members;
+
   /// Called on the leader with the time from the commit of a configuration
   /// until every live node acts on it. May be empty.
   std::function<void(duration)> on_in_force;
@@ -123,7 +128,10 @@
 private:
   void propose(std::vector<command> commands);
   void check_settled(time_point now);
-  void remove_silent_members(time_point now);
+  void check_group(time_point now);
+  std::vector<endpoint> members() const;
+  std::vector<endpoint> heard_members() const;
+  void remove_silent_members();
   void note_command(const command& value, const command_outcome& outcome);
   void check_in_force(time_point now);
 
@@ -131,6 +139,7 @@
   state_machine machine_;
   membership_core membership_;
   time_point next_group_check_;
+  bool first_group_check_ = true; ///< of this leadership
   replicated_log* log_ = nullptr;
   bool leads_ = false;
 
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -243,6 +243,8 @@
       -> (standing :Standing, notLeader :NotLeader);
   # A control instance that stops leaves the group, if enough others stay.
   leave @13 (replica :ReplicaStatus) -> (notLeader :NotLeader);
+  # The leader names the members to a seed that is none: it may know nobody.
+  invite @14 (members :List(Endpoint)) -> ();
 }
 
 enum Standing {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -1,5 +1,6 @@
 #include <toucanmill/control/control_server.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -189,6 +190,11 @@
     out.group = options_.group;
     out.notify = options_.notify;
     out.on_in_force = options_.on_in_force;
+    out.on_members = [this](const std::vector<endpoint>& members,
+                            const std::vector<endpoint>& heard)
+    {
+      invite_seeds(members, heard);
+    };
     out.on_settled = [this](bool settled)
     {
       set_settled(settled);
@@ -218,7 +224,13 @@
     {
       auto side = kj::heap<rpc_side>(
           io, options_.listen.port != 0 ? options_.listen : options_.rpc,
-          kj::heap<detail::control_service>(*log_, state_, service_counters_),
+          kj::heap<detail::control_service>(
+              *log_, state_, service_counters_,
+              [this](const std::vector<endpoint>& members)
+              {
+                if (side_ != nullptr && side_->joiner.get() != nullptr)
+                  side_->joiner->add_members(members);
+              }),
           peer_messages_lost_);
       side->joiner = make_joiner(io);
       side_ = side.get();
@@ -248,6 +260,33 @@
         });
   }
 
+  /// Seeds may know nobody else: one without a disk forgets the group, and the
+  /// settings of all others may name only such.
+  void invite_seeds(const std::vector<endpoint>& members,
+                    const std::vector<endpoint>& heard)
+  {
+    std::vector<endpoint> missing;
+    for (const auto& seed : options_.others)
+      if (std::find(heard.begin(), heard.end(), seed) == heard.end())
+        missing.push_back(seed);
+    if (missing.empty())
+      return;
+    // An invited instance asks the first one, which leads.
+    auto ordered = members;
+    std::partition(ordered.begin(), ordered.end(),
+                   [this](const endpoint& member)
+                   {
+                     return member == options_.rpc;
+                   });
+    rpc_.post(
+        [this, missing, members = std::move(ordered)](kj::AsyncIoContext&)
+        {
+          if (side_ != nullptr)
+            for (const auto& seed : missing)
+              side_->links.invite(seed, members);
+        });
+  }
+
   bool stores() const
   {
     return !options_.log.folder.empty();
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -301,3 +301,35 @@
   CHECK_TRUE(
       connect()->change(create("r1", 0, "defects", 80)).value().accepted);
 }
+
+// Guards against nodes that never find the group again after a loss of power
+// because all seeds keep their log in memory and know only each other
+// (kad-lease-return hunt-bb53-3, RECOVER).
+TEST(control_server, leader_invites_a_seed_that_knows_nobody)
+{
+  rpc = free_endpoint();
+  const endpoint seed = free_endpoint();
+  const endpoint nowhere = free_endpoint();
+  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
+  options.others = {seed};
+  const auto member = start(options);
+  control_server_options forgetful = options;
+  forgetful.rpc = seed;
+  forgetful.others = {nowhere};
+  forgetful.log.self = {2};
+  forgetful.log.folder.clear();
+  forgetful.log.initial_group.clear();
+  auto learner = start(forgetful);
+  const auto joined = [&]
+  {
+    const auto status = learner->status();
+    return status.leader && status.leader->rpc == rpc &&
+           status.group.size() == 2 && !status.group[1].voter;
+  };
+  CHECK_TRUE(eventually(joined));
+  // Its earlier id is still a member at this endpoint.
+  learner.reset();
+  forgetful.log.self = {3};
+  learner = start(forgetful);
+  CHECK_TRUE(eventually(joined));
+}
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -88,8 +88,10 @@
 } // namespace
 
 control_service::control_service(replicated_log& log, control_state& state,
-                                 service_counters& counters)
-    : log_(log), state_(state), counters_(counters)
+                                 service_counters& counters,
+                                 invitation_callback on_invited)
+    : log_(log), state_(state), counters_(counters),
+      on_invited_(std::move(on_invited))
 {
 }
 
@@ -422,6 +424,16 @@
       });
 }
 
+kj::Promise<void> control_service::invite(InviteContext context)
+{
+  std::vector<endpoint> members;
+  for (const auto member : context.getParams().getMembers())
+    members.push_back(wire::read(member));
+  if (!members.empty())
+    on_invited_(std::move(members));
+  return kj::READY_NOW;
+}
+
 void control_service::step_join(const join_request& joining,
                                 std::function<void(replica_standing)> done)
 {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -28,8 +28,11 @@
 class control_service final : public schema::Control::Server
 {
 public:
+  using invitation_callback = std::function<void(std::vector<endpoint>)>;
+
+  /// on_invited: called on the kj thread with the members that a leader named.
   control_service(replicated_log& log, control_state& state,
-                  service_counters& counters);
+                  service_counters& counters, invitation_callback on_invited);
 
 protected:
   kj::Promise<void> change(ChangeContext context) override;
@@ -46,6 +49,7 @@
   kj::Promise<void> declared(DeclaredContext context) override;
   kj::Promise<void> join(JoinContext context) override;
   kj::Promise<void> leave(LeaveContext context) override;
+  kj::Promise<void> invite(InviteContext context) override;
 
 private:
   /// Reply of a call that only the leader answers.
@@ -81,6 +85,7 @@
   replicated_log& log_;
   control_state& state_;
   service_counters& counters_;
+  invitation_callback on_invited_;
 };
 
 } // namespace toucanmill::detail
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,6 +1,7 @@
 #include <toucanmill/control/control_state.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/base/invariant.hpp>
@@ -16,6 +17,9 @@
 /// Pause between two looks for silent members.
 constexpr duration group_check_interval = std::chrono::milliseconds(500);
 
+/// Silence after which the place of a member may have another instance.
+constexpr duration member_patience = std::chrono::milliseconds(500);
+
 /// Configurations whose spreading is timed at once.
 constexpr std::size_t max_spreading = 64;
 
@@ -150,6 +154,8 @@
 {
   leads_ = leads;
   spreading_.clear();
+  next_group_check_ = {};
+  first_group_check_ = true;
   if (leads)
     membership_.on_leader(machine_, monotonic_now());
   options_.notify(
@@ -162,7 +168,7 @@
   if (leads_)
   {
     propose(membership_.on_tick(machine_, now));
-    remove_silent_members(now);
+    check_group(now);
     check_in_force(now);
   }
   check_settled(now);
@@ -179,11 +185,47 @@
   }
 }
 
-void control_state::remove_silent_members(time_point now)
+void control_state::check_group(time_point now)
 {
-  if (log_ == nullptr || !options_.remove_silent || now < next_group_check_)
+  if (log_ == nullptr || now < next_group_check_)
     return;
   next_group_check_ = now + group_check_interval;
+  if (options_.remove_silent)
+    remove_silent_members();
+  // A new leader has not heard anybody: after a loss of power any seed may have
+  // forgotten the group.
+  const bool first = std::exchange(first_group_check_, false);
+  if (options_.on_members)
+    options_.on_members(members(),
+                        first ? std::vector<endpoint>{} : heard_members());
+}
+
+std::vector<endpoint> control_state::members() const
+{
+  const auto status = log_->status();
+  std::vector<endpoint> found;
+  for (const auto& member : status.group)
+    found.push_back(member.rpc);
+  return found;
+}
+
+std::vector<endpoint> control_state::heard_members() const
+{
+  const auto status = log_->status();
+  std::vector<endpoint> found;
+  for (const auto& member : status.group)
+    if (std::none_of(status.silences.begin(), status.silences.end(),
+                     [&](const replica_silence& item)
+                     {
+                       return item.id == member.id &&
+                              item.silent >= member_patience;
+                     }))
+      found.push_back(member.rpc);
+  return found;
+}
+
+void control_state::remove_silent_members()
+{
   auto next = plan_removal(log_->status(), options_.group);
   if (!next)
     return;
@@ -239,8 +281,7 @@
     reply.life = record->identity.life;
   }
   if (log_ != nullptr)
-    for (const auto& member : log_->status().group)
-      reply.members.push_back(member.rpc);
+    reply.members = members();
   return reply;
 }
 
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -1,5 +1,7 @@
 #include "group_joiner.hpp"
 
+#include <algorithm>
+
 #include <toucanmill/cluster/wire.hpp>
 
 namespace toucanmill::detail
@@ -21,12 +23,27 @@
 
 group_joiner::group_joiner(kj::AsyncIoContext& io, std::vector<endpoint> others,
                            join_request self, standing_callback on_standing)
-    : timer_(io.provider->getTimer()), channel_(io, std::move(others)),
-      self_(self), on_standing_(std::move(on_standing)), tasks_(*this)
+    : timer_(io.provider->getTimer()), channel_(io, others),
+      seeds_(std::move(others)), self_(self),
+      on_standing_(std::move(on_standing)), tasks_(*this)
 {
   tasks_.add(ask_forever());
 }
 
+void group_joiner::add_members(const std::vector<endpoint>& members)
+{
+  auto all = members;
+  for (const auto& seed : seeds_)
+    if (std::find(all.begin(), all.end(), seed) == all.end())
+      all.push_back(seed);
+  channel_.set_endpoints(std::move(all));
+  if (needed_ && !members.empty())
+  {
+    channel_.redirect(members.front());
+    tasks_.add(ask());
+  }
+}
+
 void group_joiner::set_needed(bool needed)
 {
   needed_ = needed;
--- a/src/control/group_joiner.hpp
+++ b/src/control/group_joiner.hpp
@@ -24,6 +24,9 @@
   group_joiner(kj::AsyncIoContext& io, std::vector<endpoint> others,
                join_request self, standing_callback on_standing);
 
+  /// Members of the group to ask besides the seeds.
+  void add_members(const std::vector<endpoint>& members);
+
   /// False stops asking until it is true again.
   void set_needed(bool needed);
 
@@ -39,6 +42,7 @@
 
   kj::Timer& timer_;
   control_channel channel_;
+  std::vector<endpoint> seeds_;
   join_request self_;
   standing_callback on_standing_;
   bool needed_ = false;
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <toucanmill/cluster/wire.hpp>
+
 namespace toucanmill::detail
 {
 
@@ -37,6 +39,28 @@
     connect(peer);
 }
 
+void peer_links::invite(const endpoint& to,
+                        const std::vector<endpoint>& members)
+{
+  tasks_.add(
+      connect_rpc(io_, to, connect_limit)
+          .then(
+              [this, members](kj::Own<kj::AsyncIoStream> stream)
+              {
+                auto connection =
+                    std::make_shared<rpc_connection>(kj::mv(stream));
+                auto request = connection->control.inviteRequest();
+                auto list =
+                    request.initMembers(static_cast<unsigned>(members.size()));
+                for (unsigned i = 0; i < list.size(); ++i)
+                  wire::write(list[i], members[i]);
+                return io_.provider->getTimer()
+                    .timeoutAfter(delivery_limit, request.send().ignoreResult())
+                    .attach(kj::mv(connection));
+              })
+          .catch_([](kj::Exception&&) {}));
+}
+
 void peer_links::deliver_waiting(const std::shared_ptr<link>& peer)
 {
   for (const auto& message : std::exchange(peer->waiting, {}))
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -31,6 +31,9 @@
 
   void send(const replica_address& to, const std::string& message);
 
+  /// Names the members of the group to an instance that is none, once.
+  void invite(const endpoint& to, const std::vector<endpoint>& members);
+
 private:
   struct link
   {
