relay: admit new flows up to three requests a slot

After three planned scale-ins one upstream of a service was left; after the final loss of power all callers opened their flows again. Change: it admits while fewer than three requests a slot are in progress, and refuses at once beyond that.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -93,9 +93,10 @@
   upstream_core::options upstream;
   /// Flows without packets for this long are forgotten.
   duration flow_limit = std::chrono::seconds(60);
-  /// Requests beyond the slots that the upstream queues; a new flow is refused
-  /// where more wait.
-  std::uint32_t queue = 16;
+  /// Requests in progress, for each slot, up to which a new flow is admitted
+  /// where no other agent takes it: two that wait for each one that runs still
+  /// meet a latency objective of five times the work.
+  std::uint32_t requests_per_slot = 3;
   /// Pause between two found messages for one flow.
   duration found_interval = std::chrono::milliseconds(200);
   /// A request without a response for this long is noted.
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -55,7 +55,6 @@
   upstream.service = settings.service;
   upstream.address = settings.upstream;
   upstream.silence_limit = lost_announcements * settings.announce_interval;
-  options.relay.queue = settings.queue;
   options.data = settings.data;
   options.outbound = settings.outbound;
   options.caller_port = settings.data.port;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -137,7 +137,8 @@
   // The first stop passes a flow on where all slots are taken, so that the
   // queue of one upstream does not grow while another is idle.
   const bool first = header.stop == 0 && header.stops.size > 1;
-  const auto limit = upstream_.slots() + (first ? 0 : options_.queue);
+  const auto limit =
+      upstream_.slots() * (first ? 1 : options_.requests_per_slot);
   if (busy_ >= limit)
     return relay_event::busy;
   return std::nullopt;
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -33,7 +33,7 @@
   relay_options value;
   value.upstream.service = "notes";
   value.upstream.address = upstream_address;
-  value.queue = 1;
+  value.requests_per_slot = 2;
   return value;
 }
 
@@ -219,8 +219,8 @@
 }
 
 // Load: more requests in progress than slots. A new flow goes to the next stop
-// while this one is busy; the last stop takes it up to the queue's length, then
-// refuses at once.
+// while this one is busy; the last stop takes it while few requests wait for
+// each slot, then refuses at once.
 TEST(relay_core, busy_upstream_passes_new_flows_on)
 {
   start_serving();
@@ -237,11 +237,12 @@
   CHECK_EQUAL(before + 1, sink.delivered.size());
   open_flow(5);
   core.on_visit(visit(true), data(4), start, sink);
+  core.on_visit(visit(true), data(5), start, sink);
   core.on_visit(visit(true), opening(6), start, sink);
   CHECK_TRUE(sink.messages.back().header.kind == relay_kind::missed);
   CHECK_TRUE(sink.messages.back().header.reason == miss_reason::refused);
   core.on_upstream_packet({}, answer(data(1)), start, sink);
-  CHECK_EQUAL(2U, core.status(start).busy);
+  CHECK_EQUAL(3U, core.status(start).busy);
 }
 
 // Guards against callers that wait for an upstream that crashed: it answers no
