relay: a start of an upstream with its clock set back is recognised

An upstream crashed and started again with a clock set back by 3 s, under a new id. Its Unix time of start was earlier than the last one, so each announcement counted as late: it was never known, and when it drained it still got new flows. Change: an announcement that seems to be of an earlier start takes over when it comes again with a higher sequence and the last start has not announced itself for two intervals. Ruled out: trusting any unknown id; a late announcement that was held up would reset the flows of the living upstream. Measured: relay_test, two tests, the first fails before.

--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -103,10 +103,15 @@
 
 private:
   bool replaces_current(const upstream_announcement& value) const;
+  bool outlasts_current(const upstream_announcement& value, time_point now);
 
   options options_;
   std::optional<upstream_announcement> current_;
   std::string previous_instance_;
+
+  /// Another start that announces itself and seems to be an earlier one.
+  std::optional<upstream_announcement> rival_;
+  time_point announced_; ///< latest announcement of the current start
   incarnation life_;
   bool left_ = false;
   time_point heard_;
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -151,6 +151,41 @@
   CHECK_TRUE(core.status(start).draining);
 }
 
+// Guards against an upstream whose clock was set back before it started again:
+// its announcements, and that it drains, were taken for late ones (fault_soak
+// seed 114).
+TEST(relay_core, start_with_an_earlier_clock_is_known_once_the_last_is_silent)
+{
+  start_serving();
+  const auto say = [&](std::uint64_t sequence, duration after)
+  {
+    return core.announce(announcement(sequence, "i-2", 900), 1, start + after,
+                         sink);
+  };
+  CHECK_TRUE(say(1, 1s) == announcement_verdict::late);
+  CHECK_TRUE(say(2, 1500ms) == announcement_verdict::late);
+  CHECK_TRUE(say(2, 2500ms) == announcement_verdict::late);
+  CHECK_TRUE(say(3, 3s) == announcement_verdict::accepted);
+  auto draining = announcement(4, "i-2", 900);
+  draining.draining = true;
+  core.announce(draining, 1, start + 4s, sink);
+  CHECK_TRUE(core.status(start + 4s).draining);
+}
+
+// Guards against late announcements that take the place of a living upstream.
+TEST(relay_core, late_announcements_do_not_outlast_a_living_upstream)
+{
+  start_serving();
+  for (std::uint64_t i = 2; i < 20; ++i)
+  {
+    const auto now = start + i * 500ms;
+    CHECK_TRUE(core.announce(announcement(i), 1, now, sink) ==
+               announcement_verdict::accepted);
+    CHECK_TRUE(core.announce(announcement(i, "i-0", 900), 1, now + 1ms, sink) ==
+               announcement_verdict::late);
+  }
+}
+
 // Guards against callers that wait for a flow that ended with its upstream,
 // also when the upstream came back under the same id.
 TEST(relay_core, new_start_of_the_upstream_resets_the_flows_of_the_one_before)
--- a/src/relay/upstream_core.cpp
+++ b/src/relay/upstream_core.cpp
@@ -19,6 +19,18 @@
          value.instance != previous_instance_;
 }
 
+// A start after the clock was set back looks like an earlier one. A late
+// announcement comes once, or while the current start still announces itself.
+bool upstream_core::outlasts_current(const upstream_announcement& value,
+                                     time_point now)
+{
+  const bool again = rival_ && rival_->instance == value.instance &&
+                     rival_->born_ms == value.born_ms &&
+                     rival_->sequence < value.sequence;
+  rival_ = value;
+  return again && now - announced_ >= options_.silence_limit / 2;
+}
+
 announcement_verdict upstream_core::announce(const upstream_announcement& value,
                                              std::uint64_t wall_clock_ms,
                                              time_point now)
@@ -28,8 +40,10 @@
   const bool same = current_ && value.instance == current_->instance &&
                     value.born_ms == current_->born_ms;
   if (same ? left_ || value.sequence <= current_->sequence
-           : !replaces_current(value))
+           : !replaces_current(value) && !outlasts_current(value, now))
     return announcement_verdict::late;
+  rival_.reset();
+  announced_ = now;
   if (!same)
   {
     if (current_ && current_->instance != value.instance)
