--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -183,7 +183,10 @@
   ++counters_.searches;
   const bool again = !state.lost && state.attempts > 0 &&
                      now - state.last <= options_.search_patience;
-  state = {now, again ? state.attempts + 1 : 1, again ? state.stage : 0U, {}};
+  if (!again)
+    state = {};
+  state.last = now;
+  ++state.attempts;
   const bool past = state.attempts % 2 == 0 && probes_sent_ < options_.probes;
   return past ? search_past(packet, from, state.stage)
               : search_from(packet, from, 0, false, now);
