scripts: relay_path waits until the balancers know an upstream

Change: the drill first waits until a new flow is accepted through each balancer. Its assertions stay.

--- a/scripts/relay_system.py
+++ b/scripts/relay_system.py
@@ -238,6 +238,19 @@
     return call("GET", address, "/toucanmill/readiness")[0] == 200
 
 
+def takes_flows(balancer, address, port):
+    """A new flow from this address and port gets an answer that accepts it."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+        caller.bind((address, DATA_PORT))
+        caller.settimeout(0.2)
+        opening = Packet(SYN, (address, port), PUBLIC, 100)
+        caller.sendto(opening.encode(), (balancer, DATA_PORT))
+        try:
+            return bool(Packet.decode(caller.recv(2048)).flags & SYN)
+        except socket.timeout:
+            return False
+
+
 def configuration(version):
     """One route in use, and as many others as the version says."""
     routes = [{"name": "r", "host": PUBLIC[0], "pathPrefix": f"/{PUBLIC[1]}/",
