daemon: one connection to control for all roles

Cause: each role copied the callbacks of the control client, and balancer_role and agent_role kept a client and its reachability beside table_feed. Change: roles implement feed_node; table_feed makes the callbacks and serves all four.

--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -10,6 +10,7 @@
 #include "node_identity.hpp"
 #include "rpc_claims.hpp"
 #include "samples.hpp"
+#include "table_feed.hpp"
 
 namespace toucanmill::daemon
 {
@@ -77,7 +78,7 @@
   table_version applied_;
 };
 
-class agent_role final : public role
+class agent_role final : public role, private feed_node
 {
 public:
   agent_role(const instance_settings& instance, const agent_settings& settings)
@@ -92,17 +93,15 @@
     // may still reach the stopped agent.
     if (agent_ != nullptr)
       agent_->stop();
-    client_.reset();
+    feed_.stop();
   }
 
   result<void> open()
   {
     BOOST_OUTCOME_TRY(started, agent::start(make_options(settings_), claims_));
     agent_ = std::move(started);
-    node_client_options options;
-    options.control = instance_.control;
-    client_ = node_client::start(options, callbacks());
-    claims_.use(*client_);
+    feed_.start(instance_, *this);
+    claims_.use(feed_.client());
     return outcome::success();
   }
 
@@ -111,7 +110,7 @@
     leave();
     stopping_since_ = monotonic_now();
     stopping_ = true;
-    client_->report_now();
+    feed_.report_now();
   }
 
   bool stopped() override
@@ -119,7 +118,7 @@
     if (!stopping_ || monotonic_now() - stopping_since_ < handover_time)
       return false;
     return agent_->status().open_flows == 0 &&
-           (departure_known_ || !reachable_);
+           (departure_known_ || !feed_.reachable());
   }
 
   std::string unfinished_work() override
@@ -132,7 +131,8 @@
   std::vector<sample> samples() override
   {
     const auto status = agent_->status();
-    auto out = control_samples(client_->counters(), reachable_, status.version);
+    auto out =
+        control_samples(feed_.counters(), feed_.reachable(), status.version);
     add_drops(out, status.counts);
     add_events(out, status.counts);
     add_packets(out, status.counts);
@@ -146,8 +146,9 @@
       return {false, "leaving"};
     if (agent_->status().version == table_version{})
       return {false, "no table of service " + identity_.service + " yet"};
-    return reachable_ ? health{}
-                      : health{true, "ok, control unreachable: table kept"};
+    return feed_.reachable()
+               ? health{}
+               : health{true, "ok, control unreachable: table kept"};
   }
 
 private:
@@ -199,33 +200,7 @@
               status.queue_length);
   }
 
-  node_callbacks callbacks()
-  {
-    node_callbacks out;
-    out.make_report = [this]
-    {
-      return make_report();
-    };
-    out.on_update = [this](const table_update& update)
-    {
-      take(update);
-    };
-    out.on_confirmed = [this](time_point)
-    {
-      confirmed();
-    };
-    out.on_order = [this](node_order order)
-    {
-      take(order);
-    };
-    out.on_reachable = [this](bool reachable)
-    {
-      set_reachable(reachable);
-    };
-    return out;
-  }
-
-  node_report make_report()
+  node_report make_report() override
   {
     const auto status = agent_->status();
     node_report report;
@@ -241,7 +216,7 @@
     return report;
   }
 
-  void take(const table_update& update)
+  void take_table(const table_update& update) override
   {
     for (const auto& table : update.changed)
       if (table.name == identity_.service)
@@ -254,13 +229,13 @@
     tables_.add(service_version_, update.version);
   }
 
-  void confirmed()
+  void confirmed(time_point) override
   {
     agent_->confirmed();
     departure_known_ = reported_empty_;
   }
 
-  void take(node_order order)
+  void take_order(node_order order) override
   {
     if (order == node_order::drain && !leaving_)
     {
@@ -283,13 +258,6 @@
     agent_->set_leaving(true);
   }
 
-  void set_reachable(bool reachable)
-  {
-    reachable_ = reachable;
-    log_event(reachable ? event::control_reachable : event::control_unreachable,
-              identity_.name);
-  }
-
   instance_settings instance_;
   agent_settings settings_;
   node_identity identity_;
@@ -301,9 +269,8 @@
   time_point stopping_since_;     ///< used on the main thread only
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> reachable_{true};
   std::atomic<bool> departure_known_{false};
-  std::unique_ptr<node_client> client_;
+  table_feed feed_;
 };
 
 } // namespace
--- a/src/daemon/balancer_role.cpp
+++ b/src/daemon/balancer_role.cpp
@@ -8,6 +8,7 @@
 
 #include "node_identity.hpp"
 #include "samples.hpp"
+#include "table_feed.hpp"
 
 namespace toucanmill::daemon
 {
@@ -15,21 +16,19 @@
 namespace
 {
 
-class balancer_role final : public role
+class balancer_role final : public role, private feed_node
 {
 public:
   balancer_role(std::unique_ptr<balancer> packets, node_identity identity,
                 const instance_settings& instance)
       : packets_(std::move(packets)), identity_(std::move(identity))
   {
-    node_client_options options;
-    options.control = instance.control;
-    client_ = node_client::start(options, callbacks());
+    feed_.start(instance, *this);
   }
 
   ~balancer_role() override
   {
-    client_.reset();
+    feed_.stop();
     packets_->stop();
   }
 
@@ -39,7 +38,7 @@
       return;
     log_event(event::balancer_withdrawn, identity_.name);
     packets_->retire();
-    client_->report_now();
+    feed_.report_now();
   }
 
   bool stopped() override
@@ -47,11 +46,11 @@
     if (!leaving_ || !packets_->retired())
       return false;
     if (!asked_last_report_)
-      client_->report_now();
+      feed_.report_now();
     asked_last_report_ = true;
     // Control counts only nodes that are not gone among those that a change
     // waits for, so the last report should arrive.
-    return departure_known_ || !reachable_;
+    return departure_known_ || !feed_.reachable();
   }
 
   std::string unfinished_work() override
@@ -62,7 +61,7 @@
 
   std::vector<sample> samples() override
   {
-    auto out = control_samples(client_->counters(), reachable_,
+    auto out = control_samples(feed_.counters(), feed_.reachable(),
                                packets_->applied_version());
     const auto counters = packets_->counters();
     add_forwarding(out, counters.forwarding);
@@ -88,8 +87,9 @@
       return {false, "withdrawn"};
     if (packets_->applied_version() == table_version{})
       return {false, "no routing table yet"};
-    return reachable_ ? health{}
-                      : health{true, "ok, control unreachable: table kept"};
+    return feed_.reachable()
+               ? health{}
+               : health{true, "ok, control unreachable: table kept"};
   }
 
 private:
@@ -105,33 +105,7 @@
       add_drop(out, to_string(static_cast<forward_drop>(i)), counters.drops[i]);
   }
 
-  node_callbacks callbacks()
-  {
-    node_callbacks out;
-    out.make_report = [this]
-    {
-      return make_report();
-    };
-    out.on_update = [this](const table_update& update)
-    {
-      take(update);
-    };
-    out.on_confirmed = [this](time_point)
-    {
-      departure_known_ = reported_empty_;
-    };
-    out.on_order = [this](node_order order)
-    {
-      take(order);
-    };
-    out.on_reachable = [this](bool reachable)
-    {
-      set_reachable(reachable);
-    };
-    return out;
-  }
-
-  node_report make_report()
+  node_report make_report() override
   {
     node_report report;
     report.identity = identity_;
@@ -145,7 +119,12 @@
     return report;
   }
 
-  void take(const table_update& update)
+  void confirmed(time_point) override
+  {
+    departure_known_ = reported_empty_;
+  }
+
+  void take_table(const table_update& update) override
   {
     const auto next = table_.apply(update);
     if (!next)
@@ -159,7 +138,7 @@
     packets_->set_table(table_);
   }
 
-  void take(node_order order)
+  void take_order(node_order order) override
   {
     if (order != node_order::retire || leaving_)
       return;
@@ -167,22 +146,14 @@
     begin_stop();
   }
 
-  void set_reachable(bool reachable)
-  {
-    reachable_ = reachable;
-    log_event(reachable ? event::control_reachable : event::control_unreachable,
-              identity_.name);
-  }
-
   std::unique_ptr<balancer> packets_;
   node_identity identity_;
   routing_table table_; ///< used on the client's thread only
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> reachable_{true};
   bool asked_last_report_ = false; ///< used on the main thread only
   bool reported_empty_ = false;    ///< used on the client's thread only
   std::atomic<bool> departure_known_{false};
-  std::unique_ptr<node_client> client_;
+  table_feed feed_;
 };
 
 } // namespace
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -30,7 +30,7 @@
 /// The stop ends this long before the limit, so that it ends by itself.
 constexpr duration stop_margin = std::chrono::seconds(1);
 
-class entry_role final : public role
+class entry_role final : public role, private feed_node
 {
 public:
   explicit entry_role(const instance_settings& instance) : instance_(instance)
@@ -60,7 +60,7 @@
     };
     BOOST_OUTCOME_TRY(started, entry_balancer::start(std::move(options)));
     packets_ = std::move(started);
-    feed_.start(instance_, callbacks());
+    feed_.start(instance_, *this);
     return outcome::success();
   }
 
@@ -150,26 +150,7 @@
   }
 
 private:
-  node_callbacks callbacks()
-  {
-    node_callbacks out;
-    out.make_report = [this]
-    {
-      return make_report();
-    };
-    out.on_update = [this](const table_update& update)
-    {
-      take(update);
-    };
-    out.on_confirmed = [this](time_point asked)
-    {
-      packets_->set_confirmed(asked);
-    };
-    out.on_order = [](node_order) {};
-    return out;
-  }
-
-  node_report make_report()
+  node_report make_report() override
   {
     node_report report;
     report.identity = identity_;
@@ -181,7 +162,12 @@
     return report;
   }
 
-  void take(const table_update& update)
+  void confirmed(time_point asked) override
+  {
+    packets_->set_confirmed(asked);
+  }
+
+  void take_table(const table_update& update) override
   {
     const auto before = table_.configuration_version();
     table_ = table_.apply(update);
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -62,7 +62,7 @@
   return options;
 }
 
-class relay_agent_role final : public role
+class relay_agent_role final : public role, private feed_node
 {
 public:
   relay_agent_role(const instance_settings& instance,
@@ -94,7 +94,7 @@
     };
     BOOST_OUTCOME_TRY(started, relay_agent::start(std::move(options)));
     agent_ = std::move(started);
-    feed_.start(instance_, callbacks());
+    feed_.start(instance_, *this);
     return outcome::success();
   }
 
@@ -201,30 +201,7 @@
         });
   }
 
-  node_callbacks callbacks()
-  {
-    node_callbacks out;
-    out.make_report = [this]
-    {
-      return make_report();
-    };
-    out.on_update = [this](const table_update& update)
-    {
-      take(update);
-    };
-    out.on_confirmed = [this](time_point)
-    {
-      departure_known_ = reported_departure_;
-    };
-    out.on_order = [](node_order) {};
-    out.on_known_life = [this](incarnation life)
-    {
-      agent_->at_least_life(life);
-    };
-    return out;
-  }
-
-  node_report make_report()
+  node_report make_report() override
   {
     const auto status = agent_->status();
     node_report report;
@@ -244,7 +221,17 @@
     return report;
   }
 
-  void take(const table_update& update)
+  void confirmed(time_point) override
+  {
+    departure_known_ = reported_departure_;
+  }
+
+  void known_life(incarnation life) override
+  {
+    agent_->at_least_life(life);
+  }
+
+  void take_table(const table_update& update) override
   {
     if (update.declared)
     {
--- a/src/daemon/table_feed.hpp
+++ b/src/daemon/table_feed.hpp
@@ -16,30 +16,35 @@
 namespace toucanmill::daemon
 {
 
-/// Connection of a node to control: reports, and what comes back. The node's
-/// callbacks run on the client's thread. All but on_reachable are the node's.
+/// What a role does with its connection to control. All functions are called on
+/// the client's thread.
+class feed_node
+{
+public:
+  virtual ~feed_node() = default;
+
+  virtual node_report make_report() = 0;
+  virtual void take_table(const table_update& update) = 0;
+
+  /// A quorum confirmed the table at some time after `asked`.
+  virtual void confirmed(time_point asked) = 0;
+
+  virtual void take_order(node_order) {}
+
+  /// Latest life of this node that control knows.
+  virtual void known_life(incarnation) {}
+};
+
+/// Connection of a node to control: reports, and what comes back.
 class table_feed
 {
 public:
-  void start(const instance_settings& instance, node_callbacks callbacks)
+  void start(const instance_settings& instance, feed_node& node)
   {
     name_ = instance.name;
-    callbacks.on_reachable = [this](bool reachable)
-    {
-      reachable_ = reachable;
-      log_event(reachable ? event::control_reachable
-                          : event::control_unreachable,
-                name_);
-    };
-    callbacks.on_confirmed =
-        [this, confirmed = callbacks.on_confirmed](time_point asked)
-    {
-      report_times_.observe(monotonic_now() - asked);
-      confirmed(asked);
-    };
     node_client_options options;
     options.control = control_endpoints(instance);
-    auto client = node_client::start(options, std::move(callbacks));
+    auto client = node_client::start(options, callbacks(node));
     const std::lock_guard lock(mutex_);
     client_ = std::move(client);
   }
@@ -56,6 +61,12 @@
     client.reset();
   }
 
+  /// Between start() and stop().
+  node_client& client()
+  {
+    return *client_;
+  }
+
   bool reachable() const
   {
     return reachable_;
@@ -86,6 +97,40 @@
   }
 
 private:
+  node_callbacks callbacks(feed_node& node)
+  {
+    node_callbacks out;
+    out.make_report = [&node]
+    {
+      return node.make_report();
+    };
+    out.on_update = [&node](const table_update& update)
+    {
+      node.take_table(update);
+    };
+    out.on_confirmed = [this, &node](time_point asked)
+    {
+      report_times_.observe(monotonic_now() - asked);
+      node.confirmed(asked);
+    };
+    out.on_order = [&node](node_order order)
+    {
+      node.take_order(order);
+    };
+    out.on_known_life = [&node](incarnation life)
+    {
+      node.known_life(life);
+    };
+    out.on_reachable = [this](bool reachable)
+    {
+      reachable_ = reachable;
+      log_event(reachable ? event::control_reachable
+                          : event::control_unreachable,
+                name_);
+    };
+    return out;
+  }
+
   std::string name_;
   std::atomic<bool> reachable_{true};
   std::mutex mutex_; ///< of client_ against start() and stop()
