--- a/src/control/configuration_store.cpp
+++ b/src/control/configuration_store.cpp
@@ -20,12 +20,6 @@
 
 } // namespace
 
-endpoint configuration_store::leader_hint() const
-{
-  const auto status = log_.status();
-  return status.leader && !status.leads ? status.leader->rpc : endpoint{};
-}
-
 void configuration_store::declare(configuration value, declare_callback done)
 {
   log_.propose(encode(declare_configuration{std::move(value)}),
@@ -34,7 +28,7 @@
                  if (applied)
                    done(read_outcome(applied.value()), {});
                  else
-                   done(applied.error(), leader_hint());
+                   done(applied.error(), leader_hint(log_));
                });
 }
 
@@ -46,7 +40,7 @@
         if (confirmed)
           done(state_.declared(), {});
         else
-          done(confirmed.error(), leader_hint());
+          done(confirmed.error(), leader_hint(log_));
       });
 }
 
--- a/src/control/configuration_store.hpp
+++ b/src/control/configuration_store.hpp
@@ -5,6 +5,8 @@
 #include <toucanmill/control/control_state.hpp>
 #include <toucanmill/log/replicated_log.hpp>
 
+#include "leader_hint.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -26,9 +28,6 @@
   void read(configuration_callback done);
 
 private:
-  /// RPC endpoint of another instance that leads; port 0: none is known.
-  endpoint leader_hint() const;
-
   replicated_log& log_;
   control_state& state_;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -5,6 +5,8 @@
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/cluster/wire.hpp>
 
+#include "leader_hint.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -95,12 +97,6 @@
 {
 }
 
-endpoint control_service::leader_hint() const
-{
-  const auto status = log_.status();
-  return status.leader && !status.leads ? status.leader->rpc : endpoint{};
-}
-
 template <class T, class Read>
 kj::Promise<control_service::answer<T>>
 control_service::read_as_leader(Read read)
@@ -113,7 +109,7 @@
           reply->fulfiller->fulfill(answer<T>{read(monotonic_now()), {}});
         else
           reply->fulfiller->fulfill(
-              answer<T>{confirmed.error(), leader_hint()});
+              answer<T>{confirmed.error(), leader_hint(log_)});
       });
   return kj::mv(promise);
 }
@@ -129,8 +125,8 @@
                    reply->fulfiller->fulfill(answer<command_outcome>{
                        decode_command_outcome(applied.value()), {}});
                  else
-                   reply->fulfiller->fulfill(
-                       answer<command_outcome>{applied.error(), leader_hint()});
+                   reply->fulfiller->fulfill(answer<command_outcome>{
+                       applied.error(), leader_hint(log_)});
                });
   return kj::mv(promise);
 }
@@ -325,7 +321,7 @@
       std::move(group),
       [this, reply = reply](const result<std::string>& done)
       {
-        reply->fulfiller->fulfill(answer<std::string>{done, leader_hint()});
+        reply->fulfiller->fulfill(answer<std::string>{done, leader_hint(log_)});
       });
   return promise.then(
       [this, context](const answer<std::string>& done) mutable
@@ -378,7 +374,7 @@
       {
         if (!confirmed)
           return reply->fulfiller->fulfill(
-              answer<replica_standing>{confirmed.error(), leader_hint()});
+              answer<replica_standing>{confirmed.error(), leader_hint(log_)});
         step_join(
             joining,
             [reply](replica_standing standing)
@@ -405,7 +401,7 @@
       {
         if (!confirmed)
           return reply->fulfiller->fulfill(
-              answer<bool>{confirmed.error(), leader_hint()});
+              answer<bool>{confirmed.error(), leader_hint(log_)});
         auto next = plan_leave(log_.status(), leaving.id, state_.group());
         if (!next)
           return reply->fulfiller->fulfill(answer<bool>{false, {}});
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -76,8 +76,6 @@
   template <class Results, class T>
   bool refused(Results& results, const answer<T>& reply);
 
-  endpoint leader_hint() const;
-
   /// Makes the next step of a join; runs on the log's thread.
   void step_join(const join_request& joining,
                  std::function<void(replica_standing)> done);
