relay: searches visit agents that leave probes unanswered last

Cause: a search visits agents one after the other, and a dead agent that the table still lists loses the packet. Each retransmission started again at the first stage and was lost at the same agent; the copies that get past it are limited to 200 a second, which the flows of a restarted balancer use up at once, and a burst of packets counted as retransmissions. Change: the balancer notes which agents leave a probe unanswered for 150 ms. The next attempt of any flow visits these last; they are still visited before a reset. An attempt keeps its stages, and a miss counts only for a stage of the present attempt. Packets within 100 ms are one attempt. Metrics toucanmill_search_retries_total and toucanmill_unresponsive_agents. Ruled out: a wrong entry in the balancer's cache (the traced flow was not remembered anywhere). The late tables that made the search meet dead agents are a cause of their own.

--- /dev/null
+++ b/include/toucanmill/relay/agent_monitor.hpp
@@ -0,0 +1,62 @@
+#ifndef TOUCANMILL_RELAY_AGENT_MONITOR_HPP
+#define TOUCANMILL_RELAY_AGENT_MONITOR_HPP
+
+#include <map>
+#include <set>
+
+#include <toucanmill/base/address.hpp>
+#include <toucanmill/base/time.hpp>
+
+namespace toucanmill
+{
+
+using agent_set = std::set<endpoint>;
+
+/// Finds agents that do not answer this balancer, sooner than their leases
+/// expire. An answer to a probe comes from the probed agent itself; a packet
+/// that visits several agents shows nothing about any one of them.
+class agent_monitor
+{
+public:
+  struct options
+  {
+    /// An agent may stand still for 100 ms when its share of the processor is
+    /// used up.
+    duration answer_timeout = std::chrono::milliseconds(150);
+    /// An unresponsive agent without further probes is forgotten after this
+    /// time; longer than a lease, after which the table marks the agent.
+    duration retention = std::chrono::seconds(3);
+  };
+
+  explicit agent_monitor(options chosen) : options_(chosen) {}
+
+  /// A packet that the agent must answer was sent to it.
+  void on_probe(const endpoint& agent, time_point now);
+
+  /// The agent sent a message.
+  void on_message(const endpoint& agent);
+
+  /// Agents with a probe that is unanswered for longer than answer_timeout.
+  agent_set unresponsive(time_point now) const;
+
+  bool is_unresponsive(const endpoint& agent, time_point now) const;
+
+  /// Forgets old probes; call once a second.
+  void on_tick(time_point now);
+
+private:
+  struct unanswered_probes
+  {
+    time_point first;
+    time_point latest;
+  };
+
+  bool is_overdue(const unanswered_probes& probes, time_point now) const;
+
+  options options_;
+  std::map<endpoint, unanswered_probes> unanswered_;
+};
+
+} // namespace toucanmill
+
+#endif
--- a/include/toucanmill/relay/entry_balancer.hpp
+++ b/include/toucanmill/relay/entry_balancer.hpp
@@ -49,6 +49,7 @@
   table_version version;
   std::uint64_t configuration = 0;
   std::size_t remembered_flows = 0;
+  std::size_t unresponsive_agents = 0;
   std::uint64_t packets = 0; ///< received from callers
 };
 
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -11,6 +11,7 @@
 
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
+#include <toucanmill/relay/agent_monitor.hpp>
 #include <toucanmill/relay/relay_table.hpp>
 
 namespace toucanmill
@@ -66,9 +67,10 @@
   not_a_caller,  ///< a bounced packet, which never comes from a caller
   unknown_reset, ///< the caller's reset of a flow that is not remembered
   probe_missed,  ///< one of several probed agents does not hold the flow
+  stale_answer,  ///< a miss of an earlier attempt to find the flow
 };
 
-inline constexpr std::size_t entry_drop_count = 8;
+inline constexpr std::size_t entry_drop_count = 9;
 
 const char* to_string(entry_drop reason);
 
@@ -90,18 +92,23 @@
   /// The state of a search expires after this time. A further packet of the
   /// flow within it is a retry. Every second attempt probes all stops of the
   /// unanswered stage in parallel, since a dead agent may have lost the
-  /// previous packet.
+  /// previous packet. The next attempt visits agents that did not answer last.
   duration search_timeout = std::chrono::seconds(2);
+  /// A packet that follows within this time belongs to the same attempt;
+  /// callers retransmit after 200 ms at the earliest.
+  duration retry_interval = std::chrono::milliseconds(100);
   /// Probe packets between two ticks (one second); above this a retry restarts
   /// the search instead. Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
+  agent_monitor::options monitor;
 };
 
 struct entry_counters
 {
   std::uint64_t visits = 0;
   std::uint64_t searches = 0; ///< packets of established flows not remembered
-  std::uint64_t probe_searches = 0; ///< searches that sent probes
+  std::uint64_t search_retries = 0; ///< attempts after one without an answer
+  std::uint64_t probe_searches = 0; ///< attempts that sent probes
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
   std::uint64_t awaited = 0; ///< packets held until the table is confirmed
@@ -156,6 +163,12 @@
     return confirmed_at_ ? now - *confirmed_at_ : duration{-1};
   }
 
+  /// Agents that left a probe unanswered and are visited last.
+  std::size_t unresponsive_agents(time_point now) const
+  {
+    return monitor_.unresponsive(now).size();
+  }
+
   std::size_t remembered_flows() const
   {
     return remembered_flows_.size();
@@ -182,11 +195,19 @@
     time_point at;
   };
 
+  /// The stages of one attempt, computed from `table`.
+  struct search_plan
+  {
+    std::shared_ptr<const relay_table> table;
+    std::vector<search_stage> stages;
+  };
+
   struct search_state
   {
     time_point last; ///< latest attempt or result
     std::uint32_t attempts = 0;
     std::uint8_t stage = 0; ///< stage without an answer yet
+    search_plan plan;
     std::optional<not_found_result> not_found;
   };
 
@@ -195,11 +216,17 @@
                          std::uint8_t stage, time_point now);
   entry_action search(const flow_packet& packet, const route& from,
                       time_point now);
-  entry_action search_from(const flow_packet& packet, const route& from,
-                           std::uint8_t stage, bool inconclusive,
+  entry_action search_by_new_plan(const flow_packet& packet, const route& from,
+                                  search_state& state, bool inconclusive,
+                                  time_point now);
+  entry_action search_from(const flow_packet& packet, search_state& state,
+                           std::size_t stage, bool inconclusive,
                            time_point now);
-  entry_action search_with_probes(const flow_packet& packet, const route& from,
-                                  std::uint8_t stage);
+  entry_action search_with_probes(const flow_packet& packet,
+                                  search_state& state, time_point now);
+  entry_action continue_search(const relay_header& header,
+                               const flow_packet& packet, const route& from,
+                               time_point now);
   entry_action on_missing_route(const flow_packet& packet, time_point now);
   entry_action on_search_exhausted(const flow_packet& packet, bool inconclusive,
                                    time_point now);
@@ -222,6 +249,7 @@
   std::unordered_map<flow_key, remembered_flow> remembered_flows_;
   std::unordered_map<flow_key, search_state> searched_;
   std::unordered_map<std::uint64_t, time_point> avoided_until_;
+  agent_monitor monitor_;
   std::size_t probes_sent_ = 0; ///< since the last tick
   entry_counters counters_;
 };
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <toucanmill/relay/agent_monitor.hpp>
 #include <toucanmill/relay/relay_message.hpp>
 #include <toucanmill/table/configuration.hpp>
 #include <toucanmill/table/service_table.hpp>
@@ -69,17 +70,18 @@
 visit_stops opening_stops(const relay_service& service, std::uint64_t hash,
                           std::size_t limit);
 
-/// Whether a holder's lease is valid.
+/// Whether a holder is expected to deliver a packet.
 enum class holder_health : std::uint8_t
 {
   live,
-  suspect,
+  suspect, ///< its lease expired, or its agent does not answer this balancer
 };
 
 /// Holders of this health in the order in which a packet of an established flow
 /// visits them: the chain of the bucket, then the others by rendezvous hashing.
 std::vector<endpoint> search_order(const relay_service& service,
-                                   std::uint64_t hash, holder_health health);
+                                   std::uint64_t hash, holder_health health,
+                                   const agent_set& unresponsive = {});
 
 /// The services that may take a new flow of the route: the one that the weights
 /// select, then, for a flow that it refuses, the others with a weight above 0.
@@ -107,7 +109,8 @@
 /// of each possible service, then the suspect ones, since a packet is lost at a
 /// dead agent. Stages beyond max_search_stages are left out.
 std::vector<search_stage> search_stages(const relay_table& table,
-                                        const route& from, std::uint64_t hash);
+                                        const route& from, std::uint64_t hash,
+                                        const agent_set& unresponsive = {});
 
 } // namespace toucanmill
 
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -106,6 +106,9 @@
     add_counter(out, "toucanmill_searches_total",
                 "Packets of flows that were not remembered.",
                 counters.searches);
+    add_counter(out, "toucanmill_search_retries_total",
+                "Attempts to find a flow after one without an answer.",
+                counters.search_retries);
     add_counter(out, "toucanmill_missed_total", "Packets that agents returned.",
                 counters.missed);
     add_counter(out, "toucanmill_awaited_total",
@@ -120,6 +123,9 @@
                      static_cast<double>(counters.resets[i]),
                      {{"reason", to_string(static_cast<reset_reason>(i))}}});
     out.push_back(feed_.report_times());
+    add_gauge(out, "toucanmill_unresponsive_agents",
+              "Agents that left a probe unanswered.",
+              status.unresponsive_agents);
     add_gauge(out, "toucanmill_flows", "Flows that are remembered.",
               status.remembered_flows);
     return out;
--- /dev/null
+++ b/src/relay/agent_monitor_test.cpp
@@ -0,0 +1,55 @@
+#include <toucanmill/relay/agent_monitor.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "relay_fixture_test.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+TEST_GROUP(agent_monitor)
+{
+  agent_monitor monitor{agent_monitor::options{}};
+  const endpoint agent = endpoint_at(10);
+};
+
+// Guards against an agent that is taken for dead while it may still answer, and
+// against a dead one that is taken for alive.
+TEST(agent_monitor, agent_is_unresponsive_after_an_unanswered_probe)
+{
+  monitor.on_probe(agent, start);
+  CHECK_FALSE(monitor.is_unresponsive(agent, start + 150ms));
+  CHECK_TRUE(monitor.is_unresponsive(agent, start + 151ms));
+  CHECK_TRUE(monitor.unresponsive(start + 151ms) == agent_set{agent});
+  CHECK_FALSE(monitor.is_unresponsive(endpoint_at(11), start + 151ms));
+}
+
+// Guards against probes that postpone the verdict on a dead agent.
+TEST(agent_monitor, further_probes_do_not_postpone_the_timeout)
+{
+  monitor.on_probe(agent, start);
+  monitor.on_probe(agent, start + 140ms);
+  CHECK_TRUE(monitor.is_unresponsive(agent, start + 151ms));
+}
+
+// Guards against an agent that stays last in every search after it has
+// restarted.
+TEST(agent_monitor, any_message_makes_the_agent_responsive)
+{
+  monitor.on_probe(agent, start);
+  monitor.on_message(agent);
+  CHECK_FALSE(monitor.is_unresponsive(agent, start + 1s));
+}
+
+// Guards against an agent that is remembered as dead for ever.
+TEST(agent_monitor, unresponsive_agent_is_forgotten_without_probes)
+{
+  monitor.on_probe(agent, start);
+  monitor.on_probe(agent, start + 2s);
+  monitor.on_tick(start + 5s);
+  CHECK_TRUE(monitor.is_unresponsive(agent, start + 5s));
+  CHECK_FALSE(monitor.is_unresponsive(agent, start + 6s));
+  monitor.on_tick(start + 6s);
+  monitor.on_probe(agent, start + 6s);
+  CHECK_FALSE(monitor.is_unresponsive(agent, start + 6s));
+}
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -81,9 +81,12 @@
         [this]
         {
           const auto& table = core_.table();
-          return entry_status{core_.counters(), table.version(),
+          return entry_status{core_.counters(),
+                              table.version(),
                               table.configuration_version(),
-                              core_.remembered_flows(), packets_};
+                              core_.remembered_flows(),
+                              core_.unresponsive_agents(monotonic_now()),
+                              packets_};
         });
   }
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -55,11 +55,16 @@
     return "unknown_reset";
   case entry_drop::probe_missed:
     return "probe_missed";
+  case entry_drop::stale_answer:
+    return "stale_answer";
   }
   return "unknown";
 }
 
-entry_core::entry_core(entry_options options) : options_(options) {}
+entry_core::entry_core(entry_options options)
+    : options_(options), monitor_(options.monitor)
+{
+}
 
 bool entry_core::set_table(std::shared_ptr<const relay_table> table)
 {
@@ -166,7 +171,8 @@
   const auto avoided = [&](const endpoint& agent)
   {
     const auto found = avoided_until_.find(key_of(agent));
-    return found != avoided_until_.end() && now < found->second;
+    return (found != avoided_until_.end() && now < found->second) ||
+           monitor_.is_unresponsive(agent, now);
   };
   visit_stops out;
   for (std::size_t i = 0; i < stops.size; ++i)
@@ -184,34 +190,48 @@
   if (is_not_found(state, now))
     return reset_if_current(packet, reset_reason::unknown_flow, now, now);
   ++counters_.searches;
-  const bool is_retry = !state.not_found && state.attempts > 0 &&
-                        now - state.last <= options_.search_timeout;
-  if (!is_retry)
+  const bool is_searching = !state.not_found && state.attempts > 0 &&
+                            now - state.last <= options_.search_timeout;
+  const bool same_plan = is_searching && state.plan.table == table_;
+  if (same_plan && now - state.last < options_.retry_interval)
+    return search_from(packet, state, 0, false, now);
+  if (!is_searching)
     state = {};
+  else
+    ++counters_.search_retries;
   state.last = now;
   ++state.attempts;
-  const bool use_probes =
-      state.attempts % 2 == 0 && probes_sent_ < options_.max_probes_per_tick;
-  return use_probes ? search_with_probes(packet, from, state.stage)
-                    : search_from(packet, from, 0, false, now);
+  const bool use_probes = same_plan && state.attempts % 2 == 0 &&
+                          probes_sent_ < options_.max_probes_per_tick;
+  return use_probes ? search_with_probes(packet, state, now)
+                    : search_by_new_plan(packet, from, state, false, now);
+}
+
+entry_action entry_core::search_by_new_plan(const flow_packet& packet,
+                                            const route& from,
+                                            search_state& state,
+                                            bool inconclusive, time_point now)
+{
+  const auto hash = flow_hash(packet.from_caller());
+  state.plan = {table_,
+                search_stages(*table_, from, hash, monitor_.unresponsive(now))};
+  return search_from(packet, state, 0, inconclusive, now);
 }
 
 entry_action entry_core::search_from(const flow_packet& packet,
-                                     const route& from, std::uint8_t stage,
+                                     search_state& state, std::size_t stage,
                                      bool inconclusive, time_point now)
 {
-  const auto hash = flow_hash(packet.from_caller());
-  const auto stages = search_stages(*table_, from, hash);
+  const auto& stages = state.plan.stages;
   if (stage >= stages.size())
     return on_search_exhausted(
         packet, inconclusive || stages.size() == max_search_stages, now);
-  auto header = make_header(*stages[stage].service, hash);
+  state.stage = static_cast<std::uint8_t>(stage);
+  auto header =
+      make_header(*stages[stage].service, flow_hash(packet.from_caller()));
   header.stops = stages[stage].stops;
-  header.stage = stage;
+  header.stage = state.stage;
   header.inconclusive = inconclusive;
-  if (const auto found = searched_.find(packet.from_caller());
-      found != searched_.end())
-    found->second.stage = stage;
   return visit_agent{header.stops.agents[0], header};
 }
 
@@ -219,37 +239,51 @@
 // packet and would saturate the link of a small balancer when the flows of a
 // failed agent are searched for.
 entry_action entry_core::search_with_probes(const flow_packet& packet,
-                                            const route& from,
-                                            std::uint8_t stage)
+                                            search_state& state, time_point now)
 {
-  ++counters_.probe_searches;
-  const auto hash = flow_hash(packet.from_caller());
-  const auto stages = search_stages(*table_, from, hash);
-  if (stage >= stages.size())
+  const auto& stages = state.plan.stages;
+  if (state.stage >= stages.size())
     return entry_drop::no_upstream;
-  visit_all out;
-  auto header = make_header(*stages[stage].service, hash);
-  header.probe = true;
-  const auto& stops = stages[stage].stops;
+  ++counters_.probe_searches;
+  const auto& [service, stops] = stages[state.stage];
   probes_sent_ += stops.size;
+  auto header = make_header(*service, flow_hash(packet.from_caller()));
+  header.probe = true;
+  visit_all out;
   for (std::size_t i = 0; i < stops.size; ++i)
   {
+    monitor_.on_probe(stops.agents[i], now);
     header.stops = {};
     header.stops.add(stops.agents[i]);
     out.visits.push_back({stops.agents[i], header});
   }
-  if (stage + 1U < stages.size())
-  {
-    auto next = make_header(*stages[stage + 1U].service, hash);
-    next.stops = stages[stage + 1U].stops;
-    next.stage = static_cast<std::uint8_t>(stage + 1);
-    next.inconclusive = true;
-    searched_[packet.from_caller()].stage = next.stage;
-    out.visits.push_back({next.stops.agents[0], next});
-  }
+  if (state.stage + 1U < stages.size())
+    out.visits.push_back(std::get<visit_agent>(
+        search_from(packet, state, state.stage + 1U, true, now)));
   return out;
 }
 
+// A miss counts only for the stage of the present attempt: the stages of an
+// earlier one may have listed other agents.
+entry_action entry_core::continue_search(const relay_header& header,
+                                         const flow_packet& packet,
+                                         const route& from, time_point now)
+{
+  const auto found = searched_.find(packet.from_caller());
+  if (found == searched_.end())
+    return entry_drop::stale_answer;
+  auto& state = found->second;
+  // The result of a search by two tables cannot justify a reset.
+  if (header.table != table_->version().index || state.plan.table != table_)
+    return search_by_new_plan(packet, from, state, true, now);
+  const auto& stages = state.plan.stages;
+  if (header.stage >= stages.size() ||
+      !(stages[header.stage].stops == header.stops))
+    return entry_drop::stale_answer;
+  return search_from(packet, state, header.stage + 1U, header.inconclusive,
+                     now);
+}
+
 entry_action entry_core::on_missing_route(const flow_packet& packet,
                                           time_point now)
 {
@@ -305,6 +339,7 @@
                                    time_point now)
 {
   ++counters_.missed;
+  monitor_.on_message(agent);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   if (!packet)
     return count(entry_drop::malformed);
@@ -330,14 +365,8 @@
     return open_flow(packet, *from, static_cast<std::uint8_t>(header.stage + 1),
                      now);
   }
-  // The order of the stages depends on the table, so after a table change the
-  // search restarts, and its result cannot justify a reset.
-  if (!header.remembered && header.table != table_->version().index)
-    return search_from(packet, *from, 0, true, now);
   if (!header.remembered)
-    return search_from(packet, *from,
-                       static_cast<std::uint8_t>(header.stage + 1),
-                       header.inconclusive, now);
+    return continue_search(header, packet, *from, now);
   if (const auto found = remembered_flows_.find(flow);
       found != remembered_flows_.end() && found->second.agent == agent)
     remembered_flows_.erase(found);
@@ -350,6 +379,7 @@
                           const flow_key& flow, time_point now)
 {
   ++counters_.found;
+  monitor_.on_message(agent);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   avoided_until_.erase(key_of(agent));
   searched_.erase(flow);
@@ -362,6 +392,7 @@
 void entry_core::on_tick(time_point now)
 {
   probes_sent_ = 0;
+  monitor_.on_tick(now);
   for (auto it = remembered_flows_.begin(); it != remembered_flows_.end();)
     it = now - it->second.used > options_.flow_idle_limit
              ? remembered_flows_.erase(it)
--- a/src/relay/entry_search_test.cpp
+++ b/src/relay/entry_search_test.cpp
@@ -155,3 +155,59 @@
     run.send_all(start + at);
   CHECK_EQUAL(1U, run.reached());
 }
+
+// Guards against copies to all agents for each packet of a caller's burst; only
+// a retransmission shows that the packet before was lost.
+TEST(entry_search, packets_of_one_burst_are_one_attempt)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(5);
+  run.core.set_confirmed(start);
+  for (const auto at : {0ms, 1ms, 40ms})
+    CHECK_TRUE(std::holds_alternative<visit_agent>(
+        run.core.on_packet(data(port), start + at)));
+  CHECK_TRUE(std::holds_alternative<visit_all>(
+      run.core.on_packet(data(port), start + 200ms)));
+}
+
+// Guards against a reset of an open flow whose upstream did not answer a probe
+// in time, for example while its machine stood still.
+TEST(entry_search, unresponsive_agent_is_asked_last_and_before_a_reset)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(3);
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), start));
+  run.core.on_packet(data(port), start + 200ms);
+  run.core.set_confirmed(start + 600ms);
+  const auto silent = first.header.stops.agents[0];
+  for (std::size_t i = 1; i < first.header.stops.size; ++i)
+    run.core.on_missed(first.header, first.header.stops.agents[i], data(port),
+                       start + 210ms);
+  const auto next =
+      std::get<visit_agent>(run.core.on_packet(data(port), start + 600ms));
+  CHECK_EQUAL(2U, next.header.stops.size);
+  const auto last = std::get<visit_agent>(run.core.on_missed(
+      next.header, next.header.stops.agents[1], data(port), start + 601ms));
+  CHECK_TRUE(last.agent == silent);
+}
+
+// Guards against a reset of an open flow because a late answer to an earlier
+// attempt, which visited other agents, counts for the present one.
+TEST(entry_search, late_answer_to_an_earlier_attempt_does_not_end_the_search)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(3);
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), start));
+  run.core.on_packet(data(port), start + 200ms);
+  run.core.set_confirmed(start + 600ms);
+  run.core.on_found(first.header, first.header.stops.agents[2],
+                    data(port + 1).from_caller(), start + 210ms);
+  const auto next =
+      std::get<visit_agent>(run.core.on_packet(data(port), start + 600ms));
+  CHECK_EQUAL(1U, next.header.stops.size);
+  const auto action = run.core.on_missed(
+      first.header, first.header.stops.agents[2], data(port), start + 601ms);
+  CHECK_TRUE(std::get<entry_drop>(action) == entry_drop::stale_answer);
+}
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -69,6 +69,13 @@
   return 0;
 }
 
+holder_health health_of(const holder& value, const agent_set& unresponsive)
+{
+  return value.suspect || unresponsive.count(value.agent) != 0
+             ? holder_health::suspect
+             : holder_health::live;
+}
+
 } // namespace
 
 const route* relay_table::find_route(const endpoint& address) const
@@ -131,19 +138,19 @@
 }
 
 std::vector<endpoint> search_order(const relay_service& service,
-                                   std::uint64_t hash, holder_health health)
+                                   std::uint64_t hash, holder_health health,
+                                   const agent_set& unresponsive)
 {
   std::vector<endpoint> order;
   const auto& table = service.table;
-  const bool suspect = health == holder_health::suspect;
   const auto& first = chain_of(table, hash);
   for (const auto index : first)
-    if (table.holders[index].suspect == suspect)
+    if (health_of(table.holders[index], unresponsive) == health)
       order.push_back(table.holders[index].agent);
   std::vector<std::uint16_t> others;
   for (std::size_t i = 0; i < table.holders.size(); ++i)
     if (const auto index = static_cast<std::uint16_t>(i);
-        table.holders[i].suspect == suspect &&
+        health_of(table.holders[i], unresponsive) == health &&
         std::find(first.begin(), first.end(), index) == first.end())
       others.push_back(index);
   for (const auto index : by_score(table, std::move(others), hash))
@@ -193,14 +200,15 @@
 }
 
 std::vector<search_stage> search_stages(const relay_table& table,
-                                        const route& from, std::uint64_t hash)
+                                        const route& from, std::uint64_t hash,
+                                        const agent_set& unresponsive)
 {
   std::vector<search_stage> stages;
   const auto services = possible_services(table, from, hash);
   for (const auto health : {holder_health::live, holder_health::suspect})
     for (const auto* service : services)
     {
-      const auto order = search_order(*service, hash, health);
+      const auto order = search_order(*service, hash, health, unresponsive);
       for (std::size_t i = 0; i < order.size(); ++i)
       {
         if (i % visit_stops::capacity == 0)
