cluster: an agent departs only when no table lists it

What callers saw: packets of open flows were lost at agents that had stopped after their upstream's planned end, while every table still listed them as live, for 3 to 9 s until their leases expired or longer. Cause: an agent stopped as soon as a report that said "empty" was answered. The answer shows that control read the report, not that it removed the agent: control removes only an agent that has applied the table in which it drains, and a proposal is lost when the leader changes. Change: agent_departure follows the holders of the agent's own service in the answers. The agent stops one propagation time (1 s) after a confirmed table no longer lists it, or shortly before the platform's limit. Both kinds of agents use it.

--- a/src/daemon/agent_role.cpp
+++ b/src/daemon/agent_role.cpp
@@ -5,6 +5,7 @@
 
 #include <toucanmill/agent/agent.hpp>
 #include <toucanmill/base/clock.hpp>
+#include <toucanmill/cluster/agent_departure.hpp>
 #include <toucanmill/observe/event.hpp>
 
 #include "node_identity.hpp"
@@ -83,7 +84,8 @@
 public:
   agent_role(const instance_settings& instance, const agent_settings& settings)
       : instance_(instance), settings_(settings),
-        identity_(agent_identity(instance, settings))
+        identity_(agent_identity(instance, settings)),
+        departure_(identity_.service, identity_.id, {})
   {
   }
 
@@ -118,7 +120,7 @@
     if (!stopping_ || monotonic_now() - stopping_since_ < handover_time)
       return false;
     return agent_->status().open_flows == 0 &&
-           (departure_known_ || !feed_.reachable());
+           (departed_ || !feed_.reachable());
   }
 
   std::string unfinished_work() override
@@ -227,12 +229,13 @@
                   "index " + std::to_string(table.version.index));
       }
     tables_.add(service_version_, update.version);
+    departure_.on_answer(update, reported_empty_, monotonic_now());
   }
 
   void confirmed(time_point) override
   {
     agent_->confirmed();
-    departure_known_ = reported_empty_;
+    departed_ = departure_.complete(monotonic_now());
   }
 
   void take_order(node_order order) override
@@ -269,7 +272,8 @@
   time_point stopping_since_;     ///< used on the main thread only
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> departure_known_{false};
+  agent_departure departure_; ///< used on the client's thread only
+  std::atomic<bool> departed_{false};
   table_feed feed_;
 };
 
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <toucanmill/base/clock.hpp>
+#include <toucanmill/cluster/agent_departure.hpp>
 #include <toucanmill/observe/event.hpp>
 #include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/relay/relay_agent.hpp>
@@ -31,9 +32,8 @@
 /// long, so that balancers learn of it before packets are lost.
 constexpr duration handover_time = std::chrono::seconds(1);
 
-/// An agent whose upstream ended waits this long for control to know that no
-/// flow is here any more.
-constexpr duration departure_limit = std::chrono::seconds(4);
+/// The stop ends this long before the limit, so that it ends by itself.
+constexpr duration stop_margin = std::chrono::seconds(1);
 
 node_identity relay_identity(const instance_settings& instance,
                              const agent_settings& settings)
@@ -67,7 +67,8 @@
 public:
   relay_agent_role(const instance_settings& instance,
                    const agent_settings& settings)
-      : instance_(instance), identity_(relay_identity(instance, settings))
+      : instance_(instance), identity_(relay_identity(instance, settings)),
+        departure_(identity_.service, identity_.id, {})
   {
   }
 
@@ -116,7 +117,7 @@
     const bool nothing_left = status.ended || status.life == incarnation{};
     if (!nothing_left)
       return since >= handover_time;
-    return departure_known_ || since >= departure_limit;
+    return departed_ || since >= instance_.stop_limit - stop_margin;
   }
 
   std::string unfinished_work() override
@@ -223,7 +224,7 @@
 
   void confirmed(time_point) override
   {
-    departure_known_ = reported_departure_;
+    departed_ = departure_.complete(monotonic_now());
   }
 
   void known_life(incarnation life) override
@@ -240,6 +241,7 @@
                 "configuration " + std::to_string(update.declared->version) +
                     ", index " + std::to_string(update.version.index));
     }
+    departure_.on_answer(update, reported_departure_, monotonic_now());
     applied_ = update.version;
     applied_index_ = update.version.index;
   }
@@ -258,7 +260,8 @@
   bool announced_draining_ = false; ///< used on the packet thread only
   time_point stopping_since_;       ///< used on the main thread only
   bool reported_departure_ = false; ///< used on the client's thread only
-  std::atomic<bool> departure_known_{false};
+  agent_departure departure_;       ///< used on the client's thread only
+  std::atomic<bool> departed_{false};
   std::atomic<bool> stopping_{false};
   latency_histogram handshakes_{
       "toucanmill_handshake_seconds",
