--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -347,3 +347,42 @@
   CHECK_TRUE(sink.timings[1] ==
              std::make_pair(relay_timing::request, duration(40ms)));
 }
+
+// Guards against an open flow whose packets all go to an upstream that never
+// answered a copy of the opening packet: the balancer remembers the agent that
+// reports the flow, and a remembered flow is not searched for.
+TEST(relay_core, flow_that_the_upstream_never_answered_is_not_reported_as_found)
+{
+  start_serving();
+  core.on_visit(visit(), opening(1), start, sink);
+  core.on_visit(visit(), data(1), start + 300ms, sink);
+  for (const auto& message : sink.messages)
+    CHECK_FALSE(message.header.kind == relay_kind::found);
+}
+
+// Guards against a sound agent that balancers take for dead: it has restarted
+// beside its upstream, and the upstream accepts the probe of a flow that the
+// agent does not know.
+TEST(relay_core, probe_that_the_upstream_accepts_is_answered)
+{
+  start_serving();
+  auto probe = visit(true);
+  probe.header.probe = true;
+  core.on_visit(probe, data(1), start, sink);
+  core.on_upstream_packet({}, answer(data(1)), start + 10ms, sink);
+  CHECK_EQUAL(1U, sink.messages.size());
+}
+
+// Guards against a sound agent that a balancer takes for dead because the agent
+// reported the flow to another balancer shortly before.
+TEST(relay_core, every_balancer_that_probes_for_a_held_flow_is_answered)
+{
+  start_serving();
+  open_flow(1);
+  auto probe = visit(true);
+  probe.header.probe = true;
+  core.on_visit(probe, data(1), start, sink);
+  probe.header.balancer = endpoint_at(4, 7720);
+  core.on_visit(probe, data(1), start + 100ms, sink);
+  CHECK_EQUAL(2U, sink.messages.size());
+}
