relay: number the plans of searches and probe stage by stage

Cause: a miss of an earlier attempt counted for the present one if one stage had the same stops; a new table between two attempts kept the probes back and started the search again, also when it changed another service; attempts alternated between probes and walks that were lost again; a wrong found message ended the search; agents without an answer and agents whose lease expired were one class. Change: each plan of a search has a number, which agents return in an octet that was unused; a miss by another plan is dropped. A plan survives a table that leaves its stages as they are. After the first attempt each one probes the next unanswered stage and visits the one after it, until the stages end, then a new plan starts. A found message no longer discards the search. Unresponsive agents come after the live and before the suspect ones, and are remembered for 10 s.

--- a/include/toucanmill/relay/agent_monitor.hpp
+++ b/include/toucanmill/relay/agent_monitor.hpp
@@ -20,12 +20,13 @@
 public:
   struct options
   {
-    /// An agent may stand still for 100 ms when its share of the processor is
-    /// used up.
-    duration answer_timeout = std::chrono::milliseconds(150);
+    /// Shorter than the time between two attempts to find a flow, so that the
+    /// attempt after a probe takes its result into account.
+    duration answer_timeout = std::chrono::milliseconds(80);
     /// An unresponsive agent without further probes is forgotten after this
-    /// time; longer than a lease, after which the table marks the agent.
-    duration retention = std::chrono::seconds(3);
+    /// time; longer than a lease and the election of a leader, after which the
+    /// table marks the agent.
+    duration retention = std::chrono::seconds(10);
   };
 
   explicit agent_monitor(options chosen) : options_(chosen) {}
@@ -39,8 +40,6 @@
   /// Agents with a probe that is unanswered for longer than answer_timeout.
   agent_set unresponsive(time_point now) const;
 
-  bool is_unresponsive(const endpoint& agent, time_point now) const;
-
   /// Forgets old probes; call once a second.
   void on_tick(time_point now);
 
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -90,19 +90,28 @@
   /// An agent to which an opening packet was lost is tried last for this long.
   duration avoid_duration = std::chrono::seconds(1);
   /// The state of a search expires after this time. A further packet of the
-  /// flow within it is a retry. Every second attempt probes all stops of the
-  /// unanswered stage in parallel, since a dead agent may have lost the
-  /// previous packet. The next attempt visits agents that did not answer last.
+  /// flow within it is another attempt. It probes all stops of the unanswered
+  /// stage in parallel, since a dead agent may have lost the previous packet,
+  /// and visits the next stage.
   duration search_timeout = std::chrono::seconds(2);
-  /// A packet that follows within this time belongs to the same attempt;
-  /// callers retransmit after 200 ms at the earliest.
+  /// Minimum time between two attempts; a packet that follows sooner belongs to
+  /// the same attempt. Callers retransmit after 200 ms at the earliest.
   duration retry_interval = std::chrono::milliseconds(100);
-  /// Probe packets between two ticks (one second); above this a retry restarts
-  /// the search instead. Limits probes to a fifth of a 4 Mbit/s link.
+  /// Probe packets between two ticks (one second); above this an attempt
+  /// visits all stages again, the agents that left probes unanswered last.
+  /// Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
   agent_monitor::options monitor;
 };
 
+/// What became of a search for the agent that holds a flow.
+enum class search_progress : std::uint8_t
+{
+  ended,   ///< the flow was found or reset, or the search expired
+  waiting, ///< an answer may still come
+  overdue, ///< a stop of the latest attempt seems to have lost the packet
+};
+
 struct entry_counters
 {
   std::uint64_t visits = 0;
@@ -143,6 +152,9 @@
   void on_found(const relay_header& header, const endpoint& agent,
                 const flow_key& flow, time_point now);
 
+  /// Progress of the search for the flow.
+  search_progress progress(const flow_key& flow, time_point now) const;
+
   /// Evicts idle flows and restores the probe budget; call once a second.
   void on_tick(time_point now);
 
@@ -195,10 +207,12 @@
     time_point at;
   };
 
-  /// The stages of one attempt, computed from `table`.
+  /// The stages that the attempts of a search visit.
   struct search_plan
   {
+    std::uint8_t number = 0; ///< a miss by another plan proves nothing
     std::shared_ptr<const relay_table> table;
+    agent_set unresponsive; ///< visited after the live agents
     std::vector<search_stage> stages;
   };
 
@@ -206,8 +220,9 @@
   {
     time_point last; ///< latest attempt or result
     std::uint32_t attempts = 0;
-    std::uint8_t stage = 0; ///< stage without an answer yet
+    std::size_t stage = 0; ///< first stage without an answer
     search_plan plan;
+    bool found = false; ///< an agent reported that it holds the flow
     std::optional<not_found_result> not_found;
   };
 
@@ -216,9 +231,10 @@
                          std::uint8_t stage, time_point now);
   entry_action search(const flow_packet& packet, const route& from,
                       time_point now);
-  entry_action search_by_new_plan(const flow_packet& packet, const route& from,
-                                  search_state& state, bool inconclusive,
-                                  time_point now);
+  void make_plan(const flow_packet& packet, const route& from,
+                 search_state& state, time_point now);
+  void update_plan(const flow_packet& packet, const route& from,
+                   search_state& state, time_point now);
   entry_action search_from(const flow_packet& packet, search_state& state,
                            std::size_t stage, bool inconclusive,
                            time_point now);
@@ -251,6 +267,7 @@
   std::unordered_map<std::uint64_t, time_point> avoided_until_;
   agent_monitor monitor_;
   std::size_t probes_sent_ = 0; ///< since the last tick
+  std::uint8_t last_plan_ = 0;
   entry_counters counters_;
 };
 
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -70,6 +70,9 @@
   bool inconclusive = false; ///< a miss does not prove that the flow is gone
   std::uint8_t stage = 0;    ///< index in search_stages() or opening_services()
   std::uint8_t stop = 0;     ///< index of the current stop
+  /// Number of the plan that a search follows; 0 in messages of agents that do
+  /// not return it.
+  std::uint8_t plan = 0;
   std::uint16_t bucket = 0;
   service_key service = 0;
   /// Configuration version by which the packet was routed; in found and missed
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -74,7 +74,8 @@
 enum class holder_health : std::uint8_t
 {
   live,
-  suspect, ///< its lease expired, or its agent does not answer this balancer
+  unresponsive, ///< its agent does not answer this balancer
+  suspect,      ///< its lease expired
 };
 
 /// Holders of this health in the order in which a packet of an established flow
@@ -106,8 +107,9 @@
 inline constexpr std::size_t max_search_stages = 255;
 
 /// The stages of a search for a flow of the route, in order: the live holders
-/// of each possible service, then the suspect ones, since a packet is lost at a
-/// dead agent. Stages beyond max_search_stages are left out.
+/// of each possible service, then the unresponsive and the suspect ones, since
+/// a packet is lost at a dead agent. Stages beyond max_search_stages are left
+/// out.
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
                                         const agent_set& unresponsive = {});
--- a/src/relay/agent_monitor.cpp
+++ b/src/relay/agent_monitor.cpp
@@ -34,12 +34,6 @@
   return found;
 }
 
-bool agent_monitor::is_unresponsive(const endpoint& agent, time_point now) const
-{
-  const auto found = unanswered_.find(agent);
-  return found != unanswered_.end() && is_overdue(found->second, now);
-}
-
 void agent_monitor::on_tick(time_point now)
 {
   for (auto it = unanswered_.begin(); it != unanswered_.end();)
--- a/src/relay/agent_monitor_test.cpp
+++ b/src/relay/agent_monitor_test.cpp
@@ -11,6 +11,11 @@
 {
   agent_monitor monitor{agent_monitor::options{}};
   const endpoint agent = endpoint_at(10);
+
+  bool is_unresponsive(const endpoint& value, time_point now) const
+  {
+    return monitor.unresponsive(now).count(value) != 0;
+  }
 };
 
 // Guards against an agent that is taken for dead while it may still answer, and
@@ -18,18 +23,18 @@
 TEST(agent_monitor, agent_is_unresponsive_after_an_unanswered_probe)
 {
   monitor.on_probe(agent, start);
-  CHECK_FALSE(monitor.is_unresponsive(agent, start + 150ms));
-  CHECK_TRUE(monitor.is_unresponsive(agent, start + 151ms));
-  CHECK_TRUE(monitor.unresponsive(start + 151ms) == agent_set{agent});
-  CHECK_FALSE(monitor.is_unresponsive(endpoint_at(11), start + 151ms));
+  CHECK_FALSE(is_unresponsive(agent, start + 80ms));
+  CHECK_TRUE(is_unresponsive(agent, start + 81ms));
+  CHECK_TRUE(monitor.unresponsive(start + 81ms) == agent_set{agent});
+  CHECK_FALSE(is_unresponsive(endpoint_at(11), start + 81ms));
 }
 
 // Guards against probes that postpone the verdict on a dead agent.
 TEST(agent_monitor, further_probes_do_not_postpone_the_timeout)
 {
   monitor.on_probe(agent, start);
-  monitor.on_probe(agent, start + 140ms);
-  CHECK_TRUE(monitor.is_unresponsive(agent, start + 151ms));
+  monitor.on_probe(agent, start + 70ms);
+  CHECK_TRUE(is_unresponsive(agent, start + 81ms));
 }
 
 // Guards against an agent that stays last in every search after it has
@@ -38,7 +43,7 @@
 {
   monitor.on_probe(agent, start);
   monitor.on_message(agent);
-  CHECK_FALSE(monitor.is_unresponsive(agent, start + 1s));
+  CHECK_FALSE(is_unresponsive(agent, start + 1s));
 }
 
 // Guards against an agent that is remembered as dead for ever.
@@ -46,10 +51,10 @@
 {
   monitor.on_probe(agent, start);
   monitor.on_probe(agent, start + 2s);
-  monitor.on_tick(start + 5s);
-  CHECK_TRUE(monitor.is_unresponsive(agent, start + 5s));
-  CHECK_FALSE(monitor.is_unresponsive(agent, start + 6s));
-  monitor.on_tick(start + 6s);
-  monitor.on_probe(agent, start + 6s);
-  CHECK_FALSE(monitor.is_unresponsive(agent, start + 6s));
+  monitor.on_tick(start + 12s);
+  CHECK_TRUE(is_unresponsive(agent, start + 12s));
+  CHECK_FALSE(is_unresponsive(agent, start + 13s));
+  monitor.on_tick(start + 13s);
+  monitor.on_probe(agent, start + 13s);
+  CHECK_FALSE(is_unresponsive(agent, start + 13s));
 }
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -10,6 +10,18 @@
 namespace
 {
 
+constexpr std::uint8_t max_plan_number = 255;
+
+bool have_same_stops(const std::vector<search_stage>& left,
+                     const std::vector<search_stage>& right)
+{
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](const search_stage& one, const search_stage& other)
+                    {
+                      return one.stops == other.stops;
+                    });
+}
+
 /// Rotates the stops so that the one at index `first` comes first.
 visit_stops rotated(const visit_stops& stops, std::size_t first)
 {
@@ -171,8 +183,7 @@
   const auto avoided = [&](const endpoint& agent)
   {
     const auto found = avoided_until_.find(key_of(agent));
-    return (found != avoided_until_.end() && now < found->second) ||
-           monitor_.is_unresponsive(agent, now);
+    return found != avoided_until_.end() && now < found->second;
   };
   visit_stops out;
   for (std::size_t i = 0; i < stops.size; ++i)
@@ -187,35 +198,59 @@
                                 time_point now)
 {
   auto& state = searched_[packet.from_caller()];
+  update_plan(packet, from, state, now);
   if (is_not_found(state, now))
     return reset_if_current(packet, reset_reason::unknown_flow, now, now);
   ++counters_.searches;
-  const bool is_searching = !state.not_found && state.attempts > 0 &&
+  const bool is_searching = !state.not_found && !state.found &&
+                            state.attempts > 0 &&
                             now - state.last <= options_.search_timeout;
-  const bool same_plan = is_searching && state.plan.table == table_;
-  if (same_plan && now - state.last < options_.retry_interval)
+  if (is_searching && now - state.last < options_.retry_interval)
     return search_from(packet, state, 0, false, now);
   if (!is_searching)
     state = {};
-  else
-    ++counters_.search_retries;
+  counters_.search_retries += is_searching ? 1 : 0;
   state.last = now;
   ++state.attempts;
-  const bool use_probes = same_plan && state.attempts % 2 == 0 &&
+  const bool use_probes = is_searching &&
+                          state.stage < state.plan.stages.size() &&
                           probes_sent_ < options_.max_probes_per_tick;
-  return use_probes ? search_with_probes(packet, state, now)
-                    : search_by_new_plan(packet, from, state, false, now);
+  if (use_probes)
+    return search_with_probes(packet, state, now);
+  make_plan(packet, from, state, now);
+  return search_from(packet, state, 0, false, now);
+}
+
+void entry_core::make_plan(const flow_packet& packet, const route& from,
+                           search_state& state, time_point now)
+{
+  state.stage = 0;
+  auto& plan = state.plan;
+  // 0 means that an agent did not return the number.
+  last_plan_ = last_plan_ == max_plan_number ? 1 : last_plan_ + 1;
+  plan.number = last_plan_;
+  plan.table = table_;
+  plan.unresponsive = monitor_.unresponsive(now);
+  plan.stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
+                              plan.unresponsive);
 }
 
-entry_action entry_core::search_by_new_plan(const flow_packet& packet,
-                                            const route& from,
-                                            search_state& state,
-                                            bool inconclusive, time_point now)
+// A new table keeps the plan if it changes nothing for this flow; otherwise a
+// busy cluster would restart searches for as long as tables change.
+void entry_core::update_plan(const flow_packet& packet, const route& from,
+                             search_state& state, time_point now)
 {
-  const auto hash = flow_hash(packet.from_caller());
-  state.plan = {table_,
-                search_stages(*table_, from, hash, monitor_.unresponsive(now))};
-  return search_from(packet, state, 0, inconclusive, now);
+  auto& plan = state.plan;
+  if (plan.table == nullptr || plan.table == table_)
+    return;
+  auto stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
+                              plan.unresponsive);
+  if (!have_same_stops(plan.stages, stages))
+    return make_plan(packet, from, state, now);
+  plan.table = table_;
+  plan.stages = std::move(stages);
+  if (state.not_found)
+    state.not_found->table = table_->version();
 }
 
 entry_action entry_core::search_from(const flow_packet& packet,
@@ -223,14 +258,15 @@
                                      bool inconclusive, time_point now)
 {
   const auto& stages = state.plan.stages;
+  state.stage = std::max(state.stage, stage);
   if (stage >= stages.size())
     return on_search_exhausted(
         packet, inconclusive || stages.size() == max_search_stages, now);
-  state.stage = static_cast<std::uint8_t>(stage);
   auto header =
       make_header(*stages[stage].service, flow_hash(packet.from_caller()));
   header.stops = stages[stage].stops;
-  header.stage = state.stage;
+  header.stage = static_cast<std::uint8_t>(stage);
+  header.plan = state.plan.number;
   header.inconclusive = inconclusive;
   return visit_agent{header.stops.agents[0], header};
 }
@@ -241,10 +277,8 @@
 entry_action entry_core::search_with_probes(const flow_packet& packet,
                                             search_state& state, time_point now)
 {
-  const auto& stages = state.plan.stages;
-  if (state.stage >= stages.size())
-    return entry_drop::no_upstream;
   ++counters_.probe_searches;
+  const auto& stages = state.plan.stages;
   const auto& [service, stops] = stages[state.stage];
   probes_sent_ += stops.size;
   auto header = make_header(*service, flow_hash(packet.from_caller()));
@@ -257,31 +291,35 @@
     header.stops.add(stops.agents[i]);
     out.visits.push_back({stops.agents[i], header});
   }
-  if (state.stage + 1U < stages.size())
+  if (++state.stage < stages.size())
     out.visits.push_back(std::get<visit_agent>(
-        search_from(packet, state, state.stage + 1U, true, now)));
+        search_from(packet, state, state.stage, true, now)));
   return out;
 }
 
-// A miss counts only for the stage of the present attempt: the stages of an
-// earlier one may have listed other agents.
 entry_action entry_core::continue_search(const relay_header& header,
                                          const flow_packet& packet,
                                          const route& from, time_point now)
 {
   const auto found = searched_.find(packet.from_caller());
-  if (found == searched_.end())
+  if (found == searched_.end() || (found->second.found && header.inconclusive))
     return entry_drop::stale_answer;
   auto& state = found->second;
-  // The result of a search by two tables cannot justify a reset.
-  if (header.table != table_->version().index || state.plan.table != table_)
-    return search_by_new_plan(packet, from, state, true, now);
-  const auto& stages = state.plan.stages;
-  if (header.stage >= stages.size() ||
-      !(stages[header.stage].stops == header.stops))
+  const auto& plan = state.plan;
+  const auto& stages = plan.stages;
+  const bool is_of_this_plan =
+      (header.plan == plan.number || header.plan == 0) &&
+      header.stage < stages.size() &&
+      stages[header.stage].stops == header.stops;
+  if (!is_of_this_plan)
     return entry_drop::stale_answer;
-  return search_from(packet, state, header.stage + 1U, header.inconclusive,
-                     now);
+  const bool inconclusive = header.inconclusive || header.plan == 0;
+  const auto before = plan.number;
+  update_plan(packet, from, state, now);
+  // The result of a search by two tables cannot justify a reset.
+  return plan.number == before
+             ? search_from(packet, state, header.stage + 1U, inconclusive, now)
+             : search_from(packet, state, 0, true, now);
 }
 
 entry_action entry_core::on_missing_route(const flow_packet& packet,
@@ -325,9 +363,10 @@
 entry_action entry_core::on_search_exhausted(const flow_packet& packet,
                                              bool inconclusive, time_point now)
 {
-  if (inconclusive || !confirmed(now))
-    return entry_drop::unconfirmed;
   const auto found = searched_.find(packet.from_caller());
+  if (inconclusive || !confirmed(now) ||
+      (found != searched_.end() && found->second.found))
+    return entry_drop::unconfirmed;
   return reset_if_current(packet, reset_reason::unknown_flow,
                           found != searched_.end() ? found->second.last : now,
                           now);
@@ -382,13 +421,27 @@
   monitor_.on_message(agent);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   avoided_until_.erase(key_of(agent));
-  searched_.erase(flow);
+  // The search may still go on: the report is wrong if the agent's upstream
+  // then returns the packet.
+  if (const auto search = searched_.find(flow); search != searched_.end())
+    search->second.found = true;
   if (remembered_flows_.size() >= options_.max_remembered_flows &&
       remembered_flows_.count(flow) == 0)
     return;
   remembered_flows_[flow] = {agent, header.service, now};
 }
 
+search_progress entry_core::progress(const flow_key& flow, time_point now) const
+{
+  const auto found = searched_.find(flow);
+  if (found == searched_.end() || found->second.not_found ||
+      found->second.found || now - found->second.last > options_.search_timeout)
+    return search_progress::ended;
+  return now - found->second.last < options_.retry_interval
+             ? search_progress::waiting
+             : search_progress::overdue;
+}
+
 void entry_core::on_tick(time_point now)
 {
   probes_sent_ = 0;
--- a/src/relay/entry_search_test.cpp
+++ b/src/relay/entry_search_test.cpp
@@ -427,8 +427,11 @@
   core.on_packet(data(port), start + 3000ms);
   CHECK_TRUE(std::holds_alternative<visit_all>(
       core.on_packet(data(port), start + 3200ms)));
+  // The third probes the marked agent; the next attempt starts anew.
+  CHECK_TRUE(std::holds_alternative<visit_all>(
+      core.on_packet(data(port), start + 3600ms)));
   const auto next =
-      std::get<visit_agent>(core.on_packet(data(port), start + 3600ms));
+      std::get<visit_agent>(core.on_packet(data(port), start + 3800ms));
   CHECK_FALSE(next.header.stops.agents[0] == order.agents[0]);
 }
 
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -69,9 +69,10 @@
   return kind == other.kind && reason == other.reason &&
          remembered == other.remembered && inconclusive == other.inconclusive &&
          probe == other.probe && stage == other.stage && stop == other.stop &&
-         bucket == other.bucket && service == other.service &&
-         configuration == other.configuration && table == other.table &&
-         balancer == other.balancer && stops == other.stops;
+         plan == other.plan && bucket == other.bucket &&
+         service == other.service && configuration == other.configuration &&
+         table == other.table && balancer == other.balancer &&
+         stops == other.stops;
 }
 
 const char* to_string(miss_reason reason)
@@ -108,7 +109,7 @@
   boost::endian::store_big_u64(to + 20, header.configuration);
   store(to + 28, header.balancer);
   to[34] = header.stops.size;
-  to[35] = 0;
+  to[35] = header.plan;
   boost::endian::store_big_u64(to + 36, header.table);
   auto* at = to + fixed_header_size;
   for (std::size_t i = 0; i < header.stops.size; ++i)
@@ -147,6 +148,7 @@
   header.balancer = load_endpoint(from + 28);
   header.table = boost::endian::load_big_u64(from + 36);
   header.stops.size = from[34];
+  header.plan = from[35];
   if (header.kind == relay_kind::visit && header.stop >= header.stops.size)
     return std::nullopt;
   for (std::size_t i = 0; i < header.stops.size; ++i)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -71,9 +71,10 @@
 
 holder_health health_of(const holder& value, const agent_set& unresponsive)
 {
-  return value.suspect || unresponsive.count(value.agent) != 0
-             ? holder_health::suspect
-             : holder_health::live;
+  if (value.suspect)
+    return holder_health::suspect;
+  return unresponsive.count(value.agent) != 0 ? holder_health::unresponsive
+                                              : holder_health::live;
 }
 
 } // namespace
@@ -205,7 +206,8 @@
 {
   std::vector<search_stage> stages;
   const auto services = possible_services(table, from, hash);
-  for (const auto health : {holder_health::live, holder_health::suspect})
+  for (const auto health : {holder_health::live, holder_health::unresponsive,
+                            holder_health::suspect})
     for (const auto* service : services)
     {
       const auto order = search_order(*service, hash, health, unresponsive);
