relay: an agent reports a flow once its upstream has sent a packet of it

Cause: an agent answered the first packet of a flow with found if its own table had the flow, also when the upstream had never answered the opening packet; the balancer then sent all packets there. It did not answer a probe of a flow that it did not know although its upstream accepted it, and only one balancer in 200 ms got an answer, so balancers took sound agents for dead. Change: without a packet of the upstream the found message waits for one, for 2 s at most; each probe of a known flow is answered.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -105,6 +105,10 @@
   duration slow_request_limit = std::chrono::seconds(1);
   /// Number of latest visits kept to match bounced packets; a power of two.
   std::size_t max_tracked_visits = 4096;
+  /// A found message that waits this long for a packet of the upstream is
+  /// dropped.
+  duration proof_timeout = std::chrono::seconds(2);
+  std::size_t max_awaited_proofs = 4096;
 };
 
 /// State of an agent for reports and metrics.
@@ -180,7 +184,8 @@
   {
     std::uint16_t bucket = 0;
     bool busy = false;
-    bool open = false; ///< the upstream sent more than the accepting packet
+    bool answered = false; ///< the upstream sent a packet of the flow
+    bool open = false;     ///< the upstream sent more than the accepting packet
     bool caller_finished = false;
     bool upstream_finished = false;
     std::uint32_t acknowledged = 0; ///< caller's latest; sequence of a reset
@@ -192,6 +197,14 @@
     std::string request_id;     ///< of the request in progress
   };
 
+  /// A balancer that gets a found message once the upstream has shown that it
+  /// holds the flow.
+  struct awaited_proof
+  {
+    endpoint balancer;
+    time_point since;
+  };
+
   struct tracked_visit
   {
     std::uint32_t tag = 0;
@@ -208,9 +221,10 @@
   void deliver(const relay_message& message, const flow_packet& packet,
                relay_sink& sink);
   void track_caller_packet(const relay_header& header,
-                           const flow_packet& packet, time_point now,
-                           relay_sink& sink);
-  void send_found(const relay_header& header, const flow_key& key,
+                           const flow_packet& packet, time_point now);
+  void report_found(const relay_header& header, const flow_key& key,
+                    time_point now, relay_sink& sink);
+  void send_found(const endpoint& balancer, const flow_key& key,
                   flow_state& flow, time_point now, relay_sink& sink);
   void pass_on(relay_header header, byte_view packet, miss_reason reason,
                relay_sink& sink);
@@ -238,6 +252,7 @@
   std::uint64_t newest_seen_ = 0;
   std::unordered_map<std::uint64_t, bool> routes_; ///< by address and port
   std::unordered_map<flow_key, flow_state> flows_;
+  std::unordered_map<flow_key, awaited_proof> awaited_proofs_;
   std::size_t busy_ = 0;
   std::vector<tracked_visit> tracked_visits_;
   std::uint32_t next_tag_ = 1;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -114,6 +114,7 @@
     record_unanswered(flow, state, relay_event::flow_reset, now, sink);
   }
   flows_.clear();
+  awaited_proofs_.clear();
   busy_ = 0;
 }
 
@@ -161,7 +162,9 @@
     return open_flow(message, *packet, now, sink);
   if (upstream_.ended())
     return pass_on(header, message.packet, miss_reason::unknown_flow, sink);
-  track_caller_packet(header, *packet, now, sink);
+  track_caller_packet(header, *packet, now);
+  if (!header.remembered)
+    report_found(header, packet->from_caller(), now, sink);
   deliver(message, *packet, sink);
 }
 
@@ -189,12 +192,29 @@
   if (!known)
     flow.opening = now;
   if (message.header.stop > 0)
-    send_found(message.header, packet.from_caller(), flow, now, sink);
+    send_found(message.header.balancer, packet.from_caller(), flow, now, sink);
   deliver(message, packet, sink);
 }
 
-/// Tells the balancer that this agent holds the flow.
-void relay_core::send_found(const relay_header& header, const flow_key& key,
+/// Tells the balancer that this agent holds the flow, at once or when the
+/// upstream sends a packet of it: an agent that has restarted does not know its
+/// flows, and an upstream may never have answered an opening packet.
+void relay_core::report_found(const relay_header& header, const flow_key& key,
+                              time_point now, relay_sink& sink)
+{
+  const auto found = flows_.find(key);
+  if (found == flows_.end() || !found->second.answered)
+  {
+    if (awaited_proofs_.size() < options_.max_awaited_proofs)
+      awaited_proofs_[key] = {header.balancer, now};
+    return;
+  }
+  auto& flow = found->second;
+  if (header.probe || now - flow.found_sent >= options_.found_interval)
+    send_found(header.balancer, key, flow, now, sink);
+}
+
+void relay_core::send_found(const endpoint& balancer, const flow_key& key,
                             flow_state& flow, time_point now, relay_sink& sink)
 {
   flow.found_sent = now;
@@ -203,7 +223,7 @@
   reply.service = service_;
   reply.configuration = newest_seen_;
   const auto bytes = encode(key);
-  sink.send(header.balancer, reply, {bytes.data(), bytes.size()});
+  sink.send(balancer, reply, {bytes.data(), bytes.size()});
 }
 
 void relay_core::deliver(const relay_message& message,
@@ -219,8 +239,7 @@
 }
 
 void relay_core::track_caller_packet(const relay_header& header,
-                                     const flow_packet& packet, time_point now,
-                                     relay_sink& sink)
+                                     const flow_packet& packet, time_point now)
 {
   const auto found = flows_.find(packet.from_caller());
   if (found == flows_.end())
@@ -242,8 +261,6 @@
     set_busy(flow, true);
   }
   flow.caller_finished |= packet.finishes;
-  if (!header.remembered && now - flow.found_sent >= options_.found_interval)
-    send_found(header, packet.from_caller(), flow, now, sink);
 }
 
 void relay_core::pass_on(relay_header header, byte_view packet,
@@ -289,6 +306,7 @@
   if (visit.tag != packet.tag || !(visit.flow == flow))
     return count(relay_event::unknown_bounce);
   sink.record(make_decision(relay_event::bounced, flow, visit.header));
+  awaited_proofs_.erase(flow);
   erase(flow, now, sink);
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
@@ -307,7 +325,14 @@
     return;
   auto& flow = flows_[key];
   flow.used = now;
+  flow.answered = true;
   flow.open |= !packet.accepts;
+  if (const auto awaited = awaited_proofs_.find(key);
+      awaited != awaited_proofs_.end())
+  {
+    send_found(awaited->second.balancer, key, flow, now, sink);
+    awaited_proofs_.erase(awaited);
+  }
   if (const auto opening = std::exchange(flow.opening, {});
       opening && packet.accepts)
     sink.record_latency(relay_timing::handshake, now - *opening);
@@ -379,6 +404,10 @@
 
 void relay_core::on_tick(time_point now, relay_sink& sink)
 {
+  for (auto it = awaited_proofs_.begin(); it != awaited_proofs_.end();)
+    it = now - it->second.since > options_.proof_timeout
+             ? awaited_proofs_.erase(it)
+             : std::next(it);
   for (auto it = flows_.begin(); it != flows_.end();)
   {
     auto& [key, flow] = *it;
