--- a/include/toucanmill/net/packet_loop.hpp
+++ b/include/toucanmill/net/packet_loop.hpp
@@ -45,6 +45,9 @@
 
   void start();
 
+  /// On the loop's thread: ends the next wait at this time at the latest.
+  void wake_at(time_point at);
+
   /// Thread-safe. Returns false, and does not run the task, when the ring is
   /// full or the loop is stopping.
   bool post(task work);
@@ -86,6 +89,7 @@
   std::vector<pollfd> watched_; ///< wakeup_ first, then the sockets
   std::vector<reader> readers_; ///< one per socket, same order
   duration interval_ = std::chrono::seconds(1);
+  time_point wake_at_ = time_point::max();
   task on_tick_;
   task after_round_;
   time_point next_tick_;
--- a/src/net/packet_loop.cpp
+++ b/src/net/packet_loop.cpp
@@ -1,6 +1,7 @@
 #include <toucanmill/net/packet_loop.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <toucanmill/base/clock.hpp>
 
@@ -53,6 +54,11 @@
       });
 }
 
+void packet_loop::wake_at(time_point at)
+{
+  wake_at_ = at;
+}
+
 bool packet_loop::post(task work)
 {
   {
@@ -91,8 +97,10 @@
 
 void packet_loop::wait()
 {
+  const auto until =
+      std::min(next_tick_, std::exchange(wake_at_, time_point::max()));
   const auto pause = std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(next_tick_ - monotonic_now(), duration{0}));
+      std::max(until - monotonic_now(), duration{0}));
   if (poll(watched_.data(), watched_.size(), static_cast<int>(pause.count())) <=
       0)
     return;
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -6,6 +6,8 @@
 #include <toucanmill/net/packet_loop.hpp>
 #include <toucanmill/net/udp_channel.hpp>
 
+#include "pending_searches.hpp"
+
 namespace toucanmill
 {
 
@@ -17,6 +19,9 @@
 /// Minimum time between two requests to confirm the table.
 constexpr duration table_request_interval = std::chrono::milliseconds(20);
 
+/// Interval between checks for searches without an answer.
+constexpr duration search_check_interval = std::chrono::milliseconds(50);
+
 /// Packets held until the table is confirmed.
 constexpr std::size_t max_pending_packets = 256;
 
@@ -98,26 +103,44 @@
         [&](byte_view datagram, const endpoint&)
         {
           ++packets_;
-          handle(datagram, now);
+          handle(datagram, now, 0);
         });
     return count == udp_channel::batch_size;
   }
 
-  void handle(byte_view datagram, time_point now)
+  /// `retries`: earlier attempts to find the flow with this same packet.
+  void handle(byte_view datagram, time_point now, std::uint32_t retries)
   {
     const auto packet = options_.codec->parse(datagram);
     const auto action = core_.on_packet(packet, now);
     execute(action, datagram);
+    if (packet && is_search(action, *packet))
+      searches_.hold(packet->from_caller(), datagram, retries);
     if (packet && !is_routine(action, *packet))
       report(action, *packet, nullptr, {}, now);
   }
 
+  void repeat_overdue_searches()
+  {
+    const auto now = monotonic_now();
+    if (searches_.empty() || now < next_search_check_)
+      return;
+    next_search_check_ = now + search_check_interval;
+    const auto progress = [&](const flow_key& flow)
+    {
+      return core_.progress(flow, now);
+    };
+    for (const auto& packet : searches_.take_overdue(progress))
+      handle({packet.bytes.data(), packet.bytes.size()}, now,
+             packet.retries + 1);
+  }
+
   /// Decides again about the packets held for a confirmation of the table.
   void retry_pending_packets()
   {
     const auto now = monotonic_now();
     for (const auto& packet : std::exchange(pending_packets_, {}))
-      handle({packet.data(), packet.size()}, now);
+      handle({packet.data(), packet.size()}, now, 0);
   }
 
   bool read_agents()
@@ -149,6 +172,13 @@
         core_.on_found(header, agent, *flow, now);
   }
 
+  static bool is_search(const entry_action& action, const flow_packet& packet)
+  {
+    const auto* visit = std::get_if<visit_agent>(&action);
+    return std::holds_alternative<visit_all>(action) ||
+           (visit != nullptr && !visit->header.remembered && !packet.opens);
+  }
+
   static bool is_routine(const entry_action& action, const flow_packet& packet)
   {
     if (const auto* drop = std::get_if<entry_drop>(&action))
@@ -204,6 +234,9 @@
 
   void flush()
   {
+    repeat_overdue_searches();
+    if (!searches_.empty())
+      loop_.wake_at(next_search_check_);
     agents_.flush();
     callers_.flush();
     const bool newer = core_.wants_table();
@@ -226,6 +259,8 @@
   std::uint64_t packets_ = 0;
   bool newer_table_requested_ = false;
   time_point table_requested_at_;
+  pending_searches searches_{pending_searches::options{}};
+  time_point next_search_check_;
   std::vector<std::vector<std::uint8_t>> pending_packets_;
   packet_loop loop_;
 };
