cluster, relay: send nodes the changed routes of a declaration

Every new version of the declared configuration went whole to every node, as did a first table: about 200 KB for 2,000 routes, to hundreds of nodes. Control held these answers at once, and a node on a slow link did not receive one within the timeout of the call.

A table update now holds the routes that changed after the version that the node reports, and the addresses of removed routes. Routes with the same targets, former services and timeout are sent as one group of addresses without names. An agent receives only addresses that open flows to its service. Control records for each declared route the log index of its last change and of its addition, and the latest 16,384 removals; a table older than these records, and a fresh node, get all routes in the same form. A node refuses an update whose base is newer than its table.

Nodes of earlier builds do not set appliesRouteChanges and still get whole declarations; a leader of an earlier build sends those to all nodes.

Measured: the update for one changed route of 2,000 is below 4,096 octets, that with all 2,000 routes below 20,000, that for an agent of one of two services below 10,000 (cluster_test, which passes; so do relay_test, table_test and control_test). Effect on a deployment: not measured yet.

--- a/include/toucanmill/cluster/node.hpp
+++ b/include/toucanmill/cluster/node.hpp
@@ -61,14 +61,16 @@
   std::uint32_t flows = 0; ///< open flows
   std::uint32_t busy_slots = 0;
   std::vector<std::uint16_t> held_buckets; ///< agents only; ascending
+  /// False for earlier builds, which read only table_update::declared.
+  bool applies_route_changes = false;
 
   bool operator==(const node_report& other) const
   {
     return std::tie(identity, applied, fresh, leaving, empty, observes, flows,
-                    busy_slots, held_buckets) ==
+                    busy_slots, held_buckets, applies_route_changes) ==
            std::tie(other.identity, other.applied, other.fresh, other.leaving,
                     other.empty, other.observes, other.flows, other.busy_slots,
-                    other.held_buckets);
+                    other.held_buckets, other.applies_route_changes);
   }
 };
 
--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -34,6 +34,15 @@
   table_version changed; ///< log entry that last changed state or incarnation
 };
 
+/// Part and form in which a node needs the declared configuration.
+struct declaration_scope
+{
+  /// Only the routes to this service, without their other targets; all routes
+  /// if empty.
+  std::optional<std::string> service;
+  bool as_declared = false; ///< in table_update::declared, never a difference
+};
+
 /// Deterministic replicated control state. Instances that have applied the same
 /// log entries produce equal snapshots.
 class state_machine
@@ -56,9 +65,11 @@
 
   /// Changes after a position, limited to service `only` if given. The update
   /// is full if the position is 0.0 or a removal after it is no longer
-  /// recorded.
+  /// recorded. All routes are included in a full update and if the removal of
+  /// a route after the position is no longer recorded.
   table_update changes_since(table_version since,
-                             std::optional<service_id> only = {}) const;
+                             std::optional<service_id> only = {},
+                             const declaration_scope& scope = {}) const;
 
   /// The configuration in force; version 0 before the first declaration.
   const configuration& declared() const;
--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -44,6 +44,9 @@
 
   virtual void set_configuration(configuration declared) = 0;
 
+  /// `changes` must be relative to the present configuration or an earlier one.
+  virtual void change_routes(route_changes changes) = 0;
+
   /// Calls `done` on the packet thread, unless the agent stops first. Returns
   /// false if it is stopping or too many calls are queued.
   virtual bool announce(upstream_announcement value, verdict_callback done) = 0;
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -133,6 +133,9 @@
   /// Takes over the routes that lead to this service, if the version is newer.
   void set_configuration(const configuration& declared);
 
+  /// `changes` must be relative to the present configuration or an earlier one.
+  void change_routes(const route_changes& changes);
+
   upstream_core& upstream()
   {
     return upstream_;
@@ -199,6 +202,7 @@
     relay_header header;
   };
 
+  bool opens_flows(const std::vector<route_target>& targets) const;
   bool route_allows(const endpoint& address) const;
   std::optional<relay_event> refusal(const relay_header& header,
                                      const flow_packet& packet,
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -45,8 +45,9 @@
   /// Null when the service is not known.
   const relay_service* find_service(const std::string& name) const;
 
-  /// Returns a copy of this table if the update is not newer. A configuration
-  /// that is not newer than the current one is ignored.
+  /// Returns a copy of this table if the update is not newer, or if its base is
+  /// newer than this table. A configuration that is not newer than the current
+  /// one is ignored.
   relay_table apply(const table_update& update) const;
 
 private:
@@ -55,6 +56,7 @@
   using route_map = std::unordered_map<std::uint64_t, route_ptr>;
 
   void replace_routes(const configuration& declared);
+  void change_routes(const route_changes& changes);
   void replace_services(const table_update& update);
 
   table_version version_;
--- a/include/toucanmill/table/configuration.hpp
+++ b/include/toucanmill/table/configuration.hpp
@@ -22,6 +22,10 @@
   {
     return service == other.service && weight == other.weight;
   }
+  bool operator<(const route_target& other) const
+  {
+    return std::tie(service, weight) < std::tie(other.service, other.weight);
+  }
 };
 
 /// A public address and the services that receive its new flows.
@@ -62,6 +66,39 @@
   }
 };
 
+/// Routes that differ only in their names and addresses. Nodes do not need the
+/// names, and a large configuration has few different sets of targets.
+struct route_group
+{
+  std::vector<route_target> targets;
+  std::vector<std::string> former;
+  std::uint32_t timeout_ms = 0;
+  std::vector<endpoint> addresses;
+
+  bool operator==(const route_group& other) const
+  {
+    return std::tie(targets, former, timeout_ms, addresses) ==
+           std::tie(other.targets, other.former, other.timeout_ms,
+                    other.addresses);
+  }
+};
+
+/// Routes that differ between two versions of the declared configuration.
+struct route_changes
+{
+  std::uint64_t version = 0; ///< of the configuration after the changes
+  bool whole = false;        ///< replaces all routes
+  std::vector<route_group> changed;
+  /// Applied before the changed routes: a removed address may return.
+  std::vector<endpoint> removed;
+
+  bool operator==(const route_changes& other) const
+  {
+    return std::tie(version, whole, changed, removed) ==
+           std::tie(other.version, other.whole, other.changed, other.removed);
+  }
+};
+
 /// All problems of a configuration, each with the key of the setting, for
 /// example "routes[3].address". The file of each finding is empty.
 findings check_configuration(const configuration& value);
--- a/include/toucanmill/table/service_table.hpp
+++ b/include/toucanmill/table/service_table.hpp
@@ -90,14 +90,22 @@
   std::vector<service_table> changed;
   std::vector<service_id> removed;
 
-  /// The declared configuration without its document, if it changed.
-  std::optional<configuration> declared;
+  /// The declared configuration without its document, if it changed and is not
+  /// in `routes`.
+  std::optional<configuration> declared{};
+
+  /// The update holds all changes after this version. It must not be applied to
+  /// an older table.
+  table_version base{};
+
+  std::optional<route_changes> routes{};
 
   bool operator==(const table_update& other) const
   {
     return version == other.version && full == other.full &&
            changed == other.changed && removed == other.removed &&
-           declared == other.declared;
+           declared == other.declared && base == other.base &&
+           routes == other.routes;
   }
 };
 
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -116,6 +116,16 @@
     service @1 :UInt32;
   }
 
+  struct RouteAge {
+    changed @0 :UInt64;
+    added @1 :UInt64;
+  }
+
+  struct RouteRemoval {
+    index @0 :UInt64;
+    address @1 :Rpc.Endpoint;
+  }
+
   position @0 :Rpc.Version;
   configurationVersion @1 :UInt64;
   clock @2 :UInt64;
@@ -128,4 +138,7 @@
   claims @9 :List(StoredClaim);
   declared @10 :Rpc.Configuration;
   declaredIndex @11 :UInt64;
+  routeAges @12 :List(RouteAge);  # empty before builds that record them
+  routeRemovals @13 :List(RouteRemoval);
+  routeRemovalsFloor @14 :UInt64;
 }
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -79,12 +79,30 @@
   formerAddresses @8 :List(Endpoint);  # still routed for established flows
 }
 
+# Routes that differ only in their names and addresses.
+struct RouteGroup {
+  targets @0 :List(RouteTarget);
+  former @1 :List(Text);
+  timeoutMillis @2 :UInt32;
+  addresses @3 :List(Endpoint);
+}
+
+# Removed addresses come first: one may return with a changed route.
+struct RouteChanges {
+  version @0 :UInt64;  # of the declared configuration after the changes
+  whole @1 :Bool;      # replaces all routes
+  changed @2 :List(RouteGroup);
+  removed @3 :List(Endpoint);
+}
+
 struct TableUpdate {
   version @0 :Version;
   full @1 :Bool;
   changed @2 :List(ServiceTable);
   removed @3 :List(UInt32);
-  declared @4 :Configuration;  # null: unchanged
+  declared @4 :Configuration;  # null: unchanged, or routeChanges is set
+  base @5 :Version;  # holds all changes after this version
+  routeChanges @6 :RouteChanges;  # null: unchanged, or declared is set
 }
 
 struct NodeIdentity {
@@ -109,6 +127,7 @@
   busySlots @6 :UInt32;
   heldBuckets @7 :List(UInt16);
   observes @8 :Bool;  # wants the table, is no node yet
+  appliesRouteChanges @9 :Bool;  # false: reads only declared
 }
 
 struct ReportReply {
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -22,6 +22,11 @@
 /// the latest discarded removal get a full update.
 inline constexpr std::size_t max_recorded_removals = 1024;
 
+/// Number of removed routes recorded for changes_since(); older tables get all
+/// routes. Exceeds the 12,000 addresses of the target size, so that all may be
+/// removed at once.
+inline constexpr std::size_t max_recorded_route_removals = 16'384;
+
 /// Maximum number of gone nodes without an order that are kept.
 inline constexpr std::size_t max_gone_nodes = 10'000;
 
@@ -32,6 +37,14 @@
   std::uint32_t weight = 1000;
 };
 
+/// Log indexes of the declarations that last changed a route and that added its
+/// address.
+struct route_age
+{
+  std::uint64_t changed = 0;
+  std::uint64_t added = 0;
+};
+
 /// Data of the state machine. Ordered containers make iteration deterministic,
 /// so that all replicas compute the same assignments and snapshots.
 struct cluster_state
@@ -48,7 +61,12 @@
   std::uint32_t last_service = 0;
 
   configuration declared;
-  std::uint64_t declared_index = 0; ///< log index of the declaration
+  std::uint64_t declared_index = 0;  ///< log index of the declaration
+  std::vector<route_age> route_ages; ///< of declared.routes, in their order
+  /// Of declared.routes, in their order: the number of the route_group.
+  std::vector<std::uint32_t> route_groups;
+  std::deque<std::pair<std::uint64_t, endpoint>> route_removals;
+  std::uint64_t route_removals_floor = 0; ///< latest index without a record
 
   std::map<std::string, service_entry> services;
   std::map<endpoint, std::string> addresses;
@@ -104,6 +122,9 @@
 void apply_release(cluster_state& state, const release_buckets& value);
 void apply_rebalance(cluster_state& state, const rebalance& value);
 
+/// Sets the groups of the declared routes.
+void group_routes(cluster_state& state);
+
 std::string write_snapshot(const cluster_state& state);
 result<cluster_state> read_snapshot(const std::string& bytes,
                                     assignment_options options);
--- a/src/cluster/declaration.cpp
+++ b/src/cluster/declaration.cpp
@@ -1,6 +1,8 @@
 #include "cluster_state.hpp"
 
+#include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace toucanmill
@@ -41,6 +43,42 @@
     remove_service(state, name);
 }
 
+void record_removal(cluster_state& state, const endpoint& address)
+{
+  state.route_removals.emplace_back(state.position.index, address);
+  if (state.route_removals.size() > max_recorded_route_removals)
+  {
+    state.route_removals_floor = state.route_removals.front().first;
+    state.route_removals.pop_front();
+  }
+}
+
+/// Records which routes the next configuration changes, adds and removes.
+void record_route_changes(cluster_state& state, const configuration& next)
+{
+  const auto& present = state.declared.routes;
+  std::map<endpoint, std::size_t> unmatched;
+  for (std::size_t i = 0; i < present.size(); ++i)
+    unmatched[present[i].address] = i;
+  const auto index = state.position.index;
+  std::vector<route_age> ages;
+  ages.reserve(next.routes.size());
+  for (const auto& item : next.routes)
+    if (const auto found = unmatched.find(item.address);
+        found == unmatched.end())
+      ages.push_back({index, index});
+    else
+    {
+      const auto& age = state.route_ages[found->second];
+      const bool equal = present[found->second] == item;
+      ages.push_back({equal ? age.changed : index, age.added});
+      unmatched.erase(found);
+    }
+  for (const auto& [address, at] : unmatched)
+    record_removal(state, address);
+  state.route_ages = std::move(ages);
+}
+
 std::string summarize(const findings& found)
 {
   return found.front().key + ": " + found.front().message +
@@ -51,6 +89,22 @@
 
 } // namespace
 
+void group_routes(cluster_state& state)
+{
+  const auto precedes = [](const route* left, const route* right)
+  {
+    return std::tie(left->targets, left->former, left->timeout_ms) <
+           std::tie(right->targets, right->former, right->timeout_ms);
+  };
+  std::map<const route*, std::uint32_t, decltype(precedes)> groups(precedes);
+  state.route_groups.clear();
+  for (const auto& item : state.declared.routes)
+  {
+    const auto next = static_cast<std::uint32_t>(groups.size());
+    state.route_groups.push_back(groups.try_emplace(&item, next).first->second);
+  }
+}
+
 // Validates before comparing versions: an invalid configuration is refused even
 // if a newer version is already in force.
 change_outcome apply_declaration(cluster_state& state,
@@ -63,7 +117,9 @@
   {
     auto next = value;
     keep_former_services(state.declared, next);
+    record_route_changes(state, next);
     state.declared = std::move(next);
+    group_routes(state);
     state.declared_index = state.position.index;
     for (const auto& name : value.services)
       if (state.services.count(name) == 0)
--- a/src/cluster/route_changes_test.cpp
+++ b/src/cluster/route_changes_test.cpp
@@ -2,10 +2,16 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+#include <random>
+
 #include <capnp/message.h>
+#include <state.capnp.h>
 
 #include <toucanmill/cluster/wire.hpp>
 
+#include "message.hpp"
+
 using namespace toucanmill;
 
 namespace
@@ -44,6 +50,98 @@
   return message.sizeInWords() * sizeof(capnp::word);
 }
 
+using routes_by_address = std::map<endpoint, route>;
+
+bool opens_flows_to(const route& item, const std::string& service)
+{
+  for (const auto& target : item.targets)
+    if (target.service == service && target.weight > 0)
+      return true;
+  return false;
+}
+
+/// The routes that a node must have; they are sent without names, and to an
+/// agent only with its own service.
+routes_by_address declared_routes(const state_machine& machine,
+                                  const std::optional<std::string>& service)
+{
+  routes_by_address found;
+  for (auto item : machine.declared().routes)
+  {
+    item.name.clear();
+    if (!service)
+      found[item.address] = item;
+    else if (opens_flows_to(item, *service))
+      found[item.address] = {{}, item.address, {{*service, 1}}, 0, {}};
+  }
+  return found;
+}
+
+/// A node that applies updates as they come.
+struct updated_node
+{
+  std::optional<std::string> service;
+  table_version applied;
+  routes_by_address routes;
+
+  void update(const state_machine& machine)
+  {
+    const auto update = machine.changes_since(applied, {}, {service, false});
+    CHECK_FALSE(applied < update.base);
+    CHECK_FALSE(update.declared.has_value());
+    if (update.routes)
+      apply(*update.routes);
+    applied = update.version;
+  }
+
+private:
+  void apply(const route_changes& changes)
+  {
+    if (changes.whole)
+      routes.clear();
+    for (const auto& address : changes.removed)
+      routes.erase(address);
+    for (const auto& group : changes.changed)
+      for (const auto& address : group.addresses)
+        routes[address] = {
+            {}, address, group.targets, group.timeout_ms, group.former};
+  }
+};
+
+configuration random_configuration(std::uint64_t version, std::mt19937& random)
+{
+  const std::vector<std::string> names = {"a", "b", "c"};
+  configuration value;
+  value.version = version;
+  value.services = names;
+  for (std::uint32_t i = 0; i < 12; ++i)
+    if (random() % 4 != 0)
+      value.routes.push_back({"r",
+                              address_at(i),
+                              {{names[random() % 3], 1}, {"a", 0}},
+                              1000 + static_cast<std::uint32_t>(random() % 2),
+                              {}});
+  return value;
+}
+
+/// The snapshot as builds without a history of the routes wrote it.
+std::string without_route_history(const std::string& snapshot)
+{
+  const auto rewritten = detail::deserialize<schema::Snapshot, std::string>(
+      snapshot,
+      [](schema::Snapshot::Reader from) -> result<std::string>
+      {
+        capnp::MallocMessageBuilder message;
+        message.setRoot(from);
+        auto to = message.getRoot<schema::Snapshot>();
+        to.disownRouteAges();
+        to.disownRouteRemovals();
+        to.setRouteRemovalsFloor(0);
+        return detail::serialize(message);
+      });
+  return rewritten.value();
+}
+
 } // namespace
 
 TEST_GROUP(route_changes)
@@ -62,3 +160,82 @@
   declare(machine, 2, next);
   CHECK_TRUE(encoded_octets(machine.changes_since({1, 1})) < 4096);
 }
+
+// Guards against a node whose routes differ from the declaration after any
+// sequence of differences, also across a restored snapshot of the state.
+TEST(route_changes, differences_lead_to_the_declared_routes)
+{
+  std::mt19937 random(20261204);
+  std::vector<updated_node> nodes = {
+      {{}, {}, {}}, {{}, {}, {}}, {"a", {}, {}}, {"b", {}, {}}, {"c", {}, {}}};
+  for (std::uint64_t step = 1; step <= 2000; ++step)
+  {
+    declare(machine, step, random_configuration(step, random));
+    if (step % 16 == 0)
+      machine = state_machine::restore(machine.snapshot()).value();
+    for (auto& node : nodes)
+      if (random() % 3 == 0)
+      {
+        node.update(machine);
+        CHECK_TRUE(node.routes == declared_routes(machine, node.service));
+      }
+  }
+}
+
+// Guards against a fresh node that waits seconds for its first table: over a
+// link of 2 Mbit/s, 200 KB took longer than the timeout of the call.
+TEST(route_changes, all_routes_are_sent_by_their_targets)
+{
+  declare(machine, 1, many_routes(5, 2000));
+  const auto update = machine.changes_since({});
+  CHECK_TRUE(update.routes->whole);
+  CHECK_TRUE(encoded_octets(update) < 20'000);
+  CHECK_TRUE(encoded_octets(machine.changes_since({}, {}, {"notes", false})) <
+             10'000);
+}
+
+// Guards against differences for a node of an earlier build, which ignores
+// them.
+TEST(route_changes, node_of_an_earlier_build_gets_the_whole_declaration)
+{
+  declare(machine, 1, many_routes(5, 4));
+  declare(machine, 2, many_routes(6, 3));
+  const auto update = machine.changes_since({1, 1}, {}, {"notes", true});
+  CHECK_FALSE(update.routes.has_value());
+  CHECK_EQUAL(6U, update.declared->version);
+  CHECK_EQUAL(2U, update.declared->routes.size());
+}
+
+// Guards against a difference that misses routes because the state comes from a
+// snapshot without their history.
+TEST(route_changes, snapshot_without_history_leads_to_all_routes)
+{
+  declare(machine, 1, many_routes(5, 4));
+  declare(machine, 2, many_routes(6, 3));
+  auto restored =
+      state_machine::restore(without_route_history(machine.snapshot())).value();
+  const auto older = restored.changes_since({1, 1});
+  CHECK_TRUE(older.routes->whole);
+  CHECK_EQUAL(2U, older.routes->changed.size());
+  CHECK_FALSE(restored.changes_since({1, 2}).routes.has_value());
+  declare(restored, 3, many_routes(7, 4));
+  const auto update = restored.changes_since({1, 2});
+  CHECK_FALSE(update.routes->whole);
+  CHECK_EQUAL(1U, update.routes->changed.size());
+  CHECK_EQUAL(1U, update.routes->changed[0].addresses.size());
+}
+
+// Guards against unbounded records of removed routes, and against a difference
+// that lacks the removals that are no longer recorded.
+TEST(route_changes, too_many_removals_lead_to_all_routes)
+{
+  constexpr std::uint32_t count = 8200;
+  declare(machine, 1, many_routes(1, count));
+  declare(machine, 2, many_routes(2, 0));
+  declare(machine, 3, many_routes(3, count));
+  declare(machine, 4, many_routes(4, 0));
+  CHECK_TRUE(machine.changes_since({1, 1}).routes->whole);
+  const auto update = machine.changes_since({1, 2});
+  CHECK_FALSE(update.routes->whole);
+  CHECK_EQUAL(count, update.routes->removed.size());
+}
--- a/src/cluster/snapshot_codec.cpp
+++ b/src/cluster/snapshot_codec.cpp
@@ -28,6 +28,24 @@
   }
 }
 
+void write_route_history(schema::Snapshot::Builder to,
+                         const cluster_state& state)
+{
+  auto ages = to.initRouteAges(list_size(state.route_ages.size()));
+  for (unsigned i = 0; i < ages.size(); ++i)
+  {
+    ages[i].setChanged(state.route_ages[i].changed);
+    ages[i].setAdded(state.route_ages[i].added);
+  }
+  auto removals = to.initRouteRemovals(list_size(state.route_removals.size()));
+  for (unsigned i = 0; i < removals.size(); ++i)
+  {
+    removals[i].setIndex(state.route_removals[i].first);
+    wire::write(removals[i].initAddress(), state.route_removals[i].second);
+  }
+  to.setRouteRemovalsFloor(state.route_removals_floor);
+}
+
 void write_services(schema::Snapshot::Builder to, const cluster_state& state)
 {
   auto services = to.initServices(list_size(state.services.size()));
@@ -146,6 +164,36 @@
   return outcome::success();
 }
 
+/// Snapshots of earlier builds hold no history of the routes: tables older than
+/// the declaration then get all routes.
+void assume_route_history(cluster_state& state)
+{
+  state.route_ages.assign(state.declared.routes.size(),
+                          {state.declared_index, state.declared_index});
+  state.route_removals_floor = state.declared_index;
+}
+
+result<void> read_route_history(cluster_state& state,
+                                schema::Snapshot::Reader from)
+{
+  group_routes(state);
+  if (!from.hasRouteAges())
+  {
+    assume_route_history(state);
+    return outcome::success();
+  }
+  for (const auto item : from.getRouteAges())
+    state.route_ages.push_back({item.getChanged(), item.getAdded()});
+  for (const auto item : from.getRouteRemovals())
+    state.route_removals.emplace_back(item.getIndex(),
+                                      wire::read(item.getAddress()));
+  state.route_removals_floor = from.getRouteRemovalsFloor();
+  if (state.route_ages.size() != state.declared.routes.size())
+    return error{error_code::corrupt_data,
+                 "the snapshot does not have one age per declared route"};
+  return outcome::success();
+}
+
 result<void> read_nodes(cluster_state& state, schema::Snapshot::Reader from)
 {
   for (const auto item : from.getNodes())
@@ -176,6 +224,7 @@
 {
   cluster_state state(options);
   read_scalars(state, from);
+  BOOST_OUTCOME_TRY(read_route_history(state, from));
   BOOST_OUTCOME_TRY(read_services(state, from));
   BOOST_OUTCOME_TRY(read_nodes(state, from));
   for (const auto item : from.getRequests())
@@ -208,6 +257,7 @@
   write_claims(to, state);
   wire::write(to.initDeclared(), state.declared);
   to.setDeclaredIndex(state.declared_index);
+  write_route_history(to, state);
   return detail::serialize(message);
 }
 
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -1,6 +1,8 @@
 #include <toucanmill/cluster/state_machine.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 
 #include <toucanmill/base/invariant.hpp>
 
@@ -75,6 +77,116 @@
   }
 };
 
+bool has_target(const route& item, const std::string& service)
+{
+  return std::any_of(item.targets.begin(), item.targets.end(),
+                     [&](const route_target& target)
+                     {
+                       return target.service == service;
+                     });
+}
+
+bool opens_flows_to(const route& item, const std::string& service)
+{
+  return std::any_of(item.targets.begin(), item.targets.end(),
+                     [&](const route_target& target)
+                     {
+                       return target.service == service && target.weight > 0;
+                     });
+}
+
+configuration declaration_for(const cluster_state& state,
+                              const std::optional<std::string>& service)
+{
+  const auto& declared = state.declared;
+  configuration out;
+  out.version = declared.version;
+  out.services = declared.services;
+  out.idle_timeout_ms = declared.idle_timeout_ms;
+  for (const auto& item : declared.routes)
+    if (!service || has_target(item, *service))
+      out.routes.push_back(item);
+  return out;
+}
+
+/// Addresses of routes removed after a log index.
+std::vector<endpoint> route_removals_since(const cluster_state& state,
+                                           std::uint64_t index)
+{
+  const auto& removals = state.route_removals;
+  const auto first = std::upper_bound(removals.begin(), removals.end(), index,
+                                      [](std::uint64_t at, const auto& removal)
+                                      {
+                                        return at < removal.first;
+                                      });
+  std::vector<endpoint> removed;
+  std::transform(first, removals.end(), std::back_inserter(removed),
+                 [](const auto& removal)
+                 {
+                   return removal.second;
+                 });
+  return removed;
+}
+
+/// Routes that changed after a log index, for nodes that need all routes.
+std::vector<route_group> changed_groups(const cluster_state& state,
+                                        std::uint64_t index)
+{
+  std::vector<route_group> changed;
+  std::map<std::uint32_t, std::size_t> positions;
+  const auto& routes = state.declared.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+  {
+    if (state.route_ages[i].changed <= index)
+      continue;
+    const auto [found, added] =
+        positions.try_emplace(state.route_groups[i], changed.size());
+    if (added)
+      changed.push_back(
+          {routes[i].targets, routes[i].former, routes[i].timeout_ms, {}});
+    changed[found->second].addresses.push_back(routes[i].address);
+  }
+  return changed;
+}
+
+/// Adds the routes to the service that changed after a log index. A changed
+/// route to other services counts as removed if the node may have received it
+/// with earlier targets.
+void add_changes_for(const cluster_state& state, std::uint64_t index,
+                     const std::string& service, route_changes& out)
+{
+  route_group admitted;
+  admitted.targets = {{service, 1}};
+  const auto& routes = state.declared.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+    if (const auto& age = state.route_ages[i]; age.changed > index)
+    {
+      if (opens_flows_to(routes[i], service))
+        admitted.addresses.push_back(routes[i].address);
+      else if (age.added <= index)
+        out.removed.push_back(routes[i].address);
+    }
+  if (!admitted.addresses.empty())
+    out.changed.push_back(std::move(admitted));
+}
+
+route_changes route_changes_since(const cluster_state& state,
+                                  std::uint64_t index,
+                                  const std::optional<std::string>& service)
+{
+  route_changes out;
+  out.version = state.declared.version;
+  out.whole = index == 0 || index < state.route_removals_floor;
+  const auto since = out.whole ? 0 : index;
+  if (!out.whole)
+    out.removed = route_removals_since(state, since);
+  if (service)
+    add_changes_for(state, since, *service, out);
+  else
+    out.changed = changed_groups(state, since);
+  return out;
+}
+
 std::vector<service_id> removals_since(const cluster_state& state,
                                        std::uint64_t index,
                                        std::optional<service_id> only)
@@ -118,12 +230,15 @@
 }
 
 table_update state_machine::changes_since(table_version since,
-                                          std::optional<service_id> only) const
+                                          std::optional<service_id> only,
+                                          const declaration_scope& scope) const
 {
   table_update update;
   update.version = state_->position;
   update.full =
       since == table_version{} || since.index < state_->removals_floor;
+  if (!update.full)
+    update.base = since;
   const auto after = update.full ? 0 : since.index;
   for (auto it =
            state_->services_by_change.upper_bound({after + 1, std::string{}});
@@ -135,8 +250,10 @@
     update.removed = removals_since(*state_, since.index, only);
   if (state_->declared_index > after)
   {
-    update.declared = state_->declared;
-    update.declared->document.clear();
+    if (scope.as_declared)
+      update.declared = declaration_for(*state_, scope.service);
+    else
+      update.routes = route_changes_since(*state_, after, scope.service);
   }
   return update;
 }
--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -326,11 +326,14 @@
 {
   state_machine machine;
   declare(machine, 1, declared_version(5));
-  const auto update = machine.changes_since({});
+  const auto update = machine.changes_since({}, {}, {{}, true});
   CHECK_EQUAL(5U, update.declared->version);
   CHECK_TRUE(update.declared->document.empty());
   CHECK_EQUAL(1U, update.changed.size());
-  CHECK_FALSE(machine.changes_since({1, 1}).declared.has_value());
+  CHECK_FALSE(
+      machine.changes_since({1, 1}, {}, {{}, true}).declared.has_value());
+  CHECK_EQUAL(5U, machine.changes_since({}).routes->version);
+  CHECK_FALSE(machine.changes_since({1, 1}).routes.has_value());
   const auto restored = state_machine::restore(machine.snapshot());
   CHECK_TRUE(restored.value().declared() == machine.declared());
 }
--- a/src/cluster/wire_configuration.cpp
+++ b/src/cluster/wire_configuration.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-void write_route(schema::Route::Builder to, const route& value)
+/// Writes what a route and a group of routes have in common.
+template <class Builder, class Value>
+void write_handling(Builder to, const Value& value)
 {
-  to.setName(value.name);
-  write(to.initAddress(), value.address);
   to.setTimeoutMillis(value.timeout_ms);
   auto targets = to.initTargets(static_cast<unsigned>(value.targets.size()));
   for (unsigned i = 0; i < targets.size(); ++i)
@@ -27,17 +27,62 @@
     former.set(i, value.former[i]);
 }
 
-route read_route(schema::Route::Reader from)
+template <class Reader, class Value>
+void read_handling(Reader from, Value& value)
 {
-  route value;
-  value.name = copy_text(from.getName());
-  value.address = read(from.getAddress());
   value.timeout_ms = from.getTimeoutMillis();
   for (const auto target : from.getTargets())
     value.targets.push_back(
         {copy_text(target.getService()), target.getWeight()});
   for (const auto name : from.getFormer())
     value.former.push_back(copy_text(name));
+}
+
+void write_addresses(capnp::List<schema::Endpoint>::Builder to,
+                     const std::vector<endpoint>& values)
+{
+  for (unsigned i = 0; i < to.size(); ++i)
+    write(to[i], values[i]);
+}
+
+std::vector<endpoint> read_addresses(capnp::List<schema::Endpoint>::Reader from)
+{
+  std::vector<endpoint> values;
+  values.reserve(from.size());
+  for (const auto item : from)
+    values.push_back(read(item));
+  return values;
+}
+
+void write_route(schema::Route::Builder to, const route& value)
+{
+  to.setName(value.name);
+  write(to.initAddress(), value.address);
+  write_handling(to, value);
+}
+
+void write_group(schema::RouteGroup::Builder to, const route_group& value)
+{
+  write_handling(to, value);
+  const auto& addresses = value.addresses;
+  write_addresses(to.initAddresses(static_cast<unsigned>(addresses.size())),
+                  addresses);
+}
+
+route_group read_group(schema::RouteGroup::Reader from)
+{
+  route_group value;
+  read_handling(from, value);
+  value.addresses = read_addresses(from.getAddresses());
+  return value;
+}
+
+route read_route(schema::Route::Reader from)
+{
+  route value;
+  value.name = copy_text(from.getName());
+  value.address = read(from.getAddress());
+  read_handling(from, value);
   return value;
 }
 
@@ -69,4 +114,27 @@
   return value;
 }
 
+void write(schema::RouteChanges::Builder to, const route_changes& value)
+{
+  to.setVersion(value.version);
+  to.setWhole(value.whole);
+  auto changed = to.initChanged(static_cast<unsigned>(value.changed.size()));
+  for (unsigned i = 0; i < changed.size(); ++i)
+    write_group(changed[i], value.changed[i]);
+  const auto& removed = value.removed;
+  write_addresses(to.initRemoved(static_cast<unsigned>(removed.size())),
+                  removed);
+}
+
+route_changes read(schema::RouteChanges::Reader from)
+{
+  route_changes value;
+  value.version = from.getVersion();
+  value.whole = from.getWhole();
+  for (const auto item : from.getChanged())
+    value.changed.push_back(read_group(item));
+  value.removed = read_addresses(from.getRemoved());
+  return value;
+}
+
 } // namespace toucanmill::wire
--- a/src/cluster/wire_node.cpp
+++ b/src/cluster/wire_node.cpp
@@ -46,6 +46,7 @@
   to.setFlows(value.flows);
   to.setBusySlots(value.busy_slots);
   to.setObserves(value.observes);
+  to.setAppliesRouteChanges(value.applies_route_changes);
   auto held =
       to.initHeldBuckets(static_cast<unsigned>(value.held_buckets.size()));
   for (unsigned i = 0; i < held.size(); ++i)
@@ -64,6 +65,7 @@
   value.flows = from.getFlows();
   value.busy_slots = from.getBusySlots();
   value.observes = from.getObserves();
+  value.applies_route_changes = from.getAppliesRouteChanges();
   for (const auto bucket : from.getHeldBuckets())
   {
     if (!value.held_buckets.empty() && bucket <= value.held_buckets.back())
--- a/src/cluster/wire_table.cpp
+++ b/src/cluster/wire_table.cpp
@@ -165,6 +165,9 @@
     removed.set(i, value.removed[i].value);
   if (value.declared)
     write(to.initDeclared(), *value.declared);
+  write(to.initBase(), value.base);
+  if (value.routes)
+    write(to.initRouteChanges(), *value.routes);
 }
 
 result<table_update> read(schema::TableUpdate::Reader from)
@@ -181,6 +184,9 @@
     value.removed.push_back(service_id{id});
   if (from.hasDeclared())
     value.declared = read(from.getDeclared());
+  value.base = read(from.getBase());
+  if (from.hasRouteChanges())
+    value.routes = read(from.getRouteChanges());
   return value;
 }
 
--- a/src/cluster/wire_test.cpp
+++ b/src/cluster/wire_test.cpp
@@ -61,6 +61,23 @@
   CHECK_TRUE(read.value() == update);
 }
 
+// Guards against changes of routes that are lost between control and the nodes.
+TEST(wire, route_changes_round_trip)
+{
+  table_update update;
+  update.version = {3, 91};
+  update.base = {3, 80};
+  update.routes = route_changes{
+      12,
+      true,
+      {{{{"a", 90}, {"b", 10}}, {"c"}, 1000, {{ipv4_address{9}, 443}}}},
+      {{ipv4_address{8}, 80}}};
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::TableUpdate>();
+  wire::write(root, update);
+  CHECK_TRUE(wire::read(root.asReader()).value() == update);
+}
+
 // Guards against report fields that are lost on the way to the leader, and
 // against held buckets that are not ascending.
 TEST(wire, report_round_trip)
@@ -75,6 +92,7 @@
   report.flows = 12;
   report.busy_slots = 3;
   report.held_buckets = {0, 5, 255};
+  report.applies_route_changes = true;
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::NodeReport>();
   wire::write(root, report);
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -71,22 +71,6 @@
   }
 };
 
-/// Removes the other routes; an agent needs only those to its own service.
-void keep_routes_to(const std::string& service, configuration& declared)
-{
-  const auto leads_elsewhere = [&](const route& item)
-  {
-    return std::none_of(item.targets.begin(), item.targets.end(),
-                        [&](const route_target& target)
-                        {
-                          return target.service == service;
-                        });
-  };
-  auto& routes = declared.routes;
-  routes.erase(std::remove_if(routes.begin(), routes.end(), leads_elsewhere),
-               routes.end());
-}
-
 control_notice declaration_notice(const configuration& value,
                                   const change_outcome& outcome)
 {
@@ -268,15 +252,16 @@
   report_reply reply;
   const auto since = report.fresh ? table_version{} : report.applied;
   std::optional<service_id> only;
+  declaration_scope scope;
+  scope.as_declared = !report.applies_route_changes;
   if (report.identity.role == node_role::agent)
   {
     if (const auto* service = machine_.find_service(report.identity.service))
       reply.service = service->id;
     only = reply.service;
+    scope.service = report.identity.service;
   }
-  reply.update = machine_.changes_since(since, only);
-  if (only && reply.update.declared)
-    keep_routes_to(report.identity.service, *reply.update.declared);
+  reply.update = machine_.changes_since(since, only, scope);
   if (const auto* record = machine_.find_node(report.identity.id))
   {
     reply.order = record->order;
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -159,6 +159,7 @@
     report.leaving = leaving_;
     report.flows =
         static_cast<std::uint32_t>(packets_->status().remembered_flows);
+    report.applies_route_changes = true;
     return report;
   }
 
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -218,6 +218,7 @@
     report.flows = static_cast<std::uint32_t>(status.flows);
     report.busy_slots = static_cast<std::uint32_t>(status.busy);
     report.held_buckets = status.held_buckets;
+    report.applies_route_changes = true;
     return report;
   }
 
@@ -233,17 +234,30 @@
 
   void take_table(const table_update& update) override
   {
+    if (applied_ < update.base)
+      return;
     if (update.declared)
     {
       agent_->set_configuration(*update.declared);
-      log_event(event::table_applied,
-                "configuration " + std::to_string(update.declared->version) +
-                    ", index " + std::to_string(update.version.index));
+      log_configuration(update.declared->version, update.version);
+    }
+    if (update.routes)
+    {
+      agent_->change_routes(*update.routes);
+      log_configuration(update.routes->version, update.version);
     }
     applied_ = update.version;
     applied_index_ = update.version.index;
   }
 
+  static void log_configuration(std::uint64_t configuration,
+                                const table_version& version)
+  {
+    log_event(event::table_applied,
+              "configuration " + std::to_string(configuration) + ", index " +
+                  std::to_string(version.index));
+  }
+
   table_version applied_now() const
   {
     return {0, applied_index_};
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -73,6 +73,15 @@
         });
   }
 
+  void change_routes(route_changes changes) override
+  {
+    loop_.post(
+        [this, changes = std::move(changes)]
+        {
+          core_.change_routes(changes);
+        });
+  }
+
   bool announce(upstream_announcement value, verdict_callback done) override
   {
     return loop_.post(
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -71,9 +71,36 @@
   newest_seen_ = std::max(newest_seen_, configuration_);
   routes_.clear();
   for (const auto& item : declared.routes)
-    for (const auto& target : item.targets)
-      if (target.weight > 0 && target.service == options_.upstream.service)
-        routes_[key_of(item.address)] = true;
+    if (opens_flows(item.targets))
+      routes_[key_of(item.address)] = true;
+}
+
+void relay_core::change_routes(const route_changes& changes)
+{
+  if (changes.version <= configuration_)
+    return;
+  configuration_ = changes.version;
+  newest_seen_ = std::max(newest_seen_, configuration_);
+  if (changes.whole)
+    routes_.clear();
+  for (const auto& address : changes.removed)
+    routes_.erase(key_of(address));
+  for (const auto& group : changes.changed)
+    for (const auto& address : group.addresses)
+      if (opens_flows(group.targets))
+        routes_[key_of(address)] = true;
+      else
+        routes_.erase(key_of(address));
+}
+
+bool relay_core::opens_flows(const std::vector<route_target>& targets) const
+{
+  return std::any_of(targets.begin(), targets.end(),
+                     [&](const route_target& target)
+                     {
+                       return target.weight > 0 &&
+                              target.service == options_.upstream.service;
+                     });
 }
 
 announcement_verdict relay_core::announce(const upstream_announcement& value,
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -227,6 +227,38 @@
   CHECK_EQUAL(1U, sink.delivered.size());
 }
 
+// Guards against a removed route that still admits flows, and against one that
+// a difference moved to another service.
+TEST(relay_core, route_changes_decide_about_opening_packets)
+{
+  start_serving();
+  const auto admits = [&](std::uint16_t port)
+  {
+    const auto before = sink.delivered.size();
+    core.on_visit(visit(), opening(port), start, sink);
+    return sink.delivered.size() > before;
+  };
+  const auto address = routes_to(5, {{"notes", 1}}).routes[0].address;
+  const auto group_to = [&](const std::string& service)
+  {
+    return route_group{{{service, 1}}, {}, 1000, {address}};
+  };
+  CHECK_TRUE(admits(1));
+  core.change_routes({6, false, {}, {address}});
+  CHECK_FALSE(admits(2));
+  core.change_routes({7, false, {group_to("notes")}, {address}});
+  CHECK_TRUE(admits(3));
+  core.change_routes({8, false, {group_to("other")}, {}});
+  CHECK_FALSE(admits(4));
+  core.change_routes({7, false, {group_to("notes")}, {}});
+  CHECK_FALSE(admits(5));
+  CHECK_EQUAL(8U, core.configuration_version());
+  core.change_routes({9, false, {group_to("notes")}, {}});
+  CHECK_TRUE(admits(6));
+  core.change_routes({10, true, {}, {}});
+  CHECK_FALSE(admits(7));
+}
+
 // Guards against an agent that applies an older configuration after a newer
 // one.
 TEST(relay_core, older_routing_is_dropped_until_newer_configuration_is_known)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -92,6 +92,20 @@
   configuration_ = declared.version;
 }
 
+void relay_table::change_routes(const route_changes& changes)
+{
+  auto next = changes.whole ? std::make_shared<route_map>()
+                            : std::make_shared<route_map>(*routes_);
+  for (const auto& address : changes.removed)
+    next->erase(key_of(address));
+  for (const auto& group : changes.changed)
+    for (const auto& address : group.addresses)
+      (*next)[key_of(address)] = std::make_shared<const route>(
+          route{{}, address, group.targets, group.timeout_ms, group.former});
+  routes_ = std::move(next);
+  configuration_ = changes.version;
+}
+
 void relay_table::replace_services(const table_update& update)
 {
   if (update.full)
@@ -106,13 +120,15 @@
 
 relay_table relay_table::apply(const table_update& update) const
 {
-  if (update.version <= version_)
+  if (update.version <= version_ || version_ < update.base)
     return *this;
   auto next = *this;
   next.version_ = update.version;
   next.replace_services(update);
   if (update.declared && update.declared->version > configuration_)
     next.replace_routes(*update.declared);
+  if (update.routes && update.routes->version > configuration_)
+    next.change_routes(*update.routes);
   return next;
 }
 
