control: limit the octets in flight to another control instance

Replication resends an entry after 200 ms without an acknowledgement, also while the connection still delivers the first copy. For each slow or frozen instance up to 256 messages of any size were held until the delivery timeout of 2 s. A declaration of 1,700 routes is an entry of several hundred KB, so the copies for a few frozen instances reached tens of MB.

At most 1 MiB of messages of 4 KiB or more now waits for the acknowledgement of one instance; further ones are dropped and counted as lost, as above the limit of messages, and replication resends them. One message larger than the limit may pass. Heartbeats and votes are not affected.

The effect on a deployment is not measured yet.

--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -12,47 +12,55 @@
 #include <toucanmill/control/rpc_connection.hpp>
 #include <toucanmill/log/types.hpp>
 
-namespace toucanmill::detail
-{
+namespace toucanmill::detail {
 
 /// Connections to the other control instances; used on one kj thread. Messages
 /// to a slow or unreachable instance are dropped; replication resends them.
-class peer_links : private kj::TaskSet::ErrorHandler
-{
+class peer_links : private kj::TaskSet::ErrorHandler {
 public:
   /// Maximum number of unacknowledged replication messages per instance.
   static constexpr std::size_t max_in_flight = 256;
 
+  /// Maximum octets of unacknowledged large messages per instance. Replication
+  /// resends an entry every 200 ms, also while the connection still delivers
+  /// it; without this limit the copies of one declaration of 500 KB for a slow
+  /// or frozen instance took 5 MB. A single larger message may pass.
+  static constexpr std::size_t max_octets_in_flight = std::size_t{1} << 20;
+
+  /// Heartbeats and votes are smaller and must not wait for entries.
+  static constexpr std::size_t large_message_size = 4096;
+
   /// Maximum number of messages queued per instance while its connection is
   /// being opened. They are kept because they may start an election.
   static constexpr std::size_t max_queued = 16;
 
   /// `lost` counts messages that were dropped or not acknowledged.
-  peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost);
+  peer_links(kj::AsyncIoContext &io, std::atomic<std::uint64_t> &lost);
 
-  void send(const replica_address& to, const std::string& message);
+  void send(const replica_address &to, const std::string &message);
 
   /// Sends the group's members once to an instance that may not know the group.
-  void invite(const endpoint& to, const std::vector<endpoint>& members);
+  void invite(const endpoint &to, const std::vector<endpoint> &members);
 
 private:
-  struct link
-  {
+  struct link {
     endpoint to;
     bool connecting = false;
     std::size_t in_flight = 0;
+    std::size_t octets_in_flight = 0; ///< of large messages
     std::vector<std::string> queued;
     std::shared_ptr<rpc_connection> connection; ///< null: not connected
   };
 
-  std::shared_ptr<link> find_or_create_link(const endpoint& to);
-  void connect(const std::shared_ptr<link>& peer);
-  void deliver_queued(const std::shared_ptr<link>& peer);
-  void deliver(const std::shared_ptr<link>& peer, const std::string& message);
-  void taskFailed(kj::Exception&& exception) override;
+  std::shared_ptr<link> find_or_create_link(const endpoint &to);
+  void connect(const std::shared_ptr<link> &peer);
+  static bool has_room(const link &peer, const std::string &message);
+  void deliver_queued(const std::shared_ptr<link> &peer);
+  void deliver(const std::shared_ptr<link> &peer, const std::string &message);
+  void taskFailed(kj::Exception &&exception) override;
 
-  kj::AsyncIoContext& io_;
-  std::atomic<std::uint64_t>& lost_;
+  kj::AsyncIoContext &io_;
+  std::atomic<std::uint64_t> &lost_;
   std::map<endpoint, std::shared_ptr<link>> links_;
   kj::TaskSet tasks_;
 };
