--- a/fuzz/http_session_fuzz.cpp
+++ b/fuzz/http_session_fuzz.cpp
@@ -39,7 +39,7 @@
     case 3:
       return upstream_finished{};
     case 4:
-      return upstream_gone{};
+      return upstream_disconnected{};
     case 5:
       return slot_granted{};
     case 6:
@@ -115,7 +115,7 @@
   if (std::holds_alternative<slot_refused>(input))
     held.slot = false;
   if (std::holds_alternative<upstream_refused>(input) ||
-      std::holds_alternative<upstream_gone>(input))
+      std::holds_alternative<upstream_disconnected>(input))
     held.upstream = false;
   for (const auto& action : session.handle(input, now))
     held.on(action);
@@ -137,7 +137,7 @@
     now += std::chrono::milliseconds(100);
     give(*session, held, inputs.next(), now);
   }
-  give(*session, held, caller_gone{}, now);
+  give(*session, held, caller_disconnected{}, now);
   TOUCANMILL_INVARIANT(!held.slot && !held.upstream && !session->busy(),
                        "an ended session holds nothing");
   return 0;
--- a/include/toucanmill/agent/session_core.hpp
+++ b/include/toucanmill/agent/session_core.hpp
@@ -18,14 +18,14 @@
 /// XXH3 128 bit of method, target and body of a request.
 using request_digest = std::array<std::uint8_t, 16>;
 
-/// What control says of a claim.
+/// Decision of control on a claim.
 enum class claim_status : std::uint8_t
 {
-  granted,           ///< this claim may run the request
-  completed,         ///< it ran; the stored answer comes with it
-  in_progress,       ///< another claim runs it or ran it without a recorded end
-  different_request, ///< the key belongs to another request
-  unavailable,       ///< no decision; resend the same claim
+  granted,           ///< the holder of this claim may run the request
+  completed,         ///< the request ran; the stored answer is attached
+  in_progress,       ///< another claim was granted and not completed
+  different_request, ///< the key was used for another request
+  unavailable,       ///< no decision; repeat the same claim
 };
 
 // Inputs of a session.
@@ -33,28 +33,38 @@
 {
   std::string bytes;
 };
+
+/// FIN from the caller.
 struct caller_finished
 {
-}; ///< FIN from the caller
-struct caller_gone
+};
+
+/// Connection reset, timed out or closed by the stack.
+struct caller_disconnected
 {
-}; ///< reset, silent, or closed by the stack
+};
 struct upstream_connected
 {
 };
+
+/// Connect failed, so no byte was sent.
 struct upstream_refused
 {
-}; ///< no connection: no byte was sent
+};
 struct upstream_bytes
 {
   std::string bytes;
 };
+
+/// FIN from the upstream.
 struct upstream_finished
 {
-}; ///< FIN from the upstream
-struct upstream_gone
+};
+
+/// Reset or error of an open connection.
+struct upstream_disconnected
 {
-}; ///< reset or error after the connection stood
+};
 struct slot_granted
 {
 };
@@ -67,34 +77,43 @@
   claim_status status;
   std::string answer;
 };
+
+/// Reply to record_answer; `stored` is false if control did not confirm it.
 struct claim_recorded
 {
   bool stored;
-}; ///< answer durable, or given up
+};
 struct timer_expired
 {
 };
+
+/// Finish the current request, then close.
 struct drain_started
 {
-}; ///< finish the current request, then close
+};
 
 using session_input =
-    std::variant<caller_bytes, caller_finished, caller_gone, upstream_connected,
-                 upstream_refused, upstream_bytes, upstream_finished,
-                 upstream_gone, slot_granted, slot_refused, claim_decided,
-                 claim_recorded, timer_expired, drain_started>;
+    std::variant<caller_bytes, caller_finished, caller_disconnected,
+                 upstream_connected, upstream_refused, upstream_bytes,
+                 upstream_finished, upstream_disconnected, slot_granted,
+                 slot_refused, claim_decided, claim_recorded, timer_expired,
+                 drain_started>;
 
 // Actions of a session, to be carried out in order.
 struct send_to_caller
 {
   std::string bytes;
 };
+
+/// FIN after the queued octets.
 struct finish_caller
 {
-}; ///< send what is queued, then FIN
+};
+
+/// RST, so that the caller detects a truncated response.
 struct reset_caller
 {
-}; ///< RST, so that a truncated answer shows
+};
 struct connect_upstream
 {
 };
@@ -102,21 +121,27 @@
 {
   std::string bytes;
 };
+
+/// FIN towards the upstream.
 struct finish_upstream
 {
-}; ///< FIN towards the upstream
+};
+
+/// Close the connection or cancel a pending connect.
 struct close_upstream
 {
-}; ///< drop the connection; also cancels a connect
+};
 struct request_slot
 {
   time_point deadline;
 };
+
+/// Release the slot or leave the queue.
 struct release_slot
 {
-}; ///< gives back a slot or leaves the queue
-/// Needs a new claim id each time, except after `unavailable`: then it repeats
-/// the same claim.
+};
+
+/// Uses a new claim id unless it repeats a claim that was `unavailable`.
 struct request_claim
 {
   std::string key;
@@ -126,19 +151,22 @@
 {
   std::string answer;
 };
+
+/// No byte of the request was sent.
 struct release_claim
 {
-}; ///< certainly no byte was sent
+};
+
+/// Replaces the previous timer.
 struct set_timer
 {
   time_point at;
-}; ///< replaces the earlier timer
+};
 struct cancel_timer
 {
 };
 
-/// Reason counted for a request that did not end in a complete answer, and for
-/// each retry.
+/// Counted outcomes of requests, retries, and irregularities of the upstream.
 enum class request_event : std::uint8_t
 {
   completed,
@@ -178,10 +206,10 @@
                  request_slot, release_slot, request_claim, record_answer,
                  release_claim, set_timer, cancel_timer, count_event>;
 
-/// Decisions of one flow between a caller and an upstream. The runtime starts a
-/// session with empty caller_bytes, so that a stream session connects before
-/// the caller speaks. Each connect_upstream opens a new connection; inputs of a
-/// connection that close_upstream dropped must not be passed on.
+/// Decision core of one flow between a caller and an upstream. The runtime
+/// starts a session with empty caller_bytes, so that a stream session connects
+/// before the caller sends data. Each connect_upstream opens a new connection;
+/// inputs from a connection that close_upstream closed must not be delivered.
 class session_core
 {
 public:
@@ -190,17 +218,15 @@
   virtual std::vector<session_action> handle(session_input input,
                                              time_point now) = 0;
 
-  /// True while a request or its answer is under way; a graceful stop waits
-  /// for it.
+  /// True while a request is in progress; a graceful shutdown waits for it.
   virtual bool busy() const = 0;
 
-  /// Octets of the caller that wait inside the session. The runtime opens the
-  /// TCP window by what the session took beyond these, so that a caller cannot
-  /// fill the memory.
+  /// Octets from the caller that the session buffers. The runtime keeps the TCP
+  /// receive window closed while too many are buffered, which bounds memory.
   virtual std::size_t buffered_from_caller() const = 0;
 };
 
-/// Limits of the requests of one agent.
+/// Limits for HTTP requests.
 struct http_options
 {
   std::size_t max_head = 16384;          ///< octets
@@ -208,17 +234,19 @@
   std::size_t max_stored_answer = 65536; ///< octets
   duration queue_deadline = std::chrono::seconds(1);
   duration retry_after = std::chrono::seconds(1);
-  double retry_ratio = 0.1; ///< retries for each request
+  double retry_ratio = 0.1; ///< retry tokens earned per request
 };
 
-/// Retry tokens that the sessions of one agent share.
+/// Token bucket for retries, shared by the sessions of an agent.
 class retry_budget
 {
 public:
   explicit retry_budget(double ratio) : ratio_(ratio) {}
 
   void on_request();
-  bool take(); ///< false: budget is empty
+
+  /// Returns false if the budget is exhausted.
+  bool take();
 
 private:
   double ratio_;
--- a/src/agent/agent_flow.cpp
+++ b/src/agent/agent_flow.cpp
@@ -80,7 +80,7 @@
     runtime_.count(&live_counts::reset_by_caller);
   closed_ = true;
   to_caller_.clear();
-  handle(caller_gone{});
+  handle(caller_disconnected{});
   timer_.cancel();
   linger_.reset();
   if (upstream_)
--- a/src/agent/http_end_core.cpp
+++ b/src/agent/http_end_core.cpp
@@ -7,44 +7,46 @@
 namespace toucanmill::detail
 {
 
-/// Answers a request that does not go on. It is `not-run` exactly when no byte
-/// of it was sent and no other attempt can have run it.
+/// Ends the request with an error response. The outcome is `not-run` only if no
+/// byte of the request was sent and no other attempt may have run it.
 void http_session::refuse(unsigned status, request_event event,
                           std::optional<duration> retry_after)
 {
   auto& exchange = *exchange_;
-  TOUCANMILL_INVARIANT(!exchange.relayed, "a refusal follows an answer");
+  TOUCANMILL_INVARIANT(!exchange.relayed, "a refusal follows response bytes");
   const bool other_attempt = event == request_event::refused_claim_in_progress;
-  refusal answer;
-  answer.status = status;
-  answer.outcome = exchange.sent || other_attempt ? request_outcome::unknown
-                                                  : request_outcome::not_run;
-  answer.retry_after = retry_after;
-  exchange.late_input |=
+  refusal response;
+  response.status = status;
+  response.outcome = exchange.sent || other_attempt ? request_outcome::unknown
+                                                    : request_outcome::not_run;
+  response.retry_after = retry_after;
+  exchange.has_pending_reply |=
       phase_ == phase::waiting_claim && exchange.claim_requested;
-  // Where a refused head ends is open to interpretation, and the bytes behind
-  // it must not be read as a request.
-  exchange.closes |= event == request_event::refused_malformed;
+  // The end of a malformed request is ambiguous. Parsing the bytes after it as
+  // a request would permit request smuggling.
+  exchange.closes_connection |= event == request_event::refused_malformed;
   discard_body();
   release_resources();
-  answer.close = must_close();
+  response.close = must_close();
   count(event);
-  act(send_to_caller{to_bytes(answer)});
+  act(send_to_caller{to_bytes(response)});
   end_exchange();
 }
 
-void http_session::end_unknown(request_event event)
+void http_session::end_with_unknown_outcome(request_event event)
 {
-  TOUCANMILL_INVARIANT(exchange_->sent, "an unsent request is `unknown`");
+  TOUCANMILL_INVARIANT(exchange_->sent,
+                       "outcome `unknown` for a request that was not sent");
   refuse(502, event, options_.retry_after);
 }
 
-void http_session::end_stored(std::string answer, request_event event)
+void http_session::end_with_stored_answer(std::string answer,
+                                          request_event event)
 {
   discard_body();
   release_resources();
   if (must_close())
-    answer = with_connection_close(std::move(answer));
+    answer = add_connection_close(std::move(answer));
   exchange_->relayed = true;
   count(event);
   act(send_to_caller{std::move(answer)});
@@ -62,8 +64,8 @@
   phase_ = phase::reading_head;
 }
 
-/// The caller gave up or cannot be served any further.
-void http_session::abandon()
+/// Resets a caller that gave up or cannot be served any further.
+void http_session::abort_session()
 {
   count(request_event::cancelled);
   release_resources();
@@ -87,20 +89,20 @@
     act(release_slot{});
 }
 
-/// Skips what has arrived of the body, so that the connection can be kept if
-/// that is all of it.
+/// Discards the body bytes received so far. If they complete the request, the
+/// connection can be kept open.
 void http_session::discard_body()
 {
-  if (exchange_->request.state() == reading::head)
-    in_.erase(0, exchange_->request.read_body(in_));
+  if (exchange_->request.state() == parse_state::head_complete)
+    unparsed_.erase(0, exchange_->request.read_body(unparsed_));
 }
 
 bool http_session::must_close() const
 {
   const auto& exchange = *exchange_;
-  return draining_ || exchange.closes || exchange.late_input ||
-         !exchange.request_complete() || !exchange.is_http_1_1() ||
-         !exchange.request.get().keep_alive();
+  return draining_ || exchange.closes_connection ||
+         exchange.has_pending_reply || !exchange.request_complete() ||
+         !exchange.is_http_1_1() || !exchange.request.parser().keep_alive();
 }
 
 void http_session::finish_session()
@@ -115,12 +117,12 @@
   exchange.deadline.reset();
   if (exchange.relayed)
     return;
-  exchange.late_input = true;
+  exchange.has_pending_reply = true;
   if (phase_ == phase::recording)
-    return end_stored(std::move(exchange.stored_answer),
-                      request_event::completed);
+    return end_with_stored_answer(std::move(exchange.stored_answer),
+                                  request_event::completed);
   if (exchange.sent)
-    return end_unknown(request_event::unknown_deadline);
+    return end_with_unknown_outcome(request_event::unknown_deadline);
   refuse(503, expired_event(), options_.retry_after);
 }
 
--- a/src/agent/http_head_core.cpp
+++ b/src/agent/http_head_core.cpp
@@ -17,10 +17,10 @@
 
 using boost::beast::iequals;
 
-/// A longer time limit has no effect; keeps sums of times in range.
+/// Longer deadlines are clamped, which keeps time arithmetic in range.
 constexpr std::chrono::hours max_deadline{24 * 7};
 
-/// Fields that concern one connection only. `Expect` is answered by the agent.
+/// Hop-by-hop fields. `Expect` is among them because the agent answers it.
 constexpr std::array hop_by_hop = {
     http::field::connection,       http::field::keep_alive,
     http::field::proxy_connection, http::field::te,
@@ -66,8 +66,9 @@
          name == http::field::transfer_encoding || name == http::field::trailer;
 }
 
-/// Fields that only the agent may set; an upstream must not claim an outcome.
-bool is_own_field(boost::beast::string_view name)
+/// Fields that only the agent may set. An upstream must not report an outcome
+/// in its place.
+bool is_agent_field(boost::beast::string_view name)
 {
   return iequals(name, to_beast(deadline_field)) ||
          iequals(name, to_beast(outcome_field));
@@ -83,7 +84,7 @@
     const bool framing = is_framing_field(field.name());
     if (framing ? !with_framing : is_connection_field(field, options))
       continue;
-    if (is_own_field(field.name_string()))
+    if (is_agent_field(field.name_string()))
       continue;
     add_field(head, std::string(field.name_string()),
               std::string(field.value()));
@@ -100,13 +101,13 @@
   return outcome == request_outcome::not_run ? "not-run" : "unknown";
 }
 
-std::string in_seconds(duration value)
+std::string to_seconds_text(duration value)
 {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(value).count();
   return std::to_string(std::max<std::int64_t>(seconds, 1));
 }
 
-std::string in_milliseconds(duration value)
+std::string to_milliseconds_text(duration value)
 {
   const auto count =
       std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -118,9 +119,9 @@
   return head.count(to_beast(deadline_field)) != 0;
 }
 
-/// The framing that Beast accepts but this agent does not relay: a transfer
-/// coding other than chunked, whose end is not defined for a request.
-bool has_unsupported_coding(const request_reader& request)
+/// True for transfer codings that Beast accepts but the agent does not relay:
+/// the end of a request body is only defined for chunked.
+bool has_unsupported_transfer_coding(const request_reader& request)
 {
   const auto& head = request.head();
   const auto count = head.count(http::field::transfer_encoding);
@@ -130,7 +131,7 @@
          !iequals(head[http::field::transfer_encoding], "chunked");
 }
 
-bool has_bad_host(const request_head& head)
+bool has_invalid_host(const request_head& head)
 {
   const auto count = head.count(http::field::host);
   return count > 1 || (count == 0 && head.version() >= 11);
@@ -142,15 +143,15 @@
 {
   const auto reason =
       http::obsolete_reason(static_cast<http::status>(value.status));
-  std::string answer = "HTTP/1.1 " + std::to_string(value.status) + " " +
-                       std::string(reason) + "\r\n";
-  add_field(answer, outcome_field, to_string(value.outcome));
+  std::string response = "HTTP/1.1 " + std::to_string(value.status) + " " +
+                         std::string(reason) + "\r\n";
+  add_field(response, outcome_field, to_string(value.outcome));
   if (value.retry_after)
-    add_field(answer, "Retry-After", in_seconds(*value.retry_after));
+    add_field(response, "Retry-After", to_seconds_text(*value.retry_after));
   if (value.close)
-    add_field(answer, "Connection", "close");
-  add_field(answer, "Content-Length", "0");
-  return answer + "\r\n";
+    add_field(response, "Connection", "close");
+  add_field(response, "Content-Length", "0");
+  return response + "\r\n";
 }
 
 std::optional<unsigned> refused_status(const request_reader& request)
@@ -160,9 +161,9 @@
     return 405;
   if (head.count(http::field::upgrade) != 0)
     return 501;
-  if (has_unsupported_coding(request))
+  if (has_unsupported_transfer_coding(request))
     return 501;
-  if (has_bad_host(head))
+  if (has_invalid_host(head))
     return 400;
   if (has_deadline_field(head) && !deadline_of(head))
     return 400;
@@ -219,9 +220,9 @@
   return digest;
 }
 
-std::string upstream_head(const request_head& head,
-                          std::optional<duration> remaining,
-                          std::optional<std::size_t> body_size)
+std::string make_upstream_head(const request_head& head,
+                               std::optional<duration> remaining,
+                               std::optional<std::size_t> body_size)
 {
   std::string text = std::string(head.method_string()) + " " +
                      std::string(head.target()) + " " +
@@ -230,13 +231,13 @@
   if (body_size)
     add_field(text, "Content-Length", std::to_string(*body_size));
   if (remaining)
-    add_field(text, deadline_field, in_milliseconds(*remaining));
+    add_field(text, deadline_field, to_milliseconds_text(*remaining));
   add_field(text, "Connection", "close");
   return text + "\r\n";
 }
 
-std::string caller_head(const answer_head& head,
-                        std::optional<std::size_t> body_size)
+std::string make_caller_head(const response_head& head,
+                             std::optional<std::size_t> body_size)
 {
   std::string text = "HTTP/1.1 " + std::to_string(head.result_int()) + " " +
                      std::string(head.reason()) + "\r\n";
@@ -246,11 +247,11 @@
   return text + "\r\n";
 }
 
-std::string with_connection_close(std::string answer)
+std::string add_connection_close(std::string response)
 {
-  if (const auto end = answer.find("\r\n"); end != std::string::npos)
-    answer.insert(end + 2, "Connection: close\r\n");
-  return answer;
+  if (const auto end = response.find("\r\n"); end != std::string::npos)
+    response.insert(end + 2, "Connection: close\r\n");
+  return response;
 }
 
 } // namespace toucanmill::detail
--- a/src/agent/http_message_core.hpp
+++ b/src/agent/http_message_core.hpp
@@ -14,7 +14,8 @@
 
 namespace http = boost::beast::http;
 
-/// Body that is decoded into memory up to a limit, or only delimited.
+/// Beast body type that stores the decoded body up to a limit, or only finds
+/// its end.
 struct captured_body
 {
   struct value_type
@@ -71,34 +72,34 @@
   };
 };
 
-/// State of an incremental read.
-enum class reading : std::uint8_t
+/// Progress of an incremental parse.
+enum class parse_state : std::uint8_t
 {
   incomplete,
-  head,     ///< the head is complete, the body is not
-  complete, ///< the whole message was read
+  head_complete, ///< the body is not complete yet
+  complete,
   too_large,
   malformed,
 };
 
-/// Reads one HTTP/1.x message from bytes that arrive in pieces.
+/// Parses one HTTP/1.x message incrementally.
 template <bool IsRequest>
 class message_reader
 {
 public:
-  using parser = http::parser<IsRequest, captured_body>;
-  using message = typename parser::value_type;
+  using parser_type = http::parser<IsRequest, captured_body>;
+  using message = typename parser_type::value_type;
 
   explicit message_reader(std::size_t max_head)
   {
     parser_.header_limit(static_cast<std::uint32_t>(max_head));
-    // boost::none compares as less than every length in Boost 1.74, so that
-    // the parser would refuse each body.
+    // In Boost 1.74 boost::none compares less than every length, so with it the
+    // parser would reject every body.
     parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
-  /// Reads up to the end of the head. Returns the octets consumed; the caller
-  /// presents the others again, followed by new ones.
+  /// Parses up to the end of the head. Returns the number of octets consumed.
+  /// The remaining ones must be passed again, followed by new ones.
   std::size_t read_head(std::string_view bytes)
   {
     std::size_t used = 0;
@@ -108,7 +109,7 @@
     return used;
   }
 
-  /// Reads up to the end of the message, as read_head().
+  /// Parses up to the end of the message; otherwise as read_head().
   std::size_t read_body(std::string_view bytes)
   {
     std::size_t used = 0;
@@ -118,7 +119,8 @@
     return used;
   }
 
-  /// No byte follows: ends a message that the connection delimits.
+  /// Signals the end of the connection, which completes a message without a
+  /// length.
   void finish()
   {
     if (failed() || parser_.is_done())
@@ -127,25 +129,26 @@
     if (parser_.got_some())
       parser_.put_eof(failure);
     if (failure)
-      state_ = reading::malformed;
+      state_ = parse_state::malformed;
   }
 
-  reading state() const
+  parse_state state() const
   {
     if (failed())
       return state_;
     if (parser_.is_done())
-      return reading::complete;
-    return parser_.is_header_done() ? reading::head : reading::incomplete;
+      return parse_state::complete;
+    return parser_.is_header_done() ? parse_state::head_complete
+                                    : parse_state::incomplete;
   }
 
-  /// The answer has a head only, whatever the head says (answer to HEAD).
+  /// The message has no body whatever its head declares (response to HEAD).
   void expect_no_body()
   {
     parser_.skip(true);
   }
 
-  /// Keeps the decoded body; call it before the body is read.
+  /// Stores the decoded body; must be called before read_body().
   void keep_body(std::size_t limit)
   {
     auto& body = parser_.get().body();
@@ -153,7 +156,7 @@
     body.limit = limit;
   }
 
-  const parser& get() const
+  const parser_type& parser() const
   {
     return parser_;
   }
@@ -169,10 +172,10 @@
 private:
   bool failed() const
   {
-    return state_ != reading::incomplete;
+    return state_ != parse_state::incomplete;
   }
 
-  /// False when more bytes are needed.
+  /// Returns false if the parser needs more bytes or failed.
   bool put(std::string_view bytes, std::size_t& used)
   {
     boost::system::error_code failure;
@@ -182,19 +185,20 @@
     if (failure == http::error::need_more)
       return false;
     if (failure)
-      state_ = failure == http::error::header_limit ? reading::too_large
-                                                    : reading::malformed;
+      state_ = failure == http::error::header_limit ? parse_state::too_large
+                                                    : parse_state::malformed;
     return !failure;
   }
 
-  parser parser_;
-  reading state_ = reading::incomplete; ///< otherwise the failure
+  parser_type parser_;
+  /// too_large or malformed after a failure, else incomplete.
+  parse_state state_ = parse_state::incomplete;
 };
 
 using request_reader = message_reader<true>;
-using answer_reader = message_reader<false>;
+using response_reader = message_reader<false>;
 using request_head = http::request_header<>;
-using answer_head = http::response_header<>;
+using response_head = http::response_header<>;
 
 } // namespace toucanmill::detail
 
--- a/src/agent/http_random_test.cpp
+++ b/src/agent/http_random_test.cpp
@@ -56,10 +56,10 @@
 
 /// Sessions of one agent against an upstream, a claim store and callers that
 /// fail in all ways. Targets are unique but for those of keyed requests.
-class http_world
+class http_simulation
 {
 public:
-  explicit http_world(std::uint64_t seed) : random_(seed)
+  explicit http_simulation(std::uint64_t seed) : random_(seed)
   {
     for (std::size_t i = 0; i < session_count; ++i)
       add_caller();
@@ -117,7 +117,7 @@
       caller.from_caller.insert(
           caller.from_caller.begin() +
               static_cast<long>(random_() % caller.from_caller.size()),
-          caller_gone{});
+          caller_disconnected{});
     if (chance(20))
       caller.from_control.push_back(drain_started{});
   }
@@ -154,7 +154,7 @@
     const auto [caller, queue] = ready[random_() % ready.size()];
     const auto input = std::move(queue->front());
     queue->pop_front();
-    caller->gone |= std::holds_alternative<caller_gone>(input);
+    caller->gone |= std::holds_alternative<caller_disconnected>(input);
     give(*caller, input);
     return true;
   }
@@ -184,7 +184,7 @@
     for (const auto& caller : callers_)
       if (caller->driver.session->busy() && !caller->gone)
       {
-        caller->from_caller = {caller_gone{}};
+        caller->from_caller = {caller_disconnected{}};
         return true;
       }
     return false;
@@ -193,7 +193,7 @@
   void give(caller_side& caller, const session_input& input)
   {
     caller.driver.now = now_;
-    for (const auto& action : caller.driver.give(input))
+    for (const auto& action : caller.driver.handle(input))
       std::visit(
           [this, &caller](const auto& value)
           {
@@ -327,15 +327,15 @@
     auto& unread = caller.unread_request;
     unread += value.bytes;
     unread.erase(0, request.read_head(unread));
-    if (request.state() == detail::reading::head)
+    if (request.state() == detail::parse_state::head_complete)
       unread.erase(0, request.read_body(unread));
-    const bool complete = request.state() == detail::reading::complete;
+    const bool complete = request.state() == detail::parse_state::complete;
     if (!complete && !chance(5))
       return;
     if (complete)
       run_request(caller, std::string(request.head().target()));
     else
-      caller.from_upstream.push_back(upstream_gone{});
+      caller.from_upstream.push_back(upstream_disconnected{});
     caller.request.reset();
   }
 
@@ -346,7 +346,7 @@
                       std::string(random_() % 2000, 'x');
     bodies_.insert(body);
     if (chance(10))
-      return caller.from_upstream.push_back(upstream_gone{});
+      return caller.from_upstream.push_back(upstream_disconnected{});
     if (chance(5))
       return; // Never answers; the deadline or the caller ends the request.
     auto answer = make_answer(body);
@@ -360,7 +360,7 @@
     if (!truncated && delimited && chance(10))
       enqueue(caller.from_upstream, "HTTP/1.1 200 OK\r\n\r\nlate", true);
     if (truncated)
-      caller.from_upstream.push_back(upstream_gone{});
+      caller.from_upstream.push_back(upstream_disconnected{});
     else
       caller.from_upstream.push_back(upstream_finished{});
   }
@@ -408,15 +408,15 @@
   bool check_answer(caller_side& caller, std::string_view& rest,
                     std::size_t& number)
   {
-    detail::answer_reader answer(65536);
+    detail::response_reader answer(65536);
     answer.keep_body(100000);
     rest.remove_prefix(answer.read_head(rest));
     rest.remove_prefix(answer.read_body(rest));
     if (caller.driver.end == caller_end::finished)
       answer.finish();
-    if (answer.state() != detail::reading::complete)
+    if (answer.state() != detail::parse_state::complete)
     {
-      require(driver_was_cut(caller), "a truncated answer shows");
+      require(was_interrupted(caller), "a truncated answer shows");
       return false;
     }
     if (answer.head().result_int() / 100 != 1)
@@ -424,13 +424,13 @@
     return true;
   }
 
-  static bool driver_was_cut(const caller_side& caller)
+  static bool was_interrupted(const caller_side& caller)
   {
     return caller.gone || caller.driver.end == caller_end::reset;
   }
 
   void check_final(const caller_side& caller,
-                   const detail::answer_reader& answer, std::size_t number)
+                   const detail::response_reader& answer, std::size_t number)
   {
     const auto& target = caller.targets.at(number);
     const auto outcome = std::string(answer.head()["Toucanmill-Outcome"]);
@@ -468,6 +468,6 @@
   const char* const text = std::getenv("TOUCANMILL_SEEDS");
   const auto count = text == nullptr ? 1000 : std::strtoull(text, nullptr, 10);
   for (std::uint64_t seed = 1; seed <= count; ++seed)
-    for (const auto& violation : http_world(seed).run())
+    for (const auto& violation : http_simulation(seed).run())
       FAIL(("seed " + std::to_string(seed) + ": " + violation).c_str());
 }
--- a/src/agent/http_session_core.cpp
+++ b/src/agent/http_session_core.cpp
@@ -21,26 +21,26 @@
 namespace
 {
 
-/// Requests that a caller sends ahead may take this many octets.
-constexpr std::size_t max_pipelined = 1048576;
+/// Maximum octets of pipelined requests that are buffered.
+constexpr std::size_t max_pipelined_size = 1048576;
 
-/// A claim without a decision is sent this often in all; the reply to a claim
-/// may have been lost.
+/// Total number of attempts for a claim without a decision. The decision may
+/// have been lost on its way.
 constexpr unsigned max_claim_attempts = 3;
 
 constexpr duration claim_retry_delay = std::chrono::milliseconds(100);
 
-/// A draining agent still runs the next request of an open connection for this
-/// long: a request may be on its way, and closing would cut it. The upstream
-/// must get no new work after a few seconds.
+/// For this long a draining agent still runs the next request of an open
+/// connection, because closing at once would cut off a request in flight. The
+/// upstream must get no new work after a few seconds.
 constexpr duration drain_grace = std::chrono::seconds(3);
 
-/// A connection without a request is closed this long after the drain began. By
-/// then a request that crosses the close is unlikely.
+/// Time after the start of a drain at which idle connections are closed. By
+/// then a request in flight is unlikely.
 constexpr duration drain_idle_limit = std::chrono::seconds(30);
 
-/// Octets of an idempotency key (claim_key).
-constexpr std::size_t max_key = 256;
+/// Maximum octets of an idempotency key, as for claim_key.
+constexpr std::size_t max_key_size = 256;
 
 bool expects_continue(const request_head& head)
 {
@@ -48,15 +48,15 @@
          boost::beast::iequals(head[http::field::expect], "100-continue");
 }
 
-boost::beast::string_view key_name()
+boost::beast::string_view key_field_name()
 {
   return {key_field.data(), key_field.size()};
 }
 
 bool has_valid_key(const request_head& head)
 {
-  const auto size = head[key_name()].size();
-  return head.count(key_name()) == 1 && size >= 1 && size <= max_key;
+  const auto size = head[key_field_name()].size();
+  return head.count(key_field_name()) == 1 && size >= 1 && size <= max_key_size;
 }
 
 } // namespace
@@ -78,7 +78,7 @@
           on(value);
         },
         input);
-    read_caller();
+    process_caller_bytes();
     limit_pipelining();
   }
   update_timer();
@@ -92,16 +92,17 @@
   return phase_ != phase::reading_head || head_started();
 }
 
-/// The parser keeps what it has read of a head, so that the buffer alone does
-/// not tell.
+/// The parser holds the part of a head that it has consumed, so the buffer may
+/// be empty although a head has started.
 bool http_session::head_started() const
 {
-  return !in_.empty() || (exchange_ && exchange_->request.get().got_some());
+  return !unparsed_.empty() ||
+         (exchange_ && exchange_->request.parser().got_some());
 }
 
 std::size_t http_session::buffered_from_caller() const
 {
-  return in_.size();
+  return unparsed_.size();
 }
 
 void http_session::act(session_action action)
@@ -118,10 +119,10 @@
 {
   if (caller_finished_)
     return;
-  if (in_.empty())
-    in_ = std::move(value.bytes);
+  if (unparsed_.empty())
+    unparsed_ = std::move(value.bytes);
   else
-    in_ += value.bytes;
+    unparsed_ += value.bytes;
 }
 
 void http_session::on(caller_finished&)
@@ -129,7 +130,7 @@
   caller_finished_ = true;
 }
 
-void http_session::on(caller_gone&)
+void http_session::on(caller_disconnected&)
 {
   if (exchange_ && exchange_->started)
     count(request_event::cancelled);
@@ -142,7 +143,7 @@
   if (phase_ != phase::waiting_slot)
     return;
   if (exchange_->keyed)
-    ask_claim();
+    send_claim();
   else
     connect();
 }
@@ -174,7 +175,8 @@
   if (value.status == claim_status::different_request)
     return refuse(422, request_event::refused_claim_different);
   if (value.status == claim_status::completed && !value.answer.empty())
-    return end_stored(std::move(value.answer), request_event::replayed);
+    return end_with_stored_answer(std::move(value.answer),
+                                  request_event::replayed);
   refuse(409, request_event::refused_claim_in_progress, options_.retry_after);
 }
 
@@ -184,14 +186,15 @@
     return;
   if (!value.stored)
     count(request_event::answer_not_recorded);
-  end_stored(std::move(exchange_->stored_answer), request_event::completed);
+  end_with_stored_answer(std::move(exchange_->stored_answer),
+                         request_event::completed);
 }
 
 void http_session::on(timer_expired&)
 {
   timer_.reset();
   if (exchange_ && exchange_->claim_retry && *exchange_->claim_retry <= now_)
-    ask_claim();
+    send_claim();
   if (exchange_ && exchange_->deadline && *exchange_->deadline <= now_)
     on_deadline();
   if (phase_ == phase::reading_head && draining_ && drain_close_ <= now_)
@@ -205,14 +208,14 @@
   drain_close_ = now_ + drain_idle_limit;
 }
 
-void http_session::read_caller()
+void http_session::process_caller_bytes()
 {
   bool progress = true;
   while (progress)
     switch (phase_)
     {
     case phase::reading_head:
-      progress = read_head();
+      progress = parse_request_head();
       break;
     case phase::reading_body:
       progress = read_claimed_body();
@@ -225,28 +228,28 @@
     }
 }
 
-/// True when a head ended and the bytes behind it may be read.
-bool http_session::read_head()
+/// Returns true if a head is complete and the bytes after it can be parsed.
+bool http_session::parse_request_head()
 {
   if (!exchange_)
     exchange_.emplace(options_.max_head);
   auto& request = exchange_->request;
-  // RFC 9112 section 2.2: an empty line before a request is ignored.
-  while (!request.get().got_some() && in_.compare(0, 2, "\r\n") == 0)
-    in_.erase(0, 2);
-  if (in_ == "\r" && !request.get().got_some() && !caller_finished_)
+  // RFC 9112, section 2.2: empty lines before a request are ignored.
+  while (!request.parser().got_some() && unparsed_.compare(0, 2, "\r\n") == 0)
+    unparsed_.erase(0, 2);
+  if (unparsed_ == "\r" && !request.parser().got_some() && !caller_finished_)
     return false;
-  in_.erase(0, request.read_head(in_));
+  unparsed_.erase(0, request.read_head(unparsed_));
   switch (request.state())
   {
-  case reading::incomplete:
+  case parse_state::incomplete:
     if (caller_finished_)
       finish_session();
     return false;
-  case reading::too_large:
+  case parse_state::too_large:
     refuse(431, request_event::refused_malformed);
     return false;
-  case reading::malformed:
+  case parse_state::malformed:
     refuse(400, request_event::refused_malformed);
     return false;
   default:
@@ -262,7 +265,7 @@
   budget_.on_request();
   exchange.started = true;
   exchange.idempotent = is_idempotent(head);
-  exchange.keyed = !exchange.idempotent && head.count(key_name()) != 0;
+  exchange.keyed = !exchange.idempotent && head.count(key_field_name()) != 0;
   exchange.slot_deadline = now_ + options_.queue_deadline;
   if (const auto status = refused_status(exchange.request))
     return refuse(*status, request_event::refused_malformed);
@@ -278,7 +281,7 @@
                   options_.retry_after);
   if (exchange.keyed)
     return start_claimed_request();
-  ask_slot();
+  wait_for_slot();
 }
 
 void http_session::start_claimed_request()
@@ -286,7 +289,7 @@
   auto& request = exchange_->request;
   if (!has_valid_key(request.head()))
     return refuse(400, request_event::refused_malformed);
-  const auto length = request.get().content_length();
+  const auto length = request.parser().content_length();
   if (length && *length > options_.max_claimed_body)
     return refuse(413, request_event::refused_body_too_large);
   request.keep_body(options_.max_claimed_body);
@@ -297,58 +300,58 @@
 bool http_session::read_claimed_body()
 {
   auto& request = exchange_->request;
-  in_.erase(0, request.read_body(in_));
+  unparsed_.erase(0, request.read_body(unparsed_));
   if (request.body().overflow)
     refuse(413, request_event::refused_body_too_large);
-  else if (request.state() == reading::malformed)
+  else if (request.state() == parse_state::malformed)
     refuse(400, request_event::refused_malformed);
-  else if (request.state() == reading::complete)
-    ask_slot();
+  else if (request.state() == parse_state::complete)
+    wait_for_slot();
   else if (caller_finished_)
-    abandon();
+    abort_session();
   return false;
 }
 
-/// Sends the body of a request without a claim on as it arrives.
+/// Streams the body of a request without a claim to the upstream.
 bool http_session::relay_body()
 {
   auto& exchange = *exchange_;
   if (exchange.request_complete())
     return false;
-  const auto used = exchange.request.read_body(in_);
+  const auto used = exchange.request.read_body(unparsed_);
   if (used > 0)
   {
     exchange.body_sent = true;
-    send_upstream(in_.substr(0, used));
-    in_.erase(0, used);
+    send_upstream(unparsed_.substr(0, used));
+    unparsed_.erase(0, used);
   }
-  if (exchange.request.state() == reading::malformed)
+  if (exchange.request.state() == parse_state::malformed)
   {
     if (exchange.relayed)
-      abandon();
+      abort_session();
     else
       refuse(400, request_event::refused_malformed);
   }
   else if (caller_finished_ && !exchange.request_complete())
-    abandon();
+    abort_session();
   return false;
 }
 
-void http_session::ask_slot()
+void http_session::wait_for_slot()
 {
   exchange_->slot_requested = true;
   phase_ = phase::waiting_slot;
   act(request_slot{exchange_->slot_deadline});
 }
 
-void http_session::ask_claim()
+void http_session::send_claim()
 {
   const auto& request = exchange_->request;
   exchange_->claim_retry.reset();
   exchange_->claim_requested = true;
   ++exchange_->claim_attempts;
   phase_ = phase::waiting_claim;
-  act(request_claim{std::string(request.head()[key_name()]),
+  act(request_claim{std::string(request.head()[key_field_name()]),
                     digest_of(request.head(), request.body().bytes)});
 }
 
@@ -369,10 +372,10 @@
   act(connect_upstream{});
 }
 
-/// The agent answers `Expect: 100-continue` itself once it wants the body.
+/// The agent answers `Expect: 100-continue` itself when it needs the body.
 void http_session::send_continue()
 {
-  if (expects_continue(exchange_->request.head()) && in_.empty() &&
+  if (expects_continue(exchange_->request.head()) && unparsed_.empty() &&
       !exchange_->request_complete())
     act(send_to_caller{"HTTP/1.1 100 Continue\r\n\r\n"});
 }
@@ -380,8 +383,8 @@
 void http_session::limit_pipelining()
 {
   if (phase_ != phase::closed && exchange_ && exchange_->request_complete() &&
-      in_.size() > max_pipelined)
-    abandon();
+      unparsed_.size() > max_pipelined_size)
+    abort_session();
 }
 
 } // namespace toucanmill::detail
--- a/src/agent/http_session_core.hpp
+++ b/src/agent/http_session_core.hpp
@@ -14,9 +14,9 @@
 namespace toucanmill::detail
 {
 
-/// Relays HTTP/1.1 requests one at a time. Each request has an upstream
-/// connection of its own, because a shared one could carry late bytes of one
-/// answer into the next.
+/// Relays HTTP/1.1 requests one at a time. Each request uses its own upstream
+/// connection, because on a shared one late bytes of a response could end up in
+/// the next.
 class http_session final : public session_core
 {
 public:
@@ -31,12 +31,12 @@
   enum class phase
   {
     reading_head,
-    reading_body, ///< of a request that needs a claim
+    reading_body, ///< of a request with a claim
     waiting_slot,
     waiting_claim,
     connecting,
     exchanging,
-    recording,
+    recording, ///< waits until the answer of the claim is stored
     closed,
   };
 
@@ -50,12 +50,12 @@
   // Inputs (http_session_core.cpp, http_upstream_core.cpp).
   void on(caller_bytes& value);
   void on(caller_finished& value);
-  void on(caller_gone& value);
+  void on(caller_disconnected& value);
   void on(upstream_connected& value);
   void on(upstream_refused& value);
   void on(upstream_bytes& value);
   void on(upstream_finished& value);
-  void on(upstream_gone& value);
+  void on(upstream_disconnected& value);
   void on(slot_granted& value);
   void on(slot_refused& value);
   void on(claim_decided& value);
@@ -64,44 +64,44 @@
   void on(drain_started& value);
 
   // Request (http_session_core.cpp).
-  void read_caller();
+  void process_caller_bytes();
   bool head_started() const;
-  bool read_head();
+  bool parse_request_head();
   bool read_claimed_body();
   bool relay_body();
   void start_request();
   void start_claimed_request();
-  void ask_slot();
-  void ask_claim();
+  void wait_for_slot();
+  void send_claim();
   void retry_claim();
   void connect();
   void send_continue();
   void limit_pipelining();
 
-  // Upstream and answer (http_upstream_core.cpp).
+  // Upstream and response (http_upstream_core.cpp).
   void send_request();
   void send_upstream(std::string bytes);
-  void restart_answer();
-  void read_answer();
-  bool read_answer_head();
-  void relay_interim_answer();
-  void start_answer();
-  void read_answer_body();
-  void relay_answer(std::string bytes);
-  void give_up_recording();
-  void finish_answer();
+  void start_response_parser();
+  void parse_response();
+  bool parse_response_head();
+  void relay_interim_response();
+  void start_response();
+  void parse_response_body();
+  void relay_to_caller(std::string bytes);
+  void stop_buffering();
+  void finish_response();
   std::string make_stored_answer() const;
-  void answer_failed();
+  void on_response_failed();
   bool may_retry();
   void drop_upstream();
 
   // End of a request or of the session (http_end_core.cpp).
   void refuse(unsigned status, request_event event,
               std::optional<duration> retry_after = std::nullopt);
-  void end_unknown(request_event event);
-  void end_stored(std::string answer, request_event event);
+  void end_with_unknown_outcome(request_event event);
+  void end_with_stored_answer(std::string answer, request_event event);
   void end_exchange();
-  void abandon();
+  void abort_session();
   void release_resources();
   void release_slot_if_requested();
   void discard_body();
@@ -120,12 +120,12 @@
   phase phase_ = phase::reading_head;
   connection upstream_ = connection::none;
   time_point now_;
-  std::string in_; ///< caller bytes not parsed yet
+  std::string unparsed_; ///< bytes from the caller
   std::optional<http_exchange> exchange_;
   bool caller_finished_ = false;
   bool draining_ = false;
-  time_point drain_refuse_; ///< when draining: end of the grace
-  time_point drain_close_;  ///< when draining: end of an idle connection
+  time_point drain_refuse_; ///< if draining: new requests are refused from then
+  time_point drain_close_;  ///< if draining: an idle connection is closed then
   std::optional<time_point> timer_;
   std::vector<session_action> actions_;
 };
--- a/src/agent/http_upstream_core.cpp
+++ b/src/agent/http_upstream_core.cpp
@@ -10,15 +10,16 @@
 namespace
 {
 
-/// The head tells where the body ends; a feed has no such head.
-bool declares_length(const answer_reader& answer)
+/// True if the head determines the end of the body. A feed has no such head.
+bool declares_length(const response_reader& response)
 {
-  return answer.state() == reading::complete || answer.get().content_length();
+  return response.state() == parse_state::complete ||
+         response.parser().content_length();
 }
 
-bool is_interim(const answer_reader& answer)
+bool is_interim(const response_reader& response)
 {
-  return answer.head().result_int() / 100 == 1;
+  return response.head().result_int() / 100 == 1;
 }
 
 bool may_have_body(unsigned status)
@@ -34,7 +35,7 @@
     return;
   upstream_ = connection::open;
   phase_ = phase::exchanging;
-  restart_answer();
+  start_response_parser();
   send_request();
 }
 
@@ -44,7 +45,7 @@
     return;
   upstream_ = connection::none;
   if (exchange_->sent)
-    end_unknown(request_event::unknown_upstream_gone);
+    end_with_unknown_outcome(request_event::unknown_upstream_gone);
   else
     refuse(503, request_event::refused_upstream_unreachable,
            options_.retry_after);
@@ -57,28 +58,28 @@
     count(request_event::unexpected_upstream_bytes);
     return;
   }
-  exchange_->answer_started = true;
-  if (exchange_->unread_answer.empty())
-    exchange_->unread_answer = std::move(value.bytes);
+  exchange_->response_started = true;
+  if (exchange_->unparsed_response.empty())
+    exchange_->unparsed_response = std::move(value.bytes);
   else
-    exchange_->unread_answer += value.bytes;
-  read_answer();
+    exchange_->unparsed_response += value.bytes;
+  parse_response();
 }
 
 void http_session::on(upstream_finished&)
 {
   if (phase_ != phase::exchanging || upstream_ != connection::open)
     return;
-  auto& answer = *exchange_->answer;
-  if (answer.state() == reading::head)
-    answer.finish();
-  if (answer.state() == reading::complete)
-    finish_answer();
+  auto& response = *exchange_->response;
+  if (response.state() == parse_state::head_complete)
+    response.finish();
+  if (response.state() == parse_state::complete)
+    finish_response();
   else
-    answer_failed();
+    on_response_failed();
 }
 
-void http_session::on(upstream_gone&)
+void http_session::on(upstream_disconnected&)
 {
   if (upstream_ == connection::connecting)
   {
@@ -87,7 +88,7 @@
   }
   if (std::exchange(upstream_, connection::none) == connection::open &&
       phase_ == phase::exchanging)
-    answer_failed();
+    on_response_failed();
 }
 
 void http_session::send_request()
@@ -104,7 +105,7 @@
   std::optional<std::size_t> body_size;
   if (exchange.keyed)
     body_size = request.body().bytes.size();
-  send_upstream(upstream_head(request.head(), remaining, body_size) +
+  send_upstream(make_upstream_head(request.head(), remaining, body_size) +
                 request.body().bytes);
   if (!exchange.keyed)
     send_continue();
@@ -118,117 +119,120 @@
   act(send_to_upstream{std::move(bytes)});
 }
 
-void http_session::restart_answer()
+void http_session::start_response_parser()
 {
-  exchange_->answer.emplace(options_.max_head);
+  exchange_->response.emplace(options_.max_head);
   if (exchange_->request.head().method() == http::verb::head)
-    exchange_->answer->expect_no_body();
+    exchange_->response->expect_no_body();
 }
 
-void http_session::read_answer()
+void http_session::parse_response()
 {
-  while (!exchange_->answer->get().is_header_done())
-    if (!read_answer_head())
+  while (!exchange_->response->parser().is_header_done())
+    if (!parse_response_head())
       return;
-  read_answer_body();
+  parse_response_body();
 }
 
-/// Reads one head, interim or final. False when no further byte may be read.
-bool http_session::read_answer_head()
+/// Parses one head, interim or final. Returns false if parsing must stop.
+bool http_session::parse_response_head()
 {
   auto& exchange = *exchange_;
-  auto& answer = *exchange.answer;
-  exchange.unread_answer.erase(0, answer.read_head(exchange.unread_answer));
-  if (answer.state() == reading::incomplete)
+  auto& response = *exchange.response;
+  exchange.unparsed_response.erase(
+      0, response.read_head(exchange.unparsed_response));
+  if (response.state() == parse_state::incomplete)
     return false;
   const bool switches_protocol =
-      answer.get().is_header_done() && answer.head().result_int() == 101;
-  if (!answer.get().is_header_done() || switches_protocol)
+      response.parser().is_header_done() && response.head().result_int() == 101;
+  if (!response.parser().is_header_done() || switches_protocol)
   {
-    answer_failed();
+    on_response_failed();
     return false;
   }
-  if (is_interim(answer))
-    relay_interim_answer();
+  if (is_interim(response))
+    relay_interim_response();
   else
-    start_answer();
+    start_response();
   return true;
 }
 
-/// A request with a claim gets no interim answers: what the caller receives is
-/// what is recorded.
-void http_session::relay_interim_answer()
+/// Interim responses to a request with a claim are dropped, because the caller
+/// receives exactly what is recorded.
+void http_session::relay_interim_response()
 {
   if (!exchange_->keyed && exchange_->is_http_1_1())
-    act(send_to_caller{caller_head(exchange_->answer->head(), std::nullopt)});
-  restart_answer();
+    act(send_to_caller{
+        make_caller_head(exchange_->response->head(), std::nullopt)});
+  start_response_parser();
 }
 
-void http_session::start_answer()
+void http_session::start_response()
 {
   auto& exchange = *exchange_;
-  auto& answer = *exchange.answer;
-  if (!declares_length(answer))
+  auto& response = *exchange.response;
+  if (!declares_length(response))
     release_slot_if_requested();
-  auto head = caller_head(answer.head(), std::nullopt);
-  exchange.hold_answer = exchange.keyed;
+  auto head = make_caller_head(response.head(), std::nullopt);
+  exchange.buffers_response = exchange.keyed;
   if (!exchange.keyed)
-    return relay_answer(std::move(head));
-  exchange.held_answer = std::move(head);
-  answer.keep_body(options_.max_stored_answer);
+    return relay_to_caller(std::move(head));
+  exchange.buffered_response = std::move(head);
+  response.keep_body(options_.max_stored_answer);
 }
 
-void http_session::read_answer_body()
+void http_session::parse_response_body()
 {
   auto& exchange = *exchange_;
-  auto& answer = *exchange.answer;
-  const auto used = answer.read_body(exchange.unread_answer);
-  auto bytes = exchange.unread_answer.substr(0, used);
-  exchange.unread_answer.erase(0, used);
-  if (answer.state() == reading::malformed)
-    return answer_failed();
-  if (exchange.hold_answer)
-    exchange.held_answer += bytes;
+  auto& response = *exchange.response;
+  const auto used = response.read_body(exchange.unparsed_response);
+  auto bytes = exchange.unparsed_response.substr(0, used);
+  exchange.unparsed_response.erase(0, used);
+  if (response.state() == parse_state::malformed)
+    return on_response_failed();
+  if (exchange.buffers_response)
+    exchange.buffered_response += bytes;
   else if (!bytes.empty())
-    relay_answer(std::move(bytes));
-  if (exchange.hold_answer &&
-      exchange.held_answer.size() > options_.max_stored_answer)
-    give_up_recording();
-  if (answer.state() == reading::complete)
-    finish_answer();
+    relay_to_caller(std::move(bytes));
+  if (exchange.buffers_response &&
+      exchange.buffered_response.size() > options_.max_stored_answer)
+    stop_buffering();
+  if (response.state() == parse_state::complete)
+    finish_response();
 }
 
-void http_session::relay_answer(std::string bytes)
+void http_session::relay_to_caller(std::string bytes)
 {
   auto& exchange = *exchange_;
   if (!exchange.relayed)
   {
-    exchange.closes = must_close() || exchange.answer->get().need_eof();
-    if (exchange.closes)
-      bytes = with_connection_close(std::move(bytes));
+    exchange.closes_connection =
+        must_close() || exchange.response->parser().need_eof();
+    if (exchange.closes_connection)
+      bytes = add_connection_close(std::move(bytes));
   }
   exchange.relayed = true;
   act(send_to_caller{std::move(bytes)});
 }
 
-/// The answer is too large to be recorded. That the request ran is recorded.
-void http_session::give_up_recording()
+/// The response is too large to store. Records only that the request ran.
+void http_session::stop_buffering()
 {
-  exchange_->hold_answer = false;
-  exchange_->late_input = true;
+  exchange_->buffers_response = false;
+  exchange_->has_pending_reply = true;
   act(record_answer{});
   count(request_event::answer_not_recorded);
-  relay_answer(std::exchange(exchange_->held_answer, {}));
+  relay_to_caller(std::exchange(exchange_->buffered_response, {}));
 }
 
-void http_session::finish_answer()
+void http_session::finish_response()
 {
   auto& exchange = *exchange_;
-  if (!exchange.unread_answer.empty())
+  if (!exchange.unparsed_response.empty())
     count(request_event::unexpected_upstream_bytes);
   drop_upstream();
   release_slot_if_requested();
-  if (exchange.hold_answer)
+  if (exchange.buffers_response)
   {
     exchange.stored_answer = make_stored_answer();
     phase_ = phase::recording;
@@ -239,17 +243,17 @@
   end_exchange();
 }
 
-/// The decoded answer with its length, whatever the framing of the upstream.
+/// The decoded response with a Content-Length, whatever the upstream's framing.
 std::string http_session::make_stored_answer() const
 {
-  const auto& answer = *exchange_->answer;
-  if (!may_have_body(answer.head().result_int()))
-    return caller_head(answer.head(), std::nullopt);
-  const auto& body = answer.body().bytes;
-  return caller_head(answer.head(), body.size()) + body;
+  const auto& response = *exchange_->response;
+  if (!may_have_body(response.head().result_int()))
+    return make_caller_head(response.head(), std::nullopt);
+  const auto& body = response.body().bytes;
+  return make_caller_head(response.head(), body.size()) + body;
 }
 
-void http_session::answer_failed()
+void http_session::on_response_failed()
 {
   if (exchange_->relayed)
   {
@@ -260,7 +264,7 @@
     return;
   }
   if (!may_retry())
-    return end_unknown(request_event::unknown_upstream_gone);
+    return end_with_unknown_outcome(request_event::unknown_upstream_gone);
   count(request_event::retried_idempotent);
   exchange_->retried = true;
   drop_upstream();
@@ -270,7 +274,7 @@
 bool http_session::may_retry()
 {
   const auto& exchange = *exchange_;
-  if (!exchange.idempotent || exchange.answer_started || exchange.retried ||
+  if (!exchange.idempotent || exchange.response_started || exchange.retried ||
       exchange.body_sent || !exchange.request_complete())
     return false;
   if (budget_.take())
--- a/src/agent/retry_budget_core.cpp
+++ b/src/agent/retry_budget_core.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Bounds the burst of retries after a long time without failures.
+/// Limits the burst of retries after a long time without failures.
 constexpr double max_retry_tokens = 10;
 
 } // namespace
--- a/src/agent/session_core_test.cpp
+++ b/src/agent/session_core_test.cpp
@@ -60,7 +60,7 @@
   return claiming(claim_status::granted) + inputs{upstream_connected{}};
 }
 
-session_input says(const std::string& bytes)
+session_input upstream_sends(const std::string& bytes)
 {
   return upstream_bytes{bytes};
 }
@@ -74,7 +74,7 @@
 {
   retry_budget budget{0.1};
   session_driver driver{make_http_session({}, budget)};
-  driver.give_all(given);
+  driver.handle_all(given);
   const auto text = guards_against + ("\n" + driver.to_caller.substr(0, 300));
   const auto is_same = [&text](bool same)
   {
@@ -97,84 +97,94 @@
 {
   const auto finished = caller_end::finished;
   const auto reset = caller_end::reset;
-  expect("two requests at once, altered answers",
-         running(get + get) +
-             inputs{says(answer.substr(0, 9)), says(answer.substr(9))} +
-             inputs{slot_granted{}, upstream_connected{}, says(answer)},
-         answer + answer, {ev::completed, ev::completed}, {}, 2);
+  expect(
+      "two requests at once, altered answers",
+      running(get + get) +
+          inputs{upstream_sends(answer.substr(0, 9)),
+                 upstream_sends(answer.substr(9))} +
+          inputs{slot_granted{}, upstream_connected{}, upstream_sends(answer)},
+      answer + answer, {ev::completed, ev::completed}, {}, 2);
   expect("extra upstream bytes that reach a caller",
-         running(get) + inputs{says(answer + ok), says("late")}, answer,
+         running(get) +
+             inputs{upstream_sends(answer + ok), upstream_sends("late")},
+         answer,
          {ev::unexpected_upstream_bytes, ev::completed,
           ev::unexpected_upstream_bytes});
   expect("a truncated answer that looks complete",
-         running(get) + inputs{says(answer.substr(0, answer.size() - 1)),
-                               upstream_finished{}},
+         running(get) +
+             inputs{upstream_sends(answer.substr(0, answer.size() - 1)),
+                    upstream_finished{}},
          answer.substr(0, answer.size() - 1), {ev::truncated_answer}, reset);
   expect("an answer whose end the caller cannot tell",
-         running(get) +
-             inputs{says(ok + "\r\nfe"), says("ed"), upstream_finished{}},
+         running(get) + inputs{upstream_sends(ok + "\r\nfe"),
+                               upstream_sends("ed"), upstream_finished{}},
          ok + closing + "\r\nfeed", {ev::completed}, finished);
   expect("a reset that looks like the end of a feed",
-         running(get) + inputs{says(ok + "\r\nfeed"), upstream_gone{}},
+         running(get) +
+             inputs{upstream_sends(ok + "\r\nfeed"), upstream_disconnected{}},
          ok + closing + "\r\nfeed", {ev::truncated_answer}, reset);
   expect("waiting for the body of an answer to HEAD",
          running("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n") +
-             inputs{says(ok + "Content-Length: 2\r\n\r\n")},
+             inputs{upstream_sends(ok + "Content-Length: 2\r\n\r\n")},
          ok + "Content-Length: 2\r\n\r\n", {ev::completed});
   expect("waiting for the body of a 204",
-         running(get) + inputs{says("HTTP/1.1 204 No\r\n\r\n")},
+         running(get) + inputs{upstream_sends("HTTP/1.1 204 No\r\n\r\n")},
          "HTTP/1.1 204 No\r\n\r\n", {ev::completed});
   expect("waiting for the body of a 304",
-         running(get) + inputs{says("HTTP/1.1 304 No\r\nContent-Length: 2\r\n"
-                                    "\r\n")},
+         running(get) +
+             inputs{upstream_sends("HTTP/1.1 304 No\r\nContent-Length: 2\r\n"
+                                   "\r\n")},
          "HTTP/1.1 304 No\r\nContent-Length: 2\r\n\r\n", {ev::completed});
   expect("a chunked answer that is re-framed",
-         running(get) +
-             inputs{says(chunked.substr(0, 49)), says(chunked.substr(49))},
+         running(get) + inputs{upstream_sends(chunked.substr(0, 49)),
+                               upstream_sends(chunked.substr(49))},
          chunked, {ev::completed});
   expect("an interim answer that is taken as the final one",
-         running(get) + inputs{says("HTTP/1.1 103 Hints\r\n\r\n" + answer)},
+         running(get) +
+             inputs{upstream_sends("HTTP/1.1 103 Hints\r\n\r\n" + answer)},
          "HTTP/1.1 103 Hints\r\n\r\n" + answer, {ev::completed});
   expect("a caller who waits for 100 Continue",
          running(post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n") +
-             inputs{caller_bytes{"ab"}, says(answer)},
+             inputs{caller_bytes{"ab"}, upstream_sends(answer)},
          "HTTP/1.1 100 Continue\r\n\r\n" + answer, {ev::completed});
   expect("an upstream that names an outcome in the agent's place",
-         running(get) + inputs{says(ok + "Toucanmill-Outcome: not-run\r\n"
-                                         "Content-Length: 0\r\n\r\n")},
+         running(get) +
+             inputs{upstream_sends(ok + "Toucanmill-Outcome: not-run\r\n"
+                                        "Content-Length: 0\r\n\r\n")},
          ok + "Content-Length: 0\r\n\r\n", {ev::completed});
   expect("a half-close that cuts the answer",
          inputs{caller_bytes{get}, caller_finished{}, slot_granted{},
-                upstream_connected{}, says(answer)},
+                upstream_connected{}, upstream_sends(answer)},
          answer, {ev::completed}, finished);
   expect("a drain that cuts the answer",
-         running(get) + inputs{drain_started{}, says(answer)},
+         running(get) + inputs{drain_started{}, upstream_sends(answer)},
          ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
          finished);
   expect("a drain that cuts a request which crosses it",
-         running(get) + inputs{says(answer), drain_started{}} + running(get) +
-             inputs{says(answer)},
+         running(get) + inputs{upstream_sends(answer), drain_started{}} +
+             running(get) + inputs{upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
   expect("a drain that waits for idle callers without limit",
-         running(get) + inputs{says(answer), drain_started{}, timer_expired{}},
+         running(get) +
+             inputs{upstream_sends(answer), drain_started{}, timer_expired{}},
          answer, {ev::completed}, finished);
-  expect("a drain that loses the first request of a new connection",
-         inputs{drain_started{}} + running(get) + inputs{says(answer)},
-         ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
-         finished);
+  expect(
+      "a drain that loses the first request of a new connection",
+      inputs{drain_started{}} + running(get) + inputs{upstream_sends(answer)},
+      ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed}, finished);
   expect("a drain that cuts a head which the parser has already taken",
-         running(get) + inputs{says(answer), caller_bytes{"\r\n"},
+         running(get) + inputs{upstream_sends(answer), caller_bytes{"\r\n"},
                                caller_bytes{"GET / HTTP/1.1\r\n"},
                                drain_started{}, caller_bytes{"Host: a\r\n\r\n"},
                                slot_granted{}, upstream_connected{},
-                               says(answer)},
+                               upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
   expect("a drain that waits for silent callers without limit",
          inputs{drain_started{}, timer_expired{}}, "", {}, finished, 0);
-  expect("work for a caller who left", running(get) + inputs{caller_gone{}}, "",
-         {ev::cancelled});
+  expect("work for a caller who left",
+         running(get) + inputs{caller_disconnected{}}, "", {ev::cancelled});
 }
 
 // Each entry names the failure that it guards against.
@@ -185,20 +195,20 @@
          refusal("503 Service Unavailable", "not-run", "Retry-After: 2\r\n"),
          {ev::refused_queue_full}, {}, 0);
   expect("'not run' or a second run after a failure",
-         running(post + sized) + inputs{upstream_gone{}}, bad_gateway,
+         running(post + sized) + inputs{upstream_disconnected{}}, bad_gateway,
          {ev::unknown_upstream_gone});
   expect("more than one retry",
-         running(get) +
-             inputs{upstream_gone{}, upstream_connected{}, upstream_finished{}},
+         running(get) + inputs{upstream_disconnected{}, upstream_connected{},
+                               upstream_finished{}},
          bad_gateway, {ev::retried_idempotent, ev::unknown_upstream_gone}, {},
          2);
   expect("'not run' after a first attempt",
-         running(get) + inputs{upstream_gone{}, upstream_refused{}},
+         running(get) + inputs{upstream_disconnected{}, upstream_refused{}},
          bad_gateway, {ev::retried_idempotent, ev::unknown_upstream_gone}, {},
          2);
   expect("a retry after the answer began",
-         running(get) + inputs{says("H"), upstream_gone{}}, bad_gateway,
-         {ev::unknown_upstream_gone});
+         running(get) + inputs{upstream_sends("H"), upstream_disconnected{}},
+         bad_gateway, {ev::unknown_upstream_gone});
   expect("'unknown' although nothing was sent",
          inputs{caller_bytes{post + sized}, slot_granted{}, upstream_refused{}},
          unavailable, {ev::refused_upstream_unreachable});
@@ -221,24 +231,29 @@
   expect("a claim that stays although nothing was sent",
          claiming(claim_status::granted) + inputs{upstream_refused{}},
          unavailable, {ev::refused_upstream_unreachable}, {}, 1, 1);
-  expect("a claim that stays when the caller leaves early",
-         inputs{caller_bytes{keyed_post}, slot_granted{}, caller_gone{}}, "",
-         {ev::cancelled}, {}, 0, 1);
+  expect(
+      "a claim that stays when the caller leaves early",
+      inputs{caller_bytes{keyed_post}, slot_granted{}, caller_disconnected{}},
+      "", {ev::cancelled}, {}, 0, 1);
   expect("a released claim of a request that may have run",
-         running_claim() + inputs{upstream_gone{}}, bad_gateway,
+         running_claim() + inputs{upstream_disconnected{}}, bad_gateway,
          {ev::unknown_upstream_gone});
   expect("an answer that is relayed before it is recorded",
-         running_claim() + inputs{says(answer), caller_gone{}}, "",
-         {ev::cancelled});
+         running_claim() +
+             inputs{upstream_sends(answer), caller_disconnected{}},
+         "", {ev::cancelled});
   expect("a recorded answer without a length",
-         running_claim() + inputs{says(chunked), claim_recorded{true}}, answer,
-         {ev::completed});
+         running_claim() +
+             inputs{upstream_sends(chunked), claim_recorded{true}},
+         answer, {ev::completed});
   expect("an answer lost because it was not recorded",
-         running_claim() + inputs{says(answer), claim_recorded{false}}, answer,
-         {ev::answer_not_recorded, ev::completed});
+         running_claim() +
+             inputs{upstream_sends(answer), claim_recorded{false}},
+         answer, {ev::answer_not_recorded, ev::completed});
   expect("an answer lost because it is too large to record",
          running_claim() +
-             inputs{says(ok + "Content-Length: 70000\r\n\r\n"), says(large)},
+             inputs{upstream_sends(ok + "Content-Length: 70000\r\n\r\n"),
+                    upstream_sends(large)},
          ok + closing + "Content-Length: 70000\r\n\r\n" + large,
          {ev::answer_not_recorded, ev::completed}, caller_end::finished);
 }
@@ -288,12 +303,12 @@
 {
   retry_budget budget{0.1};
   session_driver driver{make_http_session({}, budget)};
-  driver.give(caller_bytes{
+  driver.handle(caller_bytes{
       keyed + "X-Hop: 1\r\nConnection: X-Hop\r\nToucanmill-Deadline-Ms: 500\r\n"
               "Transfer-Encoding: chunked\r\n\r\n4\r\nm=12\r\n0\r\n\r\n"});
   driver.now += 200ms;
-  driver.give_all({slot_granted{}, claim_decided{claim_status::granted, {}},
-                   upstream_connected{}});
+  driver.handle_all({slot_granted{}, claim_decided{claim_status::granted, {}},
+                     upstream_connected{}});
   CHECK_TRUE(driver.to_upstream ==
              keyed + "Content-Length: 4\r\nToucanmill-Deadline-Ms: 300\r\n" +
                  closing + "\r\nm=12");
@@ -308,12 +323,12 @@
     {
       retry_budget budget{0.1};
       session_driver driver{make_http_session({}, budget)};
-      driver.give_all({caller_bytes{start +
-                                    " HTTP/1.1\r\nHost: a\r\n"
-                                    "Idempotency-Key: k\r\n"
-                                    "Content-Length: 1\r\n\r\n" +
-                                    body},
-                       slot_granted{}});
+      driver.handle_all({caller_bytes{start +
+                                      " HTTP/1.1\r\nHost: a\r\n"
+                                      "Idempotency-Key: k\r\n"
+                                      "Content-Length: 1\r\n\r\n" +
+                                      body},
+                         slot_granted{}});
       digests.insert(driver.claims.at(0).digest);
     }
   CHECK_EQUAL(6U, digests.size());
@@ -326,7 +341,7 @@
   while (budget.take())
     continue;
   session_driver driver{make_http_session({}, budget)};
-  driver.give_all(running(get) + inputs{upstream_gone{}});
+  driver.handle_all(running(get) + inputs{upstream_disconnected{}});
   CHECK_TRUE(driver.to_caller == bad_gateway);
 }
 
@@ -335,12 +350,12 @@
 TEST(session, stream_keeps_early_bytes_and_half_closes)
 {
   session_driver driver{make_stream_session()};
-  driver.give_all({caller_bytes{}, caller_bytes{"ab"}, caller_finished{}});
+  driver.handle_all({caller_bytes{}, caller_bytes{"ab"}, caller_finished{}});
   CHECK_TRUE(driver.to_upstream.empty());
-  driver.give_all({upstream_connected{}, upstream_bytes{"late"}});
+  driver.handle_all({upstream_connected{}, upstream_bytes{"late"}});
   CHECK_TRUE(driver.to_upstream == "ab" && driver.upstream_half_closed);
   CHECK_TRUE(driver.to_caller == "late" && driver.session->busy());
-  driver.give(upstream_finished{});
+  driver.handle(upstream_finished{});
   CHECK_TRUE(driver.end == caller_end::finished && !driver.session->busy());
 }
 
@@ -349,10 +364,11 @@
 TEST(session, stream_failures_reach_the_other_side)
 {
   session_driver failed{make_stream_session()};
-  failed.give_all({caller_bytes{}, upstream_connected{}, upstream_gone{}});
+  failed.handle_all(
+      {caller_bytes{}, upstream_connected{}, upstream_disconnected{}});
   CHECK_TRUE(failed.end == caller_end::reset);
   session_driver left{make_stream_session()};
-  left.give_all({caller_bytes{}, caller_gone{}});
+  left.handle_all({caller_bytes{}, caller_disconnected{}});
   CHECK_EQUAL(0, left.open_upstreams);
 }
 
@@ -362,9 +378,10 @@
 {
   retry_budget budget{0.1};
   session_driver driver(make_http_session({}, budget));
-  driver.give_all(running(get) + inputs{says(answer), drain_started{}});
+  driver.handle_all(running(get) +
+                    inputs{upstream_sends(answer), drain_started{}});
   driver.now += 3s;
-  driver.give(caller_bytes{get});
+  driver.handle(caller_bytes{get});
   CHECK_TRUE(driver.to_caller ==
              answer + refusal("503 Service Unavailable", "not-run",
                               "Retry-After: 1\r\n" + closing));
--- a/src/agent/session_driver_test.hpp
+++ b/src/agent/session_driver_test.hpp
@@ -18,7 +18,7 @@
   reset,
 };
 
-/// Carries out the actions of a session and records them.
+/// Runs a session and records its actions.
 struct session_driver
 {
   explicit session_driver(std::unique_ptr<session_core> value)
@@ -26,12 +26,12 @@
   {
   }
 
-  std::vector<session_action> give(session_input input)
+  std::vector<session_action> handle(session_input input)
   {
     if (std::holds_alternative<slot_refused>(input))
       --slots;
     if (std::holds_alternative<upstream_refused>(input) ||
-        std::holds_alternative<upstream_gone>(input))
+        std::holds_alternative<upstream_disconnected>(input))
       open_upstreams = 0;
     auto actions = session->handle(std::move(input), now);
     for (const auto& action : actions)
@@ -39,14 +39,15 @@
     return actions;
   }
 
-  /// Gives inputs of which each may be due at the session's timer.
-  void give_all(const std::vector<session_input>& inputs)
+  /// Passes the inputs in order. A timer_expired first sets the time to that of
+  /// the session's timer.
+  void handle_all(const std::vector<session_input>& inputs)
   {
     for (const auto& input : inputs)
     {
       if (std::holds_alternative<timer_expired>(input) && timer)
         now = *timer;
-      give(input);
+      handle(input);
     }
   }
 
--- a/src/agent/stream_session_core.cpp
+++ b/src/agent/stream_session_core.cpp
@@ -8,14 +8,14 @@
 namespace
 {
 
-/// Relays bytes unread in both directions. The first input opens the upstream
-/// connection; bytes that arrive before it is open are kept.
+/// Relays bytes in both directions without parsing them. The first input opens
+/// the upstream connection; bytes that arrive before it is open are buffered.
 class stream_session final : public session_core
 {
 public:
   std::vector<session_action> handle(session_input input, time_point) override
   {
-    if (phase_ == phase::fresh)
+    if (phase_ == phase::initial)
       connect();
     if (phase_ != phase::closed)
       std::visit(
@@ -34,13 +34,13 @@
 
   std::size_t buffered_from_caller() const override
   {
-    return early_bytes_.size();
+    return pending_bytes_.size();
   }
 
 private:
   enum class phase
   {
-    fresh,
+    initial,
     connecting,
     open,
     closed,
@@ -55,7 +55,7 @@
   void close()
   {
     phase_ = phase::closed;
-    early_bytes_.clear();
+    pending_bytes_.clear();
   }
 
   void close_when_both_finished()
@@ -71,7 +71,7 @@
     if (phase_ == phase::open)
       actions_.emplace_back(send_to_upstream{std::move(value.bytes)});
     else
-      early_bytes_ += value.bytes;
+      pending_bytes_ += value.bytes;
   }
 
   void on(caller_finished&)
@@ -82,7 +82,7 @@
     close_when_both_finished();
   }
 
-  void on(caller_gone&)
+  void on(caller_disconnected&)
   {
     actions_.emplace_back(close_upstream{});
     close();
@@ -93,8 +93,9 @@
     if (phase_ != phase::connecting)
       return;
     phase_ = phase::open;
-    if (!early_bytes_.empty())
-      actions_.emplace_back(send_to_upstream{std::exchange(early_bytes_, {})});
+    if (!pending_bytes_.empty())
+      actions_.emplace_back(
+          send_to_upstream{std::exchange(pending_bytes_, {})});
     if (caller_finished_)
       actions_.emplace_back(finish_upstream{});
   }
@@ -119,7 +120,7 @@
     close_when_both_finished();
   }
 
-  void on(upstream_gone&)
+  void on(upstream_disconnected&)
   {
     actions_.emplace_back(reset_caller{});
     close();
@@ -130,10 +131,10 @@
   {
   }
 
-  phase phase_ = phase::fresh;
+  phase phase_ = phase::initial;
   bool caller_finished_ = false;
   bool upstream_finished_ = false;
-  std::string early_bytes_;
+  std::string pending_bytes_;
   std::vector<session_action> actions_;
 };
 
--- a/src/agent/upstream_link.cpp
+++ b/src/agent/upstream_link.cpp
@@ -78,7 +78,7 @@
   else if (error == asio::error::eof && !write_failed_)
     tell(upstream_finished{});
   else
-    tell(upstream_gone{});
+    tell(upstream_disconnected{});
   read();
 }
 
@@ -125,7 +125,7 @@
           self->write_failed_ = true;
           self->queued_.clear();
           if (self->end_read_)
-            self->tell(upstream_gone{});
+            self->tell(upstream_disconnected{});
         }
         else
           self->write();
