agent: clarify names and comments of the TCP stack

Comments of the wrapper over lwIP described steps figuratively (a flow that is adopted, a peer that owes a FIN) and left out why a line is needed. Names now follow the usual terms: register, acquire and release, expired, keepalive. The reasons that stand behind constants and workarounds of lwIP are kept and spelled out.

Tests: comments and names only; every assertion is unchanged.

--- a/include/toucanmill/agent/tcp_stack.hpp
+++ b/include/toucanmill/agent/tcp_stack.hpp
@@ -31,17 +31,17 @@
   duration keepalive_interval = std::chrono::seconds(5);
   unsigned keepalive_probes = 3;
 
-  /// Time in TIME_WAIT. The stack's own 120 s would keep a drained agent in its
-  /// chains for two minutes after the last flow.
+  /// Duration of TIME_WAIT. With lwIP's 120 s a drained agent would stay in the
+  /// chains for two minutes after its last flow.
   duration time_wait = std::chrono::seconds(5);
 
-  /// Packets waiting for take_packets(); more are dropped, as by a full
-  /// transmit queue.
+  /// Maximum number of packets that wait for take_packets(). Further ones are
+  /// dropped, as by a full transmit queue.
   std::size_t output_capacity = 16384;
 };
 
-/// One TCP connection. The stack keeps it alive while it has state of the flow;
-/// afterwards every call is a no-op. All calls may come from any thread.
+/// One TCP connection. The stack owns a reference until the flow is closed;
+/// after that every call is a no-op. Thread-safe.
 class tcp_connection
 {
 public:
@@ -50,20 +50,20 @@
   endpoint local() const;
   endpoint remote() const;
 
-  /// Queues octets for the peer; returns how many were accepted. The event
-  /// `tcp_writable` follows when more room is available.
+  /// Queues octets for the peer and returns how many were accepted. The event
+  /// `tcp_writable` follows when more can be accepted.
   std::size_t send(std::string_view bytes);
 
-  /// FIN after the queued octets.
+  /// Sends a FIN after the queued octets.
   void finish();
 
-  /// RST; drops everything queued.
+  /// Sends a RST and discards the queued octets.
   void reset();
 
-  /// True while the peer has not acknowledged all octets of send().
+  /// True while octets passed to send() are not acknowledged.
   bool has_unacknowledged() const;
 
-  /// Opens the receive window again by octets that the user has processed.
+  /// Reopens the receive window by the number of octets processed.
   void consume(std::size_t octets);
 
 private:
@@ -74,7 +74,7 @@
 
 using tcp_connection_ptr = std::shared_ptr<tcp_connection>;
 
-/// The handshake is complete, on either side.
+/// The handshake is complete, for an accepted or an opened connection.
 struct tcp_established
 {
 };
@@ -95,11 +95,11 @@
 {
   finished,      ///< FIN in both directions
   reset_by_peer, ///< RST
-  timed_out,     ///< silent: keepalive or retransmissions without answer
-  reset_locally, ///< reset() or end of the stack
+  timed_out,     ///< keepalives or retransmissions were not answered
+  reset_locally, ///< reset() or destruction of the stack
 };
 
-/// The stack has no state of the flow any more. The last event of a connection.
+/// The stack has removed the flow. Last event of a connection.
 struct tcp_closed
 {
   tcp_end reason;
@@ -113,7 +113,7 @@
       what;
 };
 
-/// Packets in one buffer.
+/// Packets stored in one contiguous buffer.
 class packet_batch
 {
 public:
@@ -138,7 +138,8 @@
     return {buffer_.data() + packet.offset, packet.size};
   }
 
-  /// Room for a packet of this size; the caller fills it in.
+  /// Adds a packet of this size and returns its storage, for the caller to
+  /// fill.
   std::uint8_t* append(const entry& addresses, std::size_t size);
 
 private:
@@ -146,14 +147,15 @@
   std::vector<std::uint8_t> buffer_;
 };
 
-/// TCP in user space: IPv4 packets in, events and IPv4 packets out. It accepts
-/// and opens connections with any local address. A wrapper over the raw API of
+/// User-space TCP: takes IPv4 packets, produces events and IPv4 packets.
+/// Accepts and opens connections with any local address. Wraps the raw API of
 /// lwIP, whose state is global to the process.
 ///
-/// lwIP's timers run on a thread of their own. No user code runs there or under
-/// the core lock: events and packets are queued, and `notify` is called (from
-/// any thread, under the lock, so it may only wake the owner) when a queue of
-/// either kind stops being empty.
+/// lwIP's timers run on their own thread. Events and packets are queued, so
+/// that user code never runs on that thread or under the core lock. The
+/// exception is `notify`, which is called when the queue of events or of
+/// packets becomes non-empty: from any thread and under the lock, so it must
+/// only wake the owner.
 class tcp_stack
 {
 public:
@@ -171,21 +173,21 @@
   result<tcp_connection_ptr> open(const endpoint& local,
                                   const endpoint& remote);
 
-  /// Processes a packet addressed to this host. False when it opens a flow and
-  /// the stack keeps no state of it.
+  /// Processes a packet addressed to this host. Returns false if the packet
+  /// opens a flow that the stack did not accept.
   bool inject(const tcp_packet& packet);
 
   /// Answers a packet of an unknown flow with a RST.
   void send_reset(const tcp_packet& packet);
 
-  /// The events since the last call. Take them before the packets, and handle
-  /// them after sending those: a `tcp_closed` may end the flow that tells where
-  /// its last packets go.
+  /// Returns the events since the last call. Take them before the packets, but
+  /// handle them after the packets are sent: a `tcp_closed` may remove the flow
+  /// that determines where its last packets are sent.
   std::vector<tcp_event> take_events();
 
   packet_batch take_packets();
 
-  /// Flows of which the stack has state, including those that are closing.
+  /// Number of flows, including closing ones.
   std::size_t flow_count() const;
 
   /// Packets dropped because the output queue was full.
--- a/src/agent/lookup_shortcut.cpp
+++ b/src/agent/lookup_shortcut.cpp
@@ -33,16 +33,16 @@
   if (tcp_active_pcbs == pcb_)
     pcb_->next = next_;
   else
-    unlink_removed();
+    unlink_closed();
   tcp_active_pcbs = head_;
 }
 
-/// The input ended the connection; its memory may be free already, so only its
+/// The packet ended the connection. lwIP may have freed it already, so only its
 /// address is used.
-void lookup_shortcut::unlink_removed()
+void lookup_shortcut::unlink_closed()
 {
   TOUCANMILL_INVARIANT(tcp_active_pcbs == nullptr,
-                       "the input of a packet added a connection");
+                       "a packet of a known flow opened a connection");
   if (head_ == pcb_)
   {
     head_ = next_;
--- a/src/agent/lwip_api.hpp
+++ b/src/agent/lwip_api.hpp
@@ -17,7 +17,7 @@
 namespace toucanmill::detail
 {
 
-/// Holds lwIP's core lock. It is a leaf: nothing else is locked under it.
+/// Holds lwIP's core lock. No other lock is acquired while it is held.
 class core_guard
 {
 public:
--- a/src/agent/lwip_listeners.cpp
+++ b/src/agent/lwip_listeners.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
+/// A listening socket and the number of stacks that use it.
 struct listener
 {
   tcp_pcb* pcb = nullptr;
-  std::size_t users = 0;
+  std::size_t references = 0;
 };
 
 std::map<endpoint, listener>& listeners()
@@ -40,26 +41,26 @@
 
 } // namespace
 
-err_t take_listener(const endpoint& address, tcp_accept_fn on_accept)
+err_t acquire_listener(const endpoint& address, tcp_accept_fn on_accept)
 {
-  auto& taken = listeners()[address];
+  auto& entry = listeners()[address];
   err_t error = ERR_OK;
-  if (taken.users == 0)
-    taken.pcb = open_listener(address, error);
-  if (taken.pcb == nullptr)
+  if (entry.references == 0)
+    entry.pcb = open_listener(address, error);
+  if (entry.pcb == nullptr)
   {
     listeners().erase(address);
     return error;
   }
-  ++taken.users;
-  tcp_accept(taken.pcb, on_accept);
+  ++entry.references;
+  tcp_accept(entry.pcb, on_accept);
   return ERR_OK;
 }
 
-void drop_listener(const endpoint& address)
+void release_listener(const endpoint& address)
 {
   const auto found = listeners().find(address);
-  if (found == listeners().end() || --found->second.users > 0)
+  if (found == listeners().end() || --found->second.references > 0)
     return;
   tcp_close(found->second.pcb);
   listeners().erase(found);
--- a/src/agent/lwip_listeners.hpp
+++ b/src/agent/lwip_listeners.hpp
@@ -8,12 +8,12 @@
 namespace toucanmill::detail
 {
 
-/// Listens on the address for all stacks of the process, since lwIP allows one
-/// listener for an address and port. Call under the core lock.
-err_t take_listener(const endpoint& address, tcp_accept_fn on_accept);
+/// Listens on the address. The listener is shared by all stacks of the process,
+/// since lwIP allows only one per address and port. Requires the core lock.
+err_t acquire_listener(const endpoint& address, tcp_accept_fn on_accept);
 
-/// Closes the listener once each take_listener() has its drop_listener().
-void drop_listener(const endpoint& address);
+/// Closes the listener when its last user releases it. Requires the core lock.
+void release_listener(const endpoint& address);
 
 } // namespace toucanmill::detail
 
--- a/src/agent/tcp_connection.cpp
+++ b/src/agent/tcp_connection.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr std::size_t max_write = 0xffff;
+/// lwIP takes sizes as 16-bit numbers.
+constexpr std::size_t max_octets_per_call = 0xffff;
 
 } // namespace
 
@@ -37,8 +38,8 @@
   std::size_t sent = 0;
   while (sent < bytes.size())
   {
-    const auto room =
-        std::min<std::size_t>({bytes.size() - sent, max_write, pcb->snd_buf});
+    const auto room = std::min<std::size_t>(
+        {bytes.size() - sent, max_octets_per_call, pcb->snd_buf});
     if (room == 0 ||
         tcp_write(pcb, bytes.data() + sent, static_cast<u16_t>(room),
                   TCP_WRITE_FLAG_COPY) != ERR_OK)
@@ -54,10 +55,10 @@
   const detail::core_guard guard;
   if (state_->pcb == nullptr || state_->finished)
     return;
-  // A connection that is not established yet has nothing to finish.
+  // Before the handshake is complete there is nothing to send a FIN after.
   if (!state_->established)
   {
-    state_->resetting = true;
+    state_->reset_requested = true;
     return tcp_abort(state_->pcb);
   }
   state_->finished = true;
@@ -69,8 +70,8 @@
   const detail::core_guard guard;
   if (state_->pcb == nullptr)
     return;
-  state_->resetting = true;
-  // In TIME_WAIT lwIP frees the connection without calling back.
+  state_->reset_requested = true;
+  // In TIME_WAIT lwIP frees the connection without calling on_error().
   if (auto* const pcb = state_->pcb; pcb->state == TIME_WAIT)
   {
     tcp_abort(pcb);
@@ -94,7 +95,7 @@
     return;
   while (octets > 0)
   {
-    const auto part = std::min(octets, max_write);
+    const auto part = std::min(octets, max_octets_per_call);
     tcp_recved(state_->pcb, static_cast<u16_t>(part));
     octets -= part;
   }
--- a/src/agent/tcp_stack_state.cpp
+++ b/src/agent/tcp_stack_state.cpp
@@ -14,12 +14,12 @@
 namespace
 {
 
-/// Interval of the check for closing connections; that of lwIP's slow timer.
-constexpr u32_t sweep_interval_ms = TCP_SLOW_INTERVAL;
+/// Interval of the check for closing flows; equals that of lwIP's slow timer.
+constexpr u32_t closing_check_interval_ms = TCP_SLOW_INTERVAL;
 
-/// Address of the interface between packets: 0.0.0.0 would disable input, and
-/// lwIP loops packets to the interface's own address back.
-u32_t placeholder_address()
+/// Address of the interface while no packet is processed. 0.0.0.0 would disable
+/// input, and lwIP loops back packets to the interface's own address.
+u32_t idle_interface_address()
 {
   return lwip_htonl(0x7f000001);
 }
@@ -37,7 +37,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
-/// Starts lwIP's thread on first use; it lives as long as the process.
+/// Starts lwIP's thread on first use. It runs until the process exits.
 void start_lwip()
 {
   static std::once_flag once;
@@ -64,7 +64,7 @@
 
 tcp_end reason_of(const connection_state& connection, err_t error)
 {
-  if (connection.resetting)
+  if (connection.reset_requested)
     return tcp_end::reset_locally;
   if (error == ERR_CLSD)
     return tcp_end::finished;
@@ -82,7 +82,7 @@
   start_lwip();
   const core_guard guard;
   add_interface();
-  sys_timeout(sweep_interval_ms, &tcp_stack_state::on_timer, this);
+  sys_timeout(closing_check_interval_ms, &tcp_stack_state::on_timer, this);
 }
 
 tcp_stack_state::~tcp_stack_state()
@@ -94,23 +94,23 @@
   {
     auto connection = flows_.begin()->second.state;
     auto* const pcb = connection->pcb;
-    connection->resetting = true;
+    connection->reset_requested = true;
     tcp_err(pcb, nullptr);
     tcp_abort(pcb);
     close(*connection, tcp_end::reset_locally);
   }
   for (const auto& address : listening_)
-    drop_listener(address);
+    release_listener(address);
   netif_remove(&interface_);
 }
 
 void tcp_stack_state::add_interface()
 {
   const ip4_addr_t any{0};
-  const ip4_addr_t placeholder{placeholder_address()};
+  const ip4_addr_t idle_address{idle_interface_address()};
   const ip4_addr_t mask{0xffffffff};
   netif_add(
-      &interface_, &placeholder, &mask, &any, this,
+      &interface_, &idle_address, &mask, &any, this,
       [](netif* interface)
       {
         interface->name[0] = 't';
@@ -129,7 +129,7 @@
 {
   if (listening_.count(address) != 0)
     return ERR_USE;
-  const auto error = take_listener(address, &tcp_stack_state::on_accept);
+  const auto error = acquire_listener(address, &tcp_stack_state::on_accept);
   if (error == ERR_OK)
     listening_.insert(address);
   return error;
@@ -158,14 +158,15 @@
     error = tcp_connect(pcb, &destination, remote.port,
                         &tcp_stack_state::on_connected);
   if (error == ERR_OK)
-    return add(pcb, flow);
+    return add_flow(pcb, flow);
   tcp_abort(pcb);
   return nullptr;
 }
 
 bool tcp_stack_state::inject(const tcp_packet& packet)
 {
-  // A listener of another stack would accept the flow.
+  // Listeners are shared by all stacks of the process, so without this check a
+  // listener of another stack would accept the flow.
   if (packet.opens_flow() && listening_.count(packet.flow.service) == 0)
   {
     send_reset(packet);
@@ -176,9 +177,9 @@
   if (copy == nullptr)
     return !packet.opens_flow();
   pbuf_take(copy, packet.bytes.data, static_cast<u16_t>(packet.bytes.size));
-  // lwIP accepts packets to the interface's address only. Writing the field
-  // makes every address local; netif_set_addr() would abort connections, and
-  // an interface for each address stops at 255.
+  // lwIP only accepts packets addressed to the interface. Writing the field
+  // makes every address local. netif_set_addr() would abort connections, and
+  // lwIP supports only 255 interfaces, too few for one per address.
   ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr),
                    lwip_htonl(packet.flow.service.address.value));
   netif_set_default(&interface_);
@@ -186,10 +187,10 @@
     const lookup_shortcut shortcut(pcb_of(packet.flow));
     ip4_input(copy, &interface_);
   }
-  ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr), placeholder_address());
+  ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr), idle_interface_address());
   if (!packet.opens_flow())
     return true;
-  adopt_new_flow(packet.flow);
+  register_new_flow(packet.flow);
   return flows_.count(packet.flow) != 0;
 }
 
@@ -199,20 +200,20 @@
   return found == flows_.end() ? nullptr : found->second.state->pcb;
 }
 
-/// lwIP calls back only when the handshake is complete; an earlier end of the
-/// flow would go unnoticed.
-void tcp_stack_state::adopt_new_flow(const flow_key& flow)
+/// Registers a flow whose handshake has started. lwIP's accept callback comes
+/// only after the handshake, so an earlier end of the flow would be missed.
+void tcp_stack_state::register_new_flow(const flow_key& flow)
 {
-  // lwIP puts a new connection at the head of its list.
+  // lwIP inserts new connections at the head of the list.
   auto* const pcb = tcp_active_pcbs;
   if (pcb != nullptr && pcb->state == SYN_RCVD && flow_of(*pcb) == flow &&
       flows_.count(flow) == 0)
-    add(pcb, flow);
+    add_flow(pcb, flow);
 }
 
-tcp_connection_ptr tcp_stack_state::add(tcp_pcb* pcb, const flow_key& flow)
+tcp_connection_ptr tcp_stack_state::add_flow(tcp_pcb* pcb, const flow_key& flow)
 {
-  // An accepted connection has no interface yet.
+  // lwIP does not bind accepted connections to an interface.
   tcp_bind_netif(pcb, &interface_);
   auto state = std::make_shared<connection_state>();
   state->stack = this;
@@ -288,7 +289,7 @@
 
 err_t tcp_stack_state::on_accept(void* argument, tcp_pcb*, err_t error)
 {
-  // The argument is that of adopt_new_flow().
+  // Set by register_new_flow().
   if (argument == nullptr || error != ERR_OK)
     return ERR_VAL;
   auto& connection = *static_cast<connection_state*>(argument);
@@ -362,32 +363,35 @@
 void tcp_stack_state::on_timer(void* argument)
 {
   auto& self = *static_cast<tcp_stack_state*>(argument);
-  self.sweep();
-  sys_timeout(sweep_interval_ms, &tcp_stack_state::on_timer, argument);
+  self.check_closing_flows();
+  sys_timeout(closing_check_interval_ms, &tcp_stack_state::on_timer, argument);
 }
 
-/// lwIP neither reports the end of TIME_WAIT nor probes a silent peer after our
-/// FIN. This runs on the thread of lwIP's own timers, so that it sees
-/// TIME_WAIT long before lwIP frees the connection after 120 s.
-void tcp_stack_state::sweep()
+/// lwIP neither reports the end of TIME_WAIT nor sends keepalives after its
+/// FIN. This runs on the thread of lwIP's timers, so that it detects
+/// TIME_WAIT well before lwIP frees the connection after 120 s.
+void tcp_stack_state::check_closing_flows()
 {
-  std::vector<std::shared_ptr<connection_state>> over;
+  std::vector<std::shared_ptr<connection_state>> expired;
   for (const auto& [flow, entry] : flows_)
-    if (entry.state->finished && time_wait_over(*entry.state))
-      over.push_back(entry.state);
+    if (entry.state->finished && has_expired(*entry.state))
+      expired.push_back(entry.state);
     else if (entry.state->finished)
-      probe_silent(*entry.state);
-  for (const auto& connection : over)
+      send_keepalive_if_due(*entry.state);
+  for (const auto& connection : expired)
   {
-    const bool waited = connection->pcb->state == TIME_WAIT;
+    // In TIME_WAIT lwIP frees the connection without calling on_error().
+    const bool in_time_wait = connection->pcb->state == TIME_WAIT;
     tcp_abort(connection->pcb);
-    if (waited)
+    if (in_time_wait)
       close(*connection, tcp_end::finished);
   }
 }
 
-/// Also true when a peer that owes us its FIN has been silent for too long.
-bool tcp_stack_state::time_wait_over(connection_state& connection) const
+/// True if TIME_WAIT is over, or if a peer that has not sent its FIN has not
+/// answered the keepalives. Must be called once per check, since it counts the
+/// ticks in TIME_WAIT.
+bool tcp_stack_state::has_expired(connection_state& connection) const
 {
   const auto& pcb = *connection.pcb;
   if (pcb.state != TIME_WAIT)
@@ -400,7 +404,7 @@
   return ++connection.time_wait_ticks > to_ticks(options_.time_wait);
 }
 
-void tcp_stack_state::probe_silent(connection_state& connection) const
+void tcp_stack_state::send_keepalive_if_due(connection_state& connection) const
 {
   auto& pcb = *connection.pcb;
   const auto due = to_ticks(options_.keepalive_idle +
--- a/src/agent/tcp_stack_state.hpp
+++ b/src/agent/tcp_stack_state.hpp
@@ -14,7 +14,7 @@
 namespace toucanmill::detail
 {
 
-/// State of one connection; guarded by the core lock.
+/// State of one connection. Guarded by the core lock.
 struct connection_state
 {
   tcp_stack_state* stack = nullptr;
@@ -23,14 +23,14 @@
   endpoint remote;
   std::weak_ptr<tcp_connection> handle;
   bool established = false;
-  bool finished = false; ///< FIN queued
-  bool peer_finished = false;
-  bool resetting = false;
-  bool writable_queued = false;
-  u32_t time_wait_ticks = 0;
+  bool finished = false;        ///< FIN was queued
+  bool peer_finished = false;   ///< FIN was received
+  bool reset_requested = false; ///< by this side
+  bool writable_queued = false; ///< tcp_writable is among the queued events
+  u32_t time_wait_ticks = 0;    ///< of lwIP's slow timer
 };
 
-/// Everything behind a tcp_stack; guarded by the core lock.
+/// Implementation of tcp_stack. Guarded by the core lock.
 class tcp_stack_state
 {
 public:
@@ -50,7 +50,7 @@
   std::size_t flow_count() const;
   std::uint64_t dropped_packets() const;
 
-  /// The connection ends and its flow is removed.
+  /// Queues tcp_closed and removes the flow.
   void close(connection_state& connection, tcp_end reason);
 
 private:
@@ -70,16 +70,16 @@
 
   void add_interface();
   tcp_pcb* pcb_of(const flow_key& flow) const;
-  void adopt_new_flow(const flow_key& flow);
-  tcp_connection_ptr add(tcp_pcb* pcb, const flow_key& flow);
+  void register_new_flow(const flow_key& flow);
+  tcp_connection_ptr add_flow(tcp_pcb* pcb, const flow_key& flow);
   void attach_callbacks(tcp_pcb* pcb, connection_state& connection) const;
   void queue_packet(pbuf* packet);
   template <class What>
   void queue_event(connection_state& connection, What what);
   void notify_if(bool was_empty) const;
-  void sweep();
-  bool time_wait_over(connection_state& connection) const;
-  void probe_silent(connection_state& connection) const;
+  void check_closing_flows();
+  bool has_expired(connection_state& connection) const;
+  void send_keepalive_if_due(connection_state& connection) const;
 
   tcp_stack_options options_;
   std::function<void()> notify_;
--- a/src/agent/tcp_stack_test.cpp
+++ b/src/agent/tcp_stack_test.cpp
@@ -55,7 +55,7 @@
   }
 };
 
-bool carry(tcp_stack& from, tcp_stack& to)
+bool transfer(tcp_stack& from, tcp_stack& to)
 {
   const auto batch = from.take_packets();
   for (const auto& entry : batch.entries())
@@ -67,10 +67,10 @@
   return batch.size() != 0;
 }
 
-/// Passes packets between both sides until neither sends any.
+/// Transfers packets between both sides until neither sends any.
 void exchange(side& left, side& right)
 {
-  while (carry(left.stack, right.stack) | carry(right.stack, left.stack))
+  while (transfer(left.stack, right.stack) | transfer(right.stack, left.stack))
     continue;
   left.collect();
   right.collect();
@@ -137,8 +137,8 @@
   STRCMP_EQUAL("late", received(client.events).c_str());
 }
 
-// Guards against a flow that stays in the agent's books after both sides have
-// closed, which would keep its bucket held indefinitely.
+// Guards against a flow that stays registered after both sides have closed,
+// which would keep its bucket held indefinitely.
 TEST(tcp_stack, reports_the_end_of_both_sides_after_a_close)
 {
   connect();
@@ -194,14 +194,15 @@
   CHECK(received(server.events).size() > unread);
 }
 
-// Guards against a flow that never completes its handshake and stays known.
+// Guards against a flow that stays registered although its handshake never
+// completes.
 TEST(tcp_stack, reports_a_flow_that_ends_before_it_is_established)
 {
   CHECK(server.stack.listen(service).has_value());
   opened = client.stack.open(caller, service).value();
-  carry(client.stack, server.stack);
+  transfer(client.stack, server.stack);
   CHECK_EQUAL(1, server.stack.flow_count());
-  carry(server.stack, client.stack);
+  transfer(server.stack, client.stack);
   client.stack.take_packets();
   opened->reset();
   exchange(client, server);
@@ -209,7 +210,7 @@
   CHECK_EQUAL(1, of_kind<tcp_closed>(server.events).size());
 }
 
-// Guards against a SYN counted as a flow without a listener.
+// Guards against counting a SYN without a listener as a flow.
 TEST(tcp_stack, keeps_no_state_of_a_refused_syn)
 {
   opened = client.stack.open(caller, service).value();
@@ -220,7 +221,7 @@
   CHECK_EQUAL(0, client.stack.flow_count());
 }
 
-// Guards against a packet of an unknown flow that gets no answer.
+// Guards against a packet of an unknown flow that gets no response.
 TEST(tcp_stack, send_reset_ends_the_flow_of_the_sender)
 {
   connect();
@@ -242,24 +243,23 @@
     CHECK(entry.size <= max_inner_packet);
 }
 
-// Guards against a flow to a silent peer that is never given up.
+// Guards against a flow to an unresponsive peer that is never closed.
 TEST(tcp_stack, silent_peer_is_given_up)
 {
   tcp_stack_options options;
   options.keepalive_idle = std::chrono::seconds(1);
   options.keepalive_interval = std::chrono::milliseconds(500);
   options.keepalive_probes = 1;
-  tcp_stack impatient(options, [] {});
+  tcp_stack stack(options, [] {});
   CHECK(server.stack.listen(service).has_value());
-  opened = impatient.open(caller, service).value();
-  while (carry(impatient, server.stack) | carry(server.stack, impatient))
+  opened = stack.open(caller, service).value();
+  while (transfer(stack, server.stack) | transfer(server.stack, stack))
     continue;
   const auto limit =
       std::chrono::steady_clock::now() + std::chrono::seconds(30);
-  while (impatient.flow_count() != 0 &&
-         std::chrono::steady_clock::now() < limit)
+  while (stack.flow_count() != 0 && std::chrono::steady_clock::now() < limit)
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  const auto events = impatient.take_events();
+  const auto events = stack.take_events();
   const auto closed = of_kind<tcp_closed>(events);
   CHECK_EQUAL(1, closed.size());
   CHECK(std::get<tcp_closed>(closed.front()->what).reason ==
