agent: clarify names and comments of dispatch and admission

The dispatch core used "pass" for forwarding and "ask" for probing, and several comments told what a holder "knows" or "gave up". Names and comments now use the terms of docs/design.md: forward, probe, owner, holder. Names of drop reasons stay, since they are metric labels.

Tests: comments and names only; every assertion is unchanged.

--- a/include/toucanmill/agent/admission_core.hpp
+++ b/include/toucanmill/agent/admission_core.hpp
@@ -14,7 +14,7 @@
 namespace toucanmill
 {
 
-/// A session of this agent.
+/// Identifies a session of an agent.
 using session_id = strong_id<struct session_id_tag, std::uint64_t>;
 
 struct admission_options
@@ -31,15 +31,15 @@
   refused,
 };
 
-/// Sessions whose state changed: granted a slot, or refused at their deadline.
+/// A queued session was granted a slot, or refused at its deadline.
 struct admission_change
 {
   session_id session;
   bool granted;
 };
 
-/// Shares the slots of an upstream among sessions: first in, first out, with a
-/// bounded queue and a deadline for each entry.
+/// Grants the slots of an upstream to sessions, first in, first out. The queue
+/// is bounded and each entry has a deadline.
 class admission_core
 {
 public:
@@ -47,11 +47,11 @@
 
   admission_answer request(session_id session, time_point deadline);
 
-  /// Gives back a slot or leaves the queue; a session that has neither is
-  /// ignored. Returns the sessions that now have a slot.
+  /// Releases the slot or queue entry of the session, if it has one. Returns
+  /// the sessions that were granted a slot or expired.
   std::vector<admission_change> release(session_id session, time_point now);
 
-  /// Refuses queued sessions whose deadline has passed.
+  /// Removes and returns the queued sessions whose deadline has passed.
   std::vector<admission_change> expire(time_point now);
 
   /// Earliest deadline in the queue.
@@ -62,7 +62,7 @@
   std::size_t queue_length() const;
 
 private:
-  struct waiting
+  struct queue_entry
   {
     session_id session;
     time_point deadline;
@@ -70,7 +70,7 @@
 
   admission_options options_;
   std::unordered_set<session_id> running_;
-  std::deque<waiting> queue_;
+  std::deque<queue_entry> queue_;
 };
 
 } // namespace toucanmill
--- a/include/toucanmill/agent/claim_client.hpp
+++ b/include/toucanmill/agent/claim_client.hpp
@@ -13,8 +13,8 @@
 namespace toucanmill
 {
 
-/// Claims requests at control. The callbacks may come from any thread, before
-/// or after the call returns. Calls for one claim take effect in their order.
+/// Claims requests at control. Callbacks may run on any thread, before or after
+/// the call returns. Calls for the same claim take effect in order.
 class claim_client
 {
 public:
@@ -26,16 +26,16 @@
   virtual void claim(const claim_key& key, claim_id id,
                      const request_digest& digest, on_decided done) = 0;
 
-  /// Stores the answer of a granted claim; an empty one says that the request
-  /// ran without an answer worth storing.
+  /// Stores the answer of a granted claim. An empty answer records only that
+  /// the request ran.
   virtual void complete(const claim_key& key, claim_id id, std::string answer,
                         on_recorded done) = 0;
 
-  /// The request certainly did not run; another claim may be granted.
+  /// Withdraws a claim whose request did not run; another may be granted.
   virtual void release(const claim_key& key, claim_id id) = 0;
 };
 
-/// Claims in the memory of this process, for tests.
+/// In-memory implementation for tests.
 class memory_claim_client final : public claim_client
 {
 public:
--- a/src/agent/admission_core.cpp
+++ b/src/agent/admission_core.cpp
@@ -12,7 +12,7 @@
 admission_answer admission_core::request(session_id session,
                                          time_point deadline)
 {
-  const auto is_session = [session](const waiting& entry)
+  const auto is_session = [session](const queue_entry& entry)
   {
     return entry.session == session;
   };
@@ -34,7 +34,7 @@
 std::vector<admission_change> admission_core::release(session_id session,
                                                       time_point now)
 {
-  const auto is_session = [session](const waiting& entry)
+  const auto is_session = [session](const queue_entry& entry)
   {
     return entry.session == session;
   };
@@ -50,14 +50,14 @@
     queue_.pop_front();
   }
   TOUCANMILL_INVARIANT(running_.size() <= options_.slots,
-                       "more sessions run than the upstream has slots");
+                       "more slots granted than the upstream has");
   return changes;
 }
 
 std::vector<admission_change> admission_core::expire(time_point now)
 {
   std::vector<admission_change> refused;
-  std::deque<waiting> kept;
+  std::deque<queue_entry> kept;
   for (const auto& entry : queue_)
   {
     if (entry.deadline <= now)
@@ -75,7 +75,7 @@
     return std::nullopt;
   const auto earliest =
       std::min_element(queue_.begin(), queue_.end(),
-                       [](const waiting& left, const waiting& right)
+                       [](const queue_entry& left, const queue_entry& right)
                        {
                          return left.deadline < right.deadline;
                        });
--- a/src/agent/admission_core_test.cpp
+++ b/src/agent/admission_core_test.cpp
@@ -31,8 +31,8 @@
 
 TEST_GROUP(admission){};
 
-// Guards against more requests at an upstream than it has slots, and against a
-// queue without bound.
+// Guards against more running requests than slots, and against an unbounded
+// queue.
 TEST(admission, slots_then_queue_then_refusal)
 {
   admission_core admission({1, 1, 1s});
@@ -43,7 +43,7 @@
              admission_answer::refused);
 }
 
-// Guards against a slot that is given to a later request first.
+// Guards against slots granted out of order.
 TEST(admission, release_grants_in_order)
 {
   auto admission = full_admission();
@@ -54,7 +54,7 @@
   CHECK_EQUAL(1U, admission.queue_length());
 }
 
-// Guards against an abandoned request that keeps its place in the queue.
+// Guards against a cancelled request that keeps its queue entry.
 TEST(admission, a_waiting_session_can_leave)
 {
   auto admission = full_admission();
@@ -63,8 +63,8 @@
   CHECK_EQUAL(1U, admission.slots_in_use());
 }
 
-// Guards against a request that runs after its queue deadline, and against one
-// with a short deadline that waits behind one with a long deadline.
+// Guards against a grant after the queue deadline, and against a short deadline
+// that is ignored behind a longer one.
 TEST(admission, expired_entries_are_refused_and_never_granted)
 {
   auto admission = full_admission();
--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -130,7 +130,7 @@
 }
 
 void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
-                        const pass_packet& action)
+                        const forward_packet& action)
 {
   const auto header = encode_gue_header(action.stamp);
   channel_.send(action.to, {header.bytes.data(), header.size}, packet.bytes);
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -101,7 +101,7 @@
   void act(const tcp_packet& packet, const route_stamp& stamp,
            const deliver_packet& action);
   void act(const tcp_packet& packet, const route_stamp& stamp,
-           const pass_packet& action);
+           const forward_packet& action);
   void act(const tcp_packet& packet, const route_stamp& stamp,
            const reset_flow& action);
   void act(const tcp_packet& packet, const route_stamp& stamp,
--- a/src/agent/bucket_views_core.cpp
+++ b/src/agent/bucket_views_core.cpp
@@ -8,13 +8,13 @@
 namespace
 {
 
-/// Upper limit of the bucket count of a service (create_service); bounds the
-/// memory that stamps can claim before the first table.
+/// Maximum bucket count of a service (create_service). Bounds the memory used
+/// for views of stamps before the first table.
 constexpr std::size_t max_buckets = 4096;
 
 } // namespace
 
-void bucket_views::take(const service_table& table)
+void bucket_views::update(const service_table& table)
 {
   set_service(table.id);
   views_.resize(table.buckets.size());
@@ -24,7 +24,7 @@
       view = bucket_view{table.version, to_stamped_chain(table, bucket)};
 }
 
-const bucket_view* bucket_views::take(const route_stamp& stamp)
+const bucket_view* bucket_views::update(const route_stamp& stamp)
 {
   set_service(stamp.service);
   const std::size_t limit = sized_by_table_ ? views_.size() : max_buckets;
--- a/src/agent/bucket_views_core.hpp
+++ b/src/agent/bucket_views_core.hpp
@@ -10,25 +10,25 @@
 namespace toucanmill::detail
 {
 
-/// Chain of a bucket and the version of the table that it is from.
+/// Chain of a bucket and the version of its table.
 struct bucket_view
 {
   table_version version;
   stamped_chain chain;
 };
 
-/// Newest known chain of each bucket of a service. Stamps of another service
-/// may arrive before the first table, if the endpoint was another agent's
-/// earlier; the views of one service never serve another.
+/// Newest known chain of each bucket of a service. All views are discarded when
+/// the service changes: before the first table, stamps of another service may
+/// arrive if another agent used the same endpoint before.
 class bucket_views
 {
 public:
-  /// Takes the chains of a table that are newer than the known ones.
-  void take(const service_table& table);
+  /// Stores the chains of a table that are newer than the known ones.
+  void update(const service_table& table);
 
-  /// Takes the chain of a stamp if it is newer. Returns the newest view, or
-  /// null when the service cannot have such a bucket.
-  const bucket_view* take(const route_stamp& stamp);
+  /// Stores the chain of a stamp if it is newer. Returns the newest view, or
+  /// null if the bucket number is out of range.
+  const bucket_view* update(const route_stamp& stamp);
 
 private:
   void set_service(service_id service);
--- a/src/agent/dispatch_core.cpp
+++ b/src/agent/dispatch_core.cpp
@@ -58,15 +58,17 @@
                            time_point now);
   dispatch_action on_syn(const tcp_packet& packet, const route_stamp& stamp,
                          const bucket_view& view);
-  dispatch_action on_owned_syn(const tcp_packet& packet,
-                               const route_stamp& stamp,
-                               const bucket_view& view);
-  dispatch_action on_unknown(const tcp_packet& packet, const route_stamp& stamp,
-                             const bucket_view& view, time_point now);
-  dispatch_action on_exhausted(const tcp_packet& packet,
-                               const bucket_view& view, time_point now) const;
-  dispatch_action pass_probe(const route_stamp& stamp,
-                             const bucket_view& view) const;
+  dispatch_action on_syn_as_owner(const tcp_packet& packet,
+                                  const route_stamp& stamp,
+                                  const bucket_view& view);
+  dispatch_action on_unknown_flow(const tcp_packet& packet,
+                                  const route_stamp& stamp,
+                                  const bucket_view& view, time_point now);
+  dispatch_action on_chain_exhausted(const tcp_packet& packet,
+                                     const bucket_view& view,
+                                     time_point now) const;
+  dispatch_action forward_probe(const route_stamp& stamp,
+                                const bucket_view& view) const;
   dispatch_action accept(const tcp_packet& packet, const route_stamp& stamp);
 
   bool owns(const bucket_view& view) const;
@@ -79,11 +81,11 @@
 namespace
 {
 
-dispatch_action pass(const route_stamp& stamp, const bucket_view& view,
-                     std::size_t position, stamp_purpose purpose)
+dispatch_action forward(const route_stamp& stamp, const bucket_view& view,
+                        std::size_t position, stamp_purpose purpose)
 {
   TOUCANMILL_INVARIANT(position < view.chain.size,
-                       "a packet is passed to nobody");
+                       "a packet is forwarded past the end of the chain");
   if (stamp.hops >= route_stamp::max_hops)
     return drop_packet{dispatch_drop::hop_limit};
   route_stamp next = stamp;
@@ -92,7 +94,7 @@
   next.position = static_cast<std::uint8_t>(position);
   next.purpose = purpose;
   ++next.hops;
-  return pass_packet{view.chain.holders[position], next};
+  return forward_packet{view.chain.holders[position], next};
 }
 
 } // namespace
@@ -102,9 +104,9 @@
   return view.chain.size > 0 && view.chain.holders[0] == options.self;
 }
 
-/// The own table is at least as new as the stamp and the service has another
-/// address there: a stale balancer sent the SYN, and the address may belong to
-/// another service by now.
+/// True if the own table is at least as new as the stamp and has another
+/// address for the service. Then a stale balancer sent the SYN, and the address
+/// may have been assigned to another service.
 bool dispatch_core::state::address_is_outdated(const tcp_packet& packet,
                                                const route_stamp& stamp) const
 {
@@ -131,7 +133,7 @@
 {
   if (table && stamp.service != table->service)
     return drop_packet{dispatch_drop::wrong_service};
-  const bucket_view* const view = views.take(stamp);
+  const bucket_view* const view = views.update(stamp);
   if (held_flow* const flow = flows.find(packet.flow))
   {
     if (flow->service != stamp.service)
@@ -143,7 +145,7 @@
     return drop_packet{dispatch_drop::no_table};
   if (packet.opens_flow())
     return on_syn(packet, stamp, *view);
-  return on_unknown(packet, stamp, *view, now);
+  return on_unknown_flow(packet, stamp, *view, now);
 }
 
 dispatch_action dispatch_core::state::on_syn(const tcp_packet& packet,
@@ -155,37 +157,39 @@
   if (address_is_outdated(packet, stamp))
     return drop_packet{dispatch_drop::wrong_address};
   if (owns(view))
-    return on_owned_syn(packet, stamp, view);
+    return on_syn_as_owner(packet, stamp, view);
   if (stamp.purpose == stamp_purpose::probe && stamp.version == view.version)
-    return pass_probe(stamp, view);
-  return pass(stamp, view, 0, stamp_purpose::forward);
+    return forward_probe(stamp, view);
+  return forward(stamp, view, 0, stamp_purpose::forward);
 }
 
-/// An `accept` of an older version is not enough: the bucket may have been
-/// another agent's in between, so the holders are asked again.
-dispatch_action dispatch_core::state::on_owned_syn(const tcp_packet& packet,
-                                                   const route_stamp& stamp,
-                                                   const bucket_view& view)
+/// An `accept` of an older version is not sufficient: another agent may have
+/// owned the bucket in the meantime, so the holders are probed again.
+dispatch_action dispatch_core::state::on_syn_as_owner(const tcp_packet& packet,
+                                                      const route_stamp& stamp,
+                                                      const bucket_view& view)
 {
-  const bool asked_all =
+  const bool all_holders_probed =
       stamp.purpose == stamp_purpose::accept && stamp.version == view.version;
-  if (asked_all || !options.probe_earlier_holders)
+  if (all_holders_probed || !options.probe_earlier_holders)
     return accept(packet, stamp);
   if (const auto next = detail::next_to_probe(view.chain, 0))
-    return pass(stamp, view, *next, stamp_purpose::probe);
+    return forward(stamp, view, *next, stamp_purpose::probe);
   return accept(packet, stamp);
 }
 
-dispatch_action dispatch_core::state::pass_probe(const route_stamp& stamp,
-                                                 const bucket_view& view) const
+dispatch_action
+dispatch_core::state::forward_probe(const route_stamp& stamp,
+                                    const bucket_view& view) const
 {
   if (const auto next = detail::next_to_probe(view.chain, own_position(stamp)))
-    return pass(stamp, view, *next, stamp_purpose::probe);
-  return pass(stamp, view, 0, stamp_purpose::accept);
+    return forward(stamp, view, *next, stamp_purpose::probe);
+  return forward(stamp, view, 0, stamp_purpose::accept);
 }
 
-/// Needs the own table: a restarted agent that trusted a stale balancer could
-/// accept a SYN in a bucket that its earlier life gave up.
+/// Requires the own table: relying on the stamp of a stale balancer, a
+/// restarted agent could accept a SYN in a bucket that moved away before its
+/// restart.
 dispatch_action dispatch_core::state::accept(const tcp_packet& packet,
                                              const route_stamp& stamp)
 {
@@ -203,23 +207,22 @@
   return deliver_packet{true};
 }
 
-dispatch_action dispatch_core::state::on_unknown(const tcp_packet& packet,
-                                                 const route_stamp& stamp,
-                                                 const bucket_view& view,
-                                                 time_point now)
+dispatch_action dispatch_core::state::on_unknown_flow(const tcp_packet& packet,
+                                                      const route_stamp& stamp,
+                                                      const bucket_view& view,
+                                                      time_point now)
 {
   const auto next =
       stamp.version == view.version
           ? detail::next_to_visit(view.chain, own_position(stamp))
           : detail::first_unvisited(view.chain, stamp, options.self);
   if (next)
-    return pass(stamp, view, *next, stamp_purpose::forward);
-  return on_exhausted(packet, view, now);
+    return forward(stamp, view, *next, stamp_purpose::forward);
+  return on_chain_exhausted(packet, view, now);
 }
 
-dispatch_action dispatch_core::state::on_exhausted(const tcp_packet& packet,
-                                                   const bucket_view& view,
-                                                   time_point now) const
+dispatch_action dispatch_core::state::on_chain_exhausted(
+    const tcp_packet& packet, const bucket_view& view, time_point now) const
 {
   if (packet.rst)
     return drop_packet{dispatch_drop::unexpected_reset};
@@ -240,7 +243,7 @@
   if (state_->table && table.version <= state_->table->version)
     return;
   state_->table = state::own_table{table.id, table.address, table.version};
-  state_->views.take(table);
+  state_->views.update(table);
   state_->flows.set_service(table.id);
 }
 
--- a/src/agent/dispatch_core_test.cpp
+++ b/src/agent/dispatch_core_test.cpp
@@ -78,10 +78,11 @@
                to_string(expect<drop_packet>(action).reason));
 }
 
-const pass_packet& expect_pass(const dispatch_action& action,
-                               std::uint16_t number, stamp_purpose purpose)
+const forward_packet& expect_forward(const dispatch_action& action,
+                                     std::uint16_t number,
+                                     stamp_purpose purpose)
 {
-  const auto& passed = expect<pass_packet>(action);
+  const auto& passed = expect<forward_packet>(action);
   CHECK_TRUE(passed.to == agent(number));
   CHECK_TRUE(passed.stamp.purpose == purpose);
   return passed;
@@ -101,22 +102,22 @@
   }
 };
 
-// Guards against a SYN that is accepted although an earlier holder accepted a
-// copy of it: the new owner asks first.
+// Guards against accepting a SYN of which an earlier holder accepted a copy:
+// the new owner must probe it first.
 TEST(dispatch, owner_probes_earlier_holder_before_it_accepts)
 {
   give_table(1, {2, 1});
   const auto asked =
       second.on_packet(syn_packet(), make_stamp(1, {2, 1}), start);
-  const auto& probe = expect_pass(asked, 1, stamp_purpose::probe);
+  const auto& probe = expect_forward(asked, 1, stamp_purpose::probe);
   const auto answered = first.on_packet(syn_packet(), probe.stamp, start);
-  const auto& accept = expect_pass(answered, 2, stamp_purpose::accept);
+  const auto& accept = expect_forward(answered, 2, stamp_purpose::accept);
   const auto action = second.on_packet(syn_packet(), accept.stamp, start);
   CHECK_TRUE(expect<deliver_packet>(action).new_flow);
 }
 
-// Guards against two acceptances when the holder accepted the same SYN while
-// the owner asked.
+// Guards against a second acceptance when the earlier holder accepts the same
+// SYN while the probe is in flight.
 TEST(dispatch, probe_is_delivered_by_a_holder_that_knows_the_flow)
 {
   first.on_table(make_table(1, {1}));
@@ -126,63 +127,64 @@
   CHECK_TRUE(expect<deliver_packet>(
                  first.on_packet(syn_packet(), make_stamp(1, {1}), start))
                  .new_flow);
-  const auto& probe = expect_pass(asked, 1, stamp_purpose::probe);
+  const auto& probe = expect_forward(asked, 1, stamp_purpose::probe);
   CHECK_FALSE(
       expect<deliver_packet>(first.on_packet(syn_packet(), probe.stamp, start))
           .new_flow);
 }
 
-// Guards against a stale holder that accepts new flows after a probe told it
-// that the bucket moved.
+// Guards against a stale holder that accepts new flows although a probe showed
+// that the bucket has moved.
 TEST(dispatch, probe_ends_acceptance_at_a_stale_holder)
 {
   first.on_table(make_table(1, {1}));
   auto probe = make_stamp(2, {2, 1});
   probe.purpose = stamp_purpose::probe;
   probe.position = 1;
-  expect_pass(first.on_packet(syn_packet(), probe, start), 2,
-              stamp_purpose::accept);
-  expect_pass(first.on_packet(syn_packet(), make_stamp(1, {1}), start), 2,
-              stamp_purpose::forward);
+  expect_forward(first.on_packet(syn_packet(), probe, start), 2,
+                 stamp_purpose::accept);
+  expect_forward(first.on_packet(syn_packet(), make_stamp(1, {1}), start), 2,
+                 stamp_purpose::forward);
 }
 
-// Guards against an acceptance that rests on answers from before the bucket
-// moved away and back.
+// Guards against an acceptance based on probes from before the bucket moved
+// away and back.
 TEST(dispatch, accept_of_an_older_version_is_asked_again)
 {
   second.on_table(make_table(4, {2, 3, 1}));
   auto accept = make_stamp(2, {2, 1});
   accept.purpose = stamp_purpose::accept;
-  expect_pass(second.on_packet(syn_packet(), accept, start), 3,
-              stamp_purpose::probe);
+  expect_forward(second.on_packet(syn_packet(), accept, start), 3,
+                 stamp_purpose::probe);
 }
 
-// Guards against an acceptance by an agent that lost the bucket while it asked.
+// Guards against an acceptance by an agent that lost the bucket while its probe
+// was in flight.
 TEST(dispatch, accept_at_a_former_owner_goes_to_the_owner)
 {
   second.on_table(make_table(3, {3, 2, 1}));
   auto accept = make_stamp(2, {2, 1});
   accept.purpose = stamp_purpose::accept;
-  expect_pass(second.on_packet(syn_packet(), accept, start), 3,
-              stamp_purpose::forward);
+  expect_forward(second.on_packet(syn_packet(), accept, start), 3,
+                 stamp_purpose::forward);
 }
 
-// Guards against a restarted agent that trusts a stale balancer: its earlier
-// life may have given the bucket up.
+// Guards against a restarted agent that relies on a stale balancer: the bucket
+// may have moved away before the restart.
 TEST(dispatch, no_flow_is_accepted_before_the_first_table)
 {
   expect_drop(first.on_packet(syn_packet(), make_stamp(1, {1}), start),
               dispatch_drop::no_table);
 }
 
-// Guards against a reset of a flow that an earlier holder still serves.
+// Guards against a reset of a flow that an earlier holder still has.
 TEST(dispatch, unknown_flow_visits_all_holders_before_a_reset)
 {
   give_table(2, {2, 1});
   first.on_confirmed(start);
   const auto passed =
       second.on_packet(data_packet(), make_stamp(2, {2, 1}), start);
-  const auto& next = expect_pass(passed, 1, stamp_purpose::forward);
+  const auto& next = expect_forward(passed, 1, stamp_purpose::forward);
   expect<reset_flow>(first.on_packet(data_packet(), next.stamp, start));
 }
 
@@ -200,18 +202,18 @@
               dispatch_drop::table_not_confirmed);
 }
 
-// Guards against packets lost at a failed holder although another holder
-// behind it knows the flow.
+// Guards against packets lost at a failed holder although another holder after
+// it has the flow.
 TEST(dispatch, suspect_holders_are_visited_last_and_not_probed)
 {
   auto table = make_table(2, {2, 1, 3});
   table.holders[1].suspect = true;
   second.on_table(table);
   const auto stamp = make_stamp(1, {2});
-  expect_pass(second.on_packet(data_packet(), stamp, start), 3,
-              stamp_purpose::forward);
-  expect_pass(second.on_packet(syn_packet(), stamp, start), 3,
-              stamp_purpose::probe);
+  expect_forward(second.on_packet(data_packet(), stamp, start), 3,
+                 stamp_purpose::forward);
+  expect_forward(second.on_packet(syn_packet(), stamp, start), 3,
+                 stamp_purpose::probe);
 }
 
 // Guards against a packet that circulates indefinitely.
@@ -224,8 +226,8 @@
               dispatch_drop::hop_limit);
 }
 
-// Guards against packets of another service or of an address that the service
-// gave up; flows opened at the former address live on.
+// Guards against accepting packets of another service or of a former address of
+// the service; flows opened at the former address must continue.
 TEST(dispatch, service_and_address_are_checked)
 {
   auto table = make_table(1, {1});
@@ -247,16 +249,16 @@
 // Guards against new flows at a leaving or full agent.
 TEST(dispatch, limits_refuse_new_flows_only)
 {
-  dispatch_core agent_core{{agent(1), 1}};
-  agent_core.on_table(make_table(1, {1}));
+  dispatch_core small_agent{{agent(1), 1}};
+  small_agent.on_table(make_table(1, {1}));
   const auto stamp = make_stamp(1, {1});
-  agent_core.on_packet(syn_packet(1), stamp, start);
-  expect_drop(agent_core.on_packet(syn_packet(2), stamp, start),
+  small_agent.on_packet(syn_packet(1), stamp, start);
+  expect_drop(small_agent.on_packet(syn_packet(2), stamp, start),
               dispatch_drop::connection_limit);
-  agent_core.set_leaving();
-  expect_drop(agent_core.on_packet(syn_packet(2), stamp, start),
+  small_agent.set_leaving();
+  expect_drop(small_agent.on_packet(syn_packet(2), stamp, start),
               dispatch_drop::leaving);
-  expect<deliver_packet>(agent_core.on_packet(data_packet(1), stamp, start));
+  expect<deliver_packet>(small_agent.on_packet(data_packet(1), stamp, start));
 }
 
 // Guards against an RST that is answered with an RST.
@@ -289,7 +291,7 @@
   CHECK_EQUAL(0U, first.flow_count());
 }
 
-// Guards against corrupt stamps that reach outside the views.
+// Guards against out-of-range access through corrupt stamps.
 TEST(dispatch, impossible_buckets_are_dropped)
 {
   first.on_table(make_table(1, {1}));
@@ -299,8 +301,8 @@
               dispatch_drop::no_table);
 }
 
-// Guards against chains of another service whose stamps arrive before the first
-// table, because the endpoint was that of another agent earlier.
+// Guards against using chains of another service, whose stamps may arrive
+// before the first table if another agent used the endpoint before.
 TEST(dispatch, views_of_another_service_are_forgotten)
 {
   auto other = make_stamp(9, {1, 3});
@@ -311,8 +313,8 @@
   CHECK_TRUE(expect<deliver_packet>(action).new_flow);
 }
 
-// Guards against an abort or a wrong report when tables of another service
-// come between an accepted flow and its end.
+// Guards against an abort or a wrong report when the service changes between
+// the start and the end of a flow.
 TEST(dispatch, holdings_follow_the_service)
 {
   first.on_table(make_table(1, {1}));
--- a/src/agent/dispatch_random_test.cpp
+++ b/src/agent/dispatch_random_test.cpp
@@ -29,14 +29,14 @@
   return {{0x7F000001}, static_cast<std::uint16_t>(5000 + number)};
 }
 
-struct world_options
+struct simulation_options
 {
   std::uint64_t seed = 1;
   bool probe = true;
   bool keep_chains = true;
 };
 
-/// What went wrong in a run; all zero when the protocol holds.
+/// Violated guarantees of a run; all zero if the protocol holds.
 struct violations
 {
   int accepted_twice = 0;
@@ -75,12 +75,13 @@
 
 using agent_chain = std::vector<std::size_t>;
 
-/// Agents and balancers of one service with uneven tables, a network that
-/// loses, duplicates and reorders, and a mover that follows the chain rules.
-class dispatch_world
+/// Simulates agents and balancers of one service with tables of different
+/// versions, a network that loses, duplicates and reorders packets, and planned
+/// changes that follow the chain rules.
+class dispatch_simulation
 {
 public:
-  explicit dispatch_world(world_options options)
+  explicit dispatch_simulation(simulation_options options)
       : options_(options), random_(options.seed)
   {
     agents_.resize(3 + random_() % 5);
@@ -252,15 +253,15 @@
     auto& flow = flows_[value.flow];
     if (value.stamp.service != own_service)
       found_.wrong_service += std::holds_alternative<deliver_packet>(action);
-    else if (const auto* const passed = std::get_if<pass_packet>(&action))
-      pass_on(value, *passed);
+    else if (const auto* const passed = std::get_if<forward_packet>(&action))
+      forward(value, *passed);
     else if (const auto* const accepted = std::get_if<deliver_packet>(&action))
       on_delivered(value, flow, accepted->new_flow);
     else if (std::holds_alternative<reset_flow>(action) && !flow.ended)
       ++found_.reset;
   }
 
-  void pass_on(datagram value, const pass_packet& passed)
+  void forward(datagram value, const forward_packet& passed)
   {
     TOUCANMILL_INVARIANT(passed.stamp.hops <= route_stamp::max_hops,
                          "a packet exceeds the hop limit");
@@ -282,7 +283,7 @@
   }
 
   // Agents and control.
-  /// A first table is the newest, because a quorum confirmed it.
+  /// The first table of an agent is the newest, since a quorum confirms it.
   void update_agent(std::size_t number)
   {
     const auto known = agents_[number]->version();
@@ -374,7 +375,7 @@
     start_agent(number);
   }
 
-  /// All get the newest table; each flow must then reach its holder.
+  /// Gives all agents the newest table; then each flow must reach its holder.
   void settle()
   {
     settling_ = true;
@@ -399,7 +400,7 @@
         holder.return_endpoint(flows_[flow].packet.flow) != expected;
   }
 
-  world_options options_;
+  simulation_options options_;
   std::mt19937_64 random_;
   time_point now_;
   table_version version_{1, 0};
@@ -423,12 +424,12 @@
 }
 
 /// Sum over the seeds 1 to count.
-violations run_seeds(std::uint64_t count, world_options options)
+violations run_seeds(std::uint64_t count, simulation_options options)
 {
   violations sum;
   for (options.seed = 1; options.seed <= count; ++options.seed)
   {
-    const auto found = dispatch_world(options).run();
+    const auto found = dispatch_simulation(options).run();
     if (found.total() != 0 && options.probe && options.keep_chains)
       UT_PRINT(("seed " + std::to_string(options.seed)).c_str());
     sum.accepted_twice += found.accepted_twice;
@@ -443,8 +444,8 @@
 
 TEST_GROUP(dispatch_random){};
 
-// Guards against flows that break, or that two agents serve, while buckets
-// move and the tables of balancers and agents differ.
+// Guards against flows that break or are accepted by two agents while buckets
+// move and balancers and agents have tables of different versions.
 TEST(dispatch_random, planned_changes_break_no_flow)
 {
   const auto found = run_seeds(seed_count(), {});
@@ -454,18 +455,20 @@
   CHECK_EQUAL(0, found.wrong_service);
 }
 
-// Guards against a run that could not see the fault that probes prevent.
+// Guards against a simulation that cannot detect the failure that probes
+// prevent.
 TEST(dispatch_random, without_probes_two_agents_accept_a_flow)
 {
-  world_options options;
+  simulation_options options;
   options.probe = false;
   CHECK_TRUE(run_seeds(20, options).accepted_twice > 0);
 }
 
-// Guards against a run that could not see the fault that chains prevent.
+// Guards against a simulation that cannot detect the failure that chains
+// prevent.
 TEST(dispatch_random, without_chains_flows_are_lost)
 {
-  world_options options;
+  simulation_options options;
   options.keep_chains = false;
   const auto found = run_seeds(20, options);
   CHECK_TRUE(found.unreachable > 0);
--- a/src/agent/held_flows_core.cpp
+++ b/src/agent/held_flows_core.cpp
@@ -21,18 +21,17 @@
 {
   const bool added = flows_.emplace(flow, value).second;
   TOUCANMILL_INVARIANT(added, "a held flow is accepted again");
-  count(value);
+  count_flow(value);
 }
 
-/// Flows of another service are not counted as holdings of this one.
-void held_flows::count(const held_flow& value)
+void held_flows::count_flow(const held_flow& value)
 {
   if (value.service != service_)
     return;
-  if (value.bucket >= counts_.size())
-    counts_.resize(value.bucket + 1U);
-  if (counts_[value.bucket]++ == 0)
-    touched_.insert(value.bucket);
+  if (value.bucket >= flow_counts_.size())
+    flow_counts_.resize(value.bucket + 1U);
+  if (flow_counts_[value.bucket]++ == 0)
+    changed_.insert(value.bucket);
 }
 
 void held_flows::remove(const flow_key& flow)
@@ -44,9 +43,10 @@
   flows_.erase(found);
   if (value.service != service_)
     return;
-  TOUCANMILL_INVARIANT(counts_[value.bucket] > 0, "bucket count below zero");
-  if (--counts_[value.bucket] == 0)
-    touched_.insert(value.bucket);
+  TOUCANMILL_INVARIANT(flow_counts_[value.bucket] > 0,
+                       "flow count of a bucket below zero");
+  if (--flow_counts_[value.bucket] == 0)
+    changed_.insert(value.bucket);
 }
 
 void held_flows::set_service(service_id service)
@@ -54,10 +54,10 @@
   if (service == service_)
     return;
   service_ = service;
-  counts_.clear();
-  touched_ = reported_;
+  flow_counts_.clear();
+  changed_ = reported_;
   for (const auto& [flow, value] : flows_)
-    count(value);
+    count_flow(value);
 }
 
 std::size_t held_flows::size() const
@@ -67,14 +67,14 @@
 
 bool held_flows::holds(std::uint16_t bucket) const
 {
-  return bucket < counts_.size() && counts_[bucket] > 0;
+  return bucket < flow_counts_.size() && flow_counts_[bucket] > 0;
 }
 
 std::vector<std::uint16_t> held_flows::buckets() const
 {
   std::vector<std::uint16_t> result;
-  for (std::size_t bucket = 0; bucket < counts_.size(); ++bucket)
-    if (counts_[bucket] > 0)
+  for (std::size_t bucket = 0; bucket < flow_counts_.size(); ++bucket)
+    if (flow_counts_[bucket] > 0)
       result.push_back(static_cast<std::uint16_t>(bucket));
   return result;
 }
@@ -82,7 +82,7 @@
 std::vector<holdings_change> held_flows::take_changes()
 {
   std::vector<holdings_change> changes;
-  for (const auto bucket : touched_)
+  for (const auto bucket : changed_)
   {
     const bool held = holds(bucket);
     if (held == (reported_.count(bucket) != 0))
@@ -93,7 +93,7 @@
     else
       reported_.erase(bucket);
   }
-  touched_.clear();
+  changed_.clear();
   return changes;
 }
 
--- a/src/agent/held_flows_core.hpp
+++ b/src/agent/held_flows_core.hpp
@@ -12,6 +12,7 @@
 namespace toucanmill::detail
 {
 
+/// A flow of which the TCP stack has state.
 struct held_flow
 {
   service_id service;
@@ -19,18 +20,18 @@
   endpoint return_to;
 };
 
-/// Flows that the TCP stack of an agent knows, and the buckets they are in.
+/// Flows of which the agent's TCP stack has state, counted by bucket.
 class held_flows
 {
 public:
-  /// Null when the flow is not held.
+  /// Returns null if the flow is not held.
   held_flow* find(const flow_key& flow);
   const held_flow* find(const flow_key& flow) const;
 
   void add(const flow_key& flow, const held_flow& value);
   void remove(const flow_key& flow);
 
-  /// Flows of earlier services no longer count as holdings.
+  /// Only flows of the current service count as holdings.
   void set_service(service_id service);
 
   std::size_t size() const;
@@ -39,13 +40,13 @@
 
 private:
   bool holds(std::uint16_t bucket) const;
-  void count(const held_flow& value);
+  void count_flow(const held_flow& value);
 
   service_id service_;
   std::unordered_map<flow_key, held_flow> flows_;
-  std::vector<std::uint32_t> counts_; ///< flows in each bucket
-  std::set<std::uint16_t> touched_;   ///< counts that left or reached zero
-  std::set<std::uint16_t> reported_;  ///< held at the last take_changes()
+  std::vector<std::uint32_t> flow_counts_; ///< flows of the service by bucket
+  std::set<std::uint16_t> changed_;        ///< count left or reached zero
+  std::set<std::uint16_t> reported_; ///< held as of the last take_changes()
 };
 
 } // namespace toucanmill::detail
--- a/src/agent/visit_order_core.cpp
+++ b/src/agent/visit_order_core.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+/// Positions in a chain in the order of visits.
 struct visit_order
 {
   std::size_t size = 0;
@@ -38,7 +39,7 @@
   return order;
 }
 
-/// Rank of a position in the order; the size of the order when absent.
+/// Index of a position in the order; the size of the order if absent.
 std::size_t rank_of(const visit_order& order, std::size_t position)
 {
   const auto* const begin = order.positions.data();
--- a/src/agent/visit_order_core.hpp
+++ b/src/agent/visit_order_core.hpp
@@ -10,27 +10,28 @@
 namespace toucanmill::detail
 {
 
-/// Chain of a bucket as stamps carry it. Holders beyond the capacity of a stamp
-/// are left out.
+/// Chain of a bucket in the form of a route stamp. Holders beyond the capacity
+/// of a stamp are omitted.
 stamped_chain to_stamped_chain(const service_table& table, std::size_t bucket);
 
-/// Index of a holder in the chain.
+/// Index of the holder in the chain, none if absent.
 std::optional<std::size_t> position_of(const stamped_chain& chain,
                                        const endpoint& holder);
 
-/// Holder that a packet of an unknown flow visits after this one. The owner
-/// comes first, then the other holders in chain order; suspects come last,
-/// because a failed holder would swallow packets meant for those behind it.
+/// Next holder that a packet of an unknown flow visits after this position. The
+/// order is: the owner, the other holders in chain order, suspects. Suspects
+/// come last because a failed holder drops the packets for all holders after
+/// it.
 std::optional<std::size_t> next_to_visit(const stamped_chain& chain,
                                          std::size_t position);
 
-/// First holder of the chain that is neither this agent nor among those that
-/// the packet visited under its stamp.
+/// First holder in visiting order that is not this agent and that the packet
+/// has not visited according to its stamp.
 std::optional<std::size_t> first_unvisited(const stamped_chain& chain,
                                            const route_stamp& stamp,
                                            const endpoint& self);
 
-/// Next holder after this one that a SYN probe asks; suspects are skipped.
+/// Next holder after this position for a SYN probe. Suspects are skipped.
 std::optional<std::size_t> next_to_probe(const stamped_chain& chain,
                                          std::size_t position);
 
