agent: clarify names and comments of the runtime and its flows

`live_counts`, `upstream_link` and `upstream_owner` become agent_counters, upstream_connection and upstream_handler, and files follow their types. Functions that run session actions are called execute, comments state threads, ownership and reasons plainly. The completion of a write to the upstream becomes two named steps.

Tests: comments and names only; every assertion is unchanged.

--- a/include/toucanmill/agent/agent.hpp
+++ b/include/toucanmill/agent/agent.hpp
@@ -19,12 +19,12 @@
 
 struct agent_options
 {
-  endpoint data;     ///< UDP endpoint for encapsulated packets; port 0: any
+  endpoint data;     ///< UDP endpoint for packets; port 0 selects a free port
   endpoint upstream; ///< TCP endpoint of the upstream
   duration connect_timeout = std::chrono::seconds(2);
 
-  /// Time that a caller has to close its side after the agent's FIN that ends
-  /// an HTTP session.
+  /// Time until a caller that does not close its side after the FIN of an HTTP
+  /// session is reset.
   duration linger = std::chrono::seconds(10);
 
   admission_options admission;
@@ -33,67 +33,68 @@
   tcp_stack_options tcp;
 };
 
-/// Counts since the start of the agent.
+/// Event counts since the start of the agent.
 struct agent_counts
 {
   std::array<std::uint64_t, dispatch_drop_count> drops{};
   std::array<std::uint64_t, packet_fault_count> faults{};
   std::array<std::uint64_t, request_event_count> requests{};
   std::uint64_t unstamped = 0;  ///< datagrams without a route stamp
-  std::uint64_t delivered = 0;  ///< packets given to the TCP stack
-  std::uint64_t passed_on = 0;  ///< packets sent to another agent
+  std::uint64_t delivered = 0;  ///< packets delivered to the TCP stack
+  std::uint64_t passed_on = 0;  ///< packets forwarded to another agent
   std::uint64_t resets = 0;     ///< packets of unknown flows answered with RST
   std::uint64_t new_flows = 0;  ///< completed handshakes
   std::uint64_t replies = 0;    ///< packets sent to a fabric edge
   std::uint64_t unroutable = 0; ///< replies without a return endpoint
-  std::uint64_t unsent = 0;     ///< datagrams that the system did not take
-  std::uint64_t silent_flows = 0; ///< ended by keepalive or retransmissions
+  std::uint64_t unsent = 0;     ///< datagrams that the kernel did not accept
+  std::uint64_t silent_flows =
+      0; ///< closed by keepalive or retransmission timeouts
   std::uint64_t reset_by_caller = 0;
-  std::uint64_t interrupted = 0; ///< sessions busy when the agent stopped
+  std::uint64_t interrupted =
+      0; ///< sessions that were busy when the agent stopped
 };
 
-/// What the agent holds and does now.
+/// Present state of the agent.
 struct agent_status
 {
   agent_counts counts;
   std::size_t open_flows = 0;
-  std::size_t busy_sessions = 0; ///< a request, or octets on their way
+  std::size_t busy_sessions = 0; ///< a request or unacknowledged octets
   std::size_t slots_in_use = 0;
   std::size_t queue_length = 0;
   table_version version;                   ///< of the own table
   std::vector<std::uint16_t> held_buckets; ///< ascending
 };
 
-/// The agent beside an upstream. One thread handles packets, flows and the
-/// upstream's connections; lwIP's timers have a thread of their own. All
-/// functions may be called from any thread.
+/// The agent on the host of an upstream. One thread handles packets, flows and
+/// upstream connections; lwIP's timers run on another thread. Thread-safe.
 class agent
 {
 public:
   /// Binds the UDP socket and starts the thread. The claim client must outlive
-  /// the agent and all its callbacks must be done before it ends. Errors:
+  /// the agent, and the agent must outlive its pending callbacks. Fails with
   /// io_failure.
   static result<std::unique_ptr<agent>> start(agent_options options,
                                               claim_client& claims);
 
-  /// As stop().
+  /// Calls stop().
   ~agent();
   agent(const agent&) = delete;
   agent& operator=(const agent&) = delete;
 
   endpoint data_endpoint() const;
 
-  /// Takes a table of the agent's own service; older ones are ignored.
+  /// Applies a table of the agent's own service. Older versions are ignored.
   void set_table(service_table table);
 
-  /// Control confirmed just now that the table is current.
+  /// Control has just confirmed that the table is current.
   void confirmed();
 
-  /// While leaving no new flow is accepted, and the sessions of that time end
-  /// after their current request.
+  /// A leaving agent accepts no new flows, and its sessions end after their
+  /// current request.
   void set_leaving(bool leaving);
 
-  /// Resets the remaining flows and ends the thread.
+  /// Resets the remaining flows and joins the thread.
   void stop();
 
   agent_status status() const;
--- a/src/agent/live_counts.cpp
+++ b/src/agent/agent_counters.cpp
@@ -1,4 +1,4 @@
-#include "live_counts.hpp"
+#include "agent_counters.hpp"
 
 #include <algorithm>
 
@@ -12,7 +12,7 @@
 void copy(const From& from, To& to)
 {
   std::transform(from.begin(), from.end(), to.begin(),
-                 [](const live_counts::counter& value)
+                 [](const agent_counters::counter& value)
                  {
                    return value.load(std::memory_order_relaxed);
                  });
@@ -20,7 +20,7 @@
 
 } // namespace
 
-agent_counts live_counts::read() const
+agent_counts agent_counters::snapshot() const
 {
   agent_counts values;
   copy(drops, values.drops);
--- a/src/agent/live_counts.hpp
+++ b/src/agent/agent_counters.hpp
@@ -1,5 +1,5 @@
-#ifndef TOUCANMILL_SRC_AGENT_LIVE_COUNTS_HPP
-#define TOUCANMILL_SRC_AGENT_LIVE_COUNTS_HPP
+#ifndef TOUCANMILL_SRC_AGENT_AGENT_COUNTERS_HPP
+#define TOUCANMILL_SRC_AGENT_AGENT_COUNTERS_HPP
 
 #include <array>
 #include <atomic>
@@ -11,8 +11,8 @@
 namespace toucanmill::detail
 {
 
-/// Written by the agent's thread, read by any.
-struct live_counts
+/// Counters and gauges of an agent. Written by the agent's thread, read by any.
+struct agent_counters
 {
   using counter = std::atomic<std::uint64_t>;
 
@@ -31,12 +31,13 @@
   counter reset_by_caller{0};
   counter interrupted{0};
 
+  // Gauges.
   counter open_flows{0};
   counter busy_sessions{0};
   counter slots_in_use{0};
   counter queue_length{0};
 
-  agent_counts read() const;
+  agent_counts snapshot() const;
 };
 
 } // namespace toucanmill::detail
--- a/src/agent/agent_fixture_test.hpp
+++ b/src/agent/agent_fixture_test.hpp
@@ -20,7 +20,7 @@
 inline constexpr ipv4_address loopback{0x7f000001};
 inline const endpoint service_address{{0xCB00710A}, 80};
 
-/// Waits at most 20 s, which only a failing test reaches.
+/// Polls the condition for at most 20 s; only a failing test waits that long.
 template <class Done>
 bool wait_for(Done done)
 {
@@ -35,7 +35,7 @@
   return done();
 }
 
-/// TCP server of a test, one connection at a time, blocking.
+/// Blocking TCP server for one connection at a time.
 class upstream_server
 {
 public:
@@ -65,7 +65,7 @@
   return bytes;
 }
 
-/// The table of a service whose buckets all belong to one agent.
+/// Table of a service with one agent that owns all buckets.
 inline service_table table_of(const endpoint& agent, service_kind kind,
                               std::uint64_t index = 1)
 {
@@ -82,25 +82,25 @@
   return table;
 }
 
-/// Callers of a test: a TCP stack whose packets are stamped and sent to an
-/// agent, as by a fabric edge and a balancer.
-class callers
+/// TCP stack of the callers. Its packets are stamped and sent to an agent, as
+/// by a fabric edge and a balancer.
+class caller_stack
 {
 public:
-  explicit callers(const endpoint& agent) : agent_(agent) {}
+  explicit caller_stack(const endpoint& agent) : agent_(agent) {}
 
   tcp_connection_ptr open(std::uint16_t port)
   {
     return stack_.open({{0x0A010203}, port}, service_address).value();
   }
 
-  /// From now on packets go to this agent.
+  /// Sends all further packets to this agent.
   void set_agent(const endpoint& agent)
   {
     agent_ = agent;
   }
 
-  /// Sends what the stack wants to send and takes what the agent answered.
+  /// Sends the queued packets and processes those received from the agent.
   void exchange()
   {
     for (auto& event : stack_.take_events())
--- a/src/agent/agent_flow.cpp
+++ b/src/agent/agent_flow.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-/// Reading from one side stops while more octets than this wait for the other.
-constexpr std::size_t max_backlog = 262144;
+/// No more octets are read from one side while more than this are buffered for
+/// the other.
+constexpr std::size_t max_buffered_octets = 262144;
 
 } // namespace
 
@@ -41,7 +42,7 @@
 
 void send_queue::clear()
 {
-  // Gives the memory back: most flows are idle.
+  // Releases the memory, because most flows are idle.
   bytes_ = std::string();
   sent_ = 0;
 }
@@ -58,7 +59,7 @@
 {
   if (const auto* received = std::get_if<tcp_received>(&event.what))
   {
-    window_owed_ += received->bytes.size();
+    unconsumed_octets_ += received->bytes.size();
     handle(caller_bytes{received->bytes});
   }
   else if (std::holds_alternative<tcp_peer_finished>(event.what))
@@ -75,9 +76,9 @@
 void agent_flow::on_closed(tcp_end reason)
 {
   if (reason == tcp_end::timed_out)
-    runtime_.count(&live_counts::silent_flows);
+    runtime_.count(&agent_counters::silent_flows);
   else if (reason == tcp_end::reset_by_peer)
-    runtime_.count(&live_counts::reset_by_caller);
+    runtime_.count(&agent_counters::reset_by_caller);
   closed_ = true;
   to_caller_.clear();
   handle(caller_disconnected{});
@@ -85,24 +86,24 @@
   linger_.reset();
   if (upstream_)
     upstream_->close();
-  // The session has released its slot; this is for one that forgot.
+  // Normally the session has released its slot already.
   runtime_.release_slot(id_);
 }
 
 void agent_flow::handle(session_input input)
 {
-  inbox_.push_back(std::move(input));
+  pending_inputs_.push_back(std::move(input));
   if (std::exchange(handling_, true))
     return;
-  while (!inbox_.empty())
+  while (!pending_inputs_.empty())
   {
-    auto next = std::move(inbox_.front());
-    inbox_.pop_front();
+    auto next = std::move(pending_inputs_.front());
+    pending_inputs_.pop_front();
     for (auto& action : session_->handle(std::move(next), monotonic_now()))
       std::visit(
           [this](auto& value)
           {
-            act(value);
+            execute(value);
           },
           action);
   }
@@ -110,7 +111,7 @@
   update();
 }
 
-void agent_flow::on_upstream(session_input input)
+void agent_flow::on_upstream_input(session_input input)
 {
   handle(std::move(input));
 }
@@ -120,9 +121,9 @@
   update();
 }
 
-bool agent_flow::wants_upstream_bytes() const
+bool agent_flow::accepts_upstream_bytes() const
 {
-  return to_caller_.size() <= max_backlog;
+  return to_caller_.size() <= max_buffered_octets;
 }
 
 void agent_flow::update()
@@ -132,19 +133,19 @@
     upstream_->read();
   if (finished_ && !session_->busy() && !linger_ && !closed_)
     start_linger();
-  update_busy();
+  update_busy_state();
 }
 
 void agent_flow::open_caller_window()
 {
-  const auto backlog =
+  const auto buffered =
       session_->buffered_from_caller() + (upstream_ ? upstream_->queued() : 0);
-  if (backlog <= max_backlog && window_owed_ > 0)
-    connection_->consume(std::exchange(window_owed_, 0));
+  if (buffered <= max_buffered_octets && unconsumed_octets_ > 0)
+    connection_->consume(std::exchange(unconsumed_octets_, 0));
 }
 
-/// A session is busy until the caller's TCP has acknowledged the answer.
-void agent_flow::update_busy()
+/// A session is busy until the caller has acknowledged the whole response.
+void agent_flow::update_busy_state()
 {
   const bool busy = !closed_ && (session_->busy() || to_caller_.size() > 0 ||
                                  connection_->has_unacknowledged());
@@ -152,7 +153,8 @@
     runtime_.count_busy(busy);
 }
 
-/// A caller that ignores the FIN would keep the bucket held indefinitely.
+/// Resets a caller that does not close its side in time. Otherwise it would
+/// keep the bucket held indefinitely.
 void agent_flow::start_linger()
 {
   linger_.emplace(runtime_.context(), runtime_.options().linger);
@@ -167,12 +169,12 @@
 void agent_flow::flush_to_caller()
 {
   to_caller_.flush(*connection_);
-  if (finish_wanted_ && to_caller_.size() == 0 &&
+  if (finish_requested_ && to_caller_.size() == 0 &&
       !std::exchange(finished_, true))
     connection_->finish();
 }
 
-void agent_flow::act(send_to_caller& action)
+void agent_flow::execute(send_to_caller& action)
 {
   if (closed_)
     return;
@@ -180,50 +182,51 @@
   flush_to_caller();
 }
 
-void agent_flow::act(finish_caller&)
+void agent_flow::execute(finish_caller&)
 {
-  finish_wanted_ = true;
+  finish_requested_ = true;
   flush_to_caller();
 }
 
-void agent_flow::act(reset_caller&)
+void agent_flow::execute(reset_caller&)
 {
   to_caller_.clear();
   connection_->reset();
 }
 
-void agent_flow::act(connect_upstream&)
+void agent_flow::execute(connect_upstream&)
 {
   if (upstream_)
     upstream_->close();
-  upstream_ = std::make_shared<upstream_link>(
+  upstream_ = std::make_shared<upstream_connection>(
       runtime_.context(), weak_from_this(), runtime_.read_buffer());
   upstream_->connect(runtime_.options().upstream,
                      runtime_.options().connect_timeout);
 }
 
-void agent_flow::act(send_to_upstream& action)
+void agent_flow::execute(send_to_upstream& action)
 {
   if (upstream_)
     upstream_->send(std::move(action.bytes));
 }
 
-void agent_flow::act(finish_upstream&)
+void agent_flow::execute(finish_upstream&)
 {
   if (upstream_)
     upstream_->finish();
 }
 
-void agent_flow::act(close_upstream&)
+void agent_flow::execute(close_upstream&)
 {
   if (upstream_)
     upstream_->close();
   upstream_.reset();
 }
 
-void agent_flow::act(request_slot& action)
+void agent_flow::execute(request_slot& action)
 {
-  // A new request: a resend of an earlier claim would repeat its grant.
+  // A new request needs a new claim id: with the previous one its claim would
+  // be granted as a repetition.
   claim_.reset();
   const auto answer = runtime_.request_slot(id_, action.deadline);
   if (answer == admission_answer::granted)
@@ -232,19 +235,19 @@
     handle(slot_refused{runtime_.retry_after()});
 }
 
-void agent_flow::act(release_slot&)
+void agent_flow::execute(release_slot&)
 {
   runtime_.release_slot(id_);
 }
 
-void agent_flow::act(request_claim& action)
+void agent_flow::execute(request_claim& action)
 {
   if (!claim_)
     claim_ = runtime_.next_claim();
   claim_key_ = action.key;
   runtime_.claims().claim(
       {runtime_.service(), action.key}, *claim_, action.digest,
-      runtime_.in_thread<claim_status, std::string>(
+      runtime_.bind_to_flow<claim_status, std::string>(
           weak_from_this(),
           [id = *claim_](agent_flow& flow, claim_status status,
                          std::string answer)
@@ -254,28 +257,28 @@
           }));
 }
 
-void agent_flow::act(record_answer& action)
+void agent_flow::execute(record_answer& action)
 {
   if (!claim_)
     return;
   runtime_.claims().complete(
       {runtime_.service(), claim_key_}, *claim_, std::move(action.answer),
-      runtime_.in_thread<bool>(weak_from_this(),
-                               [id = *claim_](agent_flow& flow, bool stored)
-                               {
-                                 if (flow.claim_ == id)
-                                   flow.handle(claim_recorded{stored});
-                               }));
+      runtime_.bind_to_flow<bool>(weak_from_this(),
+                                  [id = *claim_](agent_flow& flow, bool stored)
+                                  {
+                                    if (flow.claim_ == id)
+                                      flow.handle(claim_recorded{stored});
+                                  }));
 }
 
-void agent_flow::act(release_claim&)
+void agent_flow::execute(release_claim&)
 {
   if (claim_)
     runtime_.claims().release({runtime_.service(), claim_key_}, *claim_);
   claim_.reset();
 }
 
-void agent_flow::act(set_timer& action)
+void agent_flow::execute(set_timer& action)
 {
   const auto delay = std::max(action.at - monotonic_now(), duration::zero());
   timer_.expires_after(delay);
@@ -287,12 +290,12 @@
       });
 }
 
-void agent_flow::act(cancel_timer&)
+void agent_flow::execute(cancel_timer&)
 {
   timer_.cancel();
 }
 
-void agent_flow::act(count_event& action)
+void agent_flow::execute(count_event& action)
 {
   runtime_.count_request(action.event);
 }
--- a/src/agent/agent_flow.hpp
+++ b/src/agent/agent_flow.hpp
@@ -12,20 +12,20 @@
 #include <toucanmill/agent/session_core.hpp>
 #include <toucanmill/agent/tcp_stack.hpp>
 
-#include "upstream_link.hpp"
+#include "upstream_connection.hpp"
 
 namespace toucanmill::detail
 {
 
 class agent_runtime;
 
-/// Octets for the caller that TCP has not accepted yet.
+/// Octets for the caller that the TCP stack has not accepted yet.
 class send_queue
 {
 public:
   void push(std::string bytes);
 
-  /// Hands as much as possible to the connection.
+  /// Sends as many octets as the connection accepts.
   void flush(tcp_connection& connection);
 
   void clear();
@@ -40,8 +40,8 @@
   std::size_t sent_ = 0;
 };
 
-/// One flow: carries out the actions of its session.
-class agent_flow final : public upstream_owner,
+/// One flow: passes inputs to its session and executes the actions.
+class agent_flow final : public upstream_handler,
                          public std::enable_shared_from_this<agent_flow>
 {
 public:
@@ -49,21 +49,21 @@
              tcp_connection_ptr connection,
              std::unique_ptr<session_core> session);
 
-  /// An event of the caller's connection; after tcp_closed the flow is over.
+  /// Handles an event of the caller's connection. tcp_closed is the last one.
   void on_caller(const tcp_event& event);
 
   void handle(session_input input);
 
-  void on_upstream(session_input input) override;
+  void on_upstream_input(session_input input) override;
   void on_upstream_sent() override;
-  bool wants_upstream_bytes() const override;
+  bool accepts_upstream_bytes() const override;
 
   session_id id() const
   {
     return id_;
   }
 
-  /// Counted as interrupted when the agent stops now.
+  /// True while a request or unacknowledged octets would be lost by a reset.
   bool busy() const
   {
     return busy_;
@@ -75,26 +75,26 @@
   }
 
 private:
-  void act(send_to_caller& action);
-  void act(finish_caller& action);
-  void act(reset_caller& action);
-  void act(connect_upstream& action);
-  void act(send_to_upstream& action);
-  void act(finish_upstream& action);
-  void act(close_upstream& action);
-  void act(request_slot& action);
-  void act(release_slot& action);
-  void act(request_claim& action);
-  void act(record_answer& action);
-  void act(release_claim& action);
-  void act(set_timer& action);
-  void act(cancel_timer& action);
-  void act(count_event& action);
+  void execute(send_to_caller& action);
+  void execute(finish_caller& action);
+  void execute(reset_caller& action);
+  void execute(connect_upstream& action);
+  void execute(send_to_upstream& action);
+  void execute(finish_upstream& action);
+  void execute(close_upstream& action);
+  void execute(request_slot& action);
+  void execute(release_slot& action);
+  void execute(request_claim& action);
+  void execute(record_answer& action);
+  void execute(release_claim& action);
+  void execute(set_timer& action);
+  void execute(cancel_timer& action);
+  void execute(count_event& action);
 
   void flush_to_caller();
   void open_caller_window();
   void update();
-  void update_busy();
+  void update_busy_state();
   void start_linger();
   void on_closed(tcp_end reason);
 
@@ -102,16 +102,16 @@
   session_id id_;
   tcp_connection_ptr connection_;
   std::unique_ptr<session_core> session_;
-  std::shared_ptr<upstream_link> upstream_;
-  std::deque<session_input> inbox_;
+  std::shared_ptr<upstream_connection> upstream_;
+  std::deque<session_input> pending_inputs_;
   bool handling_ = false;
   bool busy_ = false;
   bool closed_ = false;
 
   send_queue to_caller_;
-  bool finish_wanted_ = false; ///< FIN once to_caller_ is empty
-  bool finished_ = false;
-  std::size_t window_owed_ = 0; ///< received, not yet given back
+  bool finish_requested_ = false;     ///< send a FIN once to_caller_ is empty
+  bool finished_ = false;             ///< FIN was sent
+  std::size_t unconsumed_octets_ = 0; ///< received, not yet consume()d
 
   asio::steady_timer timer_;
   std::optional<asio::steady_timer> linger_;
--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -13,11 +13,11 @@
 namespace
 {
 
-/// Batches taken from the socket before other handlers get a turn.
+/// Maximum number of batches received before other handlers run.
 constexpr int batches_per_turn = 16;
 
-/// Octets read from an upstream at once; the send buffer of a flow.
-constexpr std::size_t read_size = 65536;
+/// Maximum octets per read from an upstream; equals the send buffer of a flow.
+constexpr std::size_t read_buffer_size = 65536;
 
 std::mt19937_64 seeded_generator()
 {
@@ -34,7 +34,7 @@
       readable_(context_, dup(channel_.descriptor())), claims_(claims),
       dispatch_(options.dispatch), admission_(options.admission),
       budget_(options.http.retry_ratio), admission_timer_(context_),
-      read_buffer_(read_size), claim_ids_(seeded_generator()),
+      read_buffer_(read_buffer_size), claim_id_generator_(seeded_generator()),
       stack_(options.tcp,
              [this]
              {
@@ -108,15 +108,15 @@
   std::visit(
       [&](const auto& action)
       {
-        act(packet, stamp, action);
+        execute(packet, stamp, action);
       },
       dispatch_.on_packet(packet, stamp, monotonic_now()));
 }
 
-void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
-                        const deliver_packet& action)
+void agent_runtime::execute(const tcp_packet& packet, const route_stamp& stamp,
+                            const deliver_packet& action)
 {
-  // Without a table the kind of the flow is unknown; the caller resends.
+  // Without a table the kind of the service is unknown. The caller retransmits.
   if (action.new_flow && !has_table_)
   {
     dispatch_.on_flow_closed(packet.flow);
@@ -125,28 +125,28 @@
   ++counts_.delivered;
   if (stack_.inject(packet) || !action.new_flow)
     return;
-  reset_targets_[packet.flow] = stamp.return_to;
+  reset_return_endpoints_[packet.flow] = stamp.return_to;
   dispatch_.on_flow_closed(packet.flow);
 }
 
-void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
-                        const forward_packet& action)
+void agent_runtime::execute(const tcp_packet& packet, const route_stamp&,
+                            const forward_packet& action)
 {
   const auto header = encode_gue_header(action.stamp);
   channel_.send(action.to, {header.bytes.data(), header.size}, packet.bytes);
   ++counts_.passed_on;
 }
 
-void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
-                        const reset_flow&)
+void agent_runtime::execute(const tcp_packet& packet, const route_stamp& stamp,
+                            const reset_flow&)
 {
-  reset_targets_[packet.flow] = stamp.return_to;
+  reset_return_endpoints_[packet.flow] = stamp.return_to;
   stack_.send_reset(packet);
   ++counts_.resets;
 }
 
-void agent_runtime::act(const tcp_packet&, const route_stamp&,
-                        const drop_packet& action)
+void agent_runtime::execute(const tcp_packet&, const route_stamp&,
+                            const drop_packet& action)
 {
   count_drop(action.reason);
 }
@@ -170,7 +170,7 @@
   }
   channel_.flush();
   counts_.unsent = channel_.unsent();
-  reset_targets_.clear();
+  reset_return_endpoints_.clear();
   publish_holdings();
 }
 
@@ -193,8 +193,8 @@
 {
   if (const auto known = dispatch_.return_endpoint(flow))
     return known;
-  const auto found = reset_targets_.find(flow);
-  if (found == reset_targets_.end())
+  const auto found = reset_return_endpoints_.find(flow);
+  if (found == reset_return_endpoints_.end())
     return std::nullopt;
   return found->second;
 }
@@ -230,7 +230,7 @@
     flow->handle(drain_started{});
 }
 
-/// Also ends flows whose handshake was never completed.
+/// Also handles flows whose handshake was never completed.
 void agent_runtime::end_flow(const tcp_event& event)
 {
   const auto& connection = *event.connection;
@@ -374,7 +374,7 @@
 agent_status agent_runtime::status() const
 {
   agent_status value;
-  value.counts = counts_.read();
+  value.counts = counts_.snapshot();
   value.open_flows = counts_.open_flows;
   value.busy_sessions = counts_.busy_sessions;
   value.slots_in_use = counts_.slots_in_use;
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -13,21 +13,21 @@
 #include <toucanmill/agent/agent.hpp>
 #include <toucanmill/net/udp_channel.hpp>
 
+#include "agent_counters.hpp"
 #include "agent_flow.hpp"
-#include "live_counts.hpp"
 
 namespace toucanmill::detail
 {
 
-/// Packets, flows and admission of one agent. Everything but the functions
-/// marked otherwise runs on the thread of its io_context.
+/// Processes the packets, flows and admission of an agent on the thread of its
+/// io_context. Other threads may only call functions that are marked so.
 class agent_runtime
 {
 public:
   agent_runtime(agent_options options, udp_channel channel,
                 claim_client& claims);
 
-  /// Runs until stop(); the agent's thread.
+  /// Runs the io_context until stop().
   void run();
 
   void set_table(service_table table);
@@ -35,10 +35,10 @@
   void set_leaving(bool leaving);
   void stop();
 
-  /// Any thread.
+  /// May be called from any thread.
   agent_status status() const;
 
-  // For flows.
+  // Used by agent_flow.
   asio::io_context& context()
   {
     return context_;
@@ -61,7 +61,7 @@
   }
   claim_id next_claim()
   {
-    return {claim_ids_()};
+    return {claim_id_generator_()};
   }
   duration retry_after() const
   {
@@ -69,17 +69,17 @@
   }
   admission_answer request_slot(session_id session, time_point deadline);
   void release_slot(session_id session);
-  void count(live_counts::counter live_counts::*counter)
+  void count(agent_counters::counter agent_counters::*counter)
   {
     ++(counts_.*counter);
   }
   void count_busy(bool busy);
   void count_request(request_event event);
 
-  /// A callback for another thread that runs the function on this one, unless
-  /// the flow is gone by then.
+  /// Returns a callback for other threads that runs the function on this
+  /// thread, unless the flow no longer exists by then.
   template <class... Arguments, class Function>
-  auto in_thread(std::weak_ptr<agent_flow> flow, Function function)
+  auto bind_to_flow(std::weak_ptr<agent_flow> flow, Function function)
   {
     return [this, flow = std::move(flow),
             function = std::move(function)](Arguments... arguments)
@@ -87,8 +87,8 @@
       asio::post(context_,
                  [flow, function, arguments...]() mutable
                  {
-                   if (const auto kept = flow.lock())
-                     function(*kept, std::move(arguments)...);
+                   if (const auto locked = flow.lock())
+                     function(*locked, std::move(arguments)...);
                  });
     };
   }
@@ -98,14 +98,14 @@
   void receive_batches();
   void on_datagram(byte_view datagram);
   void on_packet(const tcp_packet& packet, const route_stamp& stamp);
-  void act(const tcp_packet& packet, const route_stamp& stamp,
-           const deliver_packet& action);
-  void act(const tcp_packet& packet, const route_stamp& stamp,
-           const forward_packet& action);
-  void act(const tcp_packet& packet, const route_stamp& stamp,
-           const reset_flow& action);
-  void act(const tcp_packet& packet, const route_stamp& stamp,
-           const drop_packet& action);
+  void execute(const tcp_packet& packet, const route_stamp& stamp,
+               const deliver_packet& action);
+  void execute(const tcp_packet& packet, const route_stamp& stamp,
+               const forward_packet& action);
+  void execute(const tcp_packet& packet, const route_stamp& stamp,
+               const reset_flow& action);
+  void execute(const tcp_packet& packet, const route_stamp& stamp,
+               const drop_packet& action);
   void count_drop(dispatch_drop reason);
 
   void process_stack();
@@ -131,25 +131,25 @@
   asio::steady_timer admission_timer_;
   std::optional<time_point> admission_deadline_;
   std::vector<char> read_buffer_;
-  std::mt19937_64 claim_ids_;
+  std::mt19937_64 claim_id_generator_;
 
   bool leaving_ = false;
-  bool has_table_ = false; ///< and listens on its address
+  bool has_table_ = false; ///< and the stack listens on its address
   service_kind kind_ = service_kind::stream;
   service_id service_;
   std::uint64_t last_session_ = 0;
   std::unordered_map<tcp_connection*, std::shared_ptr<agent_flow>> flows_;
   std::unordered_map<session_id, std::weak_ptr<agent_flow>> sessions_;
 
-  /// Return endpoints of flows that dispatch_ does not know.
-  std::unordered_map<flow_key, endpoint> reset_targets_;
+  /// Return endpoints for resets of flows that dispatch_ does not hold.
+  std::unordered_map<flow_key, endpoint> reset_return_endpoints_;
 
-  live_counts counts_;
+  agent_counters counts_;
   mutable std::mutex holdings_mutex_;
   table_version held_version_;
   std::vector<std::uint16_t> held_buckets_;
 
-  tcp_stack stack_; ///< last, since its notifications use the members above
+  tcp_stack stack_; ///< last, because its callback uses the members above
 };
 
 } // namespace toucanmill::detail
--- a/src/agent/agent_test.cpp
+++ b/src/agent/agent_test.cpp
@@ -27,7 +27,7 @@
   memory_claim_client claims;
   upstream_server upstream;
   std::unique_ptr<agent> tested;
-  std::unique_ptr<callers> clients;
+  std::unique_ptr<caller_stack> clients;
 
   void start(service_kind kind)
   {
@@ -38,7 +38,7 @@
     tested = agent::start(options, claims).value();
     tested->set_table(table_of(tested->data_endpoint(), kind));
     tested->confirmed();
-    clients = std::make_unique<callers>(tested->data_endpoint());
+    clients = std::make_unique<caller_stack>(tested->data_endpoint());
   }
 
   tcp_connection_ptr connect(std::uint16_t port)
@@ -63,7 +63,8 @@
     CHECK(arrived);
   }
 
-  /// Sends a request, answers it at the upstream, returns the relayed request.
+  /// Sends a request, responds at the upstream, returns the relayed request
+  /// head.
   std::string answer(const tcp_connection_ptr& caller,
                      const std::string& request, const std::string& response)
   {
@@ -129,8 +130,8 @@
       }));
 }
 
-// Guards against a slot that is lost, and a request that does not reach the
-// upstream.
+// Guards against a slot that is not released, and a request that does not reach
+// the upstream.
 TEST(agent, relays_a_request_and_frees_its_slot)
 {
   start(service_kind::http);
@@ -165,7 +166,7 @@
   CHECK_EQUAL(1, requests(tested->status(), request_event::truncated_answer));
 }
 
-// Guards against a second run of a submission that is sent again.
+// Guards against running a repeated submission twice.
 TEST(agent, replays_the_answer_of_a_repeated_submission)
 {
   start(service_kind::http);
@@ -190,11 +191,11 @@
   CHECK_EQUAL(1, requests(tested->status(), request_event::replayed));
 }
 
-// Guards against memory that fills up when a caller does not read.
+// Guards against unbounded buffering when a caller does not read.
 TEST(agent, stops_reading_an_upstream_whose_caller_is_slow)
 {
   constexpr std::size_t total = 64U << 20;
-  // Kernel buffers on loopback hold a few megabytes besides the agent's own.
+  // Kernel buffers on loopback hold a few megabytes in addition to the agent's.
   constexpr std::size_t limit = 16U << 20;
   start(service_kind::stream);
   const auto caller = connect(40000);
@@ -202,7 +203,7 @@
   socket.non_blocking(true);
   const std::string piece(65536, 'x');
   std::size_t sent = 0;
-  // Ends when nothing could be sent for 200 rounds.
+  // Stops after 200 rounds in which nothing could be sent.
   for (int stalled = 0; stalled < 200 && sent < total;)
   {
     std::error_code error;
@@ -216,13 +217,13 @@
   CHECK(sent < limit);
 }
 
-// Guards against a caller left waiting on a flow that no agent knows, and
-// against a reset while the table may be stale.
+// Guards against a flow that no agent holds and that is not reset, and against
+// a reset while the table may be stale.
 TEST(agent, resets_an_unknown_flow_only_with_a_confirmed_table)
 {
   start(service_kind::stream);
   const auto caller = connect(40000);
-  // The first agent stays, since its end would reset the flow.
+  // The first agent keeps running, since stopping it would reset the flow.
   const auto first = std::move(tested);
   agent_options options;
   options.data = {loopback, 0};
@@ -262,7 +263,7 @@
   CHECK_EQUAL(0, tested->status().open_flows);
 }
 
-// Guards against garbage that stops the agent.
+// Guards against malformed datagrams that stop the agent.
 TEST(agent, counts_malformed_datagrams)
 {
   start(service_kind::stream);
@@ -282,8 +283,8 @@
   connect(40000);
 }
 
-// Guards against a drain that cuts a request which crosses it, a connection
-// that stays open after that request, and new flows for an agent that leaves.
+// Guards against a drain that cuts off a request in flight, a connection that
+// stays open after that request, and new flows at a leaving agent.
 TEST(agent, leaving_ends_sessions_after_a_request_and_accepts_no_flow)
 {
   start(service_kind::http);
--- a/src/agent/upstream_link.cpp
+++ b/src/agent/upstream_connection.cpp
@@ -1,19 +1,19 @@
-#include "upstream_link.hpp"
+#include "upstream_connection.hpp"
 
 #include <utility>
 
 namespace toucanmill::detail
 {
 
-upstream_link::upstream_link(asio::io_context& context,
-                             std::weak_ptr<upstream_owner> owner,
-                             std::vector<char>& buffer)
-    : socket_(context), connect_timer_(context), owner_(std::move(owner)),
+upstream_connection::upstream_connection(
+    asio::io_context& context, std::weak_ptr<upstream_handler> handler,
+    std::vector<char>& buffer)
+    : socket_(context), connect_timer_(context), handler_(std::move(handler)),
       buffer_(buffer)
 {
 }
 
-void upstream_link::connect(const endpoint& upstream, duration timeout)
+void upstream_connection::connect(const endpoint& upstream, duration timeout)
 {
   const auto self = shared_from_this();
   connect_timer_.expires_after(timeout);
@@ -31,30 +31,30 @@
       });
 }
 
-void upstream_link::on_connect(std::error_code error)
+void upstream_connection::on_connect(std::error_code error)
 {
   if (closed_)
     return;
   connect_timer_.cancel();
   if (error)
   {
-    tell(upstream_refused{});
+    notify(upstream_refused{});
     return close();
   }
   open_ = true;
   std::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
-  tell(upstream_connected{});
+  notify(upstream_connected{});
   read();
   write();
 }
 
-void upstream_link::read()
+void upstream_connection::read()
 {
-  const auto owner = owner_.lock();
-  if (!open_ || closed_ || reading_ || end_read_ || !owner ||
-      !owner->wants_upstream_bytes())
+  const auto handler = handler_.lock();
+  if (!open_ || closed_ || reading_ || read_ended_ || !handler ||
+      !handler->accepts_upstream_bytes())
     return;
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
@@ -66,23 +66,23 @@
                      });
 }
 
-void upstream_link::on_readable()
+void upstream_connection::on_readable()
 {
   std::error_code error;
   const auto size = socket_.read_some(asio::buffer(buffer_), error);
   if (error == asio::error::would_block)
     return read();
-  end_read_ = static_cast<bool>(error);
+  read_ended_ = static_cast<bool>(error);
   if (!error)
-    tell(upstream_bytes{std::string(buffer_.data(), size)});
+    notify(upstream_bytes{std::string(buffer_.data(), size)});
   else if (error == asio::error::eof && !write_failed_)
-    tell(upstream_finished{});
+    notify(upstream_finished{});
   else
-    tell(upstream_disconnected{});
+    notify(upstream_disconnected{});
   read();
 }
 
-void upstream_link::send(std::string bytes)
+void upstream_connection::send(std::string bytes)
 {
   if (closed_ || write_failed_)
     return;
@@ -93,20 +93,20 @@
   write();
 }
 
-void upstream_link::finish()
+void upstream_connection::finish()
 {
-  finishing_ = true;
+  finish_requested_ = true;
   write();
 }
 
-void upstream_link::write()
+void upstream_connection::write()
 {
   if (!open_ || closed_ || !writing_.empty())
     return;
   if (queued_.empty())
   {
     std::error_code ignored;
-    if (std::exchange(finishing_, false))
+    if (std::exchange(finish_requested_, false))
       socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     return;
   }
@@ -115,26 +115,34 @@
       socket_, asio::buffer(writing_),
       [self = shared_from_this()](std::error_code error, std::size_t)
       {
-        self->writing_.clear();
-        if (self->closed_)
-          return;
-        // The answer may still wait to be read, so the reading side tells how
-        // the connection ended, unless it is at its end already.
-        if (error)
-        {
-          self->write_failed_ = true;
-          self->queued_.clear();
-          if (self->end_read_)
-            self->tell(upstream_disconnected{});
-        }
-        else
-          self->write();
-        if (const auto owner = self->owner_.lock())
-          owner->on_upstream_sent();
+        self->on_written(error);
       });
 }
 
-void upstream_link::close()
+void upstream_connection::on_written(std::error_code error)
+{
+  writing_.clear();
+  if (closed_)
+    return;
+  if (error)
+    on_write_failed();
+  else
+    write();
+  if (const auto handler = handler_.lock())
+    handler->on_upstream_sent();
+}
+
+/// A response may still be unread, so the end of the connection is reported by
+/// the read side, unless that has ended already.
+void upstream_connection::on_write_failed()
+{
+  write_failed_ = true;
+  queued_.clear();
+  if (read_ended_)
+    notify(upstream_disconnected{});
+}
+
+void upstream_connection::close()
 {
   if (std::exchange(closed_, true))
     return;
@@ -143,10 +151,10 @@
   socket_.close(ignored);
 }
 
-void upstream_link::tell(session_input input)
+void upstream_connection::notify(session_input input)
 {
-  if (const auto owner = owner_.lock(); owner && !closed_)
-    owner->on_upstream(std::move(input));
+  if (const auto handler = handler_.lock(); handler && !closed_)
+    handler->on_upstream_input(std::move(input));
 }
 
 } // namespace toucanmill::detail
