agent: clarify the texts of the HTTP tests, unify include guards

The texts of failures said "cut", "left", "shows"; they now name the failure. http_session::act() becomes emit(), since it only appends an action.

Tests: names and texts only; every assertion is unchanged.

--- a/src/agent/http_end_core.cpp
+++ b/src/agent/http_end_core.cpp
@@ -29,7 +29,7 @@
   release_resources();
   response.close = must_close();
   count(event);
-  act(send_to_caller{to_bytes(response)});
+  emit(send_to_caller{to_bytes(response)});
   end_exchange();
 }
 
@@ -49,7 +49,7 @@
     answer = add_connection_close(std::move(answer));
   exchange_->relayed = true;
   count(event);
-  act(send_to_caller{std::move(answer)});
+  emit(send_to_caller{std::move(answer)});
   end_exchange();
 }
 
@@ -69,7 +69,7 @@
 {
   count(request_event::cancelled);
   release_resources();
-  act(reset_caller{});
+  emit(reset_caller{});
   phase_ = phase::closed;
 }
 
@@ -80,13 +80,13 @@
     return;
   release_slot_if_requested();
   if (std::exchange(exchange_->claim_requested, false) && !exchange_->sent)
-    act(release_claim{});
+    emit(release_claim{});
 }
 
 void http_session::release_slot_if_requested()
 {
   if (std::exchange(exchange_->slot_requested, false))
-    act(release_slot{});
+    emit(release_slot{});
 }
 
 /// Discards the body bytes received so far. If they complete the request, the
@@ -107,7 +107,7 @@
 
 void http_session::finish_session()
 {
-  act(finish_caller{});
+  emit(finish_caller{});
   phase_ = phase::closed;
 }
 
@@ -165,9 +165,9 @@
     return;
   timer_ = next;
   if (next)
-    act(set_timer{*next});
+    emit(set_timer{*next});
   else
-    act(cancel_timer{});
+    emit(cancel_timer{});
 }
 
 } // namespace toucanmill::detail
--- a/src/agent/http_random_test.cpp
+++ b/src/agent/http_random_test.cpp
@@ -31,31 +31,32 @@
   std::string answer;
 };
 
-/// One caller with its session, its upstream connection and what is on the way
-/// to the session.
-struct caller_side
+/// One caller with its session, its upstream connection and the inputs in
+/// flight to the session.
+struct simulated_caller
 {
-  explicit caller_side(retry_budget& budget)
+  explicit simulated_caller(retry_budget& budget)
       : driver(make_http_session({}, budget))
   {
   }
 
   session_driver driver;
-  std::vector<std::string> targets; ///< of the requests sent, in order
+  std::vector<std::string> targets; ///< of all requests, in order
   std::deque<session_input> from_caller;
   std::deque<session_input> from_upstream;
   std::deque<session_input> from_control;
-  std::optional<detail::request_reader> request; ///< at the upstream
+  std::optional<detail::request_reader> request; ///< as parsed by the upstream
   std::string unread_request;
   std::uint64_t claim = 0;
-  bool claim_undecided = false;
-  bool gone = false;
-  std::size_t ended = 0;      ///< requests that have an outcome
-  std::set<std::size_t> sent; ///< requests of which the upstream has a byte
+  bool repeat_claim = false;
+  bool disconnected = false;
+  std::size_t outcomes = 0;   ///< number of requests with an outcome
+  std::set<std::size_t> sent; ///< requests of which the upstream received bytes
 };
 
-/// Sessions of one agent against an upstream, a claim store and callers that
-/// fail in all ways. Targets are unique but for those of keyed requests.
+/// Simulates the sessions of one agent with an upstream, a claim store and
+/// callers, all of which fail at random. Targets are unique, except for
+/// requests with an idempotency key.
 class http_simulation
 {
 public:
@@ -65,16 +66,16 @@
       add_caller();
   }
 
-  /// Names of the violated guarantees.
+  /// Returns the violated guarantees.
   std::set<std::string> run()
   {
-    while (step() || end_silent_caller())
+    while (step() || disconnect_waiting_caller())
       continue;
     for (const auto& caller : callers_)
       check_caller(*caller);
     for (const auto& [target, count] : runs_)
-      require(count <= 1 || target[1] == 'g', "one run for " + target);
-    require(admission_.slots_in_use() == 0, "slots are given back");
+      require(count <= 1 || target[1] == 'g', "at most one run of " + target);
+    require(admission_.slots_in_use() == 0, "all slots are released");
     return violations_;
   }
 
@@ -90,16 +91,16 @@
       violations_.insert(guarantee);
   }
 
-  /// Splits bytes at random places.
+  /// Queues the bytes in pieces of random size.
   void enqueue(std::deque<session_input>& queue, const std::string& bytes,
-               bool to_caller_side)
+               bool from_upstream)
   {
     for (std::size_t at = 0; at < bytes.size();)
     {
       const auto size = 1 + random_() % (chance(30) ? 5 : 400);
       const auto part = bytes.substr(at, size);
-      queue.push_back(to_caller_side ? session_input(upstream_bytes{part})
-                                     : session_input(caller_bytes{part}));
+      queue.push_back(from_upstream ? session_input(upstream_bytes{part})
+                                    : session_input(caller_bytes{part}));
       at += size;
     }
   }
@@ -107,7 +108,7 @@
   // Callers.
   void add_caller()
   {
-    callers_.push_back(std::make_unique<caller_side>(budget_));
+    callers_.push_back(std::make_unique<simulated_caller>(budget_));
     auto& caller = *callers_.back();
     for (std::size_t i = 0; i < requests_per_session; ++i)
       enqueue(caller.from_caller, make_request(caller), false);
@@ -122,7 +123,7 @@
       caller.from_control.push_back(drain_started{});
   }
 
-  std::string make_request(caller_side& caller)
+  std::string make_request(simulated_caller& caller)
   {
     const auto kind = "gpk"[random_() % 3];
     const auto number = kind == 'k' ? random_() % key_count : 100 + next_++;
@@ -143,19 +144,19 @@
   // Scheduling.
   bool step()
   {
-    std::vector<std::pair<caller_side*, std::deque<session_input>*>> ready;
+    std::vector<std::pair<simulated_caller*, std::deque<session_input>*>> ready;
     for (const auto& caller : callers_)
       for (auto* const queue : {&caller->from_caller, &caller->from_upstream,
                                 &caller->from_control})
-        if (!queue->empty() && !caller->gone)
+        if (!queue->empty() && !caller->disconnected)
           ready.emplace_back(caller.get(), queue);
     if (ready.empty() || chance(1))
       return advance_time() || !ready.empty();
     const auto [caller, queue] = ready[random_() % ready.size()];
     const auto input = std::move(queue->front());
     queue->pop_front();
-    caller->gone |= std::holds_alternative<caller_disconnected>(input);
-    give(*caller, input);
+    caller->disconnected |= std::holds_alternative<caller_disconnected>(input);
+    deliver(*caller, input);
     return true;
   }
 
@@ -163,26 +164,27 @@
   {
     auto next = admission_.next_deadline();
     for (const auto& caller : callers_)
-      if (const auto timer = caller->driver.timer; timer && !caller->gone)
+      if (const auto timer = caller->driver.timer;
+          timer && !caller->disconnected)
         next = next ? std::min(*next, *timer) : *timer;
     if (!next)
       return false;
     now_ = std::max(now_, *next);
-    on_admission(admission_.expire(now_));
+    on_admission_changes(admission_.expire(now_));
     for (const auto& caller : callers_)
       if (caller->driver.timer && *caller->driver.timer <= now_)
       {
         caller->driver.timer.reset();
-        give(*caller, timer_expired{});
+        deliver(*caller, timer_expired{});
       }
     return true;
   }
 
-  /// The caller of a request that the upstream never answers gives up.
-  bool end_silent_caller()
+  /// Disconnects a caller whose request the upstream never answers.
+  bool disconnect_waiting_caller()
   {
     for (const auto& caller : callers_)
-      if (caller->driver.session->busy() && !caller->gone)
+      if (caller->driver.session->busy() && !caller->disconnected)
       {
         caller->from_caller = {caller_disconnected{}};
         return true;
@@ -190,7 +192,7 @@
     return false;
   }
 
-  void give(caller_side& caller, const session_input& input)
+  void deliver(simulated_caller& caller, const session_input& input)
   {
     caller.driver.now = now_;
     for (const auto& action : caller.driver.handle(input))
@@ -203,17 +205,17 @@
   }
 
   template <class Action>
-  void on(caller_side&, const Action&)
+  void on(simulated_caller&, const Action&)
   {
   }
 
-  void on(caller_side& caller, const count_event& value)
+  void on(simulated_caller& caller, const count_event& value)
   {
-    caller.ended += answers(value.event);
+    caller.outcomes += has_outcome(value.event);
   }
 
   // Slots.
-  session_id id_of(const caller_side& caller) const
+  session_id id_of(const simulated_caller& caller) const
   {
     for (std::size_t i = 0; i < callers_.size(); ++i)
       if (callers_[i].get() == &caller)
@@ -221,21 +223,21 @@
     return session_id{session_count};
   }
 
-  void on(caller_side& caller, const request_slot& value)
+  void on(simulated_caller& caller, const request_slot& value)
   {
-    const auto answer = admission_.request(id_of(caller), value.deadline);
-    if (answer == admission_answer::granted)
+    const auto decision = admission_.request(id_of(caller), value.deadline);
+    if (decision == admission_answer::granted)
       caller.from_control.push_back(slot_granted{});
-    if (answer == admission_answer::refused)
+    if (decision == admission_answer::refused)
       caller.from_control.push_back(slot_refused{1s});
   }
 
-  void on(caller_side& caller, const release_slot&)
+  void on(simulated_caller& caller, const release_slot&)
   {
-    on_admission(admission_.release(id_of(caller), now_));
+    on_admission_changes(admission_.release(id_of(caller), now_));
   }
 
-  void on_admission(const std::vector<admission_change>& changes)
+  void on_admission_changes(const std::vector<admission_change>& changes)
   {
     for (const auto& [session, granted] : changes)
       callers_[session.value]->from_control.push_back(
@@ -244,16 +246,16 @@
   }
 
   // Claim store.
-  void on(caller_side& caller, const request_claim& value)
+  void on(simulated_caller& caller, const request_claim& value)
   {
-    if (!caller.claim_undecided)
+    if (!caller.repeat_claim)
       caller.claim = ++last_claim_;
     claim_decided decided{claim_status::unavailable, {}};
     if (!chance(15))
       decided = decide(caller.claim, value);
     if (chance(15))
       decided = {claim_status::unavailable, {}};
-    caller.claim_undecided = decided.status == claim_status::unavailable;
+    caller.repeat_claim = decided.status == claim_status::unavailable;
     caller.from_control.push_back(decided);
   }
 
@@ -271,7 +273,7 @@
             {}};
   }
 
-  stored_claim* claim_of(const caller_side& caller)
+  stored_claim* claim_of(const simulated_caller& caller)
   {
     for (auto& [key, stored] : claims_)
       if (stored.owner == caller.claim && !stored.completed)
@@ -279,7 +281,7 @@
     return nullptr;
   }
 
-  void on(caller_side& caller, const record_answer& value)
+  void on(simulated_caller& caller, const record_answer& value)
   {
     const bool stored = chance(85);
     if (auto* const claim = claim_of(caller); claim != nullptr && stored)
@@ -290,9 +292,9 @@
     caller.from_control.push_back(claim_recorded{stored && chance(90)});
   }
 
-  void on(caller_side& caller, const release_claim&)
+  void on(simulated_caller& caller, const release_claim&)
   {
-    caller.claim_undecided = false;
+    caller.repeat_claim = false;
     if (chance(80))
       for (auto it = claims_.begin(); it != claims_.end();)
         it = it->second.owner == caller.claim && !it->second.completed
@@ -301,7 +303,7 @@
   }
 
   // Upstream.
-  void on(caller_side& caller, const connect_upstream&)
+  void on(simulated_caller& caller, const connect_upstream&)
   {
     caller.request.emplace(16384);
     caller.unread_request.clear();
@@ -312,15 +314,15 @@
       caller.from_upstream.push_back(upstream_connected{});
   }
 
-  void on(caller_side& caller, const close_upstream&)
+  void on(simulated_caller& caller, const close_upstream&)
   {
     caller.request.reset();
     caller.from_upstream.clear();
   }
 
-  void on(caller_side& caller, const send_to_upstream& value)
+  void on(simulated_caller& caller, const send_to_upstream& value)
   {
-    caller.sent.insert(caller.ended);
+    caller.sent.insert(caller.outcomes);
     if (!caller.request)
       return;
     auto& request = *caller.request;
@@ -339,7 +341,7 @@
     caller.request.reset();
   }
 
-  void run_request(caller_side& caller, const std::string& target)
+  void run_request(simulated_caller& caller, const std::string& target)
   {
     ++runs_[target];
     const auto body = target + "#" + std::to_string(next_++) +
@@ -348,15 +350,15 @@
     if (chance(10))
       return caller.from_upstream.push_back(upstream_disconnected{});
     if (chance(5))
-      return; // Never answers; the deadline or the caller ends the request.
-    auto answer = make_answer(body);
+      return; // No response; the deadline or the caller ends the request.
+    auto response = make_response(body);
     const bool truncated = chance(10);
     if (truncated)
-      answer.resize(random_() % answer.size());
-    enqueue(caller.from_upstream, answer, true);
+      response.resize(random_() % response.size());
+    enqueue(caller.from_upstream, response, true);
     const bool delimited =
-        answer.find("\r\n\r\n" + target) == std::string::npos ||
-        answer.find("Length") != std::string::npos;
+        response.find("\r\n\r\n" + target) == std::string::npos ||
+        response.find("Length") != std::string::npos;
     if (!truncated && delimited && chance(10))
       enqueue(caller.from_upstream, "HTTP/1.1 200 OK\r\n\r\nlate", true);
     if (truncated)
@@ -365,7 +367,7 @@
       caller.from_upstream.push_back(upstream_finished{});
   }
 
-  std::string make_answer(const std::string& body)
+  std::string make_response(const std::string& body)
   {
     const std::string head = chance(20) ? "HTTP/1.1 103 Hints\r\n\r\n" : "";
     const auto size = body.size();
@@ -381,21 +383,21 @@
            length + "\r\n" + body + "\r\n0\r\n\r\n";
   }
 
-  // What the callers saw.
-  void check_caller(caller_side& caller)
+  // Responses at the callers.
+  void check_caller(simulated_caller& caller)
   {
     auto& driver = caller.driver;
     std::string_view rest = driver.to_caller;
     std::size_t number = 0;
     while (!rest.empty())
-      if (!check_answer(caller, rest, number))
+      if (!check_response(caller, rest, number))
         break;
     require(driver.open_upstreams == 0, "upstream connections are closed");
-    require(caller.ended == number || caller.gone,
-            "one answer for each ended request");
+    require(caller.outcomes == number || caller.disconnected,
+            "one response for each request with an outcome");
   }
 
-  static bool answers(request_event event)
+  static bool has_outcome(request_event event)
   {
     return event == request_event::completed ||
            event == request_event::replayed ||
@@ -404,51 +406,54 @@
            event < request_event::replayed;
   }
 
-  /// False when the rest is an answer that was cut.
-  bool check_answer(caller_side& caller, std::string_view& rest,
-                    std::size_t& number)
+  /// Returns false if the rest is a truncated response.
+  bool check_response(simulated_caller& caller, std::string_view& rest,
+                      std::size_t& number)
   {
-    detail::response_reader answer(65536);
-    answer.keep_body(100000);
-    rest.remove_prefix(answer.read_head(rest));
-    rest.remove_prefix(answer.read_body(rest));
+    detail::response_reader response(65536);
+    response.keep_body(100000);
+    rest.remove_prefix(response.read_head(rest));
+    rest.remove_prefix(response.read_body(rest));
     if (caller.driver.end == caller_end::finished)
-      answer.finish();
-    if (answer.state() != detail::parse_state::complete)
+      response.finish();
+    if (response.state() != detail::parse_state::complete)
     {
-      require(was_interrupted(caller), "a truncated answer shows");
+      require(was_interrupted(caller),
+              "the caller detects a truncated response");
       return false;
     }
-    if (answer.head().result_int() / 100 != 1)
-      check_final(caller, answer, number++);
+    if (response.head().result_int() / 100 != 1)
+      check_final_response(caller, response, number++);
     return true;
   }
 
-  static bool was_interrupted(const caller_side& caller)
+  static bool was_interrupted(const simulated_caller& caller)
   {
-    return caller.gone || caller.driver.end == caller_end::reset;
+    return caller.disconnected || caller.driver.end == caller_end::reset;
   }
 
-  void check_final(const caller_side& caller,
-                   const detail::response_reader& answer, std::size_t number)
+  void check_final_response(const simulated_caller& caller,
+                            const detail::response_reader& response,
+                            std::size_t number)
   {
     const auto& target = caller.targets.at(number);
-    const auto outcome = std::string(answer.head()["Toucanmill-Outcome"]);
+    const auto outcome = std::string(response.head()["Toucanmill-Outcome"]);
     if (outcome == "not-run")
-      require(caller.sent.count(number) == 0, "'not run' for " + target);
+      require(caller.sent.count(number) == 0,
+              "nothing sent before 'not run' of " + target);
     if (!outcome.empty())
       return;
-    const auto& body = answer.body().bytes;
-    require(bodies_.count(body) != 0, "whole answer for " + target);
+    const auto& body = response.body().bytes;
+    require(bodies_.count(body) != 0, "complete response to " + target);
     require(body.compare(0, target.size() + 1, target + "#") == 0,
-            "own answer for " + target);
+            "response belongs to " + target);
   }
 
   std::mt19937_64 random_;
   time_point now_;
   retry_budget budget_{0.1};
   admission_core admission_{{2, 2, 1s}};
-  std::vector<std::unique_ptr<caller_side>> callers_;
+  std::vector<std::unique_ptr<simulated_caller>> callers_;
   std::map<std::string, stored_claim> claims_;
   std::uint64_t last_claim_ = 0;
   std::uint64_t next_ = 0;
@@ -461,8 +466,8 @@
 
 TEST_GROUP(http_random){};
 
-// Guards against second runs, wrong "not run", and cut, mixed or crossed
-// answers under failures at any point.
+// Guards against second runs, wrong "not run" outcomes, and truncated, mixed or
+// swapped responses when failures occur at any point.
 TEST(http_random, outcomes_hold_under_failures)
 {
   const char* const text = std::getenv("TOUCANMILL_SEEDS");
--- a/src/agent/http_session_core.cpp
+++ b/src/agent/http_session_core.cpp
@@ -105,14 +105,14 @@
   return unparsed_.size();
 }
 
-void http_session::act(session_action action)
+void http_session::emit(session_action action)
 {
   actions_.push_back(std::move(action));
 }
 
 void http_session::count(request_event event)
 {
-  act(count_event{event});
+  emit(count_event{event});
 }
 
 void http_session::on(caller_bytes& value)
@@ -341,7 +341,7 @@
 {
   exchange_->slot_requested = true;
   phase_ = phase::waiting_slot;
-  act(request_slot{exchange_->slot_deadline});
+  emit(request_slot{exchange_->slot_deadline});
 }
 
 void http_session::send_claim()
@@ -351,8 +351,8 @@
   exchange_->claim_requested = true;
   ++exchange_->claim_attempts;
   phase_ = phase::waiting_claim;
-  act(request_claim{std::string(request.head()[key_field_name()]),
-                    digest_of(request.head(), request.body().bytes)});
+  emit(request_claim{std::string(request.head()[key_field_name()]),
+                     digest_of(request.head(), request.body().bytes)});
 }
 
 void http_session::retry_claim()
@@ -369,7 +369,7 @@
                        "an upstream connection outlived its request");
   phase_ = phase::connecting;
   upstream_ = connection::connecting;
-  act(connect_upstream{});
+  emit(connect_upstream{});
 }
 
 /// The agent answers `Expect: 100-continue` itself when it needs the body.
@@ -377,7 +377,7 @@
 {
   if (expects_continue(exchange_->request.head()) && unparsed_.empty() &&
       !exchange_->request_complete())
-    act(send_to_caller{"HTTP/1.1 100 Continue\r\n\r\n"});
+    emit(send_to_caller{"HTTP/1.1 100 Continue\r\n\r\n"});
 }
 
 void http_session::limit_pipelining()
--- a/src/agent/http_session_core.hpp
+++ b/src/agent/http_session_core.hpp
@@ -1,5 +1,5 @@
-#ifndef TOUCANMILL_AGENT_HTTP_SESSION_CORE_HPP
-#define TOUCANMILL_AGENT_HTTP_SESSION_CORE_HPP
+#ifndef TOUCANMILL_SRC_AGENT_HTTP_SESSION_CORE_HPP
+#define TOUCANMILL_SRC_AGENT_HTTP_SESSION_CORE_HPP
 
 #include <optional>
 #include <string>
@@ -112,7 +112,7 @@
   std::optional<time_point> next_timer() const;
   void update_timer();
 
-  void act(session_action action);
+  void emit(session_action action);
   void count(request_event event);
 
   http_options options_;
--- a/src/agent/http_upstream_core.cpp
+++ b/src/agent/http_upstream_core.cpp
@@ -116,7 +116,7 @@
   TOUCANMILL_INVARIANT(upstream_ == connection::open,
                        "request bytes without an upstream connection");
   exchange_->sent = true;
-  act(send_to_upstream{std::move(bytes)});
+  emit(send_to_upstream{std::move(bytes)});
 }
 
 void http_session::start_response_parser()
@@ -162,7 +162,7 @@
 void http_session::relay_interim_response()
 {
   if (!exchange_->keyed && exchange_->is_http_1_1())
-    act(send_to_caller{
+    emit(send_to_caller{
         make_caller_head(exchange_->response->head(), std::nullopt)});
   start_response_parser();
 }
@@ -212,7 +212,7 @@
       bytes = add_connection_close(std::move(bytes));
   }
   exchange.relayed = true;
-  act(send_to_caller{std::move(bytes)});
+  emit(send_to_caller{std::move(bytes)});
 }
 
 /// The response is too large to store. Records only that the request ran.
@@ -220,7 +220,7 @@
 {
   exchange_->buffers_response = false;
   exchange_->has_pending_reply = true;
-  act(record_answer{});
+  emit(record_answer{});
   count(request_event::answer_not_recorded);
   relay_to_caller(std::exchange(exchange_->buffered_response, {}));
 }
@@ -236,7 +236,7 @@
   {
     exchange.stored_answer = make_stored_answer();
     phase_ = phase::recording;
-    act(record_answer{exchange.stored_answer});
+    emit(record_answer{exchange.stored_answer});
     return;
   }
   count(request_event::completed);
@@ -259,7 +259,7 @@
   {
     count(request_event::truncated_answer);
     release_resources();
-    act(reset_caller{});
+    emit(reset_caller{});
     phase_ = phase::closed;
     return;
   }
@@ -286,7 +286,7 @@
 void http_session::drop_upstream()
 {
   if (std::exchange(upstream_, connection::none) != connection::none)
-    act(close_upstream{});
+    emit(close_upstream{});
 }
 
 } // namespace toucanmill::detail
--- a/src/agent/session_core_test.cpp
+++ b/src/agent/session_core_test.cpp
@@ -43,7 +43,7 @@
   return left;
 }
 
-/// A request up to the point at which the upstream has it.
+/// Inputs up to the point at which the request was sent to the upstream.
 inputs running(const std::string& request)
 {
   return {caller_bytes{request}, slot_granted{}, upstream_connected{}};
@@ -65,7 +65,7 @@
   return upstream_bytes{bytes};
 }
 
-/// Runs a session and compares everything that it did.
+/// Runs a session and compares all its observable actions.
 void expect(const char* guards_against, const inputs& given,
             const std::string& to_caller,
             const std::vector<request_event>& events,
@@ -98,7 +98,7 @@
   const auto finished = caller_end::finished;
   const auto reset = caller_end::reset;
   expect(
-      "two requests at once, altered answers",
+      "altered responses to two pipelined requests",
       running(get + get) +
           inputs{upstream_sends(answer.substr(0, 9)),
                  upstream_sends(answer.substr(9))} +
@@ -110,12 +110,12 @@
          answer,
          {ev::unexpected_upstream_bytes, ev::completed,
           ev::unexpected_upstream_bytes});
-  expect("a truncated answer that looks complete",
+  expect("a truncated response that looks complete",
          running(get) +
              inputs{upstream_sends(answer.substr(0, answer.size() - 1)),
                     upstream_finished{}},
          answer.substr(0, answer.size() - 1), {ev::truncated_answer}, reset);
-  expect("an answer whose end the caller cannot tell",
+  expect("a response whose end the caller cannot detect",
          running(get) + inputs{upstream_sends(ok + "\r\nfe"),
                                upstream_sends("ed"), upstream_finished{}},
          ok + closing + "\r\nfeed", {ev::completed}, finished);
@@ -123,7 +123,7 @@
          running(get) +
              inputs{upstream_sends(ok + "\r\nfeed"), upstream_disconnected{}},
          ok + closing + "\r\nfeed", {ev::truncated_answer}, reset);
-  expect("waiting for the body of an answer to HEAD",
+  expect("waiting for the body of a response to HEAD",
          running("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n") +
              inputs{upstream_sends(ok + "Content-Length: 2\r\n\r\n")},
          ok + "Content-Length: 2\r\n\r\n", {ev::completed});
@@ -135,11 +135,11 @@
              inputs{upstream_sends("HTTP/1.1 304 No\r\nContent-Length: 2\r\n"
                                    "\r\n")},
          "HTTP/1.1 304 No\r\nContent-Length: 2\r\n\r\n", {ev::completed});
-  expect("a chunked answer that is re-framed",
+  expect("a chunked response that is re-framed",
          running(get) + inputs{upstream_sends(chunked.substr(0, 49)),
                                upstream_sends(chunked.substr(49))},
          chunked, {ev::completed});
-  expect("an interim answer that is taken as the final one",
+  expect("an interim response that is taken as the final one",
          running(get) +
              inputs{upstream_sends("HTTP/1.1 103 Hints\r\n\r\n" + answer)},
          "HTTP/1.1 103 Hints\r\n\r\n" + answer, {ev::completed});
@@ -147,25 +147,25 @@
          running(post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n") +
              inputs{caller_bytes{"ab"}, upstream_sends(answer)},
          "HTTP/1.1 100 Continue\r\n\r\n" + answer, {ev::completed});
-  expect("an upstream that names an outcome in the agent's place",
+  expect("an upstream that sets the outcome field",
          running(get) +
              inputs{upstream_sends(ok + "Toucanmill-Outcome: not-run\r\n"
                                         "Content-Length: 0\r\n\r\n")},
          ok + "Content-Length: 0\r\n\r\n", {ev::completed});
-  expect("a half-close that cuts the answer",
+  expect("a half-close that cuts off the response",
          inputs{caller_bytes{get}, caller_finished{}, slot_granted{},
                 upstream_connected{}, upstream_sends(answer)},
          answer, {ev::completed}, finished);
-  expect("a drain that cuts the answer",
+  expect("a drain that cuts off the response",
          running(get) + inputs{drain_started{}, upstream_sends(answer)},
          ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
          finished);
-  expect("a drain that cuts a request which crosses it",
+  expect("a drain that cuts off a request in flight",
          running(get) + inputs{upstream_sends(answer), drain_started{}} +
              running(get) + inputs{upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
-  expect("a drain that waits for idle callers without limit",
+  expect("a drain that waits for idle callers indefinitely",
          running(get) +
              inputs{upstream_sends(answer), drain_started{}, timer_expired{}},
          answer, {ev::completed}, finished);
@@ -173,7 +173,7 @@
       "a drain that loses the first request of a new connection",
       inputs{drain_started{}} + running(get) + inputs{upstream_sends(answer)},
       ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed}, finished);
-  expect("a drain that cuts a head which the parser has already taken",
+  expect("a drain that cuts off a head of which the parser consumed a part",
          running(get) + inputs{upstream_sends(answer), caller_bytes{"\r\n"},
                                caller_bytes{"GET / HTTP/1.1\r\n"},
                                drain_started{}, caller_bytes{"Host: a\r\n\r\n"},
@@ -181,16 +181,16 @@
                                upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
-  expect("a drain that waits for silent callers without limit",
+  expect("a drain that waits for new connections indefinitely",
          inputs{drain_started{}, timer_expired{}}, "", {}, finished, 0);
-  expect("work for a caller who left",
+  expect("work for a caller that disconnected",
          running(get) + inputs{caller_disconnected{}}, "", {ev::cancelled});
 }
 
 // Each entry names the failure that it guards against.
 TEST(session, http_outcomes)
 {
-  expect("a refusal that is held back",
+  expect("a refusal that is delayed",
          inputs{caller_bytes{post + sized}, slot_refused{1500ms}},
          refusal("503 Service Unavailable", "not-run", "Retry-After: 2\r\n"),
          {ev::refused_queue_full}, {}, 0);
@@ -206,7 +206,7 @@
          running(get) + inputs{upstream_disconnected{}, upstream_refused{}},
          bad_gateway, {ev::retried_idempotent, ev::unknown_upstream_gone}, {},
          2);
-  expect("a retry after the answer began",
+  expect("a retry after the response began",
          running(get) + inputs{upstream_sends("H"), upstream_disconnected{}},
          bad_gateway, {ev::unknown_upstream_gone});
   expect("'unknown' although nothing was sent",
@@ -219,38 +219,38 @@
   expect("a run without a claim", claiming(claim_status::in_progress),
          refusal("409 Conflict", "unknown"), {ev::refused_claim_in_progress},
          {}, 0);
-  expect("an answer to another request with the same key",
+  expect("the response to another request with the same key",
          claiming(claim_status::different_request),
          refusal("422 Unprocessable Entity", "not-run", ""),
          {ev::refused_claim_different}, {}, 0);
   expect("a second run", claiming(claim_status::completed, answer), answer,
          {ev::replayed}, {}, 0);
-  expect("a second run after an answer too large to record",
+  expect("a second run after a response too large to record",
          claiming(claim_status::completed), refusal("409 Conflict", "unknown"),
          {ev::refused_claim_in_progress}, {}, 0);
-  expect("a claim that stays although nothing was sent",
+  expect("a claim that is kept although nothing was sent",
          claiming(claim_status::granted) + inputs{upstream_refused{}},
          unavailable, {ev::refused_upstream_unreachable}, {}, 1, 1);
   expect(
-      "a claim that stays when the caller leaves early",
+      "a claim that is kept when the caller disconnects early",
       inputs{caller_bytes{keyed_post}, slot_granted{}, caller_disconnected{}},
       "", {ev::cancelled}, {}, 0, 1);
   expect("a released claim of a request that may have run",
          running_claim() + inputs{upstream_disconnected{}}, bad_gateway,
          {ev::unknown_upstream_gone});
-  expect("an answer that is relayed before it is recorded",
+  expect("a response that is relayed before it is recorded",
          running_claim() +
              inputs{upstream_sends(answer), caller_disconnected{}},
          "", {ev::cancelled});
-  expect("a recorded answer without a length",
+  expect("a recorded response without a length",
          running_claim() +
              inputs{upstream_sends(chunked), claim_recorded{true}},
          answer, {ev::completed});
-  expect("an answer lost because it was not recorded",
+  expect("a response lost because it was not recorded",
          running_claim() +
              inputs{upstream_sends(answer), claim_recorded{false}},
          answer, {ev::answer_not_recorded, ev::completed});
-  expect("an answer lost because it is too large to record",
+  expect("a response lost because it is too large to record",
          running_claim() +
              inputs{upstream_sends(ok + "Content-Length: 70000\r\n\r\n"),
                     upstream_sends(large)},
@@ -284,8 +284,8 @@
            caller_end::finished, 0);
 }
 
-// Guards against a request that is given up because one reply was lost, and
-// against a claim that stays after it was given up.
+// Guards against a request that fails because one reply was lost, and against a
+// claim that is kept after the request failed.
 TEST(session, lost_claim_decision_is_asked_again)
 {
   const inputs lost{claim_decided{claim_status::unavailable, {}},
@@ -297,8 +297,8 @@
          {ev::refused_claim_unavailable}, caller_end::finished, 0, 1);
 }
 
-// Guards against hop-by-hop fields and framing of the caller at the upstream,
-// and against a deadline that does not shrink on its way.
+// Guards against forwarding hop-by-hop fields and the framing of the caller,
+// and against a deadline that is not reduced by the time already spent.
 TEST(session, request_is_rewritten_for_the_upstream)
 {
   retry_budget budget{0.1};
@@ -345,8 +345,8 @@
   CHECK_TRUE(driver.to_caller == bad_gateway);
 }
 
-// Guards against bytes lost while the upstream connection opens, and against
-// the end of one direction that ends the other.
+// Guards against bytes lost while the upstream connection opens, and against a
+// half-close that ends both directions.
 TEST(session, stream_keeps_early_bytes_and_half_closes)
 {
   session_driver driver{make_stream_session()};
@@ -359,7 +359,7 @@
   CHECK_TRUE(driver.end == caller_end::finished && !driver.session->busy());
 }
 
-// Guards against a failure that looks like a proper end, and against an
+// Guards against a failure that looks like an orderly close, and against an
 // upstream connection that outlives its caller.
 TEST(session, stream_failures_reach_the_other_side)
 {
@@ -372,8 +372,8 @@
   CHECK_EQUAL(0, left.open_upstreams);
 }
 
-// Guards against a leaving upstream that gets new work over connections which
-// were open before its drain.
+// Guards against new work for a leaving upstream over connections that were
+// open before its drain.
 TEST(session, drain_refuses_requests_after_its_grace)
 {
   retry_budget budget{0.1};
