agent: split request handling from http_session_core.cpp

The file held both the inputs of a session and the path of a request up to its upstream connection. The latter moves to http_request_core.cpp; applying the deadline becomes a named step.

--- a/src/agent/http_session_core.hpp
+++ b/src/agent/http_session_core.hpp
@@ -63,13 +63,15 @@
   void on(timer_expired& value);
   void on(drain_started& value);
 
-  // Request (http_session_core.cpp).
-  void process_caller_bytes();
   bool head_started() const;
+
+  // Request (http_request_core.cpp).
+  void process_caller_bytes();
   bool parse_request_head();
   bool read_claimed_body();
   bool relay_body();
   void start_request();
+  void apply_deadline();
   void start_claimed_request();
   void wait_for_slot();
   void send_claim();
