agent: split the lwIP callbacks and closing flows from tcp_stack_state

tcp_stack_state.cpp mixed opening and feeding flows with the callbacks of lwIP and the timer for closing flows. Each has its own file now.

--- a/src/agent/tcp_stack_state.cpp
+++ b/src/agent/tcp_stack_state.cpp
@@ -1,6 +1,5 @@
 #include "tcp_stack_state.hpp"
 
-#include <algorithm>
 #include <future>
 #include <mutex>
 #include <utility>
@@ -14,9 +13,6 @@
 namespace
 {
 
-/// Interval of the check for closing flows; equals that of lwIP's slow timer.
-constexpr u32_t closing_check_interval_ms = TCP_SLOW_INTERVAL;
-
 /// Address of the interface while no packet is processed. 0.0.0.0 would disable
 /// input, and lwIP loops back packets to the interface's own address.
 u32_t idle_interface_address()
@@ -24,13 +20,6 @@
   return lwip_htonl(0x7f000001);
 }
 
-u32_t to_ticks(duration value)
-{
-  const auto count =
-      std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-  return static_cast<u32_t>(count / TCP_SLOW_INTERVAL);
-}
-
 u32_t to_milliseconds(duration value)
 {
   return static_cast<u32_t>(
@@ -62,17 +51,6 @@
           {from_lwip(pcb.local_ip), pcb.local_port}};
 }
 
-tcp_end reason_of(const connection_state& connection, err_t error)
-{
-  if (connection.reset_requested)
-    return tcp_end::reset_locally;
-  if (error == ERR_CLSD)
-    return tcp_end::finished;
-  if (error == ERR_RST)
-    return tcp_end::reset_by_peer;
-  return tcp_end::timed_out;
-}
-
 } // namespace
 
 tcp_stack_state::tcp_stack_state(tcp_stack_options options,
@@ -82,7 +60,7 @@
   start_lwip();
   const core_guard guard;
   add_interface();
-  sys_timeout(closing_check_interval_ms, &tcp_stack_state::on_timer, this);
+  schedule_closing_check();
 }
 
 tcp_stack_state::~tcp_stack_state()
@@ -177,21 +155,26 @@
   if (copy == nullptr)
     return !packet.opens_flow();
   pbuf_take(copy, packet.bytes.data, static_cast<u16_t>(packet.bytes.size));
-  // lwIP only accepts packets addressed to the interface. Writing the field
-  // makes every address local. netif_set_addr() would abort connections, and
-  // lwIP supports only 255 interfaces, too few for one per address.
+  process_input(copy, packet.flow);
+  if (!packet.opens_flow())
+    return true;
+  register_new_flow(packet.flow);
+  return flows_.count(packet.flow) != 0;
+}
+
+/// lwIP only accepts packets addressed to the interface. Writing the field
+/// makes every address local. netif_set_addr() would abort connections, and
+/// lwIP supports only 255 interfaces, too few for one per address.
+void tcp_stack_state::process_input(pbuf* packet, const flow_key& flow)
+{
   ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr),
-                   lwip_htonl(packet.flow.service.address.value));
+                   lwip_htonl(flow.service.address.value));
   netif_set_default(&interface_);
   {
-    const lookup_shortcut shortcut(pcb_of(packet.flow));
-    ip4_input(copy, &interface_);
+    const lookup_shortcut shortcut(pcb_of(flow));
+    ip4_input(packet, &interface_);
   }
   ip4_addr_set_u32(ip_2_ip4(&interface_.ip_addr), idle_interface_address());
-  if (!packet.opens_flow())
-    return true;
-  register_new_flow(packet.flow);
-  return flows_.count(packet.flow) != 0;
 }
 
 tcp_pcb* tcp_stack_state::pcb_of(const flow_key& flow) const
@@ -253,167 +236,6 @@
           packet.flow.caller.port);
 }
 
-err_t tcp_stack_state::on_output(netif* interface, pbuf* packet,
-                                 const ip4_addr_t*)
-{
-  static_cast<tcp_stack_state*>(interface->state)->queue_packet(packet);
-  return ERR_OK;
-}
-
-void tcp_stack_state::queue_packet(pbuf* packet)
-{
-  if (packets_.size() >= options_.output_capacity)
-  {
-    ++dropped_packets_;
-    return;
-  }
-  const bool was_empty = packets_.size() == 0;
-  const auto number = [packet](u16_t offset, int octets)
-  {
-    std::uint32_t value = 0;
-    for (int i = 0; i < octets; ++i)
-      value = value << 8 | pbuf_get_at(packet, static_cast<u16_t>(offset + i));
-    return value;
-  };
-  const auto header = static_cast<u16_t>((pbuf_get_at(packet, 0) & 0x0f) * 4);
-  packet_batch::entry addresses{};
-  addresses.source = {{number(12, 4)},
-                      static_cast<std::uint16_t>(number(header, 2))};
-  addresses.destination = {
-      {number(16, 4)},
-      static_cast<std::uint16_t>(number(static_cast<u16_t>(header + 2), 2))};
-  auto* const room = packets_.append(addresses, packet->tot_len);
-  pbuf_copy_partial(packet, room, packet->tot_len, 0);
-  notify_if(was_empty);
-}
-
-err_t tcp_stack_state::on_accept(void* argument, tcp_pcb*, err_t error)
-{
-  // Set by register_new_flow().
-  if (argument == nullptr || error != ERR_OK)
-    return ERR_VAL;
-  auto& connection = *static_cast<connection_state*>(argument);
-  connection.established = true;
-  connection.stack->queue_event(connection, tcp_established{});
-  return ERR_OK;
-}
-
-err_t tcp_stack_state::on_connected(void* argument, tcp_pcb*, err_t)
-{
-  auto& connection = *static_cast<connection_state*>(argument);
-  connection.established = true;
-  connection.stack->queue_event(connection, tcp_established{});
-  return ERR_OK;
-}
-
-err_t tcp_stack_state::on_received(void* argument, tcp_pcb*, pbuf* data, err_t)
-{
-  auto& connection = *static_cast<connection_state*>(argument);
-  if (data == nullptr)
-  {
-    connection.peer_finished = true;
-    connection.stack->queue_event(connection, tcp_peer_finished{});
-    return ERR_OK;
-  }
-  std::string bytes(data->tot_len, '\0');
-  pbuf_copy_partial(data, bytes.data(), data->tot_len, 0);
-  pbuf_free(data);
-  connection.stack->queue_event(connection, tcp_received{std::move(bytes)});
-  return ERR_OK;
-}
-
-err_t tcp_stack_state::on_sent(void* argument, tcp_pcb*, u16_t)
-{
-  auto& connection = *static_cast<connection_state*>(argument);
-  if (!connection.writable_queued)
-  {
-    connection.writable_queued = true;
-    connection.stack->queue_event(connection, tcp_writable{});
-  }
-  return ERR_OK;
-}
-
-void tcp_stack_state::on_error(void* argument, err_t error)
-{
-  auto& connection = *static_cast<connection_state*>(argument);
-  connection.stack->close(connection, reason_of(connection, error));
-}
-
-void tcp_stack_state::close(connection_state& connection, tcp_end reason)
-{
-  connection.pcb = nullptr;
-  queue_event(connection, tcp_closed{reason});
-  flows_.erase({connection.remote, connection.local});
-}
-
-template <class What>
-void tcp_stack_state::queue_event(connection_state& connection, What what)
-{
-  const bool was_empty = events_.empty();
-  events_.push_back({connection.handle.lock(), std::move(what)});
-  notify_if(was_empty);
-}
-
-void tcp_stack_state::notify_if(bool was_empty) const
-{
-  if (was_empty)
-    notify_();
-}
-
-void tcp_stack_state::on_timer(void* argument)
-{
-  auto& self = *static_cast<tcp_stack_state*>(argument);
-  self.check_closing_flows();
-  sys_timeout(closing_check_interval_ms, &tcp_stack_state::on_timer, argument);
-}
-
-/// lwIP neither reports the end of TIME_WAIT nor sends keepalives after its
-/// FIN. This runs on the thread of lwIP's timers, so that it detects
-/// TIME_WAIT well before lwIP frees the connection after 120 s.
-void tcp_stack_state::check_closing_flows()
-{
-  std::vector<std::shared_ptr<connection_state>> expired;
-  for (const auto& [flow, entry] : flows_)
-    if (entry.state->finished && has_expired(*entry.state))
-      expired.push_back(entry.state);
-    else if (entry.state->finished)
-      send_keepalive_if_due(*entry.state);
-  for (const auto& connection : expired)
-  {
-    // In TIME_WAIT lwIP frees the connection without calling on_error().
-    const bool in_time_wait = connection->pcb->state == TIME_WAIT;
-    tcp_abort(connection->pcb);
-    if (in_time_wait)
-      close(*connection, tcp_end::finished);
-  }
-}
-
-/// True if TIME_WAIT is over, or if a peer that has not sent its FIN has not
-/// answered the keepalives. Must be called once per check, since it counts the
-/// ticks in TIME_WAIT.
-bool tcp_stack_state::has_expired(connection_state& connection) const
-{
-  const auto& pcb = *connection.pcb;
-  if (pcb.state != TIME_WAIT)
-  {
-    const auto limit =
-        to_ticks(options_.keepalive_idle +
-                 options_.keepalive_probes * options_.keepalive_interval);
-    return tcp_ticks - pcb.tmr > limit;
-  }
-  return ++connection.time_wait_ticks > to_ticks(options_.time_wait);
-}
-
-void tcp_stack_state::send_keepalive_if_due(connection_state& connection) const
-{
-  auto& pcb = *connection.pcb;
-  const auto due = to_ticks(options_.keepalive_idle +
-                            pcb.keep_cnt_sent * options_.keepalive_interval);
-  if (pcb.state == FIN_WAIT_2 && tcp_ticks - pcb.tmr > due &&
-      tcp_keepalive(&pcb) == ERR_OK)
-    ++pcb.keep_cnt_sent;
-}
-
 packet_batch tcp_stack_state::take_packets()
 {
   return std::exchange(packets_, {});
--- a/src/agent/tcp_stack_state.hpp
+++ b/src/agent/tcp_stack_state.hpp
@@ -60,23 +60,28 @@
     std::shared_ptr<connection_state> state;
   };
 
+  void add_interface();
+  void process_input(pbuf* packet, const flow_key& flow);
+  tcp_pcb* pcb_of(const flow_key& flow) const;
+  void register_new_flow(const flow_key& flow);
+  tcp_connection_ptr add_flow(tcp_pcb* pcb, const flow_key& flow);
+  void attach_callbacks(tcp_pcb* pcb, connection_state& connection) const;
+
+  // Callbacks of lwIP (tcp_stack_callbacks.cpp).
   static err_t on_output(netif* interface, pbuf* packet, const ip4_addr_t*);
   static err_t on_accept(void* argument, tcp_pcb* pcb, err_t error);
   static err_t on_connected(void* argument, tcp_pcb* pcb, err_t error);
   static err_t on_received(void* argument, tcp_pcb* pcb, pbuf* data, err_t);
   static err_t on_sent(void* argument, tcp_pcb* pcb, u16_t octets);
   static void on_error(void* argument, err_t error);
-  static void on_timer(void* argument);
-
-  void add_interface();
-  tcp_pcb* pcb_of(const flow_key& flow) const;
-  void register_new_flow(const flow_key& flow);
-  tcp_connection_ptr add_flow(tcp_pcb* pcb, const flow_key& flow);
-  void attach_callbacks(tcp_pcb* pcb, connection_state& connection) const;
   void queue_packet(pbuf* packet);
   template <class What>
   void queue_event(connection_state& connection, What what);
   void notify_if(bool was_empty) const;
+
+  // End of closing flows (tcp_closing_flows.cpp).
+  static void on_timer(void* argument);
+  void schedule_closing_check();
   void check_closing_flows();
   bool has_expired(connection_state& connection) const;
   void send_keepalive_if_due(connection_state& connection) const;
