agent: split the send queue and the session actions from agent_flow

agent_flow.cpp held the queue towards the caller, the inputs of a flow and the execution of its session's actions. Queue and actions get their own files; the code is unchanged.

--- a/src/agent/agent_flow.hpp
+++ b/src/agent/agent_flow.hpp
@@ -12,6 +12,7 @@
 #include <toucanmill/agent/session_core.hpp>
 #include <toucanmill/agent/tcp_stack.hpp>
 
+#include "send_queue.hpp"
 #include "upstream_connection.hpp"
 
 namespace toucanmill::detail
@@ -19,27 +20,6 @@
 
 class agent_runtime;
 
-/// Octets for the caller that the TCP stack has not accepted yet.
-class send_queue
-{
-public:
-  void push(std::string bytes);
-
-  /// Sends as many octets as the connection accepts.
-  void flush(tcp_connection& connection);
-
-  void clear();
-
-  std::size_t size() const
-  {
-    return bytes_.size() - sent_;
-  }
-
-private:
-  std::string bytes_;
-  std::size_t sent_ = 0;
-};
-
 /// One flow: passes inputs to its session and executes the actions.
 class agent_flow final : public upstream_handler,
                          public std::enable_shared_from_this<agent_flow>
@@ -75,6 +55,7 @@
   }
 
 private:
+  // Actions of the session (agent_flow_actions.cpp).
   void execute(send_to_caller& action);
   void execute(finish_caller& action);
   void execute(reset_caller& action);
