agent: extract slot_scheduler from agent_runtime

The runtime interleaved the admission core, its deadline timer and its gauges with packets and flows. They form one class now, in the same order of calls; the runtime only passes the result on to the flow.

--- a/src/agent/agent_flow.cpp
+++ b/src/agent/agent_flow.cpp
@@ -58,7 +58,7 @@
   if (upstream_)
     upstream_->close();
   // Normally the session has released its slot already.
-  runtime_.release_slot(id_);
+  runtime_.slots().release(id_);
 }
 
 void agent_flow::handle(session_input input)
--- a/src/agent/agent_flow_actions.cpp
+++ b/src/agent/agent_flow_actions.cpp
@@ -63,16 +63,16 @@
   // A new request needs a new claim id: with the previous one its claim would
   // be granted as a repetition.
   claim_.reset();
-  const auto answer = runtime_.request_slot(id_, action.deadline);
+  const auto answer = runtime_.slots().request(id_, action.deadline);
   if (answer == admission_answer::granted)
     handle(slot_granted{});
   else if (answer == admission_answer::refused)
-    handle(slot_refused{runtime_.retry_after()});
+    handle(slot_refused{runtime_.slots().retry_after()});
 }
 
 void agent_flow::execute(release_slot&)
 {
-  runtime_.release_slot(id_);
+  runtime_.slots().release(id_);
 }
 
 void agent_flow::execute(request_claim& action)
--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -32,9 +32,13 @@
                              claim_client& claims)
     : options_(options), channel_(std::move(channel)),
       readable_(context_, dup(channel_.descriptor())), claims_(claims),
-      dispatch_(options.dispatch), admission_(options.admission),
-      budget_(options.http.retry_ratio), admission_timer_(context_),
-      read_buffer_(read_buffer_size), claim_id_generator_(seeded_generator()),
+      dispatch_(options.dispatch), slots_(context_, options.admission, counts_,
+                                          [this](const admission_change& change)
+                                          {
+                                            on_admission_change(change);
+                                          }),
+      budget_(options.http.retry_ratio), read_buffer_(read_buffer_size),
+      claim_id_generator_(seeded_generator()),
       stack_(options.tcp,
              [this]
              {
@@ -245,64 +249,14 @@
   counts_.open_flows = flows_.size();
 }
 
-admission_answer agent_runtime::request_slot(session_id session,
-                                             time_point deadline)
+void agent_runtime::on_admission_change(const admission_change& change)
 {
-  const auto answer = admission_.request(session, deadline);
-  update_admission();
-  return answer;
-}
-
-void agent_runtime::release_slot(session_id session)
-{
-  const auto changes = admission_.release(session, monotonic_now());
-  update_admission();
-  apply(changes);
-}
-
-void agent_runtime::apply(const std::vector<admission_change>& changes)
-{
-  for (const auto& change : changes)
-  {
-    const auto found = sessions_.find(change.session);
-    const auto flow = found == sessions_.end() ? nullptr : found->second.lock();
-    if (flow && change.granted)
-      flow->handle(slot_granted{});
-    else if (flow)
-      flow->handle(slot_refused{retry_after()});
-  }
-}
-
-void agent_runtime::update_admission()
-{
-  counts_.slots_in_use = admission_.slots_in_use();
-  counts_.queue_length = admission_.queue_length();
-  if (const auto next = admission_.next_deadline(); next != admission_deadline_)
-  {
-    admission_deadline_ = next;
-    arm_admission_timer();
-  }
-}
-
-void agent_runtime::arm_admission_timer()
-{
-  if (!admission_deadline_)
-  {
-    admission_timer_.cancel();
-    return;
-  }
-  admission_timer_.expires_after(
-      std::max(*admission_deadline_ - monotonic_now(), duration::zero()));
-  admission_timer_.async_wait(
-      [this](std::error_code error)
-      {
-        if (error)
-          return;
-        const auto refused = admission_.expire(monotonic_now());
-        admission_deadline_.reset();
-        update_admission();
-        apply(refused);
-      });
+  const auto found = sessions_.find(change.session);
+  const auto flow = found == sessions_.end() ? nullptr : found->second.lock();
+  if (flow && change.granted)
+    flow->handle(slot_granted{});
+  else if (flow)
+    flow->handle(slot_refused{slots_.retry_after()});
 }
 
 void agent_runtime::set_table(service_table table)
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -15,6 +15,7 @@
 
 #include "agent_counters.hpp"
 #include "agent_flow.hpp"
+#include "slot_scheduler.hpp"
 
 namespace toucanmill::detail
 {
@@ -63,12 +64,10 @@
   {
     return {claim_id_generator_()};
   }
-  duration retry_after() const
+  slot_scheduler& slots()
   {
-    return admission_.retry_after();
+    return slots_;
   }
-  admission_answer request_slot(session_id session, time_point deadline);
-  void release_slot(session_id session);
   void count(agent_counters::counter agent_counters::*counter)
   {
     ++(counts_.*counter);
@@ -115,9 +114,7 @@
   void start_flow(const tcp_connection_ptr& connection);
   void end_flow(const tcp_event& event);
 
-  void apply(const std::vector<admission_change>& changes);
-  void update_admission();
-  void arm_admission_timer();
+  void on_admission_change(const admission_change& change);
   void publish_holdings();
 
   agent_options options_;
@@ -126,10 +123,9 @@
   asio::posix::stream_descriptor readable_;
   claim_client& claims_;
   dispatch_core dispatch_;
-  admission_core admission_;
+  agent_counters counts_;
+  slot_scheduler slots_;
   retry_budget budget_;
-  asio::steady_timer admission_timer_;
-  std::optional<time_point> admission_deadline_;
   std::vector<char> read_buffer_;
   std::mt19937_64 claim_id_generator_;
 
@@ -144,7 +140,6 @@
   /// Return endpoints for resets of flows that dispatch_ does not hold.
   std::unordered_map<flow_key, endpoint> reset_return_endpoints_;
 
-  agent_counters counts_;
   mutable std::mutex holdings_mutex_;
   table_version held_version_;
   std::vector<std::uint16_t> held_buckets_;
