net: share the reader of a UDP channel

agent_runtime and the fabric edge each had the same loop that waits for a readable channel and receives up to 16 batches. udp_channel_reader is the one loop for both; the agent processes its TCP stack after each batch as before.

--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -1,7 +1,5 @@
 #include "agent_runtime.hpp"
 
-#include <unistd.h>
-
 #include <utility>
 
 #include <toucanmill/base/clock.hpp>
@@ -13,9 +11,6 @@
 namespace
 {
 
-/// Maximum number of batches received before other handlers run.
-constexpr int batches_per_turn = 16;
-
 /// Maximum octets per read from an upstream; equals the send buffer of a flow.
 constexpr std::size_t read_buffer_size = 65536;
 
@@ -31,12 +26,22 @@
 agent_runtime::agent_runtime(agent_options options, udp_channel channel,
                              claim_client& claims)
     : options_(options), channel_(std::move(channel)),
-      readable_(context_, dup(channel_.descriptor())), claims_(claims),
-      dispatch_(options.dispatch), slots_(context_, options.admission, counts_,
-                                          [this](const admission_change& change)
-                                          {
-                                            on_admission_change(change);
-                                          }),
+      reader_(
+          context_, channel_,
+          [this](byte_view datagram, const endpoint&)
+          {
+            on_datagram(datagram);
+          },
+          [this]
+          {
+            process_stack();
+          }),
+      claims_(claims), dispatch_(options.dispatch),
+      slots_(context_, options.admission, counts_,
+             [this](const admission_change& change)
+             {
+               on_admission_change(change);
+             }),
       budget_(options.http.retry_ratio), read_buffer_(read_buffer_size),
       claim_id_generator_(seeded_generator()),
       stack_(options.tcp,
@@ -54,37 +59,10 @@
 void agent_runtime::run()
 {
   const auto work = asio::make_work_guard(context_);
-  wait_readable();
+  reader_.start();
   context_.run();
 }
 
-void agent_runtime::wait_readable()
-{
-  readable_.async_wait(asio::posix::descriptor_base::wait_read,
-                       [this](std::error_code error)
-                       {
-                         if (error)
-                           return;
-                         receive_batches();
-                         wait_readable();
-                       });
-}
-
-void agent_runtime::receive_batches()
-{
-  const auto handle = [this](byte_view datagram, const endpoint&)
-  {
-    on_datagram(datagram);
-  };
-  std::size_t received = udp_channel::batch_size;
-  for (int i = 0; i < batches_per_turn && received == udp_channel::batch_size;
-       ++i)
-  {
-    received = channel_.receive(handle);
-    process_stack();
-  }
-}
-
 void agent_runtime::on_datagram(byte_view datagram)
 {
   const auto decoded = decode_gue(datagram);
--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include <toucanmill/agent/agent.hpp>
-#include <toucanmill/net/udp_channel.hpp>
+#include <toucanmill/net/udp_channel_reader.hpp>
 
 #include "agent_counters.hpp"
 #include "agent_flow.hpp"
@@ -93,8 +93,6 @@
   }
 
 private:
-  void wait_readable();
-  void receive_batches();
   void on_datagram(byte_view datagram);
   void on_packet(const tcp_packet& packet, const route_stamp& stamp);
   void execute(const tcp_packet& packet, const route_stamp& stamp,
@@ -120,7 +118,7 @@
   agent_options options_;
   asio::io_context context_{1};
   udp_channel channel_;
-  asio::posix::stream_descriptor readable_;
+  udp_channel_reader reader_;
   claim_client& claims_;
   dispatch_core dispatch_;
   agent_counters counts_;
--- a/standin/fabric_edge/fabric.cpp
+++ b/standin/fabric_edge/fabric.cpp
@@ -1,7 +1,5 @@
 #include "fabric.hpp"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -16,45 +14,23 @@
 
 constexpr std::chrono::microseconds max_reorder_delay{5000};
 
-/// Batches taken from the socket before other handlers get a turn.
-constexpr int batches_per_turn = 16;
-
 } // namespace
 
 fabric::fabric(asio::io_context& context, udp_channel channel, impairments harm,
                std::uint64_t seed, counters& counts)
     : channel_(std::move(channel)), harm_(harm), random_(seed), counts_(counts),
-      timer_(context), readable_(context, dup(channel_.descriptor()))
+      timer_(context), reader_(context, channel_,
+                               [this](byte_view datagram, const endpoint& from)
+                               {
+                                 on_datagram(datagram, from);
+                               })
 {
 }
 
 void fabric::start(reply_handler on_reply)
 {
   on_reply_ = std::move(on_reply);
-  wait_readable();
-}
-
-void fabric::wait_readable()
-{
-  readable_.async_wait(asio::posix::descriptor_base::wait_read,
-                       [this](std::error_code error)
-                       {
-                         if (error)
-                           return;
-                         receive_batches();
-                         wait_readable();
-                       });
-}
-
-void fabric::receive_batches()
-{
-  const auto handle = [this](byte_view datagram, const endpoint& from)
-  {
-    on_datagram(datagram, from);
-  };
-  for (int i = 0; i < batches_per_turn; ++i)
-    if (channel_.receive(handle) < udp_channel::batch_size)
-      return;
+  reader_.start();
 }
 
 void fabric::on_datagram(byte_view datagram, const endpoint& from)
--- a/standin/fabric_edge/fabric.hpp
+++ b/standin/fabric_edge/fabric.hpp
@@ -8,7 +8,7 @@
 #include <random>
 #include <vector>
 
-#include <toucanmill/net/udp_channel.hpp>
+#include <toucanmill/net/udp_channel_reader.hpp>
 #include <toucanmill/packet/gue.hpp>
 
 #include "counters.hpp"
@@ -52,8 +52,6 @@
     clock::time_point announced;
   };
 
-  void wait_readable();
-  void receive_batches();
   void on_datagram(byte_view datagram, const endpoint& from);
   void on_message(fabric_message message, const endpoint& from);
   bool happens(double probability);
@@ -71,7 +69,7 @@
   std::vector<balancer> balancers_;
   std::multimap<clock::time_point, std::vector<std::uint8_t>> held_;
   asio::steady_timer timer_;
-  asio::posix::stream_descriptor readable_;
+  udp_channel_reader reader_;
 };
 
 } // namespace toucanmill::fabric_edge
