agent: split the packet path from agent_runtime.cpp

The file held the packet path, from datagram to reply, and the flows with the state for reports. The packet path moves to agent_runtime_packets.cpp; the code is unchanged.

Measured: build/agent_test, 55 tests and 676 checks passed.

--- a/src/agent/agent_runtime.hpp
+++ b/src/agent/agent_runtime.hpp
@@ -93,6 +93,7 @@
   }
 
 private:
+  // Packets (agent_runtime_packets.cpp).
   void on_datagram(byte_view datagram);
   void on_packet(const tcp_packet& packet, const route_stamp& stamp);
   void execute(const tcp_packet& packet, const route_stamp& stamp,
@@ -108,6 +109,8 @@
   void process_stack();
   void send_replies(const packet_batch& packets);
   std::optional<endpoint> return_endpoint(const flow_key& flow) const;
+
+  // Flows and state (agent_runtime.cpp).
   void on_event(const tcp_event& event);
   void start_flow(const tcp_connection_ptr& connection);
   void end_flow(const tcp_event& event);
