agent: share repeated steps of the tests

Two dispatch tests built the same stamp, three agent tests waited for a response in the same way, and both randomised tests read TOUCANMILL_SEEDS.

The overrides of claim_client in rpc_claims.hpp and memory_claim_client stay: they repeat only the signatures of the interface.

--- a/src/agent/agent_test.cpp
+++ b/src/agent/agent_test.cpp
@@ -63,6 +63,16 @@
     CHECK(arrived);
   }
 
+  /// Exchanges packets until the caller has received the text.
+  bool receives(const tcp_connection_ptr& caller, const std::string& text)
+  {
+    return clients->exchange_until(
+        [&]
+        {
+          return clients->received(caller).find(text) != std::string::npos;
+        });
+  }
+
   /// Sends a request, responds at the upstream, returns the relayed request
   /// head.
   std::string answer(const tcp_connection_ptr& caller,
@@ -175,19 +185,10 @@
                               "\r\nx";
   const auto first = connect(40000);
   answer(first, request, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  const auto has_answer = [this](const tcp_connection_ptr& caller)
-  {
-    return clients->exchange_until(
-        [&]
-        {
-          return clients->received(caller).find("\r\n\r\nok") !=
-                 std::string::npos;
-        });
-  };
-  CHECK(has_answer(first));
+  CHECK(receives(first, "\r\n\r\nok"));
   const auto second = connect(40001);
   second->send(request);
-  CHECK(has_answer(second));
+  CHECK(receives(second, "\r\n\r\nok"));
   CHECK_EQUAL(1, requests(tested->status(), request_event::replayed));
 }
 
@@ -291,12 +292,7 @@
   const auto caller = connect(40000);
   answer(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  CHECK(clients->exchange_until(
-      [&]
-      {
-        return clients->received(caller).find("\r\n\r\nok") !=
-               std::string::npos;
-      }));
+  CHECK(receives(caller, "\r\n\r\nok"));
   tested->set_leaving(true);
   answer(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlast");
--- a/src/agent/dispatch_core_test.cpp
+++ b/src/agent/dispatch_core_test.cpp
@@ -65,6 +65,14 @@
   return packet;
 }
 
+/// Probe of the owner agent(2) at version 2, returned by the last holder.
+route_stamp returned_probe()
+{
+  auto stamp = make_stamp(2, {2, 1});
+  stamp.purpose = stamp_purpose::accept;
+  return stamp;
+}
+
 template <class Action>
 const Action& expect(const dispatch_action& action)
 {
@@ -149,12 +157,10 @@
 
 // Guards against an acceptance based on probes from before the bucket moved
 // away and back.
-TEST(dispatch, accept_of_an_older_version_is_asked_again)
+TEST(dispatch, accept_of_an_older_version_is_probed_again)
 {
   second.on_table(make_table(4, {2, 3, 1}));
-  auto accept = make_stamp(2, {2, 1});
-  accept.purpose = stamp_purpose::accept;
-  expect_forward(second.on_packet(syn_packet(), accept, start), 3,
+  expect_forward(second.on_packet(syn_packet(), returned_probe(), start), 3,
                  stamp_purpose::probe);
 }
 
@@ -163,9 +169,7 @@
 TEST(dispatch, accept_at_a_former_owner_goes_to_the_owner)
 {
   second.on_table(make_table(3, {3, 2, 1}));
-  auto accept = make_stamp(2, {2, 1});
-  accept.purpose = stamp_purpose::accept;
-  expect_forward(second.on_packet(syn_packet(), accept, start), 3,
+  expect_forward(second.on_packet(syn_packet(), returned_probe(), start), 3,
                  stamp_purpose::forward);
 }
 
--- a/src/agent/dispatch_random_test.cpp
+++ b/src/agent/dispatch_random_test.cpp
@@ -2,7 +2,6 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <random>
@@ -11,12 +10,15 @@
 #include <toucanmill/base/invariant.hpp>
 #include <toucanmill/table/flow_hash.hpp>
 
+#include "random_seeds_test.hpp"
+
 using namespace toucanmill;
 using namespace std::chrono_literals;
 
 namespace
 {
 
+constexpr std::uint64_t default_seeds = 20;
 constexpr std::size_t bucket_count = 16;
 constexpr std::size_t balancer_count = 3;
 constexpr std::size_t planned_changes = 300;
@@ -417,12 +419,6 @@
   violations found_;
 };
 
-std::uint64_t seed_count()
-{
-  const char* const text = std::getenv("TOUCANMILL_SEEDS");
-  return text == nullptr ? 20 : std::strtoull(text, nullptr, 10);
-}
-
 /// Sum over the seeds 1 to count.
 violations run_seeds(std::uint64_t count, simulation_options options)
 {
@@ -448,7 +444,7 @@
 // move and balancers and agents have tables of different versions.
 TEST(dispatch_random, planned_changes_break_no_flow)
 {
-  const auto found = run_seeds(seed_count(), {});
+  const auto found = run_seeds(test::seed_count(default_seeds), {});
   CHECK_EQUAL(0, found.accepted_twice);
   CHECK_EQUAL(0, found.reset);
   CHECK_EQUAL(0, found.unreachable);
@@ -461,7 +457,7 @@
 {
   simulation_options options;
   options.probe = false;
-  CHECK_TRUE(run_seeds(20, options).accepted_twice > 0);
+  CHECK_TRUE(run_seeds(default_seeds, options).accepted_twice > 0);
 }
 
 // Guards against a simulation that cannot detect the failure that chains
@@ -470,7 +466,7 @@
 {
   simulation_options options;
   options.keep_chains = false;
-  const auto found = run_seeds(20, options);
+  const auto found = run_seeds(default_seeds, options);
   CHECK_TRUE(found.unreachable > 0);
   CHECK_TRUE(found.reset > 0);
 }
--- a/src/agent/http_random_test.cpp
+++ b/src/agent/http_random_test.cpp
@@ -3,7 +3,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <random>
@@ -12,6 +11,7 @@
 #include <toucanmill/agent/admission_core.hpp>
 
 #include "http_message_core.hpp"
+#include "random_seeds_test.hpp"
 
 using namespace toucanmill;
 using namespace std::chrono_literals;
@@ -19,6 +19,7 @@
 namespace
 {
 
+constexpr std::uint64_t default_seeds = 1000;
 constexpr std::size_t session_count = 5;
 constexpr std::size_t requests_per_session = 6;
 constexpr std::size_t key_count = 4;
@@ -470,8 +471,7 @@
 // swapped responses when failures occur at any point.
 TEST(http_random, outcomes_hold_under_failures)
 {
-  const char* const text = std::getenv("TOUCANMILL_SEEDS");
-  const auto count = text == nullptr ? 1000 : std::strtoull(text, nullptr, 10);
+  const auto count = test::seed_count(default_seeds);
   for (std::uint64_t seed = 1; seed <= count; ++seed)
     for (const auto& violation : http_simulation(seed).run())
       FAIL(("seed " + std::to_string(seed) + ": " + violation).c_str());
