agent: split two long tests of HTTP sessions

Their cases are now grouped by what they check: complete responses, framing, closing, outcomes and claims. Every case is kept with its expectations.

--- a/src/agent/session_core_test.cpp
+++ b/src/agent/session_core_test.cpp
@@ -93,7 +93,7 @@
 TEST_GROUP(session){};
 
 // Each entry names the failure that it guards against.
-TEST(session, http_answers)
+TEST(session, http_response_is_complete_and_unaltered)
 {
   const auto finished = caller_end::finished;
   const auto reset = caller_end::reset;
@@ -123,6 +123,13 @@
          running(get) +
              inputs{upstream_sends(ok + "\r\nfeed"), upstream_disconnected{}},
          ok + closing + "\r\nfeed", {ev::truncated_answer}, reset);
+  expect("work for a caller that disconnected",
+         running(get) + inputs{caller_disconnected{}}, "", {ev::cancelled});
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_response_framing)
+{
   expect("waiting for the body of a response to HEAD",
          running("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n") +
              inputs{upstream_sends(ok + "Content-Length: 2\r\n\r\n")},
@@ -152,6 +159,12 @@
              inputs{upstream_sends(ok + "Toucanmill-Outcome: not-run\r\n"
                                         "Content-Length: 0\r\n\r\n")},
          ok + "Content-Length: 0\r\n\r\n", {ev::completed});
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_closing)
+{
+  const auto finished = caller_end::finished;
   expect("a half-close that cuts off the response",
          inputs{caller_bytes{get}, caller_finished{}, slot_granted{},
                 upstream_connected{}, upstream_sends(answer)},
@@ -183,8 +196,6 @@
          {ev::completed, ev::completed}, finished, 2);
   expect("a drain that waits for new connections indefinitely",
          inputs{drain_started{}, timer_expired{}}, "", {}, finished, 0);
-  expect("work for a caller that disconnected",
-         running(get) + inputs{caller_disconnected{}}, "", {ev::cancelled});
 }
 
 // Each entry names the failure that it guards against.
@@ -216,6 +227,11 @@
          running(timed) + inputs{timer_expired{}},
          refusal("502 Bad Gateway", "unknown", "Retry-After: 1\r\n" + closing),
          {ev::unknown_deadline}, caller_end::finished);
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_claims)
+{
   expect("a run without a claim", claiming(claim_status::in_progress),
          refusal("409 Conflict", "unknown"), {ev::refused_claim_in_progress},
          {}, 0);
