--- a/include/toucanmill/agent/agent.hpp
+++ b/include/toucanmill/agent/agent.hpp
@@ -47,14 +47,12 @@
   std::uint64_t replies = 0;    ///< packets sent to a fabric edge
   std::uint64_t unroutable = 0; ///< replies without a return endpoint
   std::uint64_t unsent = 0;     ///< datagrams that the kernel did not accept
-  std::uint64_t silent_flows =
-      0; ///< closed by keepalive or retransmission timeouts
+  std::uint64_t silent_flows = 0; ///< timed out: keepalive, retransmission
   std::uint64_t reset_by_caller = 0;
-  std::uint64_t interrupted =
-      0; ///< sessions that were busy when the agent stopped
+  std::uint64_t interrupted = 0; ///< sessions that stop() cut off
 };
 
-/// Present state of the agent.
+/// Current state of the agent.
 struct agent_status
 {
   agent_counts counts;
--- a/src/agent/agent_flow.hpp
+++ b/src/agent/agent_flow.hpp
@@ -92,7 +92,7 @@
   send_queue to_caller_;
   bool finish_requested_ = false;     ///< send a FIN once to_caller_ is empty
   bool finished_ = false;             ///< FIN was sent
-  std::size_t unconsumed_octets_ = 0; ///< received, not yet consume()d
+  std::size_t unconsumed_octets_ = 0; ///< received, window not reopened
 
   asio::steady_timer timer_;
   std::optional<asio::steady_timer> linger_;
