--- a/src/agent/tcp_stack_callbacks.cpp
+++ b/src/agent/tcp_stack_callbacks.cpp
@@ -38,7 +38,8 @@
 /// Source and destination from the IPv4 and TCP headers.
 packet_batch::entry addresses_of(pbuf* packet)
 {
-  const std::size_t ip_header_size = (pbuf_get_at(packet, 0) & 0x0fU) * 4;
+  const std::size_t ip_header_size =
+      std::size_t{4} * (pbuf_get_at(packet, 0) & 0x0fU);
   packet_batch::entry addresses{};
   addresses.source = read_endpoint(packet, 12, ip_header_size);
   addresses.destination = read_endpoint(packet, 16, ip_header_size + 2);
