agent: merge the repeated parse loop and stream reset

read_head() and read_body() differed only in the condition that ends them, and two inputs of a stream session reset the caller in the same way. Each pair shares one function; the decisions are unchanged.

--- a/src/agent/http_message_core.hpp
+++ b/src/agent/http_message_core.hpp
@@ -102,21 +102,13 @@
   /// The remaining ones must be passed again, followed by new ones.
   std::size_t read_head(std::string_view bytes)
   {
-    std::size_t used = 0;
-    while (!failed() && !parser_.is_header_done() && used < bytes.size())
-      if (!put(bytes, used))
-        break;
-    return used;
+    return read_until(&parser_type::is_header_done, bytes);
   }
 
   /// Parses up to the end of the message; otherwise as read_head().
   std::size_t read_body(std::string_view bytes)
   {
-    std::size_t used = 0;
-    while (!failed() && !parser_.is_done() && used < bytes.size())
-      if (!put(bytes, used))
-        break;
-    return used;
+    return read_until(&parser_type::is_done, bytes);
   }
 
   /// Signals the end of the connection, which completes a message without a
@@ -175,6 +167,16 @@
     return state_ != parse_state::incomplete;
   }
 
+  std::size_t read_until(bool (parser_type::*is_reached)() const,
+                         std::string_view bytes)
+  {
+    std::size_t used = 0;
+    while (!failed() && !(parser_.*is_reached)() && used < bytes.size())
+      if (!put(bytes, used))
+        break;
+    return used;
+  }
+
   /// Returns false if the parser needs more bytes or failed.
   bool put(std::string_view bytes, std::size_t& used)
   {
--- a/src/agent/stream_session_core.cpp
+++ b/src/agent/stream_session_core.cpp
@@ -58,6 +58,12 @@
     pending_bytes_.clear();
   }
 
+  void reset()
+  {
+    actions_.emplace_back(reset_caller{});
+    close();
+  }
+
   void close_when_both_finished()
   {
     if (caller_finished_ && upstream_finished_)
@@ -102,8 +108,7 @@
 
   void on(upstream_refused&)
   {
-    actions_.emplace_back(reset_caller{});
-    close();
+    reset();
   }
 
   void on(upstream_bytes& value)
@@ -122,8 +127,7 @@
 
   void on(upstream_disconnected&)
   {
-    actions_.emplace_back(reset_caller{});
-    close();
+    reset();
   }
 
   template <class Other>
