--- a/src/agent/agent_runtime.cpp
+++ b/src/agent/agent_runtime.cpp
@@ -1,11 +1,8 @@
 #include "agent_runtime.hpp"
 
-#include <unistd.h>
-
 #include <utility>
 
 #include <toucanmill/base/clock.hpp>
-#include <toucanmill/packet/gue.hpp>
 
 namespace toucanmill::detail
 {
@@ -13,11 +10,8 @@
 namespace
 {
 
-/// Batches taken from the socket before other handlers get a turn.
-constexpr int batches_per_turn = 16;
-
-/// Octets read from an upstream at once; the send buffer of a flow.
-constexpr std::size_t read_size = 65536;
+/// Maximum octets per read from an upstream; equals the send buffer of a flow.
+constexpr std::size_t read_buffer_size = 65536;
 
 std::mt19937_64 seeded_generator()
 {
@@ -31,10 +25,24 @@
 agent_runtime::agent_runtime(agent_options options, udp_channel channel,
                              claim_client& claims)
     : options_(options), channel_(std::move(channel)),
-      readable_(context_, dup(channel_.descriptor())), claims_(claims),
-      dispatch_(options.dispatch), admission_(options.admission),
-      budget_(options.http.retry_ratio), admission_timer_(context_),
-      read_buffer_(read_size), claim_ids_(seeded_generator()),
+      reader_(
+          context_, channel_,
+          [this](byte_view datagram, const endpoint&)
+          {
+            on_datagram(datagram);
+          },
+          [this]
+          {
+            process_stack();
+          }),
+      claims_(claims), dispatch_(options.dispatch),
+      slots_(context_, options.admission, counts_,
+             [this](const admission_change& change)
+             {
+               on_admission_change(change);
+             }),
+      budget_(options.http.retry_ratio), read_buffer_(read_buffer_size),
+      claim_id_generator_(seeded_generator()),
       stack_(options.tcp,
              [this]
              {
@@ -50,155 +58,10 @@
 void agent_runtime::run()
 {
   const auto work = asio::make_work_guard(context_);
-  wait_readable();
+  reader_.start();
   context_.run();
 }
 
-void agent_runtime::wait_readable()
-{
-  readable_.async_wait(asio::posix::descriptor_base::wait_read,
-                       [this](std::error_code error)
-                       {
-                         if (error)
-                           return;
-                         receive_batches();
-                         wait_readable();
-                       });
-}
-
-void agent_runtime::receive_batches()
-{
-  const auto handle = [this](byte_view datagram, const endpoint&)
-  {
-    on_datagram(datagram);
-  };
-  std::size_t received = udp_channel::batch_size;
-  for (int i = 0; i < batches_per_turn && received == udp_channel::batch_size;
-       ++i)
-  {
-    received = channel_.receive(handle);
-    process_stack();
-  }
-}
-
-void agent_runtime::on_datagram(byte_view datagram)
-{
-  const auto decoded = decode_gue(datagram);
-  if (const auto* fault = std::get_if<packet_fault>(&decoded))
-  {
-    ++counts_.faults[static_cast<std::size_t>(*fault)];
-    return;
-  }
-  const auto* const packet = std::get_if<gue_packet>(&decoded);
-  if (packet == nullptr || !packet->stamped)
-  {
-    ++counts_.unstamped;
-    return;
-  }
-  const auto parsed = parse_tcp_packet(packet->inner);
-  if (const auto* fault = std::get_if<packet_fault>(&parsed))
-    ++counts_.faults[static_cast<std::size_t>(*fault)];
-  else
-    on_packet(std::get<tcp_packet>(parsed), packet->stamp);
-}
-
-void agent_runtime::on_packet(const tcp_packet& packet,
-                              const route_stamp& stamp)
-{
-  std::visit(
-      [&](const auto& action)
-      {
-        act(packet, stamp, action);
-      },
-      dispatch_.on_packet(packet, stamp, monotonic_now()));
-}
-
-void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
-                        const deliver_packet& action)
-{
-  // Without a table the kind of the flow is unknown; the caller resends.
-  if (action.new_flow && !has_table_)
-  {
-    dispatch_.on_flow_closed(packet.flow);
-    return count_drop(dispatch_drop::no_table);
-  }
-  ++counts_.delivered;
-  if (stack_.inject(packet) || !action.new_flow)
-    return;
-  reset_targets_[packet.flow] = stamp.return_to;
-  dispatch_.on_flow_closed(packet.flow);
-}
-
-void agent_runtime::act(const tcp_packet& packet, const route_stamp&,
-                        const pass_packet& action)
-{
-  const auto header = encode_gue_header(action.stamp);
-  channel_.send(action.to, {header.bytes.data(), header.size}, packet.bytes);
-  ++counts_.passed_on;
-}
-
-void agent_runtime::act(const tcp_packet& packet, const route_stamp& stamp,
-                        const reset_flow&)
-{
-  reset_targets_[packet.flow] = stamp.return_to;
-  stack_.send_reset(packet);
-  ++counts_.resets;
-}
-
-void agent_runtime::act(const tcp_packet&, const route_stamp&,
-                        const drop_packet& action)
-{
-  count_drop(action.reason);
-}
-
-void agent_runtime::count_drop(dispatch_drop reason)
-{
-  ++counts_.drops[static_cast<std::size_t>(reason)];
-}
-
-void agent_runtime::process_stack()
-{
-  for (;;)
-  {
-    const auto events = stack_.take_events();
-    const auto packets = stack_.take_packets();
-    if (events.empty() && packets.size() == 0)
-      break;
-    send_replies(packets);
-    for (const auto& event : events)
-      on_event(event);
-  }
-  channel_.flush();
-  counts_.unsent = channel_.unsent();
-  reset_targets_.clear();
-  publish_holdings();
-}
-
-void agent_runtime::send_replies(const packet_batch& packets)
-{
-  static const auto header = encode_gue_header();
-  for (const auto& entry : packets.entries())
-    if (const auto to = return_endpoint({entry.destination, entry.source}))
-    {
-      channel_.send(*to, {header.bytes.data(), header.size},
-                    packets.bytes(entry));
-      ++counts_.replies;
-    }
-    else
-      ++counts_.unroutable;
-}
-
-std::optional<endpoint>
-agent_runtime::return_endpoint(const flow_key& flow) const
-{
-  if (const auto known = dispatch_.return_endpoint(flow))
-    return known;
-  const auto found = reset_targets_.find(flow);
-  if (found == reset_targets_.end())
-    return std::nullopt;
-  return found->second;
-}
-
 void agent_runtime::on_event(const tcp_event& event)
 {
   if (std::holds_alternative<tcp_established>(event.what))
@@ -230,7 +93,7 @@
     flow->handle(drain_started{});
 }
 
-/// Also ends flows whose handshake was never completed.
+/// Also handles flows whose handshake was never completed.
 void agent_runtime::end_flow(const tcp_event& event)
 {
   const auto& connection = *event.connection;
@@ -245,64 +108,14 @@
   counts_.open_flows = flows_.size();
 }
 
-admission_answer agent_runtime::request_slot(session_id session,
-                                             time_point deadline)
+void agent_runtime::on_admission_change(const admission_change& change)
 {
-  const auto answer = admission_.request(session, deadline);
-  update_admission();
-  return answer;
-}
-
-void agent_runtime::release_slot(session_id session)
-{
-  const auto changes = admission_.release(session, monotonic_now());
-  update_admission();
-  apply(changes);
-}
-
-void agent_runtime::apply(const std::vector<admission_change>& changes)
-{
-  for (const auto& change : changes)
-  {
-    const auto found = sessions_.find(change.session);
-    const auto flow = found == sessions_.end() ? nullptr : found->second.lock();
-    if (flow && change.granted)
-      flow->handle(slot_granted{});
-    else if (flow)
-      flow->handle(slot_refused{retry_after()});
-  }
-}
-
-void agent_runtime::update_admission()
-{
-  counts_.slots_in_use = admission_.slots_in_use();
-  counts_.queue_length = admission_.queue_length();
-  if (const auto next = admission_.next_deadline(); next != admission_deadline_)
-  {
-    admission_deadline_ = next;
-    arm_admission_timer();
-  }
-}
-
-void agent_runtime::arm_admission_timer()
-{
-  if (!admission_deadline_)
-  {
-    admission_timer_.cancel();
-    return;
-  }
-  admission_timer_.expires_after(
-      std::max(*admission_deadline_ - monotonic_now(), duration::zero()));
-  admission_timer_.async_wait(
-      [this](std::error_code error)
-      {
-        if (error)
-          return;
-        const auto refused = admission_.expire(monotonic_now());
-        admission_deadline_.reset();
-        update_admission();
-        apply(refused);
-      });
+  const auto found = sessions_.find(change.session);
+  const auto flow = found == sessions_.end() ? nullptr : found->second.lock();
+  if (flow && change.granted)
+    flow->handle(slot_granted{});
+  else if (flow)
+    flow->handle(slot_refused{slots_.retry_after()});
 }
 
 void agent_runtime::set_table(service_table table)
@@ -374,7 +187,7 @@
 agent_status agent_runtime::status() const
 {
   agent_status value;
-  value.counts = counts_.read();
+  value.counts = counts_.snapshot();
   value.open_flows = counts_.open_flows;
   value.busy_sessions = counts_.busy_sessions;
   value.slots_in_use = counts_.slots_in_use;
--- a/src/agent/session_core_test.cpp
+++ b/src/agent/session_core_test.cpp
@@ -43,7 +43,7 @@
   return left;
 }
 
-/// A request up to the point at which the upstream has it.
+/// Inputs up to the point at which the request was sent to the upstream.
 inputs running(const std::string& request)
 {
   return {caller_bytes{request}, slot_granted{}, upstream_connected{}};
@@ -60,12 +60,12 @@
   return claiming(claim_status::granted) + inputs{upstream_connected{}};
 }
 
-session_input says(const std::string& bytes)
+session_input upstream_sends(const std::string& bytes)
 {
   return upstream_bytes{bytes};
 }
 
-/// Runs a session and compares everything that it did.
+/// Runs a session and compares all its observable actions.
 void expect(const char* guards_against, const inputs& given,
             const std::string& to_caller,
             const std::vector<request_event>& events,
@@ -74,7 +74,7 @@
 {
   retry_budget budget{0.1};
   session_driver driver{make_http_session({}, budget)};
-  driver.give_all(given);
+  driver.handle_all(given);
   const auto text = guards_against + ("\n" + driver.to_caller.substr(0, 300));
   const auto is_same = [&text](bool same)
   {
@@ -93,112 +93,133 @@
 TEST_GROUP(session){};
 
 // Each entry names the failure that it guards against.
-TEST(session, http_answers)
+TEST(session, http_response_is_complete_and_unaltered)
 {
   const auto finished = caller_end::finished;
   const auto reset = caller_end::reset;
-  expect("two requests at once, altered answers",
-         running(get + get) +
-             inputs{says(answer.substr(0, 9)), says(answer.substr(9))} +
-             inputs{slot_granted{}, upstream_connected{}, says(answer)},
-         answer + answer, {ev::completed, ev::completed}, {}, 2);
+  expect(
+      "altered responses to two pipelined requests",
+      running(get + get) +
+          inputs{upstream_sends(answer.substr(0, 9)),
+                 upstream_sends(answer.substr(9))} +
+          inputs{slot_granted{}, upstream_connected{}, upstream_sends(answer)},
+      answer + answer, {ev::completed, ev::completed}, {}, 2);
   expect("extra upstream bytes that reach a caller",
-         running(get) + inputs{says(answer + ok), says("late")}, answer,
+         running(get) +
+             inputs{upstream_sends(answer + ok), upstream_sends("late")},
+         answer,
          {ev::unexpected_upstream_bytes, ev::completed,
           ev::unexpected_upstream_bytes});
-  expect("a truncated answer that looks complete",
-         running(get) + inputs{says(answer.substr(0, answer.size() - 1)),
-                               upstream_finished{}},
-         answer.substr(0, answer.size() - 1), {ev::truncated_answer}, reset);
-  expect("an answer whose end the caller cannot tell",
+  expect("a truncated response that looks complete",
          running(get) +
-             inputs{says(ok + "\r\nfe"), says("ed"), upstream_finished{}},
+             inputs{upstream_sends(answer.substr(0, answer.size() - 1)),
+                    upstream_finished{}},
+         answer.substr(0, answer.size() - 1), {ev::truncated_answer}, reset);
+  expect("a response whose end the caller cannot detect",
+         running(get) + inputs{upstream_sends(ok + "\r\nfe"),
+                               upstream_sends("ed"), upstream_finished{}},
          ok + closing + "\r\nfeed", {ev::completed}, finished);
   expect("a reset that looks like the end of a feed",
-         running(get) + inputs{says(ok + "\r\nfeed"), upstream_gone{}},
+         running(get) +
+             inputs{upstream_sends(ok + "\r\nfeed"), upstream_disconnected{}},
          ok + closing + "\r\nfeed", {ev::truncated_answer}, reset);
-  expect("waiting for the body of an answer to HEAD",
+  expect("work for a caller that disconnected",
+         running(get) + inputs{caller_disconnected{}}, "", {ev::cancelled});
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_response_framing)
+{
+  expect("waiting for the body of a response to HEAD",
          running("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n") +
-             inputs{says(ok + "Content-Length: 2\r\n\r\n")},
+             inputs{upstream_sends(ok + "Content-Length: 2\r\n\r\n")},
          ok + "Content-Length: 2\r\n\r\n", {ev::completed});
   expect("waiting for the body of a 204",
-         running(get) + inputs{says("HTTP/1.1 204 No\r\n\r\n")},
+         running(get) + inputs{upstream_sends("HTTP/1.1 204 No\r\n\r\n")},
          "HTTP/1.1 204 No\r\n\r\n", {ev::completed});
   expect("waiting for the body of a 304",
-         running(get) + inputs{says("HTTP/1.1 304 No\r\nContent-Length: 2\r\n"
-                                    "\r\n")},
-         "HTTP/1.1 304 No\r\nContent-Length: 2\r\n\r\n", {ev::completed});
-  expect("a chunked answer that is re-framed",
          running(get) +
-             inputs{says(chunked.substr(0, 49)), says(chunked.substr(49))},
+             inputs{upstream_sends("HTTP/1.1 304 No\r\nContent-Length: 2\r\n"
+                                   "\r\n")},
+         "HTTP/1.1 304 No\r\nContent-Length: 2\r\n\r\n", {ev::completed});
+  expect("a chunked response that is re-framed",
+         running(get) + inputs{upstream_sends(chunked.substr(0, 49)),
+                               upstream_sends(chunked.substr(49))},
          chunked, {ev::completed});
-  expect("an interim answer that is taken as the final one",
-         running(get) + inputs{says("HTTP/1.1 103 Hints\r\n\r\n" + answer)},
+  expect("an interim response that is taken as the final one",
+         running(get) +
+             inputs{upstream_sends("HTTP/1.1 103 Hints\r\n\r\n" + answer)},
          "HTTP/1.1 103 Hints\r\n\r\n" + answer, {ev::completed});
   expect("a caller who waits for 100 Continue",
          running(post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n") +
-             inputs{caller_bytes{"ab"}, says(answer)},
+             inputs{caller_bytes{"ab"}, upstream_sends(answer)},
          "HTTP/1.1 100 Continue\r\n\r\n" + answer, {ev::completed});
-  expect("an upstream that names an outcome in the agent's place",
-         running(get) + inputs{says(ok + "Toucanmill-Outcome: not-run\r\n"
-                                         "Content-Length: 0\r\n\r\n")},
+  expect("an upstream that sets the outcome field",
+         running(get) +
+             inputs{upstream_sends(ok + "Toucanmill-Outcome: not-run\r\n"
+                                        "Content-Length: 0\r\n\r\n")},
          ok + "Content-Length: 0\r\n\r\n", {ev::completed});
-  expect("a half-close that cuts the answer",
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_closing)
+{
+  const auto finished = caller_end::finished;
+  expect("a half-close that cuts off the response",
          inputs{caller_bytes{get}, caller_finished{}, slot_granted{},
-                upstream_connected{}, says(answer)},
+                upstream_connected{}, upstream_sends(answer)},
          answer, {ev::completed}, finished);
-  expect("a drain that cuts the answer",
-         running(get) + inputs{drain_started{}, says(answer)},
+  expect("a drain that cuts off the response",
+         running(get) + inputs{drain_started{}, upstream_sends(answer)},
          ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
          finished);
-  expect("a drain that cuts a request which crosses it",
-         running(get) + inputs{says(answer), drain_started{}} + running(get) +
-             inputs{says(answer)},
+  expect("a drain that cuts off a request in flight",
+         running(get) + inputs{upstream_sends(answer), drain_started{}} +
+             running(get) + inputs{upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
-  expect("a drain that waits for idle callers without limit",
-         running(get) + inputs{says(answer), drain_started{}, timer_expired{}},
+  expect("a drain that waits for idle callers indefinitely",
+         running(get) +
+             inputs{upstream_sends(answer), drain_started{}, timer_expired{}},
          answer, {ev::completed}, finished);
-  expect("a drain that loses the first request of a new connection",
-         inputs{drain_started{}} + running(get) + inputs{says(answer)},
-         ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed},
-         finished);
-  expect("a drain that cuts a head which the parser has already taken",
-         running(get) + inputs{says(answer), caller_bytes{"\r\n"},
+  expect(
+      "a drain that loses the first request of a new connection",
+      inputs{drain_started{}} + running(get) + inputs{upstream_sends(answer)},
+      ok + closing + "Content-Length: 2\r\n\r\nhi", {ev::completed}, finished);
+  expect("a drain that cuts off a head of which the parser consumed a part",
+         running(get) + inputs{upstream_sends(answer), caller_bytes{"\r\n"},
                                caller_bytes{"GET / HTTP/1.1\r\n"},
                                drain_started{}, caller_bytes{"Host: a\r\n\r\n"},
                                slot_granted{}, upstream_connected{},
-                               says(answer)},
+                               upstream_sends(answer)},
          answer + ok + closing + "Content-Length: 2\r\n\r\nhi",
          {ev::completed, ev::completed}, finished, 2);
-  expect("a drain that waits for silent callers without limit",
+  expect("a drain that waits for new connections indefinitely",
          inputs{drain_started{}, timer_expired{}}, "", {}, finished, 0);
-  expect("work for a caller who left", running(get) + inputs{caller_gone{}}, "",
-         {ev::cancelled});
 }
 
 // Each entry names the failure that it guards against.
 TEST(session, http_outcomes)
 {
-  expect("a refusal that is held back",
+  expect("a refusal that is delayed",
          inputs{caller_bytes{post + sized}, slot_refused{1500ms}},
          refusal("503 Service Unavailable", "not-run", "Retry-After: 2\r\n"),
          {ev::refused_queue_full}, {}, 0);
   expect("'not run' or a second run after a failure",
-         running(post + sized) + inputs{upstream_gone{}}, bad_gateway,
+         running(post + sized) + inputs{upstream_disconnected{}}, bad_gateway,
          {ev::unknown_upstream_gone});
   expect("more than one retry",
-         running(get) +
-             inputs{upstream_gone{}, upstream_connected{}, upstream_finished{}},
+         running(get) + inputs{upstream_disconnected{}, upstream_connected{},
+                               upstream_finished{}},
          bad_gateway, {ev::retried_idempotent, ev::unknown_upstream_gone}, {},
          2);
   expect("'not run' after a first attempt",
-         running(get) + inputs{upstream_gone{}, upstream_refused{}},
+         running(get) + inputs{upstream_disconnected{}, upstream_refused{}},
          bad_gateway, {ev::retried_idempotent, ev::unknown_upstream_gone}, {},
          2);
-  expect("a retry after the answer began",
-         running(get) + inputs{says("H"), upstream_gone{}}, bad_gateway,
-         {ev::unknown_upstream_gone});
+  expect("a retry after the response began",
+         running(get) + inputs{upstream_sends("H"), upstream_disconnected{}},
+         bad_gateway, {ev::unknown_upstream_gone});
   expect("'unknown' although nothing was sent",
          inputs{caller_bytes{post + sized}, slot_granted{}, upstream_refused{}},
          unavailable, {ev::refused_upstream_unreachable});
@@ -206,39 +227,49 @@
          running(timed) + inputs{timer_expired{}},
          refusal("502 Bad Gateway", "unknown", "Retry-After: 1\r\n" + closing),
          {ev::unknown_deadline}, caller_end::finished);
+}
+
+// Each entry names the failure that it guards against.
+TEST(session, http_claims)
+{
   expect("a run without a claim", claiming(claim_status::in_progress),
          refusal("409 Conflict", "unknown"), {ev::refused_claim_in_progress},
          {}, 0);
-  expect("an answer to another request with the same key",
+  expect("the response to another request with the same key",
          claiming(claim_status::different_request),
          refusal("422 Unprocessable Entity", "not-run", ""),
          {ev::refused_claim_different}, {}, 0);
   expect("a second run", claiming(claim_status::completed, answer), answer,
          {ev::replayed}, {}, 0);
-  expect("a second run after an answer too large to record",
+  expect("a second run after a response too large to record",
          claiming(claim_status::completed), refusal("409 Conflict", "unknown"),
          {ev::refused_claim_in_progress}, {}, 0);
-  expect("a claim that stays although nothing was sent",
+  expect("a claim that is kept although nothing was sent",
          claiming(claim_status::granted) + inputs{upstream_refused{}},
          unavailable, {ev::refused_upstream_unreachable}, {}, 1, 1);
-  expect("a claim that stays when the caller leaves early",
-         inputs{caller_bytes{keyed_post}, slot_granted{}, caller_gone{}}, "",
-         {ev::cancelled}, {}, 0, 1);
+  expect(
+      "a claim that is kept when the caller disconnects early",
+      inputs{caller_bytes{keyed_post}, slot_granted{}, caller_disconnected{}},
+      "", {ev::cancelled}, {}, 0, 1);
   expect("a released claim of a request that may have run",
-         running_claim() + inputs{upstream_gone{}}, bad_gateway,
+         running_claim() + inputs{upstream_disconnected{}}, bad_gateway,
          {ev::unknown_upstream_gone});
-  expect("an answer that is relayed before it is recorded",
-         running_claim() + inputs{says(answer), caller_gone{}}, "",
-         {ev::cancelled});
-  expect("a recorded answer without a length",
-         running_claim() + inputs{says(chunked), claim_recorded{true}}, answer,
-         {ev::completed});
-  expect("an answer lost because it was not recorded",
-         running_claim() + inputs{says(answer), claim_recorded{false}}, answer,
-         {ev::answer_not_recorded, ev::completed});
-  expect("an answer lost because it is too large to record",
+  expect("a response that is relayed before it is recorded",
+         running_claim() +
+             inputs{upstream_sends(answer), caller_disconnected{}},
+         "", {ev::cancelled});
+  expect("a recorded response without a length",
+         running_claim() +
+             inputs{upstream_sends(chunked), claim_recorded{true}},
+         answer, {ev::completed});
+  expect("a response lost because it was not recorded",
+         running_claim() +
+             inputs{upstream_sends(answer), claim_recorded{false}},
+         answer, {ev::answer_not_recorded, ev::completed});
+  expect("a response lost because it is too large to record",
          running_claim() +
-             inputs{says(ok + "Content-Length: 70000\r\n\r\n"), says(large)},
+             inputs{upstream_sends(ok + "Content-Length: 70000\r\n\r\n"),
+                    upstream_sends(large)},
          ok + closing + "Content-Length: 70000\r\n\r\n" + large,
          {ev::answer_not_recorded, ev::completed}, caller_end::finished);
 }
@@ -269,8 +300,8 @@
            caller_end::finished, 0);
 }
 
-// Guards against a request that is given up because one reply was lost, and
-// against a claim that stays after it was given up.
+// Guards against a request that fails because one reply was lost, and against a
+// claim that is kept after the request failed.
 TEST(session, lost_claim_decision_is_asked_again)
 {
   const inputs lost{claim_decided{claim_status::unavailable, {}},
@@ -282,18 +313,18 @@
          {ev::refused_claim_unavailable}, caller_end::finished, 0, 1);
 }
 
-// Guards against hop-by-hop fields and framing of the caller at the upstream,
-// and against a deadline that does not shrink on its way.
+// Guards against forwarding hop-by-hop fields and the framing of the caller,
+// and against a deadline that is not reduced by the time already spent.
 TEST(session, request_is_rewritten_for_the_upstream)
 {
   retry_budget budget{0.1};
   session_driver driver{make_http_session({}, budget)};
-  driver.give(caller_bytes{
+  driver.handle(caller_bytes{
       keyed + "X-Hop: 1\r\nConnection: X-Hop\r\nToucanmill-Deadline-Ms: 500\r\n"
               "Transfer-Encoding: chunked\r\n\r\n4\r\nm=12\r\n0\r\n\r\n"});
   driver.now += 200ms;
-  driver.give_all({slot_granted{}, claim_decided{claim_status::granted, {}},
-                   upstream_connected{}});
+  driver.handle_all({slot_granted{}, claim_decided{claim_status::granted, {}},
+                     upstream_connected{}});
   CHECK_TRUE(driver.to_upstream ==
              keyed + "Content-Length: 4\r\nToucanmill-Deadline-Ms: 300\r\n" +
                  closing + "\r\nm=12");
@@ -308,12 +339,12 @@
     {
       retry_budget budget{0.1};
       session_driver driver{make_http_session({}, budget)};
-      driver.give_all({caller_bytes{start +
-                                    " HTTP/1.1\r\nHost: a\r\n"
-                                    "Idempotency-Key: k\r\n"
-                                    "Content-Length: 1\r\n\r\n" +
-                                    body},
-                       slot_granted{}});
+      driver.handle_all({caller_bytes{start +
+                                      " HTTP/1.1\r\nHost: a\r\n"
+                                      "Idempotency-Key: k\r\n"
+                                      "Content-Length: 1\r\n\r\n" +
+                                      body},
+                         slot_granted{}});
       digests.insert(driver.claims.at(0).digest);
     }
   CHECK_EQUAL(6U, digests.size());
@@ -326,45 +357,47 @@
   while (budget.take())
     continue;
   session_driver driver{make_http_session({}, budget)};
-  driver.give_all(running(get) + inputs{upstream_gone{}});
+  driver.handle_all(running(get) + inputs{upstream_disconnected{}});
   CHECK_TRUE(driver.to_caller == bad_gateway);
 }
 
-// Guards against bytes lost while the upstream connection opens, and against
-// the end of one direction that ends the other.
+// Guards against bytes lost while the upstream connection opens, and against a
+// half-close that ends both directions.
 TEST(session, stream_keeps_early_bytes_and_half_closes)
 {
   session_driver driver{make_stream_session()};
-  driver.give_all({caller_bytes{}, caller_bytes{"ab"}, caller_finished{}});
+  driver.handle_all({caller_bytes{}, caller_bytes{"ab"}, caller_finished{}});
   CHECK_TRUE(driver.to_upstream.empty());
-  driver.give_all({upstream_connected{}, upstream_bytes{"late"}});
+  driver.handle_all({upstream_connected{}, upstream_bytes{"late"}});
   CHECK_TRUE(driver.to_upstream == "ab" && driver.upstream_half_closed);
   CHECK_TRUE(driver.to_caller == "late" && driver.session->busy());
-  driver.give(upstream_finished{});
+  driver.handle(upstream_finished{});
   CHECK_TRUE(driver.end == caller_end::finished && !driver.session->busy());
 }
 
-// Guards against a failure that looks like a proper end, and against an
+// Guards against a failure that looks like an orderly close, and against an
 // upstream connection that outlives its caller.
 TEST(session, stream_failures_reach_the_other_side)
 {
   session_driver failed{make_stream_session()};
-  failed.give_all({caller_bytes{}, upstream_connected{}, upstream_gone{}});
+  failed.handle_all(
+      {caller_bytes{}, upstream_connected{}, upstream_disconnected{}});
   CHECK_TRUE(failed.end == caller_end::reset);
   session_driver left{make_stream_session()};
-  left.give_all({caller_bytes{}, caller_gone{}});
+  left.handle_all({caller_bytes{}, caller_disconnected{}});
   CHECK_EQUAL(0, left.open_upstreams);
 }
 
-// Guards against a leaving upstream that gets new work over connections which
-// were open before its drain.
+// Guards against new work for a leaving upstream over connections that were
+// open before its drain.
 TEST(session, drain_refuses_requests_after_its_grace)
 {
   retry_budget budget{0.1};
   session_driver driver(make_http_session({}, budget));
-  driver.give_all(running(get) + inputs{says(answer), drain_started{}});
+  driver.handle_all(running(get) +
+                    inputs{upstream_sends(answer), drain_started{}});
   driver.now += 3s;
-  driver.give(caller_bytes{get});
+  driver.handle(caller_bytes{get});
   CHECK_TRUE(driver.to_caller ==
              answer + refusal("503 Service Unavailable", "not-run",
                               "Retry-After: 1\r\n" + closing));
