--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -4,9 +4,11 @@
 
 #include <toucanmill/cluster/wire.hpp>
 
-namespace toucanmill::detail {
+namespace toucanmill::detail
+{
 
-namespace {
+namespace
+{
 
 constexpr auto connect_timeout = 500 * kj::MILLISECONDS;
 
@@ -17,16 +19,20 @@
 constexpr auto delivery_timeout = 2 * kj::SECONDS;
 
 /// Octets that count towards peer_links::max_octets_in_flight.
-std::size_t limited_octets(const std::string &message) {
+std::size_t limited_octets(const std::string& message)
+{
   return message.size() < peer_links::large_message_size ? 0 : message.size();
 }
 
 } // namespace
 
-peer_links::peer_links(kj::AsyncIoContext &io, std::atomic<std::uint64_t> &lost)
-    : io_(io), lost_(lost), tasks_(*this) {}
+peer_links::peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost)
+    : io_(io), lost_(lost), tasks_(*this)
+{
+}
 
-void peer_links::send(const replica_address &to, const std::string &message) {
+void peer_links::send(const replica_address& to, const std::string& message)
+{
   const auto peer = find_or_create_link(to.rpc);
   if (peer->connection != nullptr && has_room(*peer, message))
     return deliver(peer, message);
@@ -39,33 +45,39 @@
     connect(peer);
 }
 
-bool peer_links::has_room(const link &peer, const std::string &message) {
+bool peer_links::has_room(const link& peer, const std::string& message)
+{
   const auto octets = limited_octets(message);
   return peer.in_flight < max_in_flight &&
          (octets == 0 || peer.octets_in_flight == 0 ||
           peer.octets_in_flight + octets <= max_octets_in_flight);
 }
 
-void peer_links::invite(const endpoint &to,
-                        const std::vector<endpoint> &members) {
-  tasks_.add(
-      connect_rpc(io_, to, connect_timeout)
-          .then([this, members](kj::Own<kj::AsyncIoStream> stream) {
-            auto connection = std::make_shared<rpc_connection>(kj::mv(stream));
-            auto request = connection->control.inviteRequest();
-            auto list =
-                request.initMembers(static_cast<unsigned>(members.size()));
-            for (unsigned i = 0; i < list.size(); ++i)
-              wire::write(list[i], members[i]);
-            return io_.provider->getTimer()
-                .timeoutAfter(delivery_timeout, request.send().ignoreResult())
-                .attach(kj::mv(connection));
-          })
-          .catch_([](kj::Exception &&) {}));
+void peer_links::invite(const endpoint& to,
+                        const std::vector<endpoint>& members)
+{
+  tasks_.add(connect_rpc(io_, to, connect_timeout)
+                 .then(
+                     [this, members](kj::Own<kj::AsyncIoStream> stream)
+                     {
+                       auto connection =
+                           std::make_shared<rpc_connection>(kj::mv(stream));
+                       auto request = connection->control.inviteRequest();
+                       auto list = request.initMembers(
+                           static_cast<unsigned>(members.size()));
+                       for (unsigned i = 0; i < list.size(); ++i)
+                         wire::write(list[i], members[i]);
+                       return io_.provider->getTimer()
+                           .timeoutAfter(delivery_timeout,
+                                         request.send().ignoreResult())
+                           .attach(kj::mv(connection));
+                     })
+                 .catch_([](kj::Exception&&) {}));
 }
 
-void peer_links::deliver_queued(const std::shared_ptr<link> &peer) {
-  for (const auto &message : std::exchange(peer->queued, {}))
+void peer_links::deliver_queued(const std::shared_ptr<link>& peer)
+{
+  for (const auto& message : std::exchange(peer->queued, {}))
     if (has_room(*peer, message))
       deliver(peer, message);
     else
@@ -73,37 +85,49 @@
 }
 
 std::shared_ptr<peer_links::link>
-peer_links::find_or_create_link(const endpoint &to) {
-  auto &peer = links_[to];
-  if (peer == nullptr) {
+peer_links::find_or_create_link(const endpoint& to)
+{
+  auto& peer = links_[to];
+  if (peer == nullptr)
+  {
     peer = std::make_shared<link>();
     peer->to = to;
   }
   return peer;
 }
 
-void peer_links::connect(const std::shared_ptr<link> &peer) {
+void peer_links::connect(const std::shared_ptr<link>& peer)
+{
   peer->connecting = true;
   tasks_.add(connect_rpc(io_, peer->to, connect_timeout)
-                 .then([this, peer](kj::Own<kj::AsyncIoStream> stream) {
-                   peer->connection =
-                       std::make_shared<rpc_connection>(kj::mv(stream));
-                   peer->in_flight = 0;
-                   peer->octets_in_flight = 0;
-                   peer->connecting = false;
-                   deliver_queued(peer);
-                 })
-                 .catch_([this, peer](kj::Exception &&) {
-                   lost_ += peer->queued.size();
-                   peer->queued.clear();
-                   return io_.provider->getTimer()
-                       .afterDelay(reconnect_delay)
-                       .then([peer] { peer->connecting = false; });
-                 }));
+                 .then(
+                     [this, peer](kj::Own<kj::AsyncIoStream> stream)
+                     {
+                       peer->connection =
+                           std::make_shared<rpc_connection>(kj::mv(stream));
+                       peer->in_flight = 0;
+                       peer->octets_in_flight = 0;
+                       peer->connecting = false;
+                       deliver_queued(peer);
+                     })
+                 .catch_(
+                     [this, peer](kj::Exception&&)
+                     {
+                       lost_ += peer->queued.size();
+                       peer->queued.clear();
+                       return io_.provider->getTimer()
+                           .afterDelay(reconnect_delay)
+                           .then(
+                               [peer]
+                               {
+                                 peer->connecting = false;
+                               });
+                     }));
 }
 
-void peer_links::deliver(const std::shared_ptr<link> &peer,
-                         const std::string &message) {
+void peer_links::deliver(const std::shared_ptr<link>& peer,
+                         const std::string& message)
+{
   auto request = peer->connection->control.stepRequest();
   request.setMessage(kj::StringPtr(message.c_str(), message.size()).asBytes());
   const auto octets = limited_octets(message);
@@ -111,24 +135,26 @@
   peer->octets_in_flight += octets;
   const auto used = peer->connection;
   auto sent = request.send().ignoreResult();
-  auto &timer = io_.provider->getTimer();
+  auto& timer = io_.provider->getTimer();
   // The task keeps the connection alive, so that it is not destroyed inside one
   // of its own callbacks.
   tasks_.add(timer.timeoutAfter(delivery_timeout, kj::mv(sent))
                  .then(
-                     [peer, used, octets] {
+                     [peer, used, octets]
+                     {
                        if (peer->connection != used)
                          return;
                        --peer->in_flight;
                        peer->octets_in_flight -= octets;
                      },
-                     [this, peer, used](kj::Exception &&) {
+                     [this, peer, used](kj::Exception&&)
+                     {
                        ++lost_;
                        if (peer->connection == used)
                          peer->connection = nullptr;
                      }));
 }
 
-void peer_links::taskFailed(kj::Exception &&) {}
+void peer_links::taskFailed(kj::Exception&&) {}
 
 } // namespace toucanmill::detail
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -12,11 +12,13 @@
 #include <toucanmill/control/rpc_connection.hpp>
 #include <toucanmill/log/types.hpp>
 
-namespace toucanmill::detail {
+namespace toucanmill::detail
+{
 
 /// Connections to the other control instances; used on one kj thread. Messages
 /// to a slow or unreachable instance are dropped; replication resends them.
-class peer_links : private kj::TaskSet::ErrorHandler {
+class peer_links : private kj::TaskSet::ErrorHandler
+{
 public:
   /// Maximum number of unacknowledged replication messages per instance.
   static constexpr std::size_t max_in_flight = 256;
@@ -35,15 +37,16 @@
   static constexpr std::size_t max_queued = 16;
 
   /// `lost` counts messages that were dropped or not acknowledged.
-  peer_links(kj::AsyncIoContext &io, std::atomic<std::uint64_t> &lost);
+  peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost);
 
-  void send(const replica_address &to, const std::string &message);
+  void send(const replica_address& to, const std::string& message);
 
   /// Sends the group's members once to an instance that may not know the group.
-  void invite(const endpoint &to, const std::vector<endpoint> &members);
+  void invite(const endpoint& to, const std::vector<endpoint>& members);
 
 private:
-  struct link {
+  struct link
+  {
     endpoint to;
     bool connecting = false;
     std::size_t in_flight = 0;
@@ -52,15 +55,15 @@
     std::shared_ptr<rpc_connection> connection; ///< null: not connected
   };
 
-  std::shared_ptr<link> find_or_create_link(const endpoint &to);
-  void connect(const std::shared_ptr<link> &peer);
-  static bool has_room(const link &peer, const std::string &message);
-  void deliver_queued(const std::shared_ptr<link> &peer);
-  void deliver(const std::shared_ptr<link> &peer, const std::string &message);
-  void taskFailed(kj::Exception &&exception) override;
+  std::shared_ptr<link> find_or_create_link(const endpoint& to);
+  void connect(const std::shared_ptr<link>& peer);
+  static bool has_room(const link& peer, const std::string& message);
+  void deliver_queued(const std::shared_ptr<link>& peer);
+  void deliver(const std::shared_ptr<link>& peer, const std::string& message);
+  void taskFailed(kj::Exception&& exception) override;
 
-  kj::AsyncIoContext &io_;
-  std::atomic<std::uint64_t> &lost_;
+  kj::AsyncIoContext& io_;
+  std::atomic<std::uint64_t>& lost_;
   std::map<endpoint, std::shared_ptr<link>> links_;
   kj::TaskSet tasks_;
 };
--- a/src/control/peer_links_test.cpp
+++ b/src/control/peer_links_test.cpp
@@ -9,21 +9,24 @@
 using namespace toucanmill;
 using namespace toucanmill::detail;
 
-namespace {
+namespace
+{
 
 /// Receives messages and acknowledges none of them.
-class silent_instance final : public schema::Control::Server {
+class silent_instance final : public schema::Control::Server
+{
 public:
-  explicit silent_instance(std::vector<std::size_t> &sizes) : sizes_(sizes) {}
+  explicit silent_instance(std::vector<std::size_t>& sizes) : sizes_(sizes) {}
 
 protected:
-  kj::Promise<void> step(StepContext context) override {
+  kj::Promise<void> step(StepContext context) override
+  {
     sizes_.push_back(context.getParams().getMessage().size());
     return kj::NEVER_DONE;
   }
 
 private:
-  std::vector<std::size_t> &sizes_;
+  std::vector<std::size_t>& sizes_;
 };
 
 } // namespace
@@ -33,7 +36,8 @@
 // Guards against copies of a large entry that pile up for an instance that is
 // slow or frozen; with several such instances control exceeded its memory
 // limit. Heartbeats must still pass, or the instance starts an election.
-TEST(peer_links, large_messages_in_flight_are_limited) {
+TEST(peer_links, large_messages_in_flight_are_limited)
+{
   auto io = kj::setupAsyncIo();
   std::vector<std::size_t> sizes;
   capnp::TwoPartyServer server(kj::heap<silent_instance>(sizes));
@@ -48,7 +52,8 @@
   peer_links links(io, lost);
   const std::string large(400'000, 'x');
   const std::string small(100, 'x');
-  const auto wait = [&] {
+  const auto wait = [&]
+  {
     io.provider->getTimer()
         .afterDelay(100 * kj::MILLISECONDS)
         .wait(io.waitScope);
