relay: a found message discards an earlier not-found result

Cause: since a found message no longer discards the search, a result of before stayed and, with the next confirmation, justified a reset of a flow that an agent had reported since. Change: the message clears the result. Measured: the new test resets the flow before the change and passes with it.

--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -424,7 +424,10 @@
   // The search may still go on: the report is wrong if the agent's upstream
   // then returns the packet.
   if (const auto search = searched_.find(flow); search != searched_.end())
+  {
     search->second.found = true;
+    search->second.not_found.reset();
+  }
   if (remembered_flows_.size() >= options_.max_remembered_flows &&
       remembered_flows_.count(flow) == 0)
     return;
--- a/src/relay/entry_search_test.cpp
+++ b/src/relay/entry_search_test.cpp
@@ -510,3 +510,27 @@
   CHECK_TRUE(reset);
   CHECK_EQUAL(1U, walks);
 }
+
+// Guards against a reset of an open flow that an agent has reported since the
+// search ended without a result: the earlier result no longer counts.
+TEST(entry_search, found_message_discards_an_earlier_not_found_result)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(3);
+  run.core.set_confirmed(start);
+  const auto arrival = start + 500ms;
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), arrival));
+  const auto& stops = first.header.stops;
+  CHECK_TRUE(std::holds_alternative<await_table>(run.core.on_missed(
+      first.header, stops.agents[2], data(port), arrival + 1ms)));
+  run.core.on_found(first.header, stops.agents[1], data(port).from_caller(),
+                    arrival + 2ms);
+  run.core.set_confirmed(arrival + 3ms);
+  const auto next =
+      std::get<visit_agent>(run.core.on_packet(data(port), arrival + 4ms));
+  CHECK_TRUE(next.header.remembered);
+  const auto action = run.core.on_missed(next.header, stops.agents[1],
+                                         data(port), arrival + 5ms);
+  CHECK_FALSE(std::holds_alternative<reset_caller>(action));
+}
