relay: split the tests of search plans from those of dead agents

entry_search_test.cpp had 536 lines, and two tests repeated the same set-up. search_run_test.hpp holds the simulated agents, search_plan_test.cpp the tests of answers and tables. Two pairs of checks became one check of either each; nothing else changes.

--- /dev/null
+++ b/src/relay/search_plan_test.cpp
@@ -0,0 +1,222 @@
+#include "search_run_test.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+namespace
+{
+
+/// A balancer before two services, and a flow whose agent is visited last since
+/// it left a probe for another flow unanswered.
+class unresponsive_holder_run
+{
+public:
+  explicit unresponsive_holder_run(std::size_t max_probes_per_tick)
+      : core(options(max_probes_per_tick))
+  {
+    publish(1);
+    core.set_confirmed(start);
+    const auto stages = stages_of(core, port);
+    CHECK_EQUAL(2U, stages.size());
+    while (stages_of(core, other)[0].service != stages[0].service)
+      ++other;
+    holders = stages[0].stops.size;
+    holder = stages[0].stops.agents[holders - 1U];
+    core.on_packet(data(other), start);
+    const auto probes =
+        std::get<visit_all>(core.on_packet(data(other), start + 200ms));
+    for (const auto& probe : probes.visits)
+      if (probe.header.probe && !(probe.agent == holder))
+        core.on_missed(probe.header, probe.agent, data(other), start + 210ms);
+  }
+
+  /// Installs a table of the same content.
+  void publish(std::uint64_t index)
+  {
+    core.set_table(
+        table_of(index, routes_to(5, {{"notes", 1}, {"images", 1}}),
+                 {service("notes", 1, 10, 3), service("images", 2, 20, 2)}));
+  }
+
+  visit_agent send(duration at)
+  {
+    return std::get<visit_agent>(core.on_packet(data(port), start + at));
+  }
+
+  /// The last stop of the visit returns the packet.
+  entry_action miss(const visit_agent& visit, duration at)
+  {
+    const auto& stops = visit.header.stops;
+    return core.on_missed(visit.header, stops.agents[stops.size - 1U],
+                          data(port), start + at);
+  }
+
+  /// The holder reports another flow, so it is responsive again.
+  void holder_answers(duration at)
+  {
+    core.on_found({}, holder, data(other).from_caller(), start + at);
+  }
+
+  static constexpr std::uint16_t port = 1;
+  std::uint16_t other = port + 1; ///< a flow of the same service
+  entry_core core;
+  endpoint holder;
+  std::size_t holders = 0; ///< of the service that is searched first
+
+private:
+  static entry_options options(std::size_t max_probes_per_tick)
+  {
+    entry_options value;
+    value.self = endpoint_at(1, 7720);
+    value.max_probes_per_tick = max_probes_per_tick;
+    return value;
+  }
+};
+
+bool is_reset_or_waits_for_one(const entry_action& action)
+{
+  return std::holds_alternative<reset_caller>(action) ||
+         std::holds_alternative<await_table>(action);
+}
+
+} // namespace
+
+TEST_GROUP(search_plan){};
+
+// Guards against a reset of an open flow because a late answer to an earlier
+// attempt, which visited other agents, counts for the present one.
+TEST(search_plan, late_answer_to_an_earlier_attempt_does_not_end_the_search)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(3);
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), start));
+  run.core.on_packet(data(port), start + 200ms);
+  run.core.set_confirmed(start + 600ms);
+  run.core.on_found(first.header, first.header.stops.agents[2],
+                    data(port + 1).from_caller(), start + 210ms);
+  const auto next =
+      std::get<visit_agent>(run.core.on_packet(data(port), start + 600ms));
+  CHECK_EQUAL(1U, next.header.stops.size);
+  const auto action = run.core.on_missed(
+      first.header, first.header.stops.agents[2], data(port), start + 601ms);
+  CHECK_TRUE(std::get<entry_drop>(action) == entry_drop::stale_answer);
+}
+
+// Guards against a search that a wrong found message ends: an agent whose
+// upstream was not chosen for the flow reports it too, and passes the packet on
+// when its upstream returns it.
+TEST(search_plan, search_goes_on_after_a_wrong_found_message)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(20);
+  run.core.set_confirmed(start);
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), start));
+  run.core.on_found(first.header, first.header.stops.agents[2],
+                    data(port).from_caller(), start + 1ms);
+  const auto action = run.core.on_missed(
+      first.header, first.header.stops.agents[15], data(port), start + 20ms);
+  const auto* next = std::get_if<visit_agent>(&action);
+  CHECK_TRUE(next != nullptr);
+  CHECK_EQUAL(1, next->header.stage);
+}
+
+// Guards against a reset of an open flow by a miss of an earlier attempt. That
+// attempt had put the flow's agent, which had left a probe unanswered, into its
+// last stage; the present one visits the agent in the first stage.
+TEST(search_plan, late_miss_by_other_stages_does_not_reset_an_open_flow)
+{
+  unresponsive_holder_run run(1); // the budget is used up by the other flow
+  const auto first = run.send(400ms);
+  CHECK_EQUAL(run.holders - 1U, first.header.stops.size);
+  const auto second = std::get<visit_agent>(run.miss(first, 410ms));
+  CHECK_EQUAL(1, second.header.stage);
+  // The next attempt visits the holder in the first stage; its packet is under
+  // way when the miss of the earlier attempt arrives.
+  run.holder_answers(500ms);
+  run.core.set_confirmed(start + 520ms);
+  CHECK_EQUAL(run.holders, run.send(520ms).header.stops.size);
+  CHECK_FALSE(is_reset_or_waits_for_one(run.miss(second, 521ms)));
+}
+
+// Guards against a reset of an open flow by an answer that is not late: a miss
+// of a search by the previous table makes new stages while another packet of
+// the flow is under way by the present table.
+TEST(search_plan, miss_by_an_older_table_does_not_change_the_stages_of_others)
+{
+  unresponsive_holder_run run(entry_options{}.max_probes_per_tick);
+  // Two packets of one burst, by two tables; the holder comes last.
+  const auto by_old_table = run.send(400ms);
+  run.publish(2);
+  const auto second = std::get<visit_agent>(run.miss(run.send(401ms), 405ms));
+  run.holder_answers(406ms);
+  run.miss(by_old_table, 407ms);
+  run.core.set_confirmed(start + 408ms);
+  CHECK_FALSE(is_reset_or_waits_for_one(run.miss(second, 410ms)));
+}
+
+// Guards against one packet of a flow that has ended being sent to all
+// upstreams again and again, and never answered with a reset, because each
+// confirmation comes with a new table that changes another service only.
+TEST(search_plan, new_tables_of_other_services_do_not_restart_a_search)
+{
+  constexpr std::uint16_t port = 1;
+  entry_options chosen;
+  chosen.self = endpoint_at(1, 7720);
+  entry_core core(chosen);
+  const auto publish = [&](std::uint64_t index)
+  {
+    core.set_table(table_of(
+        index, routes_to(5, {{"notes", 1}}),
+        {service("notes", 1, 10, 3), service("images", 2, 100, 3 + index)}));
+  };
+  publish(1);
+  std::size_t walks = 0;
+  bool reset = false;
+  for (std::uint64_t i = 0; i < 20 && !reset; ++i)
+  {
+    // The confirmation that the held packet waits for comes with a new table.
+    const auto now = start + std::chrono::milliseconds(50 * i);
+    publish(2 + i);
+    core.set_confirmed(now - 10ms);
+    auto action = core.on_packet(data(port), now);
+    while (const auto* visit = std::get_if<visit_agent>(&action))
+    {
+      ++walks;
+      const auto header = visit->header;
+      action =
+          core.on_missed(header, header.stops.agents[header.stops.size - 1U],
+                         data(port), now + 1ms);
+    }
+    reset = std::holds_alternative<reset_caller>(action);
+  }
+  CHECK_TRUE(reset);
+  CHECK_EQUAL(1U, walks);
+}
+
+// Guards against a reset of an open flow that an agent has reported since the
+// search ended without a result: the earlier result no longer counts.
+TEST(search_plan, found_message_discards_an_earlier_not_found_result)
+{
+  constexpr std::uint16_t port = 1;
+  search_run run(3);
+  run.core.set_confirmed(start);
+  const auto arrival = start + 500ms;
+  const auto first =
+      std::get<visit_agent>(run.core.on_packet(data(port), arrival));
+  const auto& stops = first.header.stops;
+  CHECK_TRUE(std::holds_alternative<await_table>(run.core.on_missed(
+      first.header, stops.agents[2], data(port), arrival + 1ms)));
+  run.core.on_found(first.header, stops.agents[1], data(port).from_caller(),
+                    arrival + 2ms);
+  run.core.set_confirmed(arrival + 3ms);
+  const auto next =
+      std::get<visit_agent>(run.core.on_packet(data(port), arrival + 4ms));
+  CHECK_TRUE(next.header.remembered);
+  const auto action = run.core.on_missed(next.header, stops.agents[1],
+                                         data(port), arrival + 5ms);
+  CHECK_FALSE(std::holds_alternative<reset_caller>(action));
+}
