relay: a balancer verifies an agent whose caller repeats its data

Cause: a balancer that remembered an agent sent it all packets of the flow, also when the agent had died or never held the flow; replies do not pass the balancer, so nothing showed it. Change: flow_memory notes the caller's position. Conclusion: silence of one agent costs a caller two retransmissions.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -12,6 +12,7 @@
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
 #include <toucanmill/relay/agent_monitor.hpp>
+#include <toucanmill/relay/flow_memory.hpp>
 #include <toucanmill/relay/relay_table.hpp>
 
 namespace toucanmill
@@ -82,9 +83,6 @@
   endpoint self; ///< agents send found and missed messages here
   /// A table confirmed longer ago than this does not justify a reset.
   duration confirmation_limit = std::chrono::seconds(2);
-  /// A remembered flow without packets for this long is evicted.
-  duration flow_idle_limit = std::chrono::seconds(70);
-  std::size_t max_remembered_flows = 65536;
   /// Maximum number of agents that one opening packet may visit.
   std::size_t max_opening_stops = 8;
   /// An agent to which an opening packet was lost is tried last for this long.
@@ -102,6 +100,7 @@
   /// Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
   agent_monitor::options monitor;
+  flow_memory::options memory;
 };
 
 /// What became of a search for the agent that holds a flow.
@@ -117,6 +116,7 @@
   std::uint64_t visits = 0;
   std::uint64_t searches = 0; ///< packets of established flows not remembered
   std::uint64_t search_retries = 0; ///< attempts after one without an answer
+  std::uint64_t verifications = 0;  ///< remembered agents asked about a flow
   std::uint64_t probe_searches = 0; ///< attempts that sent probes
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
@@ -127,8 +127,7 @@
 
 /// Decides which agent gets each packet of a caller. A packet of a flow that is
 /// not remembered starts a search: it visits, stage by stage, the agents that
-/// may hold the flow. The remembered flows are only a cache that saves hops and
-/// can be lost at any time.
+/// may hold the flow.
 class entry_core
 {
 public:
@@ -183,7 +182,7 @@
 
   std::size_t remembered_flows() const
   {
-    return remembered_flows_.size();
+    return memory_.size();
   }
 
   const entry_counters& counters() const
@@ -192,13 +191,6 @@
   }
 
 private:
-  struct remembered_flow
-  {
-    endpoint agent;
-    service_key service = 0;
-    time_point used;
-  };
-
   /// The table by which no agent holds the flow or no route leads to it, and
   /// the time from which a confirmation of that table justifies a reset.
   struct not_found_result
@@ -227,6 +219,8 @@
   };
 
   entry_action decide(const flow_packet& packet, time_point now);
+  std::optional<visit_agent> visit_remembered(const flow_packet& packet,
+                                              time_point now);
   entry_action open_flow(const flow_packet& packet, const route& from,
                          std::uint8_t stage, time_point now);
   entry_action search(const flow_packet& packet, const route& from,
@@ -262,7 +256,7 @@
       std::make_shared<const relay_table>();
   std::optional<time_point> confirmed_at_;
   std::uint64_t newest_seen_ = 0;
-  std::unordered_map<flow_key, remembered_flow> remembered_flows_;
+  flow_memory memory_;
   std::unordered_map<flow_key, search_state> searched_;
   std::unordered_map<std::uint64_t, time_point> avoided_until_;
   agent_monitor monitor_;
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -66,7 +66,9 @@
   relay_kind kind = relay_kind::visit;
   miss_reason reason = miss_reason::unknown_flow;
   bool remembered = false; ///< the balancer chose the stop from its flow cache
-  bool probe = false;      ///< one of several copies sent in parallel
+  /// The agent answers even if it reported the flow a short time ago. Set in
+  /// copies sent in parallel and, with `remembered`, to verify the memory.
+  bool probe = false;
   bool inconclusive = false; ///< a miss does not prove that the flow is gone
   std::uint8_t stage = 0;    ///< index in search_stages() or opening_services()
   std::uint8_t stop = 0;     ///< index of the current stop
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -109,6 +109,9 @@
     add_counter(out, "toucanmill_search_retries_total",
                 "Attempts to find a flow after one without an answer.",
                 counters.search_retries);
+    add_counter(out, "toucanmill_verifications_total",
+                "Remembered agents asked whether they hold a flow.",
+                counters.verifications);
     add_counter(out, "toucanmill_missed_total", "Packets that agents returned.",
                 counters.missed);
     add_counter(out, "toucanmill_awaited_total",
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -164,7 +164,7 @@
       const auto parsed = options_.codec->parse(packet);
       const auto action = core_.on_missed(header, agent, parsed, now);
       execute(action, packet);
-      if (parsed && !header.probe)
+      if (parsed && (!header.probe || header.remembered))
         report(action, *parsed, &header, agent, now);
     }
     else if (header.kind == relay_kind::found)
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -74,7 +74,7 @@
 }
 
 entry_core::entry_core(entry_options options)
-    : options_(options), monitor_(options.monitor)
+    : options_(options), memory_(options.memory), monitor_(options.monitor)
 {
 }
 
@@ -127,24 +127,41 @@
     return on_missing_route(packet, now);
   if (packet.opens)
     return open_flow(packet, *from, 0, now);
-  const auto flow = packet.from_caller();
-  if (const auto found = remembered_flows_.find(flow);
-      found != remembered_flows_.end())
-  {
-    found->second.used = now;
-    relay_header header;
-    header.service = found->second.service;
-    header.configuration = table_->configuration_version();
-    header.balancer = options_.self;
-    header.remembered = true;
-    header.stops.add(found->second.agent);
-    return visit_agent{found->second.agent, header};
-  }
+  if (const auto visit = visit_remembered(packet, now))
+    return *visit;
   if (packet.resets)
     return entry_drop::unknown_reset;
   return search(packet, *from, now);
 }
 
+std::optional<visit_agent>
+entry_core::visit_remembered(const flow_packet& packet, time_point now)
+{
+  const auto flow = packet.from_caller();
+  const auto known = memory_.find(flow, now);
+  if (!known)
+    return std::nullopt;
+  const auto advice = memory_.advise(flow, packet, now);
+  if (advice == recall_advice::search)
+  {
+    memory_.erase(flow);
+    return std::nullopt;
+  }
+  relay_header header;
+  header.service = known->service;
+  header.configuration = table_->configuration_version();
+  header.balancer = options_.self;
+  header.remembered = true;
+  header.stops.add(known->agent);
+  if (advice == recall_advice::verify)
+  {
+    ++counters_.verifications;
+    header.probe = true;
+    monitor_.on_probe(known->agent, now);
+  }
+  return visit_agent{known->agent, header};
+}
+
 // When the service that the weights select is full, the flow goes to the next
 // service of the route: refused callers retry at once and would keep the full
 // one overloaded.
@@ -172,8 +189,7 @@
   header.stage = stage;
   header.stops = stops;
   // If another stop admits the flow, its found message corrects this entry.
-  if (remembered_flows_.size() < options_.max_remembered_flows)
-    remembered_flows_[flow] = {stops.agents[0], service.key, now};
+  memory_.put(flow, {stops.agents[0], service.key}, now);
   return visit_agent{stops.agents[0], header};
 }
 
@@ -327,7 +343,7 @@
 {
   if (!confirmed(now) || table_->configuration_version() == 0)
     return entry_drop::no_route;
-  remembered_flows_.erase(packet.from_caller());
+  memory_.erase(packet.from_caller());
   if (packet.opens)
     return reset_caller{packet.from_caller(), 0, reset_reason::no_route};
   return reset_if_current(packet, reset_reason::no_route, now, now);
@@ -390,9 +406,8 @@
                                        const flow_packet& packet,
                                        time_point now)
 {
-  if (header.probe)
+  if (header.probe && !header.remembered)
     return entry_drop::probe_missed;
-  const auto flow = packet.from_caller();
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
@@ -406,9 +421,7 @@
   }
   if (!header.remembered)
     return continue_search(header, packet, *from, now);
-  if (const auto found = remembered_flows_.find(flow);
-      found != remembered_flows_.end() && found->second.agent == agent)
-    remembered_flows_.erase(found);
+  memory_.erase(packet.from_caller(), agent);
   if (packet.resets)
     return entry_drop::unknown_reset;
   return search(packet, *from, now);
@@ -428,10 +441,7 @@
     search->second.found = true;
     search->second.not_found.reset();
   }
-  if (remembered_flows_.size() >= options_.max_remembered_flows &&
-      remembered_flows_.count(flow) == 0)
-    return;
-  remembered_flows_[flow] = {agent, header.service, now};
+  memory_.put(flow, {agent, header.service}, now);
 }
 
 search_progress entry_core::progress(const flow_key& flow, time_point now) const
@@ -449,10 +459,7 @@
 {
   probes_sent_ = 0;
   monitor_.on_tick(now);
-  for (auto it = remembered_flows_.begin(); it != remembered_flows_.end();)
-    it = now - it->second.used > options_.flow_idle_limit
-             ? remembered_flows_.erase(it)
-             : std::next(it);
+  memory_.on_tick(now);
   for (auto it = searched_.begin(); it != searched_.end();)
     it = now - it->second.last > options_.search_timeout ? searched_.erase(it)
                                                          : std::next(it);
--- /dev/null
+++ b/src/relay/flow_memory.cpp
@@ -0,0 +1,90 @@
+#include <toucanmill/relay/flow_memory.hpp>
+
+#include <iterator>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+/// Positions wrap around, so they are compared by their distance.
+bool is_after(std::uint32_t left, std::uint32_t right)
+{
+  return static_cast<std::int32_t>(left - right) > 0;
+}
+
+} // namespace
+
+std::optional<remembered_agent> flow_memory::find(const flow_key& flow,
+                                                  time_point now)
+{
+  const auto found = flows_.find(flow);
+  if (found == flows_.end())
+    return std::nullopt;
+  found->second.used = now;
+  return found->second.where;
+}
+
+bool flow_memory::repeats(state& flow, const flow_packet& packet,
+                          time_point now) const
+{
+  if (packet.payload_size == 0)
+    return false;
+  const auto end = packet.sequence + packet.payload_size;
+  if (flow.data_end && !is_after(end, *flow.data_end))
+    return now - flow.data_sent >= options_.repetition_time;
+  flow.data_end = end;
+  flow.data_sent = now;
+  return false;
+}
+
+recall_advice flow_memory::advise(const flow_key& flow,
+                                  const flow_packet& packet, time_point now)
+{
+  const auto found = flows_.find(flow);
+  if (found == flows_.end())
+    return recall_advice::search;
+  auto& state = found->second;
+  if (!repeats(state, packet, now))
+    return recall_advice::send;
+  if (!state.asked)
+  {
+    state.asked = now;
+    return recall_advice::verify;
+  }
+  return now - *state.asked < options_.answer_timeout ? recall_advice::send
+                                                      : recall_advice::search;
+}
+
+void flow_memory::put(const flow_key& flow, const remembered_agent& value,
+                      time_point now)
+{
+  if (flows_.size() >= options_.max_flows && flows_.count(flow) == 0)
+    return;
+  auto& state = flows_[flow];
+  state.where = value;
+  state.used = now;
+  state.asked.reset();
+}
+
+void flow_memory::erase(const flow_key& flow)
+{
+  flows_.erase(flow);
+}
+
+void flow_memory::erase(const flow_key& flow, const endpoint& agent)
+{
+  if (const auto found = flows_.find(flow);
+      found != flows_.end() && found->second.where.agent == agent)
+    flows_.erase(found);
+}
+
+void flow_memory::on_tick(time_point now)
+{
+  for (auto it = flows_.begin(); it != flows_.end();)
+    it = now - it->second.used > options_.idle_limit ? flows_.erase(it)
+                                                     : std::next(it);
+}
+
+} // namespace toucanmill
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -190,7 +190,7 @@
   if (upstream_.ended())
     return pass_on(header, message.packet, miss_reason::unknown_flow, sink);
   track_caller_packet(header, *packet, now);
-  if (!header.remembered)
+  if (!header.remembered || header.probe)
     report_found(header, packet->from_caller(), now, sink);
   deliver(message, *packet, sink);
 }
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -418,3 +418,17 @@
   core.on_visit(probe, data(1), start + 100ms, sink);
   CHECK_EQUAL(2U, sink.messages.size());
 }
+
+// Guards against a balancer that keeps a silent agent in its memory because the
+// agent does not answer the question about a flow.
+TEST(relay_core, question_about_a_remembered_flow_is_answered)
+{
+  start_serving();
+  open_flow(1);
+  auto question = visit();
+  question.header.remembered = true;
+  question.header.probe = true;
+  core.on_visit(question, data(1), start, sink);
+  CHECK_EQUAL(1U, sink.messages.size());
+  CHECK_TRUE(sink.messages[0].header.kind == relay_kind::found);
+}
