relay: an agent that restarted does not deny the flows of its upstream

Flows learned from packets of the upstream were counted in bucket 0. A search for a flow that nobody holds also cost two packets at each upstream. An agent that has seen all flows passes others on without its upstream; it answers a question for a flow (locates) without the packet, or marks itself as undecided. An ended flow stays known for 5 s; a returned copy of an opening packet ends nothing; a restarted upstream does not reset the flows that it accepted before its first announcement.

--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -44,6 +44,9 @@
 
   virtual void set_configuration(configuration declared) = 0;
 
+  /// Number of buckets of the service, a power of two.
+  virtual void set_bucket_count(std::size_t count) = 0;
+
   /// `changes` must be relative to the present configuration or an earlier one.
   virtual void change_routes(route_changes changes) = 0;
 
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -60,6 +60,7 @@
   replied,
   passed_on,      ///< forwarded to the next stop
   missed,         ///< returned to the balancer
+  not_held,       ///< not delivered; the upstream does not have the flow
   bounced,        ///< returned by the upstream: flow unknown or refused
   not_admitted,   ///< opening packet; the upstream admits no new flows now
   busy,           ///< opening packet; too many requests in progress
@@ -73,7 +74,7 @@
   request_unanswered, ///< its flow ended without a response
 };
 
-inline constexpr std::size_t relay_event_count = 15;
+inline constexpr std::size_t relay_event_count = 16;
 
 const char* to_string(relay_event event);
 
@@ -93,8 +94,16 @@
 struct relay_options
 {
   upstream_core::options upstream;
-  /// Flows without packets for this long are evicted.
+  time_point started; ///< start of this agent's process
+  /// Flows end this long after their opening packet. An agent that has run for
+  /// this time knows all flows of its upstream.
+  duration max_flow_age = std::chrono::seconds(60);
+  /// Flows without packets for this long are evicted. At least max_flow_age, so
+  /// that no flow that may still go on is evicted.
   duration flow_idle_limit = std::chrono::seconds(60);
+  /// A flow that has ended stays known for this long: late packets of it still
+  /// go to the upstream.
+  duration ended_flow_retention = std::chrono::seconds(5);
   /// Limit of requests in progress per slot for admitting a new flow that no
   /// other agent has admitted. Two waiting requests for each running one still
   /// meet a latency objective of five times the service time.
@@ -121,7 +130,10 @@
   std::uint32_t slots = 0;
   std::size_t flows = 0;
   std::size_t busy = 0; ///< flows whose request has no response yet
-  std::vector<std::uint16_t> held_buckets; ///< buckets of the flows, ascending
+  /// Buckets in which the upstream may hold flows, ascending.
+  std::vector<std::uint16_t> held_buckets;
+  bool knows_buckets = false; ///< their number, without which none is held
+  bool knows_all_flows = false;
   std::uint64_t configuration = 0;
   std::array<std::uint64_t, relay_event_count> events{};
 };
@@ -137,6 +149,9 @@
   /// Takes over the routes that lead to this service, if the version is newer.
   void set_configuration(const configuration& declared);
 
+  /// Number of buckets of the service, a power of two.
+  void set_bucket_count(std::size_t count);
+
   /// `changes` must be relative to the present configuration or an earlier one.
   void change_routes(const route_changes& changes);
 
@@ -185,13 +200,14 @@
 private:
   struct flow_state
   {
-    std::uint16_t bucket = 0;
     bool busy = false;
     bool answered = false; ///< the upstream sent a packet of the flow
     bool open = false;     ///< the upstream sent more than the accepting packet
     bool caller_finished = false;
     bool upstream_finished = false;
+    bool ended = false;             ///< kept for late packets only
     std::uint32_t acknowledged = 0; ///< caller's latest; sequence of a reset
+    time_point seen_since;
     time_point used;
     std::optional<time_point> opening; ///< first delivery, until answered
     time_point found_sent;
@@ -200,11 +216,11 @@
     std::string request_id;     ///< of the request in progress
   };
 
-  /// A balancer that gets a found message once the upstream has shown that it
-  /// holds the flow.
+  /// A visit that is answered once the upstream has shown that it holds the
+  /// flow.
   struct awaited_proof
   {
-    endpoint balancer;
+    relay_header visit;
     time_point since;
   };
 
@@ -215,6 +231,12 @@
     relay_header header;
   };
 
+  /// `restarted`: the agent knew an earlier start of this upstream.
+  void on_start_of_upstream(const upstream_announcement& value, bool restarted,
+                            std::uint64_t wall_clock_ms, time_point now,
+                            relay_sink& sink);
+  bool knows_all_flows(time_point now) const;
+  std::vector<std::uint16_t> held_buckets(time_point now) const;
   bool opens_flows(const std::vector<route_target>& targets) const;
   bool route_allows(const endpoint& address) const;
   std::optional<relay_event> refusal(const relay_header& header,
@@ -224,12 +246,14 @@
                  time_point now, relay_sink& sink);
   void deliver(const relay_message& message, const flow_packet& packet,
                relay_sink& sink);
-  void track_caller_packet(const relay_header& header,
-                           const flow_packet& packet, time_point now);
+  void track_caller_packet(const flow_packet& packet, time_point now);
   void report_found(const relay_header& header, const flow_key& key,
                     time_point now, relay_sink& sink);
-  void send_found(const endpoint& balancer, const flow_key& key,
+  /// Answers the visit: this agent holds the flow.
+  void send_found(const relay_header& visit, const flow_key& key,
                   flow_state& flow, time_point now, relay_sink& sink);
+  void on_locate(const relay_message& message, time_point now,
+                 relay_sink& sink);
   void pass_on(relay_header header, byte_view packet, miss_reason reason,
                relay_sink& sink);
   void on_bounced(byte_view bytes, const flow_packet& packet, time_point now,
@@ -237,12 +261,15 @@
   void track_upstream_packet(const flow_packet& packet, time_point now,
                              relay_sink& sink);
   void set_busy(flow_state& flow, bool busy);
+  bool lacks_flow(const flow_key& flow, time_point now) const;
+  void end(const flow_key& flow, time_point now, relay_sink& sink);
   void erase(const flow_key& flow, time_point now, relay_sink& sink);
   void record_unanswered(const flow_key& flow, const flow_state& state,
                          relay_event event, time_point now, relay_sink& sink);
   relay_decision make_decision(relay_event event, const flow_key& flow,
                                const relay_header& header) const;
-  void reset_flows(time_point now, relay_sink& sink);
+  /// Resets and forgets the flows that the agent saw first before this time.
+  void reset_flows(time_point before, time_point now, relay_sink& sink);
   void count(relay_event event)
   {
     ++events_[static_cast<std::size_t>(event)];
@@ -252,12 +279,15 @@
   const service_key service_;
   upstream_core upstream_;
   bool stopping_ = false;
+  bool saw_start_of_upstream_ = false;
+  std::size_t bucket_count_ = 0;
   std::uint64_t configuration_ = 0;
   std::uint64_t newest_seen_ = 0;
   std::unordered_map<std::uint64_t, bool> routes_; ///< by address and port
   std::unordered_map<flow_key, flow_state> flows_;
   std::unordered_map<flow_key, awaited_proof> awaited_proofs_;
   std::size_t busy_ = 0;
+  std::size_t ended_flows_ = 0; ///< in flows_
   std::vector<tracked_visit> tracked_visits_;
   std::uint32_t next_tag_ = 1;
   std::array<std::uint64_t, relay_event_count> events_{};
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -70,12 +70,17 @@
   /// copies sent in parallel and, with `remembered`, to verify the memory.
   bool probe = false;
   bool inconclusive = false; ///< a miss does not prove that the flow is gone
-  std::uint8_t stage = 0;    ///< index in search_stages() or opening_services()
-  std::uint8_t stop = 0;     ///< index of the current stop
+  /// An encoded flow takes the place of the packet: the message asks who holds
+  /// the flow, and nothing is delivered.
+  bool locates = false;
+  std::uint8_t stage = 0; ///< index in search_stages() or opening_services()
+  std::uint8_t stop = 0;  ///< index of the current stop
   /// Number of the plan that a search follows; 0 in messages of agents that do
   /// not return it.
   std::uint8_t plan = 0;
-  std::uint16_t bucket = 0;
+  /// Bit i: the agent at stop i cannot tell without the packet whether its
+  /// upstream holds the flow. Used with `locates`.
+  std::uint16_t undecided = 0;
   service_key service = 0;
   /// Configuration version by which the packet was routed; in found and missed
   /// messages, the newest version that the sender has seen.
@@ -87,8 +92,8 @@
   bool operator==(const relay_header& other) const;
 };
 
-/// A header and the packet that follows it. In a found message an encoded flow
-/// takes the place of the packet.
+/// A header and the packet that follows it. In a found message, and with
+/// `locates`, an encoded flow takes the place of the packet.
 struct relay_message
 {
   relay_header header;
@@ -114,9 +119,10 @@
 /// None when the datagram does not start with a valid encoded header.
 std::optional<relay_message> decode_relay_message(byte_view datagram);
 
-/// Size of the body of a found message in octets.
+/// Size of the body of a message without a packet in octets.
 inline constexpr std::size_t encoded_flow_size = 12;
-std::array<std::uint8_t, encoded_flow_size> encode(const flow_key& flow);
+using encoded_flow = std::array<std::uint8_t, encoded_flow_size>;
+encoded_flow encode(const flow_key& flow);
 std::optional<flow_key> decode_flow(byte_view bytes);
 
 } // namespace toucanmill
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -56,6 +56,8 @@
   endpoint upstream; ///< local TCP server, or UDP endpoint in mode relay
   endpoint outbound; ///< mode relay: UDP endpoint for the upstream's packets
   std::chrono::milliseconds announce_interval{1000}; ///< of the upstream
+  /// Mode relay: the upstream may discard a flow this long after it was opened.
+  std::chrono::milliseconds max_flow_age{60'000};
   std::string service;
   std::uint32_t slots = 4;
   std::uint32_t connections = 2000;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -1,5 +1,6 @@
 #include "role.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <string>
 
@@ -55,6 +56,9 @@
   upstream.service = settings.service;
   upstream.address = settings.upstream;
   upstream.silence_limit = lost_announcements * settings.announce_interval;
+  auto& relay = options.relay;
+  relay.max_flow_age = settings.max_flow_age;
+  relay.flow_idle_limit = std::max(relay.flow_idle_limit, relay.max_flow_age);
   options.data = settings.data;
   options.outbound = settings.outbound;
   options.caller_port = settings.data.port;
@@ -211,7 +215,7 @@
     if (status.slots != 0)
       report.identity.slots = status.slots;
     report.applied = applied_;
-    report.fresh = applied_ == table_version{};
+    report.fresh = applied_ == table_version{} || !status.knows_buckets;
     report.observes = status.life == incarnation{};
     report.leaving = !status.present || status.draining;
     report.empty = report.leaving && status.ended;
@@ -247,6 +251,9 @@
       agent_->change_routes(*update.routes);
       log_configuration(update.routes->version, update.version);
     }
+    for (const auto& service : update.changed)
+      if (service.name == identity_.service)
+        agent_->set_bucket_count(service.buckets.size());
     departure_.on_answer(update, reported_departure_, monotonic_now());
     applied_ = update.version;
     applied_index_ = update.version.index;
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -102,8 +102,6 @@
 {
   relay_header header;
   header.service = service.key;
-  header.bucket =
-      static_cast<std::uint16_t>(bucket_of(hash, service.table.buckets.size()));
   header.configuration = table_->configuration_version();
   header.table = table_->version().index;
   header.balancer = options_.self;
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -73,6 +73,15 @@
         });
   }
 
+  void set_bucket_count(std::size_t count) override
+  {
+    loop_.post(
+        [this, count]
+        {
+          core_.set_bucket_count(count);
+        });
+  }
+
   void change_routes(route_changes changes) override
   {
     loop_.post(
@@ -185,7 +194,7 @@
             byte_view packet) override
   {
     const auto restored = copy(packet);
-    if (header.kind != relay_kind::found)
+    if (header.kind != relay_kind::found && !header.locates)
       options_.codec->clear_marks(scratch_.data());
     data_.send(to, encode(header).view(), restored);
   }
@@ -230,6 +239,7 @@
 {
   BOOST_OUTCOME_TRY(data, udp_channel::open(options.data));
   BOOST_OUTCOME_TRY(outbound, udp_channel::open(options.outbound));
+  options.relay.started = monotonic_now();
   return std::unique_ptr<relay_agent>(std::make_unique<relay_agent_thread>(
       std::move(options), std::move(data), std::move(outbound)));
 }
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -1,15 +1,21 @@
 #include <toucanmill/relay/relay_core.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
+#include <toucanmill/table/flow_hash.hpp>
+
 namespace toucanmill
 {
 
 namespace
 {
 
+/// Upstreams number their announcements from here.
+constexpr std::uint64_t first_sequence = 1;
+
 miss_reason miss_reason_of(relay_event event)
 {
   return event == relay_event::route_replaced ? miss_reason::route_replaced
@@ -30,6 +36,8 @@
     return "passed_on";
   case relay_event::missed:
     return "missed";
+  case relay_event::not_held:
+    return "not_held";
   case relay_event::bounced:
     return "bounced";
   case relay_event::not_admitted:
@@ -109,8 +117,9 @@
 {
   const auto before = upstream_.life();
   const auto verdict = upstream_.announce(value, wall_clock_ms, now);
-  if (before != incarnation{} && before != upstream_.life())
-    reset_flows(now, sink);
+  if (before != upstream_.life())
+    on_start_of_upstream(value, before != incarnation{}, wall_clock_ms, now,
+                         sink);
   return verdict;
 }
 
@@ -119,30 +128,74 @@
 {
   const auto verdict = upstream_.leave(instance, now);
   if (verdict == announcement_verdict::accepted)
-    reset_flows(now, sink);
+    reset_flows(time_point::max(), now, sink);
   return verdict;
 }
 
+/// An agent has seen all flows of its upstream if it is older than the
+/// upstream, or if it got the first announcement: agents admit no flow before
+/// that.
+void relay_core::on_start_of_upstream(const upstream_announcement& value,
+                                      bool restarted,
+                                      std::uint64_t wall_clock_ms,
+                                      time_point now, relay_sink& sink)
+{
+  const bool has_age = value.born_ms != 0 && value.born_ms <= wall_clock_ms;
+  const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
+                                              : 0);
+  saw_start_of_upstream_ = value.sequence <= first_sequence ||
+                           (has_age && age <= now - options_.started);
+  if (restarted)
+    reset_flows(has_age ? now - age : time_point::max(), now, sink);
+}
+
+bool relay_core::knows_all_flows(time_point now) const
+{
+  return saw_start_of_upstream_ ||
+         options_.max_flow_age <= now - options_.started;
+}
+
+/// Saves the way to the upstream and back, which are most of the cost of a
+/// search for a flow that nobody holds.
+bool relay_core::lacks_flow(const flow_key& flow, time_point now) const
+{
+  return flows_.count(flow) == 0 && knows_all_flows(now);
+}
+
+void relay_core::set_bucket_count(std::size_t count)
+{
+  bucket_count_ = count;
+}
+
 void relay_core::set_stopping()
 {
   stopping_ = true;
 }
 
-void relay_core::reset_flows(time_point now, relay_sink& sink)
+void relay_core::reset_flows(time_point before, time_point now,
+                             relay_sink& sink)
 {
-  for (const auto& [flow, state] : flows_)
+  for (auto it = flows_.begin(); it != flows_.end();)
   {
+    const auto& [flow, state] = *it;
+    if (state.seen_since >= before)
+    {
+      ++it;
+      continue;
+    }
     // Several upstreams may have accepted copies of one opening packet, so the
     // flow may be open at another one.
-    if (!state.open)
-      continue;
-    count(relay_event::flow_reset);
-    sink.reset(flow, state.acknowledged);
-    record_unanswered(flow, state, relay_event::flow_reset, now, sink);
+    if (state.open && !state.ended)
+    {
+      count(relay_event::flow_reset);
+      sink.reset(flow, state.acknowledged);
+      record_unanswered(flow, state, relay_event::flow_reset, now, sink);
+    }
+    awaited_proofs_.erase(flow);
+    set_busy(it->second, false);
+    ended_flows_ -= state.ended ? 1 : 0;
+    it = flows_.erase(it);
   }
-  flows_.clear();
-  awaited_proofs_.clear();
-  busy_ = 0;
 }
 
 bool relay_core::route_allows(const endpoint& address) const
@@ -177,6 +230,8 @@
                           time_point now, relay_sink& sink)
 {
   const auto& header = message.header;
+  if (header.kind == relay_kind::visit && header.locates)
+    return on_locate(message, now, sink);
   if (!packet || packet->bounced || header.kind != relay_kind::visit)
     return count(relay_event::malformed);
   newest_seen_ = std::max(newest_seen_, header.configuration);
@@ -187,19 +242,50 @@
   }
   if (packet->opens)
     return open_flow(message, *packet, now, sink);
-  if (upstream_.ended())
+  if (upstream_.ended() || lacks_flow(packet->from_caller(), now))
+  {
+    count(relay_event::not_held);
     return pass_on(header, message.packet, miss_reason::unknown_flow, sink);
-  track_caller_packet(header, *packet, now);
+  }
+  track_caller_packet(*packet, now);
   if (!header.remembered || header.probe)
     report_found(header, packet->from_caller(), now, sink);
   deliver(message, *packet, sink);
 }
 
+// An agent that has not seen all flows of its upstream cannot tell without the
+// packet; the balancer then sends it the packet itself.
+void relay_core::on_locate(const relay_message& message, time_point now,
+                           relay_sink& sink)
+{
+  auto header = message.header;
+  const auto key = decode_flow(message.packet);
+  if (!key)
+    return count(relay_event::malformed);
+  newest_seen_ = std::max(newest_seen_, header.configuration);
+  if (header.service != service_)
+  {
+    count(relay_event::other_service);
+    return pass_on(header, message.packet, miss_reason::other_service, sink);
+  }
+  const auto found = flows_.find(*key);
+  const bool known = found != flows_.end();
+  if (known && found->second.answered)
+    return send_found(header, *key, found->second, now, sink);
+  if (known || !knows_all_flows(now))
+    header.undecided |= static_cast<std::uint16_t>(1U << header.stop);
+  else
+    count(relay_event::not_held);
+  pass_on(header, message.packet, miss_reason::unknown_flow, sink);
+}
+
 void relay_core::open_flow(const relay_message& message,
                            const flow_packet& packet, time_point now,
                            relay_sink& sink)
 {
-  const auto known = flows_.count(packet.from_caller()) != 0;
+  // A caller may use the address and port of an ended flow again.
+  const auto found = flows_.find(packet.from_caller());
+  const bool known = found != flows_.end() && !found->second.ended;
   if (const auto refused = refusal(message.header, packet, now);
       refused && !(known && upstream_.present(now)))
   {
@@ -213,13 +299,14 @@
                    sink);
   }
   upstream_.on_opening_delivered(now);
+  if (!known)
+    erase(packet.from_caller(), now, sink);
   auto& flow = flows_[packet.from_caller()];
-  flow.bucket = message.header.bucket;
   flow.used = now;
   if (!known)
-    flow.opening = now;
+    flow.opening = flow.seen_since = now;
   if (message.header.stop > 0)
-    send_found(message.header.balancer, packet.from_caller(), flow, now, sink);
+    send_found(message.header, packet.from_caller(), flow, now, sink);
   deliver(message, packet, sink);
 }
 
@@ -233,15 +320,15 @@
   if (found == flows_.end() || !found->second.answered)
   {
     if (awaited_proofs_.size() < options_.max_awaited_proofs)
-      awaited_proofs_[key] = {header.balancer, now};
+      awaited_proofs_[key] = {header, now};
     return;
   }
   auto& flow = found->second;
   if (header.probe || now - flow.found_sent >= options_.found_interval)
-    send_found(header.balancer, key, flow, now, sink);
+    send_found(header, key, flow, now, sink);
 }
 
-void relay_core::send_found(const endpoint& balancer, const flow_key& key,
+void relay_core::send_found(const relay_header& visit, const flow_key& key,
                             flow_state& flow, time_point now, relay_sink& sink)
 {
   flow.found_sent = now;
@@ -249,8 +336,9 @@
   reply.kind = relay_kind::found;
   reply.service = service_;
   reply.configuration = newest_seen_;
+  reply.locates = visit.locates;
   const auto bytes = encode(key);
-  sink.send(balancer, reply, {bytes.data(), bytes.size()});
+  sink.send(visit.balancer, reply, {bytes.data(), bytes.size()});
 }
 
 void relay_core::deliver(const relay_message& message,
@@ -265,8 +353,7 @@
   sink.deliver(message.packet, tag);
 }
 
-void relay_core::track_caller_packet(const relay_header& header,
-                                     const flow_packet& packet, time_point now)
+void relay_core::track_caller_packet(const flow_packet& packet, time_point now)
 {
   const auto found = flows_.find(packet.from_caller());
   if (found == flows_.end())
@@ -275,9 +362,7 @@
   flow.used = now;
   if (packet.acknowledges)
     flow.acknowledged = packet.acknowledged;
-  if (!header.remembered)
-    flow.bucket = header.bucket;
-  if (packet.payload_size > 0)
+  if (packet.payload_size > 0 && !flow.ended)
   {
     if (!flow.busy)
     {
@@ -333,8 +418,14 @@
   if (visit.tag != packet.tag || !(visit.flow == flow))
     return count(relay_event::unknown_bounce);
   sink.record(make_decision(relay_event::bounced, flow, visit.header));
-  awaited_proofs_.erase(flow);
-  erase(flow, now, sink);
+  // An upstream may return a copy of the opening packet of a flow that it has
+  // accepted.
+  const auto known = flows_.find(flow);
+  if (!packet.opens || known == flows_.end() || !known->second.answered)
+  {
+    awaited_proofs_.erase(flow);
+    erase(flow, now, sink);
+  }
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
           sink);
@@ -345,19 +436,22 @@
 {
   const auto key = packet.from_upstream();
   if (packet.resets)
-    return erase(key, now, sink);
+    return end(key, now, sink);
   // A bare acknowledgement may follow the end of a flow, so it creates no
   // entry.
   if (packet.payload_size == 0 && !packet.accepts && flows_.count(key) == 0)
     return;
-  auto& flow = flows_[key];
+  const auto [found, added] = flows_.try_emplace(key);
+  auto& flow = found->second;
+  if (added)
+    flow.seen_since = now;
   flow.used = now;
   flow.answered = true;
   flow.open |= !packet.accepts;
   if (const auto awaited = awaited_proofs_.find(key);
       awaited != awaited_proofs_.end())
   {
-    send_found(awaited->second.balancer, key, flow, now, sink);
+    send_found(awaited->second.visit, key, flow, now, sink);
     awaited_proofs_.erase(awaited);
   }
   if (const auto opening = std::exchange(flow.opening, {});
@@ -371,7 +465,7 @@
   }
   flow.upstream_finished |= packet.finishes;
   if (flow.caller_finished && flow.upstream_finished)
-    erase(key, now, sink);
+    end(key, now, sink);
 }
 
 void relay_core::set_busy(flow_state& flow, bool busy)
@@ -382,16 +476,23 @@
   busy_ += busy ? 1 : std::size_t(-1);
 }
 
-void relay_core::erase(const flow_key& flow, time_point now, relay_sink& sink)
+void relay_core::end(const flow_key& flow, time_point now, relay_sink& sink)
 {
   const auto found = flows_.find(flow);
-  if (found == flows_.end())
+  if (found == flows_.end() || found->second.ended)
     return;
   if (found->second.busy)
     record_unanswered(flow, found->second, relay_event::request_unanswered, now,
                       sink);
   set_busy(found->second, false);
-  flows_.erase(found);
+  found->second.ended = true;
+  ++ended_flows_;
+}
+
+void relay_core::erase(const flow_key& flow, time_point now, relay_sink& sink)
+{
+  end(flow, now, sink);
+  ended_flows_ -= flows_.erase(flow);
 }
 
 void relay_core::record_unanswered(const flow_key& flow,
@@ -445,16 +546,41 @@
       flow.wait_recorded = true;
       record_unanswered(key, flow, relay_event::request_waits, now, sink);
     }
-    if (now - flow.used <= options_.flow_idle_limit)
+    const auto limit =
+        flow.ended ? options_.ended_flow_retention : options_.flow_idle_limit;
+    if (now - flow.used <= limit)
     {
       ++it;
       continue;
     }
     set_busy(flow, false);
+    ended_flows_ -= flow.ended ? 1 : 0;
     it = flows_.erase(it);
   }
 }
 
+// Control drops an agent from the chains of the buckets that it does not hold,
+// and balancers then look for it there last. An agent that restarted beside its
+// upstream must not report flows as gone because it has not seen them.
+std::vector<std::uint16_t> relay_core::held_buckets(time_point now) const
+{
+  std::vector<std::uint16_t> held;
+  if (!upstream_.ended() && !knows_all_flows(now))
+  {
+    held.resize(bucket_count_);
+    std::iota(held.begin(), held.end(), std::uint16_t{0});
+    return held;
+  }
+  std::set<std::uint16_t> buckets;
+  if (bucket_count_ > 0)
+    for (const auto& [key, flow] : flows_)
+      if (!flow.ended)
+        buckets.insert(static_cast<std::uint16_t>(
+            bucket_of(flow_hash(key), bucket_count_)));
+  held.assign(buckets.begin(), buckets.end());
+  return held;
+}
+
 relay_status relay_core::status(time_point now) const
 {
   relay_status out;
@@ -463,12 +589,11 @@
   out.draining = upstream_.draining();
   out.life = upstream_.life();
   out.slots = upstream_.slots();
-  out.flows = flows_.size();
+  out.flows = flows_.size() - ended_flows_;
   out.busy = busy_;
-  std::set<std::uint16_t> buckets;
-  for (const auto& [key, flow] : flows_)
-    buckets.insert(flow.bucket);
-  out.held_buckets.assign(buckets.begin(), buckets.end());
+  out.held_buckets = held_buckets(now);
+  out.knows_buckets = bucket_count_ > 0;
+  out.knows_all_flows = knows_all_flows(now);
   out.configuration = configuration_;
   out.events = events_;
   return out;
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -1,4 +1,5 @@
 #include <toucanmill/relay/relay_core.hpp>
+#include <toucanmill/table/flow_hash.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -34,6 +35,7 @@
   value.upstream.service = "notes";
   value.upstream.address = upstream_address;
   value.requests_per_slot = 2;
+  value.started = start; // after its upstream: it does not know all flows
   return value;
 }
 
@@ -43,7 +45,6 @@
   message.header.service = key_of_service("notes");
   message.header.configuration = version;
   message.header.balancer = balancer;
-  message.header.bucket = 3;
   message.header.stops.add(endpoint_at(9));
   if (!last)
     message.header.stops.add(next_agent);
@@ -397,6 +398,7 @@
 // agent does not know.
 TEST(relay_core, probe_that_the_upstream_accepts_is_answered)
 {
+  announce(announcement(5));
   start_serving();
   auto probe = visit(true);
   probe.header.probe = true;
@@ -419,6 +421,62 @@
   CHECK_EQUAL(2U, sink.messages.size());
 }
 
+namespace
+{
+
+std::vector<std::uint16_t> all_buckets()
+{
+  return {0, 1, 2, 3};
+}
+
+} // namespace
+
+// Guards against an open flow that balancers look for last: its agent restarted
+// beside the upstream and reports that it holds no flows, so control drops it
+// from the chain of the flow's bucket.
+TEST(relay_core, restarted_agent_reports_no_bucket_as_empty)
+{
+  // The upstream is 10 s old, the agent 3 s.
+  auto chosen = options();
+  chosen.started = start - 3s;
+  relay_core restarted(chosen);
+  restarted.set_bucket_count(4);
+  restarted.announce(announcement(9, "i-1", 50'000), 60'000, start, sink);
+  CHECK_TRUE(restarted.status(start).held_buckets == all_buckets());
+  CHECK_FALSE(restarted.status(start).knows_all_flows);
+  // All flows from before the restart have ended.
+  CHECK_TRUE(restarted.status(start + 58s).held_buckets.empty());
+}
+
+// Guards against chains that keep former owners although no flow needs them:
+// an agent that is older than its upstream has seen all flows.
+TEST(relay_core, agent_of_a_new_upstream_reports_the_buckets_of_its_flows)
+{
+  auto chosen = options();
+  chosen.started = start - 3s;
+  relay_core fresh(chosen);
+  fresh.set_bucket_count(4);
+  fresh.announce(announcement(2, "i-1", 58'000), 60'000, start, sink);
+  CHECK_TRUE(fresh.status(start).held_buckets.empty());
+  // Also of a flow that is known from the upstream's packets only.
+  fresh.on_upstream_packet({}, answer(data(1)), start, sink);
+  CHECK_EQUAL(1U, fresh.status(start).held_buckets.size());
+  CHECK_EQUAL(bucket_of(flow_hash(data(1).from_caller()), 4),
+              fresh.status(start).held_buckets[0]);
+}
+
+// Guards against buckets that stay reserved for an upstream that has ended.
+TEST(relay_core, ended_upstream_holds_no_buckets)
+{
+  auto chosen = options();
+  chosen.started = start - 3s;
+  relay_core restarted(chosen);
+  restarted.set_bucket_count(4);
+  restarted.announce(announcement(9, "i-1", 50'000), 60'000, start, sink);
+  restarted.leave("i-1", start, sink);
+  CHECK_TRUE(restarted.status(start).held_buckets.empty());
+}
+
 // Guards against a balancer that keeps a silent agent in its memory because the
 // agent does not answer the question about a flow.
 TEST(relay_core, question_about_a_remembered_flow_is_answered)
@@ -432,3 +490,143 @@
   CHECK_EQUAL(1U, sink.messages.size());
   CHECK_TRUE(sink.messages[0].header.kind == relay_kind::found);
 }
+
+// Guards against an agent that started a moment after its upstream and then
+// asks it about each packet that searches for a flow.
+TEST(relay_core, agent_that_got_the_first_announcement_knows_all_flows)
+{
+  auto chosen = options();
+  chosen.started = start - 1s;
+  relay_core late(chosen);
+  late.announce(announcement(1, "i-1", 58'500), 60'000, start, sink);
+  CHECK_TRUE(late.status(start).knows_all_flows);
+}
+
+// Guards against a search for a flow that nobody holds, for example after a
+// loss of power, that asks every upstream with the whole packet.
+TEST(relay_core, agent_that_knows_all_flows_passes_others_on_at_once)
+{
+  start_serving();
+  open_flow(1);
+  sink = {};
+  core.on_visit(visit(), data(2), start, sink);
+  CHECK_TRUE(sink.delivered.empty());
+  CHECK_TRUE(sink.messages.at(0).to == next_agent);
+  core.on_visit(visit(), data(1), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+}
+
+// Guards against a reset of an open flow whose agent has restarted: the agent
+// does not know the flow, its upstream does.
+TEST(relay_core, restarted_agent_asks_its_upstream_about_unknown_flows)
+{
+  auto chosen = options();
+  chosen.started = start - 3s;
+  relay_core restarted(chosen);
+  restarted.announce(announcement(9, "i-1", 50'000), 60'000, start, sink);
+  restarted.on_visit(visit(), data(2), start, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+}
+
+// Guards against a caller whose last packets are never acknowledged: they
+// arrive after its flow has ended, and only the upstream can answer them.
+TEST(relay_core, late_packets_of_an_ended_flow_are_delivered)
+{
+  start_serving();
+  open_flow(1);
+  auto last = data(1);
+  last.finishes = true;
+  core.on_visit(visit(), last, start, sink);
+  auto end = answer(data(1));
+  end.finishes = true;
+  core.on_upstream_packet({}, end, start, sink);
+  CHECK_EQUAL(0U, core.status(start).flows);
+  sink = {};
+  core.on_visit(visit(), last, start + 200ms, sink);
+  CHECK_EQUAL(1U, sink.delivered.size());
+  CHECK_EQUAL(0U, core.status(start).busy);
+  // Its address and port may be in use again.
+  core.on_visit(visit(), opening(1), start + 300ms, sink);
+  CHECK_EQUAL(1U, core.status(start).flows);
+  core.on_tick(start + 10s, sink);
+  CHECK_EQUAL(1U, core.status(start).flows);
+}
+
+// Guards against a reset of a flow that a restarted upstream accepted shortly
+// before the agent heard of the restart.
+TEST(relay_core, flow_that_is_younger_than_the_upstream_is_not_reset)
+{
+  start_serving();
+  core.announce(announcement(2, "i-1", 1000), 50'000, start, sink);
+  open_flow(1);
+  core.on_upstream_packet({}, answer(data(1)), start, sink);
+  core.on_visit(visit(), opening(2), start + 2s, sink);
+  core.on_upstream_packet({}, answer(data(2)), start + 2s, sink);
+  core.announce(announcement(1, "i-2", 51'000), 52'500, start + 2500ms, sink);
+  CHECK_EQUAL(1U, sink.resets.size());
+  CHECK_TRUE(sink.resets[0].first == data(1).from_caller());
+  CHECK_EQUAL(1U, core.status(start + 2500ms).flows);
+}
+
+// Guards against an agent that forgets an open flow, and then says that nobody
+// holds it, because the upstream returns a late copy of its opening packet.
+TEST(relay_core, returned_copy_of_an_opening_packet_does_not_end_the_flow)
+{
+  start_serving();
+  open_flow(1);
+  sink = {};
+  core.on_visit(visit(), opening(1, 1), start + 200ms, sink);
+  core.on_upstream_packet({}, bounced(opening(1, 1), sink.delivered.at(0)),
+                          start + 201ms, sink);
+  core.on_visit(visit(), data(1), start + 210ms, sink);
+  CHECK_EQUAL(2U, sink.delivered.size());
+}
+
+namespace
+{
+
+/// The question who holds the flow; there is another stop after this one.
+relay_message question(const encoded_flow& flow)
+{
+  auto message = visit();
+  message.header.locates = true;
+  message.packet = {flow.data(), flow.size()};
+  return message;
+}
+
+} // namespace
+
+// Guards against searches that carry whole packets through all agents, which
+// fill the links of small balancers.
+TEST(relay_core, question_for_a_flow_is_answered_without_delivery)
+{
+  start_serving();
+  open_flow(1);
+  sink = {};
+  const auto held = encode(data(1).from_caller());
+  core.on_visit(question(held), std::nullopt, start, sink);
+  CHECK_TRUE(sink.messages.at(0).to == balancer);
+  CHECK_TRUE(sink.messages[0].header.kind == relay_kind::found);
+  CHECK_TRUE(sink.messages[0].header.locates);
+  const auto other = encode(data(2).from_caller());
+  core.on_visit(question(other), std::nullopt, start, sink);
+  CHECK_TRUE(sink.messages.at(1).to == next_agent);
+  CHECK_EQUAL(0, sink.messages[1].header.undecided);
+  CHECK_TRUE(sink.delivered.empty());
+}
+
+// Guards against an agent that denies a flow although it has restarted and only
+// its upstream knows.
+TEST(relay_core, restarted_agent_leaves_a_question_undecided)
+{
+  announce(announcement(5));
+  const auto flow = encode(data(1).from_caller());
+  core.on_visit(question(flow), std::nullopt, start, sink);
+  CHECK_TRUE(sink.messages.at(0).to == next_agent);
+  CHECK_EQUAL(1, sink.messages[0].header.undecided);
+  core.on_visit(question({}), std::nullopt, start, sink);
+  auto damaged = question(flow);
+  damaged.packet.size = 3;
+  core.on_visit(damaged, std::nullopt, start, sink);
+  CHECK_EQUAL(2U, sink.messages.size());
+}
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint8_t remembered_bit = 1;
 constexpr std::uint8_t inconclusive_bit = 2;
 constexpr std::uint8_t probe_bit = 4;
+constexpr std::uint8_t locates_bit = 8;
 
 std::uint8_t* store(std::uint8_t* to, const endpoint& value)
 {
@@ -69,10 +70,10 @@
   return kind == other.kind && reason == other.reason &&
          remembered == other.remembered && inconclusive == other.inconclusive &&
          probe == other.probe && stage == other.stage && stop == other.stop &&
-         plan == other.plan && bucket == other.bucket &&
-         service == other.service && configuration == other.configuration &&
-         table == other.table && balancer == other.balancer &&
-         stops == other.stops;
+         plan == other.plan && locates == other.locates &&
+         undecided == other.undecided && service == other.service &&
+         configuration == other.configuration && table == other.table &&
+         balancer == other.balancer && stops == other.stops;
 }
 
 const char* to_string(miss_reason reason)
@@ -98,13 +99,13 @@
   to[4] = message_format;
   to[5] = static_cast<std::uint8_t>(header.kind);
   to[6] = static_cast<std::uint8_t>(header.reason);
-  to[7] =
-      static_cast<std::uint8_t>((header.remembered ? remembered_bit : 0) |
-                                (header.inconclusive ? inconclusive_bit : 0) |
-                                (header.probe ? probe_bit : 0));
+  to[7] = static_cast<std::uint8_t>(
+      (header.remembered ? remembered_bit : 0) |
+      (header.inconclusive ? inconclusive_bit : 0) |
+      (header.probe ? probe_bit : 0) | (header.locates ? locates_bit : 0));
   to[8] = header.stage;
   to[9] = header.stop;
-  boost::endian::store_big_u16(to + 10, header.bucket);
+  boost::endian::store_big_u16(to + 10, header.undecided);
   boost::endian::store_big_u64(to + 12, header.service);
   boost::endian::store_big_u64(to + 20, header.configuration);
   store(to + 28, header.balancer);
@@ -140,9 +141,10 @@
   header.remembered = (from[7] & remembered_bit) != 0;
   header.inconclusive = (from[7] & inconclusive_bit) != 0;
   header.probe = (from[7] & probe_bit) != 0;
+  header.locates = (from[7] & locates_bit) != 0;
   header.stage = from[8];
   header.stop = from[9];
-  header.bucket = boost::endian::load_big_u16(from + 10);
+  header.undecided = boost::endian::load_big_u16(from + 10);
   header.service = boost::endian::load_big_u64(from + 12);
   header.configuration = boost::endian::load_big_u64(from + 20);
   header.balancer = load_endpoint(from + 28);
@@ -158,9 +160,9 @@
   return message;
 }
 
-std::array<std::uint8_t, encoded_flow_size> encode(const flow_key& flow)
+encoded_flow encode(const flow_key& flow)
 {
-  std::array<std::uint8_t, encoded_flow_size> out{};
+  encoded_flow out{};
   store(store(out.data(), flow.caller), flow.service);
   return out;
 }
--- a/src/relay/relay_message_test.cpp
+++ b/src/relay/relay_message_test.cpp
@@ -21,7 +21,8 @@
   header.inconclusive = true;
   header.stage = 2;
   header.stop = 1;
-  header.bucket = 513;
+  header.locates = true;
+  header.undecided = 513;
   header.service = key_of_service("notes");
   header.configuration = 0x0123456789ABCDEF;
   header.table = 0xFEDCBA9876543210;
