cluster: an agent of a relay service gets only its own entry of the table

Cause: agents got the table of their whole service for each change of it: 163 holders and 256 chains, though they only use whether they are listed and the number of buckets. Change: declaration_scope::holder; control sets it for agents. Measured: control_state.agent_gets_its_own_entry_of_the_table, failed before (160 holders). Tables of balancers still grow with the service.

--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -34,13 +34,17 @@
   table_version changed; ///< log entry that last changed state or incarnation
 };
 
-/// Part and form in which a node needs the declared configuration.
+/// Part and form of an update that a node needs.
 struct declaration_scope
 {
+
   /// Only the routes to this service, without their other targets; all routes
   /// if empty.
   std::optional<std::string> service;
   bool as_declared = false; ///< in table_update::declared, never a difference
+  /// Tables of relay services list this holder only, and no owners of buckets:
+  /// an agent needs to know only whether balancers may send it packets.
+  std::optional<node_id> holder = {};
 };
 
 /// Deterministic replicated control state. Instances that have applied the same
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -229,6 +229,27 @@
   return state_->configuration_version;
 }
 
+namespace
+{
+
+service_table table_for_holder(const service_table& table, node_id holder)
+{
+  service_table part;
+  part.id = table.id;
+  part.name = table.name;
+  part.address = table.address;
+  part.former_addresses = table.former_addresses;
+  part.kind = table.kind;
+  part.version = table.version;
+  part.buckets.resize(table.buckets.size());
+  for (const auto& item : table.holders)
+    if (item.node == holder)
+      part.holders.push_back(item);
+  return part;
+}
+
+} // namespace
+
 table_update state_machine::changes_since(table_version since,
                                           std::optional<service_id> only,
                                           const declaration_scope& scope) const
@@ -245,7 +266,9 @@
        it != state_->services_by_change.end(); ++it)
     if (const auto& table = state_->services.at(it->second).table;
         !only || *only == table.id)
-      update.changed.push_back(table);
+      update.changed.push_back(scope.holder && table.kind == service_kind::relay
+                                   ? table_for_holder(table, *scope.holder)
+                                   : table);
   if (!update.full)
     update.removed = removals_since(*state_, since.index, only);
   if (state_->declared_index > after)
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -260,6 +260,7 @@
       reply.service = service->id;
     only = reply.service;
     scope.service = report.identity.service;
+    scope.holder = report.identity.id;
   }
   reply.update = machine_.changes_since(since, only, scope);
   if (const auto* record = machine_.find_node(report.identity.id))
--- a/src/control/control_state_test.cpp
+++ b/src/control/control_state_test.cpp
@@ -73,6 +73,30 @@
   CHECK_EQUAL(1U, fresh.routes->changed.at(0).addresses.size());
 }
 
+// Guards against a leader whose link and time go into tables that agents do not
+// use, while balancers wait for theirs after a loss of power: 160 upstreams
+// register one after the other, and each changes the table.
+TEST(control_state, agent_gets_its_own_entry_of_the_table)
+{
+  for (std::uint64_t i = 1; i <= 160; ++i)
+  {
+    register_node added;
+    added.identity = report_from(node_role::agent, "notes", 0).identity;
+    added.identity.id = {i};
+    added.identity.name = "node-" + std::to_string(i);
+    added.identity.data = {{static_cast<std::uint32_t>(i)}, 8000};
+    state.apply({{1, 2 + i}, entry_kind::command, encode(added)});
+  }
+  const auto agent = update_for(report_from(node_role::agent, "notes", 0));
+  CHECK_EQUAL(1U, agent.changed.size());
+  CHECK_EQUAL(1U, agent.changed[0].holders.size());
+  CHECK_EQUAL(7U, agent.changed[0].holders[0].node.value);
+  const auto balancer = update_for(report_from(node_role::balancer, "", 0));
+  const auto& notes = balancer.changed.at(1);
+  CHECK_EQUAL(160U, notes.holders.size());
+  CHECK_EQUAL(notes.buckets.size(), agent.changed[0].buckets.size());
+}
+
 // Guards against a node of the previous build that never gets a declaration
 // because it cannot read differences.
 TEST(control_state, node_without_differences_gets_whole_declarations)
