relay: bound the searches of a balancer

Cause: searches that cost more than a small link carries, and that are repeated because their answers are late. Packets that came before a balancer's first table were dropped. Change: one search a flow, further packets wait (pending_searches); an answer keeps an attempt alive, attempts back off to 0.8 s; stages after the first are visited in parallel (stage_walk) and asked without the packet; agents that cannot tell get the packet after that; twelve flows are searched for at once; packets wait for the first table. Tests that changed: packets of one burst wait in place of visiting agents; misses of a stage count once; the second of two packets of one burst by two tables is a second attempt; two times follow the back-off; without a table a packet waits in place of being dropped. None checks less. Conclusion: what still binds after a loss of power is the time of the balancers (0.4 s without a turn in the log of one) and their links of 2 Mbit/s.

--- a/include/toucanmill/relay/entry_balancer.hpp
+++ b/include/toucanmill/relay/entry_balancer.hpp
@@ -51,6 +51,8 @@
   std::size_t remembered_flows = 0;
   std::size_t unresponsive_agents = 0;
   std::uint64_t packets = 0; ///< received from callers
+  /// Packets that could not wait for the end of a search, for want of room.
+  std::uint64_t waiting_dropped = 0;
 };
 
 /// Runs an entry_core on its own thread with two UDP sockets, one for callers
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -14,6 +14,7 @@
 #include <toucanmill/relay/agent_monitor.hpp>
 #include <toucanmill/relay/flow_memory.hpp>
 #include <toucanmill/relay/relay_table.hpp>
+#include <toucanmill/relay/stage_walk.hpp>
 
 namespace toucanmill
 {
@@ -51,12 +52,18 @@
   reset_reason reason = reset_reason::no_route;
 };
 
-/// Hold the packet until a quorum confirms the table, then decide again: the
-/// flow may have been opened by a newer table than this balancer has.
+/// Hold the packet until a quorum confirms the table, then decide again: this
+/// balancer has no table yet, or the flow may have been opened by a newer one.
 struct await_table
 {
 };
 
+/// Hold the packet until the search for its flow ends: the balancer has already
+/// sent another packet of the flow to the agents that may hold it.
+struct await_search
+{
+};
+
 /// Why a balancer dropped a packet without an answer.
 enum class entry_drop : std::uint8_t
 {
@@ -67,7 +74,7 @@
   newer_table,   ///< table outdated or unconfirmed; the caller retransmits
   not_a_caller,  ///< a bounced packet, which never comes from a caller
   unknown_reset, ///< the caller's reset of a flow that is not remembered
-  probe_missed,  ///< one of several probed agents does not hold the flow
+  probe_missed,  ///< one of several copies found nothing, others are under way
   stale_answer,  ///< a miss of an earlier attempt to find the flow
 };
 
@@ -75,8 +82,8 @@
 
 const char* to_string(entry_drop reason);
 
-using entry_action =
-    std::variant<visit_agent, visit_all, reset_caller, entry_drop, await_table>;
+using entry_action = std::variant<visit_agent, visit_all, reset_caller,
+                                  entry_drop, await_table, await_search>;
 
 struct entry_options
 {
@@ -87,13 +94,14 @@
   std::size_t max_opening_stops = 8;
   /// An agent to which an opening packet was lost is tried last for this long.
   duration avoid_duration = std::chrono::seconds(1);
-  /// The state of a search expires after this time. A further packet of the
-  /// flow within it is another attempt. It probes all stops of the unanswered
-  /// stage in parallel, since a dead agent may have lost the previous packet,
-  /// and visits the next stage.
+  /// The state of a search expires after this time without an answer. A further
+  /// packet of the flow within it is another attempt. It probes all stops of
+  /// the unanswered stage in parallel, since a dead agent may have lost the
+  /// previous packet, and visits the next stage.
   duration search_timeout = std::chrono::seconds(2);
-  /// Minimum time between two attempts; a packet that follows sooner belongs to
-  /// the same attempt. Callers retransmit after 200 ms at the earliest.
+  /// Minimum time between an attempt or its latest answer and the next attempt;
+  /// a packet that follows sooner waits. Doubles with each attempt. A stage of
+  /// sixteen agents takes 20 to 50 ms.
   duration retry_interval = std::chrono::milliseconds(100);
   /// Probe packets between two ticks (one second); above this an attempt
   /// visits all stages again, the agents that left probes unanswered last.
@@ -121,13 +129,14 @@
   std::uint64_t found = 0;
   std::uint64_t missed = 0;
   std::uint64_t awaited = 0; ///< packets held until the table is confirmed
+  std::uint64_t joined = 0;  ///< packets held until a search under way ends
   std::array<std::uint64_t, reset_reason_count> resets{};
   std::array<std::uint64_t, entry_drop_count> drops{};
 };
 
 /// Decides which agent gets each packet of a caller. A packet of a flow that is
 /// not remembered starts a search: it visits, stage by stage, the agents that
-/// may hold the flow.
+/// may hold the flow; further packets of the flow wait meanwhile.
 class entry_core
 {
 public:
@@ -151,6 +160,9 @@
   void on_found(const relay_header& header, const endpoint& agent,
                 const flow_key& flow, time_point now);
 
+  /// Whether the packet starts a search or belongs to one.
+  bool would_search(const flow_packet& packet) const;
+
   /// Progress of the search for the flow.
   search_progress progress(const flow_key& flow, time_point now) const;
 
@@ -210,11 +222,13 @@
 
   struct search_state
   {
-    time_point last; ///< latest attempt or result
+    time_point started; ///< of the latest attempt
+    time_point last;    ///< latest attempt, answer or result
     std::uint32_t attempts = 0;
-    std::size_t stage = 0; ///< first stage without an answer
     search_plan plan;
-    bool found = false; ///< an agent reported that it holds the flow
+    stage_walk walk;           ///< through the stages of the plan
+    bool inconclusive = false; ///< misses do not prove that the flow is gone
+    bool found = false;        ///< an agent reported that it holds the flow
     std::optional<not_found_result> not_found;
   };
 
@@ -227,16 +241,24 @@
                       time_point now);
   void make_plan(const flow_packet& packet, const route& from,
                  search_state& state, time_point now);
-  void update_plan(const flow_packet& packet, const route& from,
+
+  /// Returns true if the present table has other stages for this flow: the plan
+  /// is a new one then.
+  bool update_plan(const flow_packet& packet, const route& from,
                    search_state& state, time_point now);
-  entry_action search_from(const flow_packet& packet, search_state& state,
-                           std::size_t stage, bool inconclusive,
-                           time_point now);
-  entry_action search_with_probes(const flow_packet& packet,
-                                  search_state& state, time_point now);
+  entry_action restart_walk(const flow_packet& packet, search_state& state,
+                            time_point now);
+  visit_agent make_visit(const search_state& state, std::size_t stage) const;
+  entry_action visit_next_stages(const flow_packet& packet, search_state& state,
+                                 time_point now);
+  entry_action search_with_probes(search_state& state, std::size_t stage,
+                                  time_point now);
   entry_action continue_search(const relay_header& header,
                                const flow_packet& packet, const route& from,
                                time_point now);
+  void add_undecided_stage(const relay_header& header, search_state& state);
+  entry_action probe_by_packet(const relay_header& header,
+                               const endpoint& agent) const;
   entry_action on_missing_route(const flow_packet& packet, time_point now);
   entry_action on_search_exhausted(const flow_packet& packet, bool inconclusive,
                                    time_point now);
@@ -246,8 +268,8 @@
   entry_action decide_missed(const relay_header& header, const endpoint& agent,
                              const flow_packet& packet, time_point now);
   visit_stops avoided_last(const visit_stops& stops, time_point now) const;
-  relay_header make_header(const relay_service& service,
-                           std::uint64_t hash) const;
+  relay_header make_header(const relay_service& service) const;
+  duration retry_delay(const search_state& state) const;
   bool confirmed(time_point now) const;
   entry_action count(entry_action action);
 
--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -51,6 +51,11 @@
   /// None when the flow is not remembered. Notes that the flow is in use.
   std::optional<remembered_agent> find(const flow_key& flow, time_point now);
 
+  bool contains(const flow_key& flow) const
+  {
+    return flows_.count(flow) != 0;
+  }
+
   /// Notes the data of a remembered flow's packet. Returns `verify` and
   /// `search` once for each unanswered question.
   recall_advice advise(const flow_key& flow, const flow_packet& packet,
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -103,6 +103,9 @@
 {
   const relay_service* service = nullptr;
   visit_stops stops;
+  holder_health health = holder_health::live; ///< of all its stops
+  /// Visited by the packet itself; the others are only asked for the flow.
+  bool by_packet = false;
 };
 
 /// The stage number is one octet of the header.
@@ -111,7 +114,8 @@
 /// The stages of a search for a flow of the route, in order: the live holders
 /// of each possible service, then the unresponsive and the suspect ones, since
 /// a packet is lost at a dead agent. Stages beyond max_search_stages are left
-/// out.
+/// out. The packet itself visits the first stage, which nearly always finds the
+/// flow.
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
                                         const agent_set& unresponsive = {});
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -109,6 +109,11 @@
     add_counter(out, "toucanmill_search_retries_total",
                 "Attempts to find a flow after one without an answer.",
                 counters.search_retries);
+    add_counter(out, "toucanmill_search_joined_total",
+                "Packets that waited for a search under way.", counters.joined);
+    add_counter(out, "toucanmill_search_joined_dropped_total",
+                "Packets that could not wait for a search, for want of room.",
+                status.waiting_dropped);
     add_counter(out, "toucanmill_verifications_total",
                 "Remembered agents asked whether they hold a flow.",
                 counters.verifications);
--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -58,6 +58,11 @@
     to.add("reason", "table_not_confirmed");
     return event::packet_unplaced;
   }
+  event operator()(await_search) const
+  {
+    to.add("reason", "search_under_way");
+    return event::packet_unplaced;
+  }
   event operator()(entry_drop reason) const
   {
     to.add("reason", to_string(reason));
--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -91,7 +91,8 @@
                               table.configuration_version(),
                               core_.remembered_flows(),
                               core_.unresponsive_agents(monotonic_now()),
-                              packets_};
+                              packets_,
+                              waiting_dropped_};
         });
   }
 
@@ -103,24 +104,54 @@
         [&](byte_view datagram, const endpoint&)
         {
           ++packets_;
-          handle(datagram, now, 0);
+          handle(datagram, now);
         });
     return count == udp_channel::batch_size;
   }
 
-  /// `retries`: earlier attempts to find the flow with this same packet.
-  void handle(byte_view datagram, time_point now, std::uint32_t retries)
+  void handle(byte_view datagram, time_point now)
   {
     const auto packet = options_.codec->parse(datagram);
+    if (packet && must_wait(*packet))
+      return wait_for_search(packet->from_caller(), datagram);
+    const auto action = decide(packet, datagram, now);
+    if (packet)
+      keep_for_search(action, *packet, datagram);
+  }
+
+  /// Whether the packet's flow has to be searched for later.
+  bool must_wait(const flow_packet& packet) const
+  {
+    return searches_.is_full() && !searches_.is_pending(packet.from_caller()) &&
+           core_.would_search(packet);
+  }
+
+  void wait_for_search(const flow_key& flow, byte_view datagram)
+  {
+    if (!searches_.wait(flow, datagram))
+      ++waiting_dropped_;
+  }
+
+  void keep_for_search(const entry_action& action, const flow_packet& packet,
+                       byte_view datagram)
+  {
+    if (is_search(action, packet))
+      searches_.hold(packet.from_caller(), datagram);
+    if (std::holds_alternative<await_search>(action))
+      wait_for_search(packet.from_caller(), datagram);
+  }
+
+  entry_action decide(const std::optional<flow_packet>& packet,
+                      byte_view datagram, time_point now)
+  {
     const auto action = core_.on_packet(packet, now);
     execute(action, datagram);
-    if (packet && is_search(action, *packet))
-      searches_.hold(packet->from_caller(), datagram, retries);
     if (packet && !is_routine(action, *packet))
       report(action, *packet, nullptr, {}, now);
+    return action;
   }
 
-  void repeat_overdue_searches()
+  void send_due_searches()
   {
     const auto now = monotonic_now();
     if (searches_.empty() || now < next_search_check_)
@@ -130,9 +161,11 @@
     {
       return core_.progress(flow, now);
     };
-    for (const auto& packet : searches_.take_overdue(progress))
-      handle({packet.bytes.data(), packet.bytes.size()}, now,
-             packet.retries + 1);
+    for (const auto& packet : searches_.take_due(progress))
+    {
+      const byte_view datagram{packet.data(), packet.size()};
+      decide(options_.codec->parse(datagram), datagram, now);
+    }
   }
 
   /// Decides again about the packets held for a confirmation of the table.
@@ -140,7 +173,18 @@
   {
     const auto now = monotonic_now();
     for (const auto& packet : std::exchange(pending_packets_, {}))
-      handle({packet.data(), packet.size()}, now, 0);
+      handle({packet.data(), packet.size()}, now);
+  }
+
+  void on_found(const relay_header& header, const endpoint& agent,
+                const flow_key& flow, time_point now)
+  {
+    core_.on_found(header, agent, flow, now);
+    next_search_check_ = {};
+    // The agent has the packet that found it, unless it was only asked.
+    for (const auto& packet : header.locates ? searches_.take_all(flow)
+                                             : searches_.take_waiting(flow))
+      handle({packet.data(), packet.size()}, now);
   }
 
   bool read_agents()
@@ -160,16 +204,31 @@
   {
     const auto& [header, packet] = message;
     if (header.kind == relay_kind::missed)
-    {
-      const auto parsed = options_.codec->parse(packet);
-      const auto action = core_.on_missed(header, agent, parsed, now);
-      execute(action, packet);
-      if (parsed && (!header.probe || header.remembered))
-        report(action, *parsed, &header, agent, now);
-    }
+      on_missed(header, header.locates ? sent_packet(packet) : packet, agent,
+                now);
     else if (header.kind == relay_kind::found)
       if (const auto flow = decode_flow(packet))
-        core_.on_found(header, agent, *flow, now);
+        on_found(header, agent, *flow, now);
+  }
+
+  /// The packet that searches for the flow encoded in `body`; empty if it is
+  /// not held any more.
+  byte_view sent_packet(byte_view body) const
+  {
+    const auto flow = decode_flow(body);
+    return flow ? searches_.sent_packet(*flow) : byte_view{};
+  }
+
+  void on_missed(const relay_header& header, byte_view packet,
+                 const endpoint& agent, time_point now)
+  {
+    const auto parsed = options_.codec->parse(packet);
+    const auto action = core_.on_missed(header, agent, parsed, now);
+    execute(action, packet);
+    if (parsed && header.remembered)
+      keep_for_search(action, *parsed, packet);
+    if (parsed && (!header.probe || header.remembered))
+      report(action, *parsed, &header, agent, now);
   }
 
   static bool is_search(const entry_action& action, const flow_packet& packet)
@@ -181,6 +240,8 @@
 
   static bool is_routine(const entry_action& action, const flow_packet& packet)
   {
+    if (std::holds_alternative<await_search>(action))
+      return true;
     if (const auto* drop = std::get_if<entry_drop>(&action))
       return *drop == entry_drop::unknown_reset;
     const auto* visit = std::get_if<visit_agent>(&action);
@@ -211,19 +272,33 @@
     options_.on_decision(value);
   }
 
+  void send(const visit_agent& visit, byte_view packet)
+  {
+    if (!visit.header.locates)
+      return agents_.send(visit.agent, encode(visit.header).view(), packet);
+    const auto parsed = options_.codec->parse(packet);
+    if (!parsed)
+      return;
+    const auto flow = encode(parsed->from_caller());
+    agents_.send(visit.agent, encode(visit.header).view(),
+                 {flow.data(), flow.size()});
+  }
+
   void execute(const entry_action& action, byte_view packet)
   {
     if (const auto* visit = std::get_if<visit_agent>(&action))
-      agents_.send(visit->agent, encode(visit->header).view(), packet);
+      send(*visit, packet);
     if (const auto* all = std::get_if<visit_all>(&action))
       for (const auto& visit : all->visits)
-        agents_.send(visit.agent, encode(visit.header).view(), packet);
+        send(visit, packet);
     if (const auto* reset = std::get_if<reset_caller>(&action))
     {
       const auto bytes =
           options_.codec->make_reset(reset->flow, reset->sequence);
       callers_.send({reset->flow.caller.address, options_.caller_port}, {},
                     {bytes.data(), bytes.size()});
+      searches_.drop(reset->flow);
+      next_search_check_ = {};
     }
     // Above the limit the packet is dropped; the caller's retransmission takes
     // the same path.
@@ -234,14 +309,16 @@
 
   void flush()
   {
-    repeat_overdue_searches();
+    send_due_searches();
     if (!searches_.empty())
       loop_.wake_at(next_search_check_);
     agents_.flush();
     callers_.flush();
     const bool newer = core_.wants_table();
+    // Without a table the node reports as often as it can anyway.
     const bool waits =
         !pending_packets_.empty() &&
+        core_.table().version() != table_version{} &&
         monotonic_now() - table_requested_at_ >= table_request_interval;
     if ((waits || (newer && !newer_table_requested_)) &&
         options_.on_table_wanted)
@@ -257,6 +334,7 @@
   udp_channel agents_;
   entry_core core_;
   std::uint64_t packets_ = 0;
+  std::uint64_t waiting_dropped_ = 0; ///< for want of room in searches_
   bool newer_table_requested_ = false;
   time_point table_requested_at_;
   pending_searches searches_{pending_searches::options{}};
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::uint8_t max_plan_number = 255;
 
+/// Limits the time between two attempts to eight times the first one.
+constexpr std::uint32_t max_retry_doublings = 3;
+
 bool have_same_stops(const std::vector<search_stage>& left,
                      const std::vector<search_stage>& right)
 {
@@ -97,8 +100,7 @@
          !wants_table();
 }
 
-relay_header entry_core::make_header(const relay_service& service,
-                                     std::uint64_t hash) const
+relay_header entry_core::make_header(const relay_service& service) const
 {
   relay_header header;
   header.service = service.key;
@@ -183,7 +185,7 @@
     avoided_until_[key_of(stops.agents[retransmissions - 1])] =
         now + options_.avoid_duration;
   stops = avoided_last(rotated(stops, retransmissions), now);
-  auto header = make_header(service, hash);
+  auto header = make_header(service);
   header.stage = stage;
   header.stops = stops;
   // If another stop admits the flow, its found message corrects this entry.
@@ -212,33 +214,33 @@
                                 time_point now)
 {
   auto& state = searched_[packet.from_caller()];
-  update_plan(packet, from, state, now);
+  const bool replanned = update_plan(packet, from, state, now);
   if (is_not_found(state, now))
     return reset_if_current(packet, reset_reason::unknown_flow, now, now);
-  ++counters_.searches;
   const bool is_searching = !state.not_found && !state.found &&
                             state.attempts > 0 &&
                             now - state.last <= options_.search_timeout;
-  if (is_searching && now - state.last < options_.retry_interval)
-    return search_from(packet, state, 0, false, now);
+  if (is_searching && now - state.last < retry_delay(state))
+    return replanned ? restart_walk(packet, state, now)
+                     : entry_action{await_search{}};
   if (!is_searching)
     state = {};
+  ++counters_.searches;
   counters_.search_retries += is_searching ? 1 : 0;
-  state.last = now;
+  state.started = state.last = now;
   ++state.attempts;
-  const bool use_probes = is_searching &&
-                          state.stage < state.plan.stages.size() &&
+  const auto open = state.walk.abandon_round();
+  const bool use_probes = is_searching && open < state.plan.stages.size() &&
                           probes_sent_ < options_.max_probes_per_tick;
   if (use_probes)
-    return search_with_probes(packet, state, now);
+    return search_with_probes(state, open, now);
   make_plan(packet, from, state, now);
-  return search_from(packet, state, 0, false, now);
+  return visit_next_stages(packet, state, now);
 }
 
 void entry_core::make_plan(const flow_packet& packet, const route& from,
                            search_state& state, time_point now)
 {
-  state.stage = 0;
   auto& plan = state.plan;
   // 0 means that an agent did not return the number.
   last_plan_ = last_plan_ == max_plan_number ? 1 : last_plan_ + 1;
@@ -247,56 +249,82 @@
   plan.unresponsive = monitor_.unresponsive(now);
   plan.stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
                               plan.unresponsive);
+  state.walk = stage_walk(plan.stages);
+  state.inconclusive = false;
 }
 
 // A new table keeps the plan if it changes nothing for this flow; otherwise a
 // busy cluster would restart searches for as long as tables change.
-void entry_core::update_plan(const flow_packet& packet, const route& from,
+bool entry_core::update_plan(const flow_packet& packet, const route& from,
                              search_state& state, time_point now)
 {
   auto& plan = state.plan;
   if (plan.table == nullptr || plan.table == table_)
-    return;
+    return false;
   auto stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
                               plan.unresponsive);
   if (!have_same_stops(plan.stages, stages))
-    return make_plan(packet, from, state, now);
+  {
+    make_plan(packet, from, state, now);
+    return true;
+  }
   plan.table = table_;
   plan.stages = std::move(stages);
   if (state.not_found)
     state.not_found->table = table_->version();
+  return false;
 }
 
-entry_action entry_core::search_from(const flow_packet& packet,
-                                     search_state& state, std::size_t stage,
-                                     bool inconclusive, time_point now)
+// The result of a search by two tables cannot justify a reset.
+entry_action entry_core::restart_walk(const flow_packet& packet,
+                                      search_state& state, time_point now)
 {
-  const auto& stages = state.plan.stages;
-  state.stage = std::max(state.stage, stage);
-  if (stage >= stages.size())
-    return on_search_exhausted(
-        packet, inconclusive || stages.size() == max_search_stages, now);
-  auto header =
-      make_header(*stages[stage].service, flow_hash(packet.from_caller()));
-  header.stops = stages[stage].stops;
+  state.inconclusive = true;
+  state.last = now;
+  return visit_next_stages(packet, state, now);
+}
+
+visit_agent entry_core::make_visit(const search_state& state,
+                                   std::size_t stage) const
+{
+  const auto& [service, stops, health, by_packet] = state.plan.stages[stage];
+  auto header = make_header(*service);
+  header.stops = stops;
+  header.locates = !by_packet;
   header.stage = static_cast<std::uint8_t>(stage);
   header.plan = state.plan.number;
-  header.inconclusive = inconclusive;
-  return visit_agent{header.stops.agents[0], header};
+  header.inconclusive = state.inconclusive;
+  return {stops.agents[0], header};
+}
+
+entry_action entry_core::visit_next_stages(const flow_packet& packet,
+                                           search_state& state, time_point now)
+{
+  visit_all round;
+  for (const auto stage : state.walk.start_round())
+    round.visits.push_back(make_visit(state, stage));
+  if (round.visits.size() == 1)
+    return round.visits.front();
+  if (!round.visits.empty())
+    return round;
+  if (!state.walk.finished())
+    return entry_drop::probe_missed;
+  const bool some_left_out = state.plan.stages.size() == max_search_stages;
+  return on_search_exhausted(packet, state.inconclusive || some_left_out, now);
 }
 
 // Probes only one stage: with 50 holders, copies to all of them are 20 KB per
 // packet and would saturate the link of a small balancer when the flows of a
 // failed agent are searched for.
-entry_action entry_core::search_with_probes(const flow_packet& packet,
-                                            search_state& state, time_point now)
+entry_action entry_core::search_with_probes(search_state& state,
+                                            std::size_t stage, time_point now)
 {
   ++counters_.probe_searches;
-  const auto& stages = state.plan.stages;
-  const auto& [service, stops] = stages[state.stage];
+  const auto& [service, stops, health, by_packet] = state.plan.stages[stage];
   probes_sent_ += stops.size;
-  auto header = make_header(*service, flow_hash(packet.from_caller()));
+  auto header = make_header(*service);
   header.probe = true;
+  header.locates = !by_packet;
   visit_all out;
   for (std::size_t i = 0; i < stops.size; ++i)
   {
@@ -305,9 +333,11 @@
     header.stops.add(stops.agents[i]);
     out.visits.push_back({stops.agents[i], header});
   }
-  if (++state.stage < stages.size())
-    out.visits.push_back(std::get<visit_agent>(
-        search_from(packet, state, state.stage, true, now)));
+  // A probed agent that does not answer may hold the flow.
+  state.inconclusive = true;
+  state.walk.skip(stage);
+  for (const auto next : state.walk.start_round())
+    out.visits.push_back(make_visit(state, next));
   return out;
 }
 
@@ -320,26 +350,65 @@
     return entry_drop::stale_answer;
   auto& state = found->second;
   const auto& plan = state.plan;
-  const auto& stages = plan.stages;
   const bool is_of_this_plan =
       (header.plan == plan.number || header.plan == 0) &&
-      header.stage < stages.size() &&
-      stages[header.stage].stops == header.stops;
+      header.stage < plan.stages.size() &&
+      plan.stages[header.stage].stops == header.stops;
   if (!is_of_this_plan)
     return entry_drop::stale_answer;
-  const bool inconclusive = header.inconclusive || header.plan == 0;
-  const auto before = plan.number;
-  update_plan(packet, from, state, now);
-  // The result of a search by two tables cannot justify a reset.
-  return plan.number == before
-             ? search_from(packet, state, header.stage + 1U, inconclusive, now)
-             : search_from(packet, state, 0, true, now);
+  if (update_plan(packet, from, state, now))
+    return restart_walk(packet, state, now);
+  if (!state.walk.on_missed(header.stage))
+    return entry_drop::stale_answer;
+  state.last = now;
+  state.inconclusive |= header.inconclusive || header.plan == 0;
+  add_undecided_stage(header, state);
+  return visit_next_stages(packet, state, now);
+}
+
+entry_action entry_core::probe_by_packet(const relay_header& header,
+                                         const endpoint& agent) const
+{
+  auto probe = header;
+  probe.kind = relay_kind::visit;
+  probe.stop = 0;
+  probe.stops = {};
+  probe.stops.add(agent);
+  probe.locates = false;
+  probe.undecided = 0;
+  return visit_agent{agent, probe};
+}
+
+/// The packet visits the agents that could not tell without it.
+void entry_core::add_undecided_stage(const relay_header& header,
+                                     search_state& state)
+{
+  auto& stages = state.plan.stages;
+  if (header.undecided == 0 || stages.size() >= max_search_stages)
+  {
+    state.inconclusive |= header.undecided != 0;
+    return;
+  }
+  search_stage added = stages[header.stage];
+  added.by_packet = true;
+  added.stops = {};
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+    if ((header.undecided >> i & 1U) != 0)
+      added.stops.add(header.stops.agents[i]);
+  if (added.stops.size == 0)
+    return;
+  state.walk.add(added.health);
+  stages.push_back(added);
 }
 
 entry_action entry_core::on_missing_route(const flow_packet& packet,
                                           time_point now)
 {
-  if (!confirmed(now) || table_->configuration_version() == 0)
+  // A balancer that has just started soon has a table; the caller may not
+  // retransmit for a second.
+  if (table_->configuration_version() == 0)
+    return await_table{};
+  if (!confirmed(now))
     return entry_drop::no_route;
   memory_.erase(packet.from_caller());
   if (packet.opens)
@@ -381,9 +450,9 @@
   if (inconclusive || !confirmed(now) ||
       (found != searched_.end() && found->second.found))
     return entry_drop::unconfirmed;
-  return reset_if_current(packet, reset_reason::unknown_flow,
-                          found != searched_.end() ? found->second.last : now,
-                          now);
+  return reset_if_current(
+      packet, reset_reason::unknown_flow,
+      found != searched_.end() ? found->second.started : now, now);
 }
 
 entry_action entry_core::on_missed(const relay_header& header,
@@ -405,7 +474,8 @@
                                        time_point now)
 {
   if (header.probe && !header.remembered)
-    return entry_drop::probe_missed;
+    return header.undecided != 0 ? probe_by_packet(header, agent)
+                                 : entry_action{entry_drop::probe_missed};
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
@@ -442,13 +512,28 @@
   memory_.put(flow, {agent, header.service}, now);
 }
 
+bool entry_core::would_search(const flow_packet& packet) const
+{
+  return !packet.opens && !packet.resets && !packet.bounced &&
+         !memory_.contains(packet.from_caller()) &&
+         table_->find_route(packet.destination) != nullptr;
+}
+
+/// Doubles with each attempt: late answers mean that a link is full.
+duration entry_core::retry_delay(const search_state& state) const
+{
+  const auto doublings = std::min<std::uint32_t>(
+      std::max(state.attempts, 1U) - 1, max_retry_doublings);
+  return options_.retry_interval * (1U << doublings);
+}
+
 search_progress entry_core::progress(const flow_key& flow, time_point now) const
 {
   const auto found = searched_.find(flow);
   if (found == searched_.end() || found->second.not_found ||
       found->second.found || now - found->second.last > options_.search_timeout)
     return search_progress::ended;
-  return now - found->second.last < options_.retry_interval
+  return now - found->second.last < retry_delay(found->second)
              ? search_progress::waiting
              : search_progress::overdue;
 }
@@ -473,6 +558,8 @@
     counters_.visits += all->visits.size();
   else if (const auto* reset = std::get_if<reset_caller>(&action))
     ++counters_.resets[static_cast<std::size_t>(reset->reason)];
+  else if (std::holds_alternative<await_search>(action))
+    ++counters_.joined;
   else if (const auto* drop = std::get_if<entry_drop>(&action))
     ++counters_.drops[static_cast<std::size_t>(*drop)];
   return action;
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -233,7 +233,7 @@
         {
           if (stages.size() == max_search_stages)
             return stages;
-          stages.push_back({service, {}});
+          stages.push_back({service, {}, health, stages.empty()});
         }
         stages.back().stops.add(order[i]);
       }
--- /dev/null
+++ b/src/relay/stage_walk.cpp
@@ -0,0 +1,84 @@
+#include <toucanmill/relay/stage_walk.hpp>
+
+#include <algorithm>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+/// Each round has this many times the stages of the one before, so that few
+/// flows cost copies beyond the stage that holds them.
+constexpr std::size_t round_growth = 4;
+
+} // namespace
+
+stage_walk::stage_walk(const std::vector<search_stage>& stages)
+    : states_(stages.size(), stage_state::open)
+{
+  for (const auto& stage : stages)
+    health_.push_back(stage.health);
+}
+
+std::size_t stage_walk::first(stage_state wanted) const
+{
+  return static_cast<std::size_t>(
+      std::find(states_.begin(), states_.end(), wanted) - states_.begin());
+}
+
+std::vector<std::size_t> stage_walk::start_round()
+{
+  std::vector<std::size_t> round;
+  if (first(stage_state::under_way) < states_.size())
+    return round;
+  const auto begin = first(stage_state::open);
+  for (auto at = begin; at < states_.size() && round.size() < width_ &&
+                        health_[at] == health_[begin];
+       ++at)
+    if (states_[at] == stage_state::open)
+    {
+      states_[at] = stage_state::under_way;
+      round.push_back(at);
+    }
+  width_ *= round_growth;
+  return round;
+}
+
+bool stage_walk::on_missed(std::size_t stage)
+{
+  if (stage >= states_.size() || states_[stage] != stage_state::under_way)
+    return false;
+  states_[stage] = stage_state::answered;
+  return true;
+}
+
+std::size_t stage_walk::abandon_round()
+{
+  std::replace(states_.begin(), states_.end(), stage_state::under_way,
+               stage_state::open);
+  width_ = 1;
+  return first(stage_state::open);
+}
+
+void stage_walk::skip(std::size_t stage)
+{
+  states_[stage] = stage_state::answered;
+}
+
+void stage_walk::add(holder_health health)
+{
+  states_.push_back(stage_state::open);
+  health_.push_back(health);
+}
+
+bool stage_walk::finished() const
+{
+  return std::all_of(states_.begin(), states_.end(),
+                     [](stage_state state)
+                     {
+                       return state == stage_state::answered;
+                     });
+}
+
+} // namespace toucanmill
