observe: do not format lines beyond the budget of an event

Cause: decisions about flows were formatted before the budget of lines refused them; a balancer logs 500 decisions a second after a loss of power, of which 40 are written. Change: begin_event() refuses a used-up event before its fields are made. Measured: observe_test.

--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -78,6 +78,11 @@
 /// Adds these fields to every later line, for example role and name of a node.
 void set_log_context(const log_fields& context);
 
+/// False, and the line is counted as suppressed, when a line of this event
+/// would not be written now. Saves the cost of its fields:
+///   if (begin_event(id)) log_event(id, make_fields());
+bool begin_event(event id);
+
 /// Writes one logfmt line: time, level, event, name, context, fields. Never
 /// blocks. An event that exceeds its budget of lines for the present second is
 /// counted and reported later instead.
--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -33,40 +33,57 @@
   return text;
 }
 
-struct entry_line
+/// The event of a balancer's decision.
+struct event_of_action
+{
+  event operator()(const visit_agent&) const
+  {
+    return event::flow_searched;
+  }
+  event operator()(const visit_all&) const
+  {
+    return event::flow_searched;
+  }
+  event operator()(const reset_caller&) const
+  {
+    return event::flow_reset;
+  }
+  template <class Unplaced>
+  event operator()(const Unplaced&) const
+  {
+    return event::packet_unplaced;
+  }
+};
+
+/// Adds the fields of a balancer's decision.
+struct add_action
 {
   log_fields& to;
 
-  event operator()(const visit_agent& visit) const
+  void operator()(const visit_agent& visit) const
   {
     to.add("stops", stops_text(visit.header.stops))
         .add("stage", visit.header.stage);
-    return event::flow_searched;
   }
-  event operator()(const visit_all& all) const
+  void operator()(const visit_all& all) const
   {
     to.add("agents", static_cast<std::int64_t>(all.visits.size()));
-    return event::flow_searched;
   }
-  event operator()(const reset_caller& reset) const
+  void operator()(const reset_caller& reset) const
   {
     to.add("reason", to_string(reset.reason));
-    return event::flow_reset;
   }
-  event operator()(await_table) const
+  void operator()(await_table) const
   {
     to.add("reason", "table_not_confirmed");
-    return event::packet_unplaced;
   }
-  event operator()(await_search) const
+  void operator()(await_search) const
   {
     to.add("reason", "search_under_way");
-    return event::packet_unplaced;
   }
-  event operator()(entry_drop reason) const
+  void operator()(entry_drop reason) const
   {
     to.add("reason", to_string(reason));
-    return event::packet_unplaced;
   }
 };
 
@@ -90,9 +107,12 @@
 
 void log_decision(const entry_decision& value)
 {
+  const auto what = std::visit(event_of_action{}, value.action);
+  if (!begin_event(what))
+    return;
   log_fields fields;
   add_flow(fields, value.flow, value.request_id);
-  const auto what = std::visit(entry_line{fields}, value.action);
+  std::visit(add_action{fields}, value.action);
   if (value.returned_by)
     fields.add("returned_by", to_string(*value.returned_by))
         .add("returned_for", to_string(value.returned_for));
@@ -105,6 +125,9 @@
 
 void log_decision(const relay_decision& value)
 {
+  const auto what = event_of(value.event);
+  if (!begin_event(what))
+    return;
   log_fields fields;
   add_flow(fields, value.flow, value.request_id);
   fields.add("reason", to_string(value.event));
@@ -114,7 +137,7 @@
   fields.add("configuration", static_cast<std::int64_t>(value.configuration))
       .add("busy", static_cast<std::int64_t>(value.busy))
       .add("waited_ms", milliseconds(value.waited));
-  log_event(event_of(value.event), fields);
+  log_event(what, fields);
 }
 
 } // namespace toucanmill::daemon
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -171,6 +171,18 @@
     return false;
   }
 
+  /// Refuses a line, without a take(), if the event has used up its lines.
+  bool has_room(event id, std::int64_t second)
+  {
+    const std::lock_guard lock(mutex_);
+    auto& used = used_[id];
+    if (used.second != second || used.lines < lines_per_second)
+      return true;
+    ++used.refused;
+    ++total_refused_;
+    return false;
+  }
+
   std::uint64_t total_refused()
   {
     const std::lock_guard lock(mutex_);
@@ -256,6 +268,13 @@
   return text.data();
 }
 
+std::int64_t present_second()
+{
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 void write_line(const event_description& description, const std::string& fields)
 {
   auto logger = log4cplus::Logger::getRoot();
@@ -294,15 +313,18 @@
   state().context = " " + context.text();
 }
 
+bool begin_event(event id)
+{
+  return state().writer != nullptr &&
+         state().budget.has_room(id, present_second());
+}
+
 void log_event(event id, const log_fields& fields)
 {
   if (state().writer == nullptr)
     return;
-  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
-                          std::chrono::steady_clock::now().time_since_epoch())
-                          .count();
   std::uint64_t suppressed = 0;
-  const bool allowed = state().budget.take(id, second, suppressed);
+  const bool allowed = state().budget.take(id, present_second(), suppressed);
   if (suppressed != 0)
     write_line(describe(event::log_lines_suppressed),
                log_fields()
--- a/src/observe/event_test.cpp
+++ b/src/observe/event_test.cpp
@@ -51,3 +51,19 @@
   for (const auto& item : event_catalogue())
     CHECK_TRUE(seen.insert(item.id).second);
 }
+
+// Guards against the cost of formatting lines that are not written: a balancer
+// takes hundreds of decisions a second after a loss of power.
+TEST(event, used_up_event_is_refused_before_its_fields_are_made)
+{
+  CHECK_TRUE(start_logging("ERROR"));
+  constexpr auto id = event::flow_searched;
+  std::size_t lines = 0;
+  while (begin_event(id))
+  {
+    log_event(id, "detail");
+    CHECK_TRUE(++lines < 1000);
+  }
+  CHECK_TRUE(lines >= 20);
+  CHECK_TRUE(logging_losses().suppressed > 0);
+}
