relay: move searches and the flows of agents into files of their own

Change: functions moved unchanged to entry_search_core.cpp and relay_flows_core.cpp; a constant got the type that the linter asks for.

--- /dev/null
+++ b/src/relay/entry_search_core.cpp
@@ -0,0 +1,308 @@
+// Searches of entry_core for the agents of flows that it does not remember.
+
+#include <toucanmill/relay/entry_core.hpp>
+
+#include <algorithm>
+
+#include <toucanmill/table/flow_hash.hpp>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+constexpr std::uint8_t max_plan_number = 255;
+
+/// Questions without a packet that count as one probe with it, by their size.
+constexpr std::size_t questions_per_probe = 4;
+
+/// Limits the time between two attempts to eight times the first one.
+constexpr std::uint32_t max_retry_doublings = 3;
+
+bool have_same_stops(const std::vector<search_stage>& left,
+                     const std::vector<search_stage>& right)
+{
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](const search_stage& one, const search_stage& other)
+                    {
+                      return one.stops == other.stops;
+                    });
+}
+
+} // namespace
+
+entry_action entry_core::search(const flow_packet& packet, const route& from,
+                                time_point now)
+{
+  auto& state = searched_[packet.from_caller()];
+  const bool replanned = update_plan(packet, from, state, now);
+  if (is_not_found(state, now))
+    return reset_if_current(packet, reset_reason::unknown_flow, now, now);
+  const bool is_searching = !state.not_found && !state.found &&
+                            state.attempts > 0 &&
+                            now - state.last <= options_.search_timeout;
+  if (is_searching && now - state.last < retry_delay(state))
+    return replanned ? restart_walk(packet, state, now)
+                     : entry_action{await_search{}};
+  if (!is_searching)
+    state = {};
+  ++counters_.searches;
+  counters_.search_retries += is_searching ? 1 : 0;
+  state.started = state.last = now;
+  ++state.attempts;
+  const auto unanswered = state.walk.abandon_round();
+  const bool use_probes = is_searching && !unanswered.empty() &&
+                          probes_sent_ < options_.max_probes_per_tick;
+  if (use_probes)
+    return search_with_probes(state, unanswered, now);
+  make_plan(packet, from, state, now);
+  return visit_next_stages(packet, state, now);
+}
+
+void entry_core::make_plan(const flow_packet& packet, const route& from,
+                           search_state& state, time_point now)
+{
+  auto& plan = state.plan;
+  // 0 means that an agent did not return the number.
+  last_plan_ = last_plan_ == max_plan_number ? 1 : last_plan_ + 1;
+  plan.number = last_plan_;
+  plan.table = table_;
+  plan.unresponsive = monitor_.unresponsive(now);
+  plan.stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
+                              plan.unresponsive);
+  state.walk = stage_walk(plan.stages);
+  state.inconclusive = false;
+}
+
+// A new table keeps the plan if it changes nothing for this flow; otherwise a
+// busy cluster would restart searches for as long as tables change.
+bool entry_core::update_plan(const flow_packet& packet, const route& from,
+                             search_state& state, time_point now)
+{
+  auto& plan = state.plan;
+  if (plan.table == nullptr || plan.table == table_)
+    return false;
+  auto stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
+                              plan.unresponsive);
+  if (!have_same_stops(plan.stages, stages))
+  {
+    make_plan(packet, from, state, now);
+    return true;
+  }
+  plan.table = table_;
+  plan.stages = std::move(stages);
+  if (state.not_found)
+    state.not_found->table = table_->version();
+  return false;
+}
+
+// The result of a search by two tables cannot justify a reset.
+entry_action entry_core::restart_walk(const flow_packet& packet,
+                                      search_state& state, time_point now)
+{
+  state.inconclusive = true;
+  state.last = now;
+  return visit_next_stages(packet, state, now);
+}
+
+visit_agent entry_core::make_visit(const search_state& state,
+                                   std::size_t stage) const
+{
+  const auto& [service, stops, health, by_packet] = state.plan.stages[stage];
+  auto header = make_header(*service);
+  header.stops = stops;
+  header.locates = !by_packet;
+  header.stage = static_cast<std::uint8_t>(stage);
+  header.plan = state.plan.number;
+  header.inconclusive = state.inconclusive;
+  return {stops.agents[0], header};
+}
+
+entry_action entry_core::visit_next_stages(const flow_packet& packet,
+                                           search_state& state, time_point now)
+{
+  visit_all round;
+  for (const auto stage : state.walk.start_round())
+    round.visits.push_back(make_visit(state, stage));
+  if (round.visits.size() == 1)
+    return round.visits.front();
+  if (!round.visits.empty())
+    return round;
+  if (!state.walk.finished())
+    return entry_drop::probe_missed;
+  const bool some_left_out = state.plan.stages.size() == max_search_stages;
+  return on_search_exhausted(packet, state.inconclusive || some_left_out, now);
+}
+
+// Probes only the stages without an answer: with 50 holders, copies of a packet
+// to all of them are 20 KB and would saturate the link of a small balancer when
+// the flows of a failed agent are searched for.
+entry_action
+entry_core::search_with_probes(search_state& state,
+                               const std::vector<std::size_t>& unanswered,
+                               time_point now)
+{
+  ++counters_.probe_searches;
+  visit_all out;
+  for (const auto stage : unanswered)
+    if (probes_sent_ < options_.max_probes_per_tick)
+    {
+      add_probes(state.plan.stages[stage], now, out);
+      state.walk.skip(stage);
+    }
+  // A probed agent that does not answer may hold the flow.
+  state.inconclusive = true;
+  for (const auto next : state.walk.start_round())
+  {
+    ++probes_sent_;
+    out.visits.push_back(make_visit(state, next));
+  }
+  return out;
+}
+
+void entry_core::add_probes(const search_stage& stage, time_point now,
+                            visit_all& out)
+{
+  const auto& stops = stage.stops;
+  probes_sent_ += stage.by_packet ? stops.size
+                                  : (stops.size + questions_per_probe - 1) /
+                                        questions_per_probe;
+  auto header = make_header(*stage.service);
+  header.probe = true;
+  header.locates = !stage.by_packet;
+  for (std::size_t i = 0; i < stops.size; ++i)
+  {
+    monitor_.on_probe(stops.agents[i], now);
+    header.stops = {};
+    header.stops.add(stops.agents[i]);
+    out.visits.push_back({stops.agents[i], header});
+  }
+}
+
+entry_action entry_core::continue_search(const relay_header& header,
+                                         const flow_packet& packet,
+                                         const route& from, time_point now)
+{
+  const auto found = searched_.find(packet.from_caller());
+  if (found == searched_.end() || (found->second.found && header.inconclusive))
+    return entry_drop::stale_answer;
+  auto& state = found->second;
+  const auto& plan = state.plan;
+  const bool is_of_this_plan =
+      (header.plan == plan.number || header.plan == 0) &&
+      header.stage < plan.stages.size() &&
+      plan.stages[header.stage].stops == header.stops;
+  if (!is_of_this_plan)
+    return entry_drop::stale_answer;
+  if (update_plan(packet, from, state, now))
+    return restart_walk(packet, state, now);
+  if (!state.walk.on_missed(header.stage))
+    return entry_drop::stale_answer;
+  state.last = now;
+  state.inconclusive |= header.inconclusive || header.plan == 0;
+  add_undecided_stage(header, state);
+  return visit_next_stages(packet, state, now);
+}
+
+entry_action entry_core::probe_by_packet(const relay_header& header,
+                                         const endpoint& agent) const
+{
+  auto probe = header;
+  probe.kind = relay_kind::visit;
+  probe.stop = 0;
+  probe.stops = {};
+  probe.stops.add(agent);
+  probe.locates = false;
+  probe.undecided = 0;
+  return visit_agent{agent, probe};
+}
+
+/// The packet visits the agents that could not tell without it.
+void entry_core::add_undecided_stage(const relay_header& header,
+                                     search_state& state)
+{
+  auto& stages = state.plan.stages;
+  if (header.undecided == 0 || stages.size() >= max_search_stages)
+  {
+    state.inconclusive |= header.undecided != 0;
+    return;
+  }
+  search_stage added = stages[header.stage];
+  added.by_packet = true;
+  added.stops = {};
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+    if ((header.undecided >> i & 1U) != 0)
+      added.stops.add(header.stops.agents[i]);
+  if (added.stops.size == 0)
+    return;
+  state.walk.add(added.health);
+  stages.push_back(added);
+}
+
+bool entry_core::is_not_found(const search_state& state, time_point now) const
+{
+  return state.not_found && state.not_found->table == table_->version() &&
+         now - state.not_found->at <= options_.search_timeout;
+}
+
+// Another balancer may have opened the flow by a newer table, on a new upstream
+// or route. A confirmation requested after the packet arrived rules that out.
+entry_action entry_core::reset_if_current(const flow_packet& packet,
+                                          reset_reason reason, time_point since,
+                                          time_point now)
+{
+  const auto flow = packet.from_caller();
+  auto& state = searched_[flow];
+  state.last = now;
+  if (is_not_found(state, now))
+    since = state.not_found->at;
+  if (confirmed(now) && *confirmed_at_ >= since)
+  {
+    searched_.erase(flow);
+    return reset_caller{flow, packet.acknowledged, reason};
+  }
+  state.not_found = not_found_result{table_->version(), since};
+  ++counters_.awaited;
+  return await_table{};
+}
+
+entry_action entry_core::on_search_exhausted(const flow_packet& packet,
+                                             bool inconclusive, time_point now)
+{
+  const auto found = searched_.find(packet.from_caller());
+  if (inconclusive || !confirmed(now) ||
+      (found != searched_.end() && found->second.found))
+    return entry_drop::unconfirmed;
+  return reset_if_current(
+      packet, reset_reason::unknown_flow,
+      found != searched_.end() ? found->second.started : now, now);
+}
+
+bool entry_core::would_search(const flow_packet& packet) const
+{
+  return !packet.opens && !packet.resets && !packet.bounced &&
+         !memory_.contains(packet.from_caller()) &&
+         table_->find_route(packet.destination) != nullptr;
+}
+
+/// Doubles with each attempt: late answers mean that a link is full.
+duration entry_core::retry_delay(const search_state& state) const
+{
+  const auto doublings = std::min<std::uint32_t>(
+      std::max(state.attempts, 1U) - 1, max_retry_doublings);
+  return options_.retry_interval * (1U << doublings);
+}
+
+search_progress entry_core::progress(const flow_key& flow, time_point now) const
+{
+  const auto found = searched_.find(flow);
+  if (found == searched_.end() || found->second.not_found ||
+      found->second.found || now - found->second.last > options_.search_timeout)
+    return search_progress::ended;
+  return now - found->second.last < retry_delay(found->second)
+             ? search_progress::waiting
+             : search_progress::overdue;
+}
+
+} // namespace toucanmill
--- a/src/relay/pending_searches.hpp
+++ b/src/relay/pending_searches.hpp
@@ -35,8 +35,8 @@
   struct options
   {
     std::size_t max_flows = 512;
-    std::size_t max_octets = 512 * 1024; ///< of all packets
-    std::uint32_t max_retries = 3;       ///< for one flow
+    std::size_t max_octets = std::size_t{512} * 1024; ///< of all packets
+    std::uint32_t max_retries = 3;                    ///< for one flow
     /// Flows searched for at once. One search has up to 1 KB under way, and 12
     /// KB take 50 ms on a link of 2 Mbit/s, half of the time after which a
     /// search is repeated.
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -1,12 +1,8 @@
 #include <toucanmill/relay/relay_core.hpp>
 
 #include <algorithm>
-#include <numeric>
-#include <set>
 #include <utility>
 
-#include <toucanmill/table/flow_hash.hpp>
-
 namespace toucanmill
 {
 
@@ -149,19 +145,6 @@
     reset_flows(has_age ? now - age : time_point::max(), now, sink);
 }
 
-bool relay_core::knows_all_flows(time_point now) const
-{
-  return saw_start_of_upstream_ ||
-         options_.max_flow_age <= now - options_.started;
-}
-
-/// Saves the way to the upstream and back, which are most of the cost of a
-/// search for a flow that nobody holds.
-bool relay_core::lacks_flow(const flow_key& flow, time_point now) const
-{
-  return flows_.count(flow) == 0 && knows_all_flows(now);
-}
-
 void relay_core::set_bucket_count(std::size_t count)
 {
   bucket_count_ = count;
@@ -172,32 +155,6 @@
   stopping_ = true;
 }
 
-void relay_core::reset_flows(time_point before, time_point now,
-                             relay_sink& sink)
-{
-  for (auto it = flows_.begin(); it != flows_.end();)
-  {
-    const auto& [flow, state] = *it;
-    if (state.seen_since >= before)
-    {
-      ++it;
-      continue;
-    }
-    // Several upstreams may have accepted copies of one opening packet, so the
-    // flow may be open at another one.
-    if (state.open && !state.ended)
-    {
-      count(relay_event::flow_reset);
-      sink.reset(flow, state.acknowledged);
-      record_unanswered(flow, state, relay_event::flow_reset, now, sink);
-    }
-    awaited_proofs_.erase(flow);
-    set_busy(it->second, false);
-    ended_flows_ -= state.ended ? 1 : 0;
-    it = flows_.erase(it);
-  }
-}
-
 bool relay_core::route_allows(const endpoint& address) const
 {
   return routes_.count(key_of(address)) != 0;
@@ -353,28 +310,6 @@
   sink.deliver(message.packet, tag);
 }
 
-void relay_core::track_caller_packet(const flow_packet& packet, time_point now)
-{
-  const auto found = flows_.find(packet.from_caller());
-  if (found == flows_.end())
-    return;
-  auto& flow = found->second;
-  flow.used = now;
-  if (packet.acknowledges)
-    flow.acknowledged = packet.acknowledged;
-  if (packet.payload_size > 0 && !flow.ended)
-  {
-    if (!flow.busy)
-    {
-      flow.busy_since = now;
-      flow.wait_recorded = false;
-      flow.request_id = packet.request_id;
-    }
-    set_busy(flow, true);
-  }
-  flow.caller_finished |= packet.finishes;
-}
-
 void relay_core::pass_on(relay_header header, byte_view packet,
                          miss_reason reason, relay_sink& sink)
 {
@@ -431,89 +366,6 @@
           sink);
 }
 
-void relay_core::track_upstream_packet(const flow_packet& packet,
-                                       time_point now, relay_sink& sink)
-{
-  const auto key = packet.from_upstream();
-  if (packet.resets)
-    return end(key, now, sink);
-  // A bare acknowledgement may follow the end of a flow, so it creates no
-  // entry.
-  if (packet.payload_size == 0 && !packet.accepts && flows_.count(key) == 0)
-    return;
-  const auto [found, added] = flows_.try_emplace(key);
-  auto& flow = found->second;
-  if (added)
-    flow.seen_since = now;
-  flow.used = now;
-  flow.answered = true;
-  flow.open |= !packet.accepts;
-  if (const auto awaited = awaited_proofs_.find(key);
-      awaited != awaited_proofs_.end())
-  {
-    send_found(awaited->second.visit, key, flow, now, sink);
-    awaited_proofs_.erase(awaited);
-  }
-  if (const auto opening = std::exchange(flow.opening, {});
-      opening && packet.accepts)
-    sink.record_latency(relay_timing::handshake, now - *opening);
-  if (packet.payload_size > 0)
-  {
-    if (flow.busy)
-      sink.record_latency(relay_timing::request, now - flow.busy_since);
-    set_busy(flow, false);
-  }
-  flow.upstream_finished |= packet.finishes;
-  if (flow.caller_finished && flow.upstream_finished)
-    end(key, now, sink);
-}
-
-void relay_core::set_busy(flow_state& flow, bool busy)
-{
-  if (flow.busy == busy)
-    return;
-  flow.busy = busy;
-  busy_ += busy ? 1 : std::size_t(-1);
-}
-
-void relay_core::end(const flow_key& flow, time_point now, relay_sink& sink)
-{
-  const auto found = flows_.find(flow);
-  if (found == flows_.end() || found->second.ended)
-    return;
-  if (found->second.busy)
-    record_unanswered(flow, found->second, relay_event::request_unanswered, now,
-                      sink);
-  set_busy(found->second, false);
-  found->second.ended = true;
-  ++ended_flows_;
-}
-
-void relay_core::erase(const flow_key& flow, time_point now, relay_sink& sink)
-{
-  end(flow, now, sink);
-  ended_flows_ -= flows_.erase(flow);
-}
-
-void relay_core::record_unanswered(const flow_key& flow,
-                                   const flow_state& state, relay_event event,
-                                   time_point now, relay_sink& sink)
-{
-  if (event != relay_event::flow_reset)
-    count(event);
-  relay_decision value;
-  value.event = event;
-  value.flow = flow;
-  value.configuration = configuration_;
-  value.busy = busy_;
-  if (state.busy)
-  {
-    value.request_id = state.request_id;
-    value.waited = now - state.busy_since;
-  }
-  sink.record(value);
-}
-
 relay_decision relay_core::make_decision(relay_event event,
                                          const flow_key& flow,
                                          const relay_header& header) const
@@ -530,57 +382,6 @@
   return value;
 }
 
-void relay_core::on_tick(time_point now, relay_sink& sink)
-{
-  for (auto it = awaited_proofs_.begin(); it != awaited_proofs_.end();)
-    it = now - it->second.since > options_.proof_timeout
-             ? awaited_proofs_.erase(it)
-             : std::next(it);
-  for (auto it = flows_.begin(); it != flows_.end();)
-  {
-    auto& [key, flow] = *it;
-    const bool waits = flow.busy && !flow.wait_recorded &&
-                       now - flow.busy_since > options_.slow_request_limit;
-    if (waits)
-    {
-      flow.wait_recorded = true;
-      record_unanswered(key, flow, relay_event::request_waits, now, sink);
-    }
-    const auto limit =
-        flow.ended ? options_.ended_flow_retention : options_.flow_idle_limit;
-    if (now - flow.used <= limit)
-    {
-      ++it;
-      continue;
-    }
-    set_busy(flow, false);
-    ended_flows_ -= flow.ended ? 1 : 0;
-    it = flows_.erase(it);
-  }
-}
-
-// Control drops an agent from the chains of the buckets that it does not hold,
-// and balancers then look for it there last. An agent that restarted beside its
-// upstream must not report flows as gone because it has not seen them.
-std::vector<std::uint16_t> relay_core::held_buckets(time_point now) const
-{
-  std::vector<std::uint16_t> held;
-  if (!upstream_.ended() && !knows_all_flows(now))
-  {
-    held.resize(bucket_count_);
-    std::iota(held.begin(), held.end(), std::uint16_t{0});
-    return held;
-  }
-  std::set<std::uint16_t> buckets;
-  if (bucket_count_ > 0)
-    for (const auto& [key, flow] : flows_)
-      if (!flow.ended)
-        buckets.insert(static_cast<std::uint16_t>(
-            bucket_of(flow_hash(key), bucket_count_)));
-  held.assign(buckets.begin(), buckets.end());
-  return held;
-}
-
 relay_status relay_core::status(time_point now) const
 {
   relay_status out;
