relay: copy the packet of a search before it is given up

Cause: the packet that searches for a flow is held by the balancer; a reset dropped it, and the log line of the decision then read the request's id in the freed memory. Found by reading the change, not by a run. Change: sent_packet() returns a copy; a late answer without a packet counts as stale, not as malformed. Measured: relay_test, two new tests.

--- a/src/relay/entry_balancer.cpp
+++ b/src/relay/entry_balancer.cpp
@@ -203,20 +203,25 @@
               time_point now)
   {
     const auto& [header, packet] = message;
-    if (header.kind == relay_kind::missed)
-      on_missed(header, header.locates ? sent_packet(packet) : packet, agent,
-                now);
+    if (header.kind == relay_kind::missed && header.locates)
+      on_not_located(header, packet, agent, now);
+    else if (header.kind == relay_kind::missed)
+      on_missed(header, packet, agent, now);
     else if (header.kind == relay_kind::found)
       if (const auto flow = decode_flow(packet))
         on_found(header, agent, *flow, now);
   }
 
-  /// The packet that searches for the flow encoded in `body`; empty if it is
-  /// not held any more.
-  byte_view sent_packet(byte_view body) const
+  /// The agents were asked without the packet, which is held here. It is copied
+  /// since a reset gives it up.
+  void on_not_located(const relay_header& header, byte_view body,
+                      const endpoint& agent, time_point now)
   {
     const auto flow = decode_flow(body);
-    return flow ? searches_.sent_packet(*flow) : byte_view{};
+    if (!flow)
+      return;
+    const auto packet = searches_.sent_packet(*flow);
+    on_missed(header, {packet.data(), packet.size()}, agent, now);
   }
 
   void on_missed(const relay_header& header, byte_view packet,
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -218,8 +218,10 @@
   ++counters_.missed;
   monitor_.on_message(agent);
   newest_seen_ = std::max(newest_seen_, header.configuration);
+  // An answer without a packet may come after the packet was given up.
   if (!packet)
-    return count(entry_drop::malformed);
+    return count(header.locates ? entry_drop::stale_answer
+                                : entry_drop::malformed);
   return count(decide_missed(header, agent, *packet, now));
 }
 
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -450,3 +450,14 @@
   CHECK_TRUE(visit_of(started.on_packet(opening(), start + 301ms)).agent ==
              endpoint_at(10));
 }
+
+// Guards against late answers without a packet being counted as damaged ones.
+TEST(entry_core, late_answer_without_a_packet_is_stale)
+{
+  install_one_service_table();
+  relay_header late;
+  late.kind = relay_kind::missed;
+  late.locates = true;
+  CHECK_TRUE(drop_of(core.on_missed(late, endpoint_at(10), std::nullopt,
+                                    start)) == entry_drop::stale_answer);
+}
--- a/src/relay/pending_searches.hpp
+++ b/src/relay/pending_searches.hpp
@@ -91,15 +91,13 @@
     return true;
   }
 
-  /// The packet that visits agents; empty if there is none. Valid until the
-  /// next call of another function.
-  byte_view sent_packet(const flow_key& flow) const
+  /// A copy of the packet that visits agents; empty if there is none.
+  packet_bytes sent_packet(const flow_key& flow) const
   {
     const auto found = flows_.find(flow);
     if (found == flows_.end() || !found->second.is_active)
       return {};
-    const auto& packet = found->second.packets.front();
-    return {packet.data(), packet.size()};
+    return found->second.packets.front();
   }
 
   /// The flow was found: removes it and returns the packets that waited.
--- a/src/relay/pending_searches_test.cpp
+++ b/src/relay/pending_searches_test.cpp
@@ -145,3 +145,15 @@
   CHECK_EQUAL(4, due[0][0]);
   CHECK_EQUAL(5, due[1][0]);
 }
+
+// Guards against a read of a packet that was given up while it was handled: a
+// reset drops the flow before the decision is logged.
+TEST(pending_searches, sent_packet_outlives_its_flow)
+{
+  pending.hold(flow(1), packet);
+  const auto sent = pending.sent_packet(flow(1));
+  pending.drop(flow(1));
+  CHECK_EQUAL(packet.size, sent.size());
+  CHECK_EQUAL(1, sent[0]);
+  CHECK_TRUE(pending.sent_packet(flow(1)).empty());
+}
