--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -96,8 +96,8 @@
   duration avoid_duration = std::chrono::seconds(1);
   /// The state of a search expires after this time without an answer. A further
   /// packet of the flow within it is another attempt. It probes all stops of
-  /// the unanswered stage in parallel, since a dead agent may have lost the
-  /// previous packet, and visits the next stage.
+  /// the unanswered stages in parallel, since a dead agent may have lost the
+  /// previous packet, and visits the next stages.
   duration search_timeout = std::chrono::seconds(2);
   /// Minimum time between an attempt or its latest answer and the next attempt;
   /// a packet that follows sooner waits. Doubles with each attempt. A stage of
