table, relay, settings: fields for data centres, objectives and best stops

Cause: holders carry no data centre, routes no objectives, and an opening packet cannot say which stop would admit it soonest. Change: the fields, their schema and codecs, settings, and empty slices for load and admission. Nothing uses them yet; the relay header grows from 44 to 48 octets (format 4). Tests of base, table, settings, cluster, relay, control and platform pass; not measured.

--- a/include/toucanmill/packet/flow_packet.hpp
+++ b/include/toucanmill/packet/flow_packet.hpp
@@ -36,6 +36,10 @@
   /// starts here or its id is in a later packet. Points into the packet.
   std::string_view request_id;
 
+  /// Status of the HTTP response that starts in this packet; 0: none starts
+  /// here, or it is unreadable.
+  std::uint16_t response_status = 0;
+
   /// The flow of a packet that a caller sent.
   flow_key from_caller() const
   {
--- a/include/toucanmill/relay/relay_message.hpp
+++ b/include/toucanmill/relay/relay_message.hpp
@@ -40,6 +40,9 @@
   bool operator==(const visit_stops& other) const;
 };
 
+/// Value of relay_header::best_stop when no stop would admit the packet.
+inline constexpr std::uint8_t no_stop = 255;
+
 enum class relay_kind : std::uint8_t
 {
   visit = 1,  ///< balancer or agent to agent: deliver the packet or pass it on
@@ -88,6 +91,15 @@
   std::uint64_t table = 0; ///< log index of the table that chose the stops
   endpoint balancer;       ///< receives found and missed messages
   visit_stops stops;
+  /// Opening packet: the first stops, this many, are in the balancer's data
+  /// centre.
+  std::uint8_t near_stops = 0;
+  /// Opening packet: index of the stop with the shortest expected wait of those
+  /// visited, and this wait.
+  std::uint8_t best_stop = no_stop;
+  std::uint16_t best_wait_ms = 0;
+  /// Opening packet: it was sent to its best stop and travels no further.
+  bool final_stop = false;
 
   bool operator==(const relay_header& other) const;
 };
@@ -101,7 +113,7 @@
 };
 
 /// Size of the longest encoded header in octets.
-inline constexpr std::size_t max_relay_header = 44 + 6 * visit_stops::capacity;
+inline constexpr std::size_t max_relay_header = 48 + 6 * visit_stops::capacity;
 
 struct encoded_relay_header
 {
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -45,6 +45,9 @@
   endpoint data;                ///< UDP endpoint for packets
   std::vector<endpoint> fabric; ///< mode fabric only
   endpoint relay;               ///< mode direct: UDP endpoint for agents
+  /// Mode direct: "hash" spreads new flows over all agents; "near" prefers
+  /// those of the balancer's data centre.
+  std::string placement = "hash";
 };
 
 /// Section [agent].
@@ -61,6 +64,9 @@
   std::string service;
   std::uint32_t slots = 4;
   std::uint32_t connections = 2000;
+  /// Mode relay: "slots" admits new flows by requests per slot; "objectives" by
+  /// the time until their requests would be answered, and lets requests wait.
+  std::string admission = "slots";
   std::uint32_t queue = 16;
   std::chrono::milliseconds queue_deadline{1000};
 };
@@ -88,6 +94,8 @@
   std::uint32_t tolerated_losses = 1;
   std::vector<group_member_settings> group; ///< first members, voters
   bool bootstrap = false; ///< mode seeds: the system starts for the first time
+  /// Data centres that an operator may evacuate; empty: those of known nodes.
+  std::vector<std::string> data_centres;
   std::chrono::milliseconds lease{3000};
   /// Silence of the leader after which another instance may take over.
   std::chrono::milliseconds election_timeout{600};
--- a/include/toucanmill/table/configuration.hpp
+++ b/include/toucanmill/table/configuration.hpp
@@ -8,6 +8,7 @@
 
 #include <toucanmill/base/address.hpp>
 #include <toucanmill/base/finding.hpp>
+#include <toucanmill/table/objectives.hpp>
 
 namespace toucanmill
 {
@@ -39,12 +40,25 @@
   /// Target services of earlier versions, newest first. They may still hold
   /// flows of this address. Set by control.
   std::vector<std::string> former;
+  route_objectives objectives = {};
 
   bool operator==(const route& other) const
   {
-    return std::tie(name, address, targets, timeout_ms, former) ==
+    return std::tie(name, address, targets, timeout_ms, former, objectives) ==
            std::tie(other.name, other.address, other.targets, other.timeout_ms,
-                    other.former);
+                    other.former, other.objectives);
+  }
+};
+
+/// What an upstream of a service bears while it is cold.
+struct warm_up_limit
+{
+  std::string service;
+  std::uint32_t rate = 0; ///< new flows in 1,000 s; 0: no limit
+
+  bool operator==(const warm_up_limit& other) const
+  {
+    return service == other.service && rate == other.rate;
   }
 };
 
@@ -57,12 +71,14 @@
   std::vector<std::string> services;
   std::uint32_t idle_timeout_ms = 0;
   std::string document; ///< as the operator sent it; empty on nodes
+  std::vector<warm_up_limit> warm_up = {}; ///< of services that have a limit
 
   bool operator==(const configuration& other) const
   {
-    return std::tie(version, routes, services, idle_timeout_ms, document) ==
-           std::tie(other.version, other.routes, other.services,
-                    other.idle_timeout_ms, other.document);
+    return std::tie(version, routes, services, idle_timeout_ms, document,
+                    warm_up) == std::tie(other.version, other.routes,
+                                         other.services, other.idle_timeout_ms,
+                                         other.document, other.warm_up);
   }
 };
 
@@ -74,12 +90,13 @@
   std::vector<std::string> former;
   std::uint32_t timeout_ms = 0;
   std::vector<endpoint> addresses;
+  route_objectives objectives = {};
 
   bool operator==(const route_group& other) const
   {
-    return std::tie(targets, former, timeout_ms, addresses) ==
+    return std::tie(targets, former, timeout_ms, addresses, objectives) ==
            std::tie(other.targets, other.former, other.timeout_ms,
-                    other.addresses);
+                    other.addresses, other.objectives);
   }
 };
 
--- a/include/toucanmill/table/service_table.hpp
+++ b/include/toucanmill/table/service_table.hpp
@@ -11,6 +11,7 @@
 #include <toucanmill/base/ids.hpp>
 #include <toucanmill/table/chain.hpp>
 #include <toucanmill/table/configuration.hpp>
+#include <toucanmill/table/data_centre.hpp>
 
 namespace toucanmill
 {
@@ -28,11 +29,12 @@
   node_id node;
   endpoint agent;       ///< UDP endpoint for encapsulated packets
   bool suspect = false; ///< lease expired; stamp_purpose::probe skips it
+  data_centre_key data_centre = 0;
 
   bool operator==(const holder& other) const
   {
     return node == other.node && agent == other.agent &&
-           suspect == other.suspect;
+           suspect == other.suspect && data_centre == other.data_centre;
   }
 };
 
@@ -51,13 +53,16 @@
   table_version version; ///< log entry that last changed this service
   std::vector<holder> holders;
   std::vector<chain> buckets; ///< power-of-two count; empty chain: no upstream
+  /// New flows in 1,000 s that a cold upstream bears; 0: no limit.
+  std::uint32_t warm_up_rate = 0;
 
   bool operator==(const service_table& other) const
   {
     return std::tie(id, name, address, former_addresses, kind, version, holders,
-                    buckets) ==
+                    buckets, warm_up_rate) ==
            std::tie(other.id, other.name, other.address, other.former_addresses,
-                    other.kind, other.version, other.holders, other.buckets);
+                    other.kind, other.version, other.holders, other.buckets,
+                    other.warm_up_rate);
   }
 
   /// True for the current and the former addresses.
@@ -100,12 +105,16 @@
 
   std::optional<route_changes> routes{};
 
+  /// All evacuated data centres, ascending; present in full updates and if the
+  /// list changed after `base`.
+  std::optional<std::vector<data_centre_key>> evacuated{};
+
   bool operator==(const table_update& other) const
   {
     return version == other.version && full == other.full &&
            changed == other.changed && removed == other.removed &&
            declared == other.declared && base == other.base &&
-           routes == other.routes;
+           routes == other.routes && evacuated == other.evacuated;
   }
 };
 
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -32,6 +32,25 @@
   targets @2 :List(RouteTarget);
   timeoutMillis @3 :UInt32;
   former @4 :List(Text);  # services of earlier versions, newest first
+  objectives @5 :Objectives;
+}
+
+enum RequestKind {
+  unknown @0;
+  idempotent @1;
+  nonIdempotent @2;
+}
+
+struct Objectives {
+  kind @0 :RequestKind;
+  priority @1 :UInt32;       # 0 is the highest
+  latencyMillis @2 :UInt32;  # 0: none
+}
+
+# What an upstream of a service bears while it is cold.
+struct WarmUpLimit {
+  service @0 :Text;
+  rate @1 :UInt32;  # new flows in 1,000 s
 }
 
 # What an operator declares; the highest version is in force.
@@ -41,6 +60,7 @@
   services @2 :List(Text);
   idleTimeoutMillis @3 :UInt32;
   document @4 :Data;   # as the operator sent it; empty towards nodes
+  warmUp @5 :List(WarmUpLimit);
 }
 
 enum NodeRole {
@@ -65,6 +85,7 @@
   node @0 :UInt64;
   agent @1 :Endpoint;
   suspect @2 :Bool;
+  dataCentre @3 :UInt32;  # hash of its name
 }
 
 struct ServiceTable {
@@ -77,6 +98,7 @@
   bucketCount @6 :UInt32;
   chains @7 :Data;  # for each bucket: count octet, then that many uint16 (LE)
   formerAddresses @8 :List(Endpoint);  # still routed for established flows
+  warmUpRate @9 :UInt32;  # new flows in 1,000 s of a cold upstream; 0: no limit
 }
 
 # Routes that differ only in their names and addresses.
@@ -85,6 +107,7 @@
   former @1 :List(Text);
   timeoutMillis @2 :UInt32;
   addresses @3 :List(Endpoint);
+  objectives @4 :Objectives;
 }
 
 # Removed addresses come first: one may return with a changed route.
@@ -103,6 +126,7 @@
   declared @4 :Configuration;  # null: unchanged, or routeChanges is set
   base @5 :Version;  # holds all changes after this version
   routeChanges @6 :RouteChanges;  # null: unchanged, or declared is set
+  evacuated @7 :List(UInt32);  # null: unchanged; data centres, ascending
 }
 
 struct NodeIdentity {
--- a/src/base/include_graph_test.cpp
+++ b/src/base/include_graph_test.cpp
@@ -16,10 +16,11 @@
 const fs::path root = TOUCANMILL_SOURCE_DIR;
 
 const std::vector<std::string> slices = {
-    "base", "settings", "packet",   "table", "log",     "cluster",
-    "net",  "relay",    "balancer", "agent", "control", "observe"};
+    "base", "settings",  "packet", "table",    "log",   "cluster", "net",
+    "load", "admission", "relay",  "balancer", "agent", "control", "observe"};
 
-const std::set<std::string> pure_slices = {"packet", "table", "cluster"};
+const std::set<std::string> pure_slices = {"packet", "table", "cluster", "load",
+                                           "admission"};
 
 const std::regex forbidden(
     "sys/socket|sys/epoll|unistd|fcntl|netinet|arpa/inet|fstream|filesystem|"
--- a/src/cluster/cluster_state.cpp
+++ b/src/cluster/cluster_state.cpp
@@ -24,7 +24,8 @@
     const auto& [record, weight] = state.nodes.at(id);
     views.push_back({id, record.identity.data,
                      record.state == node_state::suspect,
-                     record.state == node_state::active ? weight : 0});
+                     record.state == node_state::active ? weight : 0,
+                     key_of_data_centre(record.identity.data_centre)});
   }
   return views;
 }
--- a/src/cluster/service_buckets.cpp
+++ b/src/cluster/service_buckets.cpp
@@ -23,7 +23,8 @@
 
 holder holder_of(const upstream_view& upstream)
 {
-  return {upstream.node, upstream.agent, upstream.suspect};
+  return {upstream.node, upstream.agent, upstream.suspect,
+          upstream.data_centre};
 }
 
 /// Current holders in their existing order, then new upstreams.
--- a/src/cluster/service_buckets.hpp
+++ b/src/cluster/service_buckets.hpp
@@ -26,6 +26,7 @@
   endpoint agent;
   bool suspect = false;
   std::uint32_t weight = 0; ///< 0: must not own buckets
+  data_centre_key data_centre = 0;
 };
 
 /// Weights by holder index; 0 for holders not in `upstreams`.
--- a/src/cluster/wire_configuration.cpp
+++ b/src/cluster/wire_configuration.cpp
@@ -11,6 +11,27 @@
 namespace
 {
 
+void write_objectives(schema::Objectives::Builder to,
+                      const route_objectives& value)
+{
+  to.setKind(static_cast<schema::RequestKind>(value.kind));
+  to.setLatencyMillis(value.latency_ms);
+  to.setPriority(value.priority);
+}
+
+route_objectives read_objectives(schema::Objectives::Reader from)
+{
+  route_objectives value;
+  const auto kind = from.getKind();
+  if (kind == schema::RequestKind::IDEMPOTENT)
+    value.kind = request_kind::idempotent;
+  if (kind == schema::RequestKind::NON_IDEMPOTENT)
+    value.kind = request_kind::non_idempotent;
+  value.latency_ms = from.getLatencyMillis();
+  value.priority = from.getPriority();
+  return value;
+}
+
 /// Writes what a route and a group of routes have in common.
 template <class Builder, class Value>
 void write_handling(Builder to, const Value& value)
@@ -25,6 +46,8 @@
   auto former = to.initFormer(static_cast<unsigned>(value.former.size()));
   for (unsigned i = 0; i < former.size(); ++i)
     former.set(i, value.former[i]);
+  if (!(value.objectives == route_objectives{}))
+    write_objectives(to.initObjectives(), value.objectives);
 }
 
 template <class Reader, class Value>
@@ -36,6 +59,7 @@
         {copy_text(target.getService()), target.getWeight()});
   for (const auto name : from.getFormer())
     value.former.push_back(copy_text(name));
+  value.objectives = read_objectives(from.getObjectives());
 }
 
 void write_addresses(capnp::List<schema::Endpoint>::Builder to,
@@ -99,6 +123,12 @@
   auto services = to.initServices(static_cast<unsigned>(value.services.size()));
   for (unsigned i = 0; i < services.size(); ++i)
     services.set(i, value.services[i]);
+  auto warm_up = to.initWarmUp(static_cast<unsigned>(value.warm_up.size()));
+  for (unsigned i = 0; i < warm_up.size(); ++i)
+  {
+    warm_up[i].setService(value.warm_up[i].service);
+    warm_up[i].setRate(value.warm_up[i].rate);
+  }
 }
 
 configuration read(schema::Configuration::Reader from)
@@ -111,6 +141,8 @@
     value.routes.push_back(read_route(item));
   for (const auto name : from.getServices())
     value.services.push_back(copy_text(name));
+  for (const auto item : from.getWarmUp())
+    value.warm_up.push_back({copy_text(item.getService()), item.getRate()});
   return value;
 }
 
--- a/src/cluster/wire_table.cpp
+++ b/src/cluster/wire_table.cpp
@@ -25,11 +25,13 @@
   to.setNode(value.node.value);
   write(to.initAgent(), value.agent);
   to.setSuspect(value.suspect);
+  to.setDataCentre(value.data_centre);
 }
 
 holder read_holder(schema::Holder::Reader from)
 {
-  return {node_id{from.getNode()}, read(from.getAgent()), from.getSuspect()};
+  return {node_id{from.getNode()}, read(from.getAgent()), from.getSuspect(),
+          from.getDataCentre()};
 }
 
 bool contains(const chain& value, std::uint16_t index)
@@ -123,6 +125,7 @@
   auto list = to.initFormerAddresses(static_cast<unsigned>(former.size()));
   for (unsigned i = 0; i < list.size(); ++i)
     write(list[i], former[i]);
+  to.setWarmUpRate(value.warm_up_rate);
 }
 
 result<service_table> read(schema::ServiceTable::Reader from)
@@ -150,6 +153,7 @@
                    "\" has too many former addresses");
   for (const auto address : from.getFormerAddresses())
     value.former_addresses.push_back(read(address));
+  value.warm_up_rate = from.getWarmUpRate();
   return value;
 }
 
@@ -168,6 +172,9 @@
   write(to.initBase(), value.base);
   if (value.routes)
     write(to.initRouteChanges(), *value.routes);
+  if (value.evacuated)
+    to.setEvacuated(
+        kj::arrayPtr(value.evacuated->data(), value.evacuated->size()));
 }
 
 result<table_update> read(schema::TableUpdate::Reader from)
@@ -187,6 +194,12 @@
   value.base = read(from.getBase());
   if (from.hasRouteChanges())
     value.routes = read(from.getRouteChanges());
+  if (from.hasEvacuated())
+  {
+    value.evacuated.emplace();
+    for (const auto key : from.getEvacuated())
+      value.evacuated->push_back(key);
+  }
   return value;
 }
 
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -13,14 +13,15 @@
 namespace
 {
 
-constexpr std::uint8_t message_format = 3;
+constexpr std::uint8_t message_format = 4;
 constexpr std::size_t endpoint_size = 6;
 constexpr std::size_t checksum_size = 4;
-constexpr std::size_t fixed_header_size = 44;
+constexpr std::size_t fixed_header_size = 48;
 constexpr std::uint8_t remembered_bit = 1;
 constexpr std::uint8_t inconclusive_bit = 2;
 constexpr std::uint8_t probe_bit = 4;
 constexpr std::uint8_t locates_bit = 8;
+constexpr std::uint8_t final_stop_bit = 16;
 
 std::uint8_t* store(std::uint8_t* to, const endpoint& value)
 {
@@ -73,7 +74,9 @@
          plan == other.plan && locates == other.locates &&
          undecided == other.undecided && service == other.service &&
          configuration == other.configuration && table == other.table &&
-         balancer == other.balancer && stops == other.stops;
+         balancer == other.balancer && stops == other.stops &&
+         near_stops == other.near_stops && best_stop == other.best_stop &&
+         best_wait_ms == other.best_wait_ms && final_stop == other.final_stop;
 }
 
 const char* to_string(miss_reason reason)
@@ -102,7 +105,8 @@
   to[7] = static_cast<std::uint8_t>(
       (header.remembered ? remembered_bit : 0) |
       (header.inconclusive ? inconclusive_bit : 0) |
-      (header.probe ? probe_bit : 0) | (header.locates ? locates_bit : 0));
+      (header.probe ? probe_bit : 0) | (header.locates ? locates_bit : 0) |
+      (header.final_stop ? final_stop_bit : 0));
   to[8] = header.stage;
   to[9] = header.stop;
   boost::endian::store_big_u16(to + 10, header.undecided);
@@ -112,6 +116,9 @@
   to[34] = header.stops.size;
   to[35] = header.plan;
   boost::endian::store_big_u64(to + 36, header.table);
+  to[44] = header.near_stops;
+  to[45] = header.best_stop;
+  boost::endian::store_big_u16(to + 46, header.best_wait_ms);
   auto* at = to + fixed_header_size;
   for (std::size_t i = 0; i < header.stops.size; ++i)
     at = store(at, header.stops.agents[i]);
@@ -142,6 +149,7 @@
   header.inconclusive = (from[7] & inconclusive_bit) != 0;
   header.probe = (from[7] & probe_bit) != 0;
   header.locates = (from[7] & locates_bit) != 0;
+  header.final_stop = (from[7] & final_stop_bit) != 0;
   header.stage = from[8];
   header.stop = from[9];
   header.undecided = boost::endian::load_big_u16(from + 10);
@@ -151,8 +159,15 @@
   header.table = boost::endian::load_big_u64(from + 36);
   header.stops.size = from[34];
   header.plan = from[35];
+  header.near_stops = from[44];
+  header.best_stop = from[45];
+  header.best_wait_ms = boost::endian::load_big_u16(from + 46);
   if (header.kind == relay_kind::visit && header.stop >= header.stops.size)
     return std::nullopt;
+  if (header.near_stops > header.stops.size ||
+      (header.best_stop != no_stop && header.best_stop >= header.stops.size) ||
+      (header.final_stop && header.best_stop != header.stop))
+    return std::nullopt;
   for (std::size_t i = 0; i < header.stops.size; ++i)
     header.stops.agents[i] =
         load_endpoint(from + fixed_header_size + i * endpoint_size);
--- a/src/settings/section.cpp
+++ b/src/settings/section.cpp
@@ -57,6 +57,25 @@
   return good;
 }
 
+bool read(const toml::node& node, const std::string& key, limits range,
+          std::vector<std::string>& out, finding_list& list)
+{
+  const auto* array = node.as_array();
+  if (array == nullptr)
+  {
+    list.add(node.source(), key, "must be an array of strings");
+    return false;
+  }
+  bool good = true;
+  for (const auto& element : *array)
+  {
+    std::string value;
+    good = read(element, key, range, value, list) && good;
+    out.push_back(std::move(value));
+  }
+  return good;
+}
+
 bool read(const toml::node& node, const std::string& key, limits range,
           std::uint32_t& out, finding_list& list)
 {
--- a/src/settings/section.hpp
+++ b/src/settings/section.hpp
@@ -59,7 +59,8 @@
   using member =
       std::variant<std::string Section::*, endpoint Section::*,
                    std::vector<endpoint> Section::*, std::uint32_t Section::*,
-                   std::chrono::milliseconds Section::*, bool Section::*>;
+                   std::chrono::milliseconds Section::*, bool Section::*,
+                   std::vector<std::string> Section::*>;
 
   const char* key;
   member target;
@@ -81,6 +82,8 @@
 
 bool read(const toml::node& node, const std::string& key, limits range,
           bool& out, finding_list& list);
+bool read(const toml::node& node, const std::string& key, limits range,
+          std::vector<std::string>& out, finding_list& list);
 
 /// Adds a finding for each key of the table that is not known.
 void refuse_unknown_keys(const toml::table& table, const std::string& prefix,
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -38,6 +38,7 @@
     {"data", &balancer_settings::data, true},
     {"fabric", &balancer_settings::fabric},
     {"relay", &balancer_settings::relay},
+    {"placement", &balancer_settings::placement},
 };
 
 const std::vector<field<agent_settings>> agent_fields = {
@@ -56,6 +57,7 @@
     {"service", &agent_settings::service, true},
     {"slots", &agent_settings::slots, false, {1, 65'535}},
     {"connections", &agent_settings::connections, false, {1, 1'000'000}},
+    {"admission", &agent_settings::admission},
     {"queue", &agent_settings::queue, false, {0, 65'535}},
     {"queue_deadline_ms", &agent_settings::queue_deadline, false, {1, 600'000}},
 };
@@ -63,6 +65,7 @@
 const std::vector<field<control_settings>> control_fields = {
     {"mode", &control_settings::mode},
     {"bootstrap", &control_settings::bootstrap},
+    {"data_centres", &control_settings::data_centres},
     {"election_timeout_ms",
      &control_settings::election_timeout,
      false,
@@ -135,13 +138,13 @@
                "has id " + std::to_string(member.id) + " twice");
 }
 
-/// Adds a finding when the mode is not one of the two.
-void check_mode(const toml::table& section, const std::string& prefix,
-                const std::string& mode, const char* first, const char* second,
-                finding_list& list)
+/// Adds a finding when the value of the key is not one of the two.
+void check_choice(const toml::table& section, const std::string& prefix,
+                  const char* key, const std::string& value, const char* first,
+                  const char* second, finding_list& list)
 {
-  if (mode != first && mode != second)
-    list.add(place_of(section, "mode"), prefix + "mode",
+  if (value != first && value != second)
+    list.add(place_of(section, key), prefix + key,
              std::string("must be \"") + first + "\" or \"" + second + "\"");
 }
 
@@ -157,7 +160,10 @@
 {
   auto balancer =
       detail::read_section(section, "balancer.", balancer_fields, {}, list);
-  check_mode(section, "balancer.", balancer.mode, "fabric", "direct", list);
+  check_choice(section, "balancer.", "mode", balancer.mode, "fabric", "direct",
+               list);
+  check_choice(section, "balancer.", "placement", balancer.placement, "hash",
+               "near", list);
   require(section, balancer.mode == "direct" ? "relay" : "fabric", "balancer.",
           list);
   return balancer;
@@ -166,7 +172,10 @@
 agent_settings read_agent(const toml::table& section, finding_list& list)
 {
   auto agent = detail::read_section(section, "agent.", agent_fields, {}, list);
-  check_mode(section, "agent.", agent.mode, "sessions", "relay", list);
+  check_choice(section, "agent.", "mode", agent.mode, "sessions", "relay",
+               list);
+  check_choice(section, "agent.", "admission", agent.admission, "slots",
+               "objectives", list);
   if (agent.mode == "relay")
     require(section, "outbound", "agent.", list);
   check_name(section, "service", "agent.", agent.service, list);
@@ -177,7 +186,8 @@
 {
   auto control = detail::read_section(section, "control.", control_fields,
                                       {"group"}, list);
-  check_mode(section, "control.", control.mode, "static", "seeds", list);
+  check_choice(section, "control.", "mode", control.mode, "static", "seeds",
+               list);
   if (control.mode == "seeds")
     return control;
   require(section, "folder", "control.", list);
