load: a request without end does not count for those beside it

Cause: slot time is added at each end of a request, so one that never ends raised the estimate for short requests at 5 a second to ten times the truth (by reading; the new test fails without the change). Change: an end takes at most the slot time that the slots can have used while the request was in progress; the rest is left to later ends.

--- a/include/toucanmill/load/upstream_meter.hpp
+++ b/include/toucanmill/load/upstream_meter.hpp
@@ -121,6 +121,7 @@
     }
   };
 
+  double longest_use(time_point sent, time_point now) const;
   double mean_service() const;
   double current_service() const;
   bool had_room(time_point now) const;
@@ -130,7 +131,7 @@
 
   void turn_back(time_point now);
   bool end_request(time_point sent, time_point now);
-  void finish_service(time_point now);
+  void finish_service(time_point sent, time_point now);
   void record(outcome_sample outcome, time_point now);
   bool is_stale(time_point sent) const;
 
@@ -149,7 +150,7 @@
 
   service_sample service_;
   time_point served_at_;      ///< when `service_` was last updated
-  double slot_seconds_ = 0;   ///< slot time used since then
+  double slot_seconds_ = 0;   ///< slot time not yet in `service_`
   double silent_seconds_ = 0; ///< time with requests but no response
 
   outcome_sample outcomes_;
--- a/src/load/upstream_meter.cpp
+++ b/src/load/upstream_meter.cpp
@@ -141,7 +141,7 @@
     ++malformed_;
   const bool not_run = status == not_run_status;
   if (!not_run)
-    finish_service(now);
+    finish_service(sent, now);
   if (not_run && !had_room(now))
     return;
   record(is_failure(status) ? outcome_sample{0, 1} : outcome_sample{1, 0}, now);
@@ -154,7 +154,7 @@
   const bool hung =
       seconds_between(sent, now) > options_.outlier_limit * mean_service();
   if (!hung)
-    finish_service(now);
+    finish_service(sent, now);
   record({0, hung ? hang_weight : 1}, now);
   unseen_since_ = now;
 }
@@ -192,13 +192,21 @@
   return in_progress_ < slots_ && !unseen;
 }
 
+/// Slot time that all slots can have used while the request was in progress.
+double upstream_meter::longest_use(time_point sent, time_point now) const
+{
+  return sent > now ? longest_s : seconds_between(sent, now) * slots_;
+}
+
 /// Each end of a request adds the slot time that all slots used since the end
-/// before it.
-void upstream_meter::finish_service(time_point now)
+/// before it. What exceeds the time of this request belongs to another one that
+/// is still in progress, and is left to later ends.
+void upstream_meter::finish_service(time_point sent, time_point now)
 {
-  const double used =
+  slot_seconds_ =
       std::min(slot_seconds_, options_.outlier_limit * mean_service());
-  slot_seconds_ = 0;
+  const double used = std::min(slot_seconds_, longest_use(sent, now));
+  slot_seconds_ -= used;
   silent_seconds_ = 0;
   // Requests that an earlier agent passed on are served before these.
   if (unknown_start_ && responses_ < slots_)
--- a/src/load/upstream_meter_test.cpp
+++ b/src/load/upstream_meter_test.cpp
@@ -382,6 +382,20 @@
     }
 }
 
+// Guards against a request without end, whose slot time is taken for that of
+// the short requests beside it.
+TEST(upstream_meter, request_without_end_counts_for_one_slot_at_most)
+{
+  for (const double gap : {0.021, 0.2})
+  {
+    auto meter = new_meter();
+    const double before = serve(meter, 0, 200, gap, 0.02);
+    meter.on_request(at(before));
+    serve(meter, before, 200, gap, 0.02);
+    CHECK_TRUE(seconds(meter.service_time()) < 0.041);
+  }
+}
+
 // Guards against trust in an upstream that has stopped to answer.
 TEST(upstream_meter, hang_raises_the_service_time_and_its_end_restores_it)
 {
