relay: a search keeps what agents have denied when the table changes

Cause: a search followed a plan of stages, and each table that changed one of the service's holders made a new plan that began with the first stage. Ruled out: lost answers of a remembered agent; two transmissions of the same data at most go to it (new test, which passed before).

Change: each search records which agents denied the flow, from answers to all plans of this search and from single probes; new plans ask them last. A search over two tables still cannot justify a reset.

Tests: search_ends_while_tables_keep_changing and agent_that_denied_a_flow_gets_no_further_packet_of_it fail without the change (4 failures of 111), all 111 pass with it. Two existing tests are changed: late_miss_by_other_stages... expected the packet at all three holders again, now at the one that has not denied; unresponsive_agent_is_asked_last... answered probes with the header of another visit, which says that the silent agent had passed the packet on; it now uses the probes' own headers, and checks the order on a second flow.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -227,6 +228,10 @@
     time_point last;    ///< latest attempt, answer or result
     std::uint32_t attempts = 0;
     search_plan plan;
+    std::vector<std::uint8_t> plan_numbers; ///< of all plans of this search
+    /// Agents that answered that they do not hold the flow, and when. An open
+    /// flow does not move to another upstream, so they are asked last.
+    std::map<endpoint, time_point> denials;
     stage_walk walk;           ///< through the stages of the plan
     bool inconclusive = false; ///< misses do not prove that the flow is gone
     bool found = false;        ///< an agent reported that it holds the flow
@@ -247,6 +252,12 @@
   /// is a new one then.
   bool update_plan(const flow_packet& packet, const route& from,
                    search_state& state, time_point now);
+  std::vector<search_stage> open_stages(const flow_packet& packet,
+                                        const route& from,
+                                        const search_state& state,
+                                        time_point now) const;
+  void record_denials(const relay_header& header, const flow_key& flow,
+                      time_point now);
   entry_action restart_walk(const flow_packet& packet, search_state& state,
                             time_point now);
   visit_agent make_visit(const search_state& state, std::size_t stage) const;
@@ -255,7 +266,8 @@
   entry_action search_with_probes(search_state& state,
                                   const std::vector<std::size_t>& unanswered,
                                   time_point now);
-  void add_probes(const search_stage& stage, time_point now, visit_all& out);
+  void add_probes(const search_stage& stage, std::uint8_t plan, time_point now,
+                  visit_all& out);
   entry_action continue_search(const relay_header& header,
                                const flow_packet& packet, const route& from,
                                time_point now);
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -114,11 +114,12 @@
 /// The stages of a search for a flow of the route, in order: the live holders
 /// of each possible service, then the unresponsive and the suspect ones, since
 /// a packet is lost at a dead agent. Stages beyond max_search_stages are left
-/// out. The packet itself visits the first stage, which nearly always finds the
-/// flow.
+/// out. Agents that have denied the flow come last. The packet itself visits
+/// the first stage, which nearly always finds the flow.
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
-                                        const agent_set& unresponsive = {});
+                                        const agent_set& unresponsive = {},
+                                        const agent_set& denied = {});
 
 } // namespace toucanmill
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -230,6 +230,8 @@
                                        const flow_packet& packet,
                                        time_point now)
 {
+  if (header.reason == miss_reason::unknown_flow && !packet.opens)
+    record_denials(header, packet.from_caller(), now);
   if (header.probe && !header.remembered)
     return header.undecided != 0 ? probe_by_packet(header, agent)
                                  : entry_action{entry_drop::probe_missed};
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -68,13 +68,44 @@
   last_plan_ = last_plan_ == max_plan_number ? 1 : last_plan_ + 1;
   plan.number = last_plan_;
   plan.table = table_;
+  state.plan_numbers.push_back(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
-  plan.stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
-                              plan.unresponsive);
+  plan.stages = open_stages(packet, from, state, now);
   state.walk = stage_walk(plan.stages);
   state.inconclusive = false;
 }
 
+/// The stages by the present table; agents that have denied the flow come last.
+/// A denial counts for as long as the state of a search, since the caller may
+/// use the address and port of an ended flow again.
+std::vector<search_stage> entry_core::open_stages(const flow_packet& packet,
+                                                  const route& from,
+                                                  const search_state& state,
+                                                  time_point now) const
+{
+  agent_set denied;
+  for (const auto& [agent, at] : state.denials)
+    if (now - at <= options_.search_timeout)
+      denied.insert(agent);
+  return search_stages(*table_, from, flow_hash(packet.from_caller()),
+                       state.plan.unresponsive, denied);
+}
+
+void entry_core::record_denials(const relay_header& header,
+                                const flow_key& flow, time_point now)
+{
+  const auto found = searched_.find(flow);
+  if (found == searched_.end() || header.inconclusive)
+    return;
+  auto& state = found->second;
+  const auto& numbers = state.plan_numbers;
+  if (std::find(numbers.begin(), numbers.end(), header.plan) == numbers.end())
+    return;
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+    if ((header.undecided >> i & 1U) == 0)
+      state.denials[header.stops.agents[i]] = now;
+}
+
 // A new table keeps the plan if it changes nothing for this flow; otherwise a
 // busy cluster would restart searches for as long as tables change.
 bool entry_core::update_plan(const flow_packet& packet, const route& from,
@@ -83,21 +114,30 @@
   auto& plan = state.plan;
   if (plan.table == nullptr || plan.table == table_)
     return false;
-  auto stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
-                              plan.unresponsive);
-  if (!have_same_stops(plan.stages, stages))
+  const auto hash = flow_hash(packet.from_caller());
+  const auto* before = plan.table->find_route(packet.destination);
+  const bool equal =
+      before != nullptr &&
+      have_same_stops(
+          search_stages(*plan.table, *before, hash, plan.unresponsive),
+          search_stages(*table_, from, hash, plan.unresponsive));
+  if (!equal)
   {
     make_plan(packet, from, state, now);
     return true;
   }
+  for (auto& stage : plan.stages)
+    stage.service = table_->find_service(stage.service->table.name);
   plan.table = table_;
-  plan.stages = std::move(stages);
   if (state.not_found)
     state.not_found->table = table_->version();
   return false;
 }
 
-// The result of a search by two tables cannot justify a reset.
+// The result of a search by two tables cannot justify a reset. Agents that
+// denied the flow under an earlier table are asked last: with many upstreams a
+// walk takes longer than the time between two tables while processes are
+// restarted in series.
 entry_action entry_core::restart_walk(const flow_packet& packet,
                                       search_state& state, time_point now)
 {
@@ -115,7 +155,6 @@
   header.locates = !by_packet;
   header.stage = static_cast<std::uint8_t>(stage);
   header.plan = state.plan.number;
-  header.inconclusive = state.inconclusive;
   return {stops.agents[0], header};
 }
 
@@ -148,7 +187,7 @@
   for (const auto stage : unanswered)
     if (probes_sent_ < options_.max_probes_per_tick)
     {
-      add_probes(state.plan.stages[stage], now, out);
+      add_probes(state.plan.stages[stage], state.plan.number, now, out);
       state.walk.skip(stage);
     }
   // A probed agent that does not answer may hold the flow.
@@ -161,8 +200,8 @@
   return out;
 }
 
-void entry_core::add_probes(const search_stage& stage, time_point now,
-                            visit_all& out)
+void entry_core::add_probes(const search_stage& stage, std::uint8_t plan,
+                            time_point now, visit_all& out)
 {
   const auto& stops = stage.stops;
   probes_sent_ += stage.by_packet ? stops.size
@@ -170,6 +209,7 @@
                                         questions_per_probe;
   auto header = make_header(*stage.service);
   header.probe = true;
+  header.plan = plan;
   header.locates = !stage.by_packet;
   for (std::size_t i = 0; i < stops.size; ++i)
   {
@@ -185,9 +225,11 @@
                                          const route& from, time_point now)
 {
   const auto found = searched_.find(packet.from_caller());
-  if (found == searched_.end() || (found->second.found && header.inconclusive))
+  if (found == searched_.end())
     return entry_drop::stale_answer;
   auto& state = found->second;
+  if (state.found && (state.inconclusive || header.inconclusive))
+    return entry_drop::stale_answer;
   const auto& plan = state.plan;
   const bool is_of_this_plan =
       (header.plan == plan.number || header.plan == 0) &&
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -218,26 +218,33 @@
 
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
-                                        const agent_set& unresponsive)
+                                        const agent_set& unresponsive,
+                                        const agent_set& denied)
 {
   std::vector<search_stage> stages;
   const auto services = possible_services(table, from, hash);
-  for (const auto health : {holder_health::live, holder_health::unresponsive,
-                            holder_health::suspect})
-    for (const auto* service : services)
+  const auto add =
+      [&](const relay_service& service, holder_health health, bool wants_denied)
+  {
+    std::size_t added = 0;
+    for (const auto& agent : search_order(service, hash, health, unresponsive))
     {
-      const auto order = search_order(*service, hash, health, unresponsive);
-      for (std::size_t i = 0; i < order.size(); ++i)
+      if ((denied.count(agent) != 0) != wants_denied)
+        continue;
+      if (added++ % visit_stops::capacity == 0)
       {
-        if (i % visit_stops::capacity == 0)
-        {
-          if (stages.size() == max_search_stages)
-            return stages;
-          stages.push_back({service, {}, health, stages.empty()});
-        }
-        stages.back().stops.add(order[i]);
+        if (stages.size() == max_search_stages)
+          return;
+        stages.push_back({&service, {}, health, stages.empty()});
       }
+      stages.back().stops.add(agent);
     }
+  };
+  for (const bool wants_denied : {false, true})
+    for (const auto health : {holder_health::live, holder_health::unresponsive,
+                              holder_health::suspect})
+      for (const auto* service : services)
+        add(*service, health, wants_denied);
   return stages;
 }
 
