relay: place new flows near the balancer and out of evacuated data centres

Cause: a balancer had no notion of data centres. New flows went to any of them by hash, and an evacuation order had no effect on balancers.

Change: the relay table takes the evacuated data centres and keeps the open owners of each service by data centre. opening_stops leaves out evacuated agents with either placement. With near placement at most six stops are in the balancer's data centre, by rendezvous hashing, and others fill up to eight; searches visit the near agents first. Retransmissions and avoided agents change the order within the near and the far stops; the far ones come first only when a copy was lost at each near stop or all of them are avoided. A new flow is reset with the reason "evacuated" when all upstreams of its services are.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -38,9 +38,10 @@
   no_route,     ///< no declared route has the destination address
   refused,      ///< no upstream admits a new flow
   unknown_flow, ///< no upstream of the route's services holds the flow
+  evacuated,    ///< all upstreams for new flows are in evacuated data centres
 };
 
-inline constexpr std::size_t reset_reason_count = 3;
+inline constexpr std::size_t reset_reason_count = 4;
 
 const char* to_string(reset_reason reason);
 
@@ -92,6 +93,7 @@
   duration confirmation_limit = std::chrono::seconds(2);
   /// Maximum number of agents that one opening packet may visit.
   std::size_t max_opening_stops = 8;
+  placement_policy placement;
   /// An agent to which an opening packet was lost is tried last for this long.
   duration avoid_duration = std::chrono::seconds(1);
   /// The state of a search expires after this time without an answer. A further
@@ -123,6 +125,10 @@
 struct entry_counters
 {
   std::uint64_t visits = 0;
+  /// New flows, without copies of opening packets, whose first stop is in the
+  /// balancer's data centre, and the others.
+  std::uint64_t near_flows = 0;
+  std::uint64_t far_flows = 0;
   std::uint64_t searches = 0; ///< packets of established flows not remembered
   std::uint64_t search_retries = 0; ///< attempts after one without an answer
   std::uint64_t verifications = 0;  ///< remembered agents asked about a flow
@@ -238,6 +244,7 @@
                                               time_point now);
   entry_action open_flow(const flow_packet& packet, const route& from,
                          std::uint8_t stage, time_point now);
+  void count_new_flow(const relay_service& service, const endpoint& first);
   entry_action search(const flow_packet& packet, const route& from,
                       time_point now);
   void make_plan(const flow_packet& packet, const route& from,
@@ -270,7 +277,7 @@
                                 time_point since, time_point now);
   entry_action decide_missed(const relay_header& header, const endpoint& agent,
                              const flow_packet& packet, time_point now);
-  visit_stops avoided_last(const visit_stops& stops, time_point now) const;
+  agent_set avoided_of(const visit_stops& stops, time_point now) const;
   relay_header make_header(const relay_service& service) const;
   duration retry_delay(const search_state& state) const;
   bool confirmed(time_point now) const;
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <toucanmill/relay/agent_monitor.hpp>
+#include <toucanmill/relay/placement.hpp>
 #include <toucanmill/relay/relay_message.hpp>
 #include <toucanmill/table/configuration.hpp>
 #include <toucanmill/table/service_table.hpp>
@@ -15,13 +16,39 @@
 namespace toucanmill
 {
 
+/// The upstreams of a service in one data centre that take new flows.
+struct data_centre_owners
+{
+  data_centre_key data_centre = 0;
+  std::vector<std::uint16_t> holders; ///< indices, ascending
+
+  bool operator==(const data_centre_owners& other) const
+  {
+    return data_centre == other.data_centre && holders == other.holders;
+  }
+};
+
+/// The owners of buckets. An upstream that drains owns none.
+struct service_owners
+{
+  /// Those that are neither suspect nor evacuated, by data centre, ascending.
+  std::vector<data_centre_owners> open;
+  std::size_t total = 0;     ///< also suspect and evacuated ones
+  std::size_t evacuated = 0; ///< in evacuated data centres
+
+  bool operator==(const service_owners& other) const
+  {
+    return open == other.open && total == other.total &&
+           evacuated == other.evacuated;
+  }
+};
+
 /// A service with the precomputed data for choosing the order of visits.
 struct relay_service
 {
   service_table table;
   service_key key = 0;
-  /// Indices of the holders that own a bucket and are not suspect, ascending.
-  std::vector<std::uint16_t> owners;
+  service_owners owners;
 };
 
 /// The routing table of a balancer: the declared routes and the holders
@@ -46,6 +73,12 @@
   /// Null when the service is not known.
   const relay_service* find_service(const std::string& name) const;
 
+  /// Ascending.
+  const std::vector<data_centre_key>& evacuated() const
+  {
+    return evacuated_;
+  }
+
   /// Returns a copy of this table if the update is not newer, or if its base is
   /// newer than this table. A configuration that is not newer than the current
   /// one is ignored.
@@ -59,18 +92,24 @@
   void replace_routes(const configuration& declared);
   void change_routes(const route_changes& changes);
   void replace_services(const table_update& update);
+  void replace_evacuated(const table_update& update);
 
   table_version version_;
   std::uint64_t configuration_ = 0;
   std::shared_ptr<const route_map> routes_ =
       std::make_shared<const route_map>();
   std::unordered_map<std::string, service_ptr> services_;
+  std::vector<data_centre_key> evacuated_;
 };
 
-/// At most `limit` agents in the order in which an opening packet visits them:
-/// the owner of the bucket, then the other owners by rendezvous hashing.
-visit_stops opening_stops(const relay_service& service, std::uint64_t hash,
-                          std::size_t limit);
+/// At most `limit` agents in the order in which an opening packet visits them,
+/// without those in evacuated data centres. With hash placement: the owner of
+/// the bucket, then the other owners by rendezvous hashing. With near
+/// placement: at most max_near_stops owners in the balancer's data centre, then
+/// those in others, each by rendezvous hashing.
+placed_stops opening_stops(const relay_service& service, std::uint64_t hash,
+                           std::size_t limit,
+                           const placement_policy& placement = {});
 
 /// Whether a holder is expected to deliver a packet.
 enum class holder_health : std::uint8_t
@@ -81,18 +120,25 @@
 };
 
 /// Holders of this health in the order in which a packet of an established flow
-/// visits them: the chain of the bucket, then the others by rendezvous hashing.
+/// visits them: with near placement those in the balancer's data centre by
+/// rendezvous hashing, then the chain of the bucket, then the others by
+/// rendezvous hashing. Includes those in evacuated data centres.
 std::vector<endpoint> search_order(const relay_service& service,
                                    std::uint64_t hash, holder_health health,
-                                   const agent_set& unresponsive = {});
+                                   const agent_set& unresponsive = {},
+                                   const placement_policy& placement = {});
 
 /// The services that may take a new flow of the route: the one that the weights
 /// select, then, for a flow that it refuses, the others with a weight above 0.
-/// Services without owners are left out.
+/// Services without owners that take new flows are left out.
 std::vector<const relay_service*> opening_services(const relay_table& table,
                                                    const route& from,
                                                    std::uint64_t hash);
 
+/// Whether the services with a weight above 0 have upstreams, all of them in
+/// evacuated data centres.
+bool is_evacuated(const relay_table& table, const route& from);
+
 /// All services that may hold a flow of the route, the most likely first.
 std::vector<const relay_service*> possible_services(const relay_table& table,
                                                     const route& from,
@@ -118,7 +164,8 @@
 /// flow.
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
-                                        const agent_set& unresponsive = {});
+                                        const agent_set& unresponsive = {},
+                                        const placement_policy& placement = {});
 
 } // namespace toucanmill
 
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -7,20 +7,6 @@
 namespace toucanmill
 {
 
-namespace
-{
-
-/// Rotates the stops so that the one at index `first` comes first.
-visit_stops rotated(const visit_stops& stops, std::size_t first)
-{
-  visit_stops out;
-  for (std::size_t i = 0; i < stops.size; ++i)
-    out.add(stops.agents[(first + i) % stops.size]);
-  return out;
-}
-
-} // namespace
-
 const char* to_string(reset_reason reason)
 {
   switch (reason)
@@ -31,6 +17,8 @@
     return "refused";
   case reset_reason::unknown_flow:
     return "unknown_flow";
+  case reset_reason::evacuated:
+    return "evacuated";
   }
   return "unknown";
 }
@@ -158,41 +146,58 @@
   const auto hash = flow_hash(flow);
   const auto services = opening_services(*table_, from, hash);
   if (stage >= services.size())
-    return confirmed(now)
-               ? entry_action{reset_caller{flow, 0, reset_reason::refused}}
-               : entry_action{entry_drop::no_upstream};
+  {
+    const bool evacuated = services.empty() && is_evacuated(*table_, from);
+    const auto reason =
+        evacuated ? reset_reason::evacuated : reset_reason::refused;
+    return confirmed(now) ? entry_action{reset_caller{flow, 0, reason}}
+                          : entry_action{entry_drop::no_upstream};
+  }
   const auto& service = *services[stage];
-  auto stops = opening_stops(service, hash, options_.max_opening_stops);
+  const auto placed = opening_stops(service, hash, options_.max_opening_stops,
+                                    options_.placement);
   // An opening packet carries the number of its earlier copies. They were lost,
-  // so a retransmission starts at another agent.
-  const std::size_t retransmissions = packet.acknowledged % stops.size;
-  if (retransmissions > 0)
-    avoided_until_[key_of(stops.agents[retransmissions - 1])] =
+  // so a further one starts at another agent.
+  const std::size_t copy = packet.acknowledged % placed.stops.size;
+  if (copy > 0)
+    avoided_until_[key_of(placed.stops.agents[copy - 1])] =
         now + options_.avoid_duration;
-  stops = avoided_last(rotated(stops, retransmissions), now);
+  const auto [stops, near_stops] =
+      reordered(placed, copy, avoided_of(placed.stops, now));
   auto header = make_header(service);
   header.stage = stage;
   header.stops = stops;
+  header.near_stops = near_stops;
+  if (packet.acknowledged == 0 && stage == 0)
+    count_new_flow(service, stops.agents[0]);
   // If another stop admits the flow, its found message corrects this entry.
   memory_.put(flow, {stops.agents[0], service.key}, now);
   return visit_agent{stops.agents[0], header};
 }
 
-visit_stops entry_core::avoided_last(const visit_stops& stops,
-                                     time_point now) const
+void entry_core::count_new_flow(const relay_service& service,
+                                const endpoint& first)
 {
-  const auto avoided = [&](const endpoint& agent)
-  {
-    const auto found = avoided_until_.find(key_of(agent));
-    return found != avoided_until_.end() && now < found->second;
-  };
-  visit_stops out;
-  for (std::size_t i = 0; i < stops.size; ++i)
-    if (!avoided(stops.agents[i]))
-      out.add(stops.agents[i]);
+  const auto own = options_.placement.data_centre;
+  const auto& holders = service.table.holders;
+  const bool is_near =
+      own != 0 && std::any_of(holders.begin(), holders.end(),
+                              [&](const holder& value)
+                              {
+                                return value.agent == first &&
+                                       value.data_centre == own;
+                              });
+  ++(is_near ? counters_.near_flows : counters_.far_flows);
+}
+
+agent_set entry_core::avoided_of(const visit_stops& stops, time_point now) const
+{
+  agent_set avoided;
   for (std::size_t i = 0; i < stops.size; ++i)
-    out.add(stops.agents[i]);
-  return out;
+    if (const auto found = avoided_until_.find(key_of(stops.agents[i]));
+        found != avoided_until_.end() && now < found->second)
+      avoided.insert(stops.agents[i]);
+  return avoided;
 }
 
 entry_action entry_core::on_missing_route(const flow_packet& packet,
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -70,7 +70,7 @@
   plan.table = table_;
   plan.unresponsive = monitor_.unresponsive(now);
   plan.stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
-                              plan.unresponsive);
+                              plan.unresponsive, options_.placement);
   state.walk = stage_walk(plan.stages);
   state.inconclusive = false;
 }
@@ -84,7 +84,7 @@
   if (plan.table == nullptr || plan.table == table_)
     return false;
   auto stages = search_stages(*table_, from, flow_hash(packet.from_caller()),
-                              plan.unresponsive);
+                              plan.unresponsive, options_.placement);
   if (!have_same_stops(plan.stages, stages))
   {
     make_plan(packet, from, state, now);
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -13,31 +13,70 @@
 namespace
 {
 
-std::vector<std::uint16_t> owners_of(const service_table& table)
+bool contains(const std::vector<data_centre_key>& sorted, data_centre_key key)
+{
+  return std::binary_search(sorted.begin(), sorted.end(), key);
+}
+
+/// The first group at or after the data centre.
+template <class Groups>
+auto group_at(Groups& groups, data_centre_key key)
+{
+  return std::lower_bound(
+      groups.begin(), groups.end(), key,
+      [](const data_centre_owners& group, data_centre_key wanted)
+      {
+        return group.data_centre < wanted;
+      });
+}
+
+void add_open(std::vector<data_centre_owners>& open, data_centre_key key,
+              std::uint16_t index)
+{
+  auto group = group_at(open, key);
+  if (group == open.end() || group->data_centre != key)
+    group = open.insert(group, {key, {}});
+  group->holders.push_back(index);
+}
+
+service_owners owners_of(const service_table& table,
+                         const std::vector<data_centre_key>& evacuated)
 {
   std::vector<bool> owns(table.holders.size());
   for (const auto& bucket : table.buckets)
     if (bucket.size > 0)
       owns[bucket.holders[0]] = true;
-  std::vector<std::uint16_t> owners;
+  service_owners owners;
   for (std::size_t i = 0; i < owns.size(); ++i)
-    if (owns[i] && !table.holders[i].suspect)
-      owners.push_back(static_cast<std::uint16_t>(i));
+  {
+    const auto& owner = table.holders[i];
+    if (!owns[i])
+      continue;
+    const bool is_evacuated = contains(evacuated, owner.data_centre);
+    ++owners.total;
+    owners.evacuated += is_evacuated ? 1 : 0;
+    if (!owner.suspect && !is_evacuated)
+      add_open(owners.open, owner.data_centre, static_cast<std::uint16_t>(i));
+  }
   return owners;
 }
 
-/// Sorts the candidates by their rendezvous score for this flow, highest first.
+/// The first `limit` candidates by their rendezvous score for this flow,
+/// highest first.
 std::vector<std::uint16_t> by_score(const service_table& table,
                                     std::vector<std::uint16_t> candidates,
-                                    std::uint64_t hash)
+                                    std::uint64_t hash, std::size_t limit)
 {
   std::vector<std::pair<std::uint64_t, std::uint16_t>> scored;
   scored.reserve(candidates.size());
   for (const auto index : candidates)
     scored.emplace_back(mix(hash ^ mix(table.holders[index].node.value)),
                         index);
-  std::sort(scored.begin(), scored.end(), std::greater<>());
-  std::transform(scored.begin(), scored.end(), candidates.begin(),
+  candidates.resize(std::min(limit, candidates.size()));
+  const auto middle =
+      scored.begin() + static_cast<std::ptrdiff_t>(candidates.size());
+  std::partial_sort(scored.begin(), middle, scored.end(), std::greater<>());
+  std::transform(scored.begin(), middle, candidates.begin(),
                  [](const auto& item)
                  {
                    return item.second;
@@ -77,6 +116,49 @@
                                               : holder_health::live;
 }
 
+/// The open owners in the preferred data centre, and the others.
+struct owners_by_distance
+{
+  std::vector<std::uint16_t> near;
+  std::vector<std::uint16_t> far;
+};
+
+owners_by_distance by_distance(const service_owners& owners,
+                               const placement_policy& placement)
+{
+  owners_by_distance out;
+  for (const auto& [data_centre, holders] : owners.open)
+  {
+    auto& to = placement.prefers(data_centre) ? out.near : out.far;
+    to.insert(to.end(), holders.begin(), holders.end());
+  }
+  return out;
+}
+
+/// The owner of the flow's bucket; null if it takes no new flows.
+const holder* open_bucket_owner(const relay_service& service,
+                                std::uint64_t hash)
+{
+  const auto& bucket = chain_of(service.table, hash);
+  if (bucket.size == 0)
+    return nullptr;
+  const auto& owner = service.table.holders[bucket.holders[0]];
+  const auto& open = service.owners.open;
+  const auto group = group_at(open, owner.data_centre);
+  const bool takes_flows = !owner.suspect && group != open.end() &&
+                           group->data_centre == owner.data_centre;
+  return takes_flows ? &owner : nullptr;
+}
+
+void add_by_score(visit_stops& to, const service_table& table,
+                  std::vector<std::uint16_t> candidates, std::uint64_t hash,
+                  std::size_t limit)
+{
+  for (const auto index : by_score(table, std::move(candidates), hash, limit))
+    if (to.size < limit)
+      to.add(table.holders[index].agent);
+}
+
 } // namespace
 
 const route* relay_table::find_route(const endpoint& address) const
@@ -116,14 +198,26 @@
 
 void relay_table::replace_services(const table_update& update)
 {
-  if (update.full)
-    services_.clear();
   for (const auto id : update.removed)
     for (auto it = services_.begin(); it != services_.end();)
       it = it->second->table.id == id ? services_.erase(it) : std::next(it);
   for (const auto& table : update.changed)
-    services_[table.name] = std::make_shared<const relay_service>(
-        relay_service{table, key_of_service(table.name), owners_of(table)});
+    services_[table.name] = std::make_shared<const relay_service>(relay_service{
+        table, key_of_service(table.name), owners_of(table, evacuated_)});
+}
+
+/// Copies only services of which upstreams were evacuated or restored.
+void relay_table::replace_evacuated(const table_update& update)
+{
+  if (!update.full && !update.evacuated)
+    return;
+  evacuated_ = update.evacuated.value_or(std::vector<data_centre_key>{});
+  std::sort(evacuated_.begin(), evacuated_.end());
+  for (auto& [name, service] : services_)
+    if (auto owners = owners_of(service->table, evacuated_);
+        !(owners == service->owners))
+      service = std::make_shared<const relay_service>(
+          relay_service{service->table, service->key, std::move(owners)});
 }
 
 relay_table relay_table::apply(const table_update& update) const
@@ -132,6 +226,9 @@
     return *this;
   auto next = *this;
   next.version_ = update.version;
+  if (update.full)
+    next.services_.clear();
+  next.replace_evacuated(update);
   next.replace_services(update);
   if (update.declared && update.declared->version > configuration_)
     next.replace_routes(*update.declared);
@@ -140,38 +237,61 @@
   return next;
 }
 
-visit_stops opening_stops(const relay_service& service, std::uint64_t hash,
-                          std::size_t limit)
+placed_stops opening_stops(const relay_service& service, std::uint64_t hash,
+                           std::size_t limit, const placement_policy& placement)
 {
-  visit_stops stops;
+  placed_stops out;
   const auto& table = service.table;
-  if (const auto& bucket = chain_of(table, hash); bucket.size > 0)
-    if (const auto& owner = table.holders[bucket.holders[0]]; !owner.suspect)
-      stops.add(owner.agent);
-  for (const auto index : by_score(table, service.owners, hash))
-    if (stops.size < limit)
-      stops.add(table.holders[index].agent);
-  return stops;
+  auto owners = by_distance(service.owners, placement);
+  if (placement.mode == placement_mode::hash)
+    if (const auto* owner = open_bucket_owner(service, hash))
+      out.stops.add(owner->agent);
+  add_by_score(out.stops, table, std::move(owners.near), hash,
+               std::min(limit, max_near_stops));
+  if (placement.mode == placement_mode::near)
+    out.near_stops = out.stops.size;
+  add_by_score(out.stops, table, std::move(owners.far), hash, limit);
+  return out;
 }
 
 std::vector<endpoint> search_order(const relay_service& service,
                                    std::uint64_t hash, holder_health health,
-                                   const agent_set& unresponsive)
+                                   const agent_set& unresponsive,
+                                   const placement_policy& placement)
 {
-  std::vector<endpoint> order;
   const auto& table = service.table;
   const auto& first = chain_of(table, hash);
-  for (const auto index : first)
-    if (health_of(table.holders[index], unresponsive) == health)
-      order.push_back(table.holders[index].agent);
+  std::vector<std::uint16_t> near;
+  std::vector<std::uint16_t> chained;
   std::vector<std::uint16_t> others;
+  const auto is_wanted = [&](std::uint16_t index)
+  {
+    return health_of(table.holders[index], unresponsive) == health;
+  };
+  const auto is_near = [&](std::uint16_t index)
+  {
+    return placement.prefers(table.holders[index].data_centre);
+  };
+  for (const auto index : first)
+    if (is_wanted(index) && !is_near(index))
+      chained.push_back(index);
   for (std::size_t i = 0; i < table.holders.size(); ++i)
-    if (const auto index = static_cast<std::uint16_t>(i);
-        health_of(table.holders[i], unresponsive) == health &&
-        std::find(first.begin(), first.end(), index) == first.end())
+    if (const auto index = static_cast<std::uint16_t>(i); !is_wanted(index))
+      continue;
+    else if (is_near(index))
+      near.push_back(index);
+    else if (std::find(first.begin(), first.end(), index) == first.end())
       others.push_back(index);
-  for (const auto index : by_score(table, std::move(others), hash))
-    order.push_back(table.holders[index].agent);
+  std::vector<endpoint> order;
+  const auto add = [&](const std::vector<std::uint16_t>& indices)
+  {
+    for (const auto index : indices)
+      order.push_back(table.holders[index].agent);
+  };
+  const auto all = table.holders.size();
+  add(by_score(table, std::move(near), hash, all));
+  add(chained);
+  add(by_score(table, std::move(others), hash, all));
   return order;
 }
 
@@ -184,7 +304,7 @@
   {
     const auto* service =
         target.weight > 0 ? table.find_service(target.service) : nullptr;
-    if (service != nullptr && !service->owners.empty() &&
+    if (service != nullptr && !service->owners.open.empty() &&
         std::find(found.begin(), found.end(), service) == found.end())
       found.push_back(service);
   };
@@ -195,6 +315,20 @@
   return found;
 }
 
+bool is_evacuated(const relay_table& table, const route& from)
+{
+  std::size_t total = 0;
+  std::size_t evacuated = 0;
+  for (const auto& target : from.targets)
+    if (const auto* service = table.find_service(target.service);
+        service != nullptr && target.weight > 0)
+    {
+      total += service->owners.total;
+      evacuated += service->owners.evacuated;
+    }
+  return total > 0 && total == evacuated;
+}
+
 std::vector<const relay_service*> possible_services(const relay_table& table,
                                                     const route& from,
                                                     std::uint64_t hash)
@@ -218,7 +352,8 @@
 
 std::vector<search_stage> search_stages(const relay_table& table,
                                         const route& from, std::uint64_t hash,
-                                        const agent_set& unresponsive)
+                                        const agent_set& unresponsive,
+                                        const placement_policy& placement)
 {
   std::vector<search_stage> stages;
   const auto services = possible_services(table, from, hash);
@@ -226,7 +361,8 @@
                             holder_health::suspect})
     for (const auto* service : services)
     {
-      const auto order = search_order(*service, hash, health, unresponsive);
+      const auto order =
+          search_order(*service, hash, health, unresponsive, placement);
       for (std::size_t i = 0; i < order.size(); ++i)
       {
         if (i % visit_stops::capacity == 0)
