relay: send the copy of an opening packet to the agent that has the flow

Cause: a copy always started at the next stop, since the first packet was taken for lost. While an agent holds or has admitted the first one, its copy opened the flow at a second upstream.

Change: the flow memory tells a reported agent from an assumed one. A copy goes to the reported agent alone, unless that agent is suspect, gone from the table or unresponsive. A copy that it returns is placed as before. An opening packet without earlier copies forgets what was reported, since a new flow may use the address and port of an ended one.

With the report ignored, copy_goes_only_to_the_agent_that_reported_the_flow and copy_that_the_reporting_agent_returns_is_placed_again fail; without forgetting, first_opening_packet_forgets_the_earlier_flow fails.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -129,6 +129,7 @@
   /// balancer's data centre, and the others.
   std::uint64_t near_flows = 0;
   std::uint64_t far_flows = 0;
+  std::uint64_t reported_copies = 0; ///< opening packets sent to their holder
   std::uint64_t searches = 0; ///< packets of established flows not remembered
   std::uint64_t search_retries = 0; ///< attempts after one without an answer
   std::uint64_t verifications = 0;  ///< remembered agents asked about a flow
@@ -242,6 +243,12 @@
   entry_action decide(const flow_packet& packet, time_point now);
   std::optional<visit_agent> visit_remembered(const flow_packet& packet,
                                               time_point now);
+  entry_action place(const flow_packet& packet, const route& from,
+                     time_point now);
+  std::optional<visit_agent> visit_reported(const flow_packet& packet,
+                                            const route& from, time_point now);
+  const holder* live_holder(const remembered_agent& known, const route& from,
+                            std::uint64_t hash, time_point now) const;
   entry_action open_flow(const flow_packet& packet, const route& from,
                          std::uint8_t stage, time_point now);
   void count_new_flow(const relay_service& service, const endpoint& first);
--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -18,6 +18,9 @@
 {
   endpoint agent;
   service_key service = 0;
+  /// The agent said that it holds or admitted the flow; otherwise the balancer
+  /// assumes it of the first stop.
+  bool reported = false;
 };
 
 /// What to do with a packet of a remembered flow.
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -99,7 +99,7 @@
   if (from == nullptr)
     return on_missing_route(packet, now);
   if (packet.opens)
-    return open_flow(packet, *from, 0, now);
+    return place(packet, *from, now);
   if (const auto visit = visit_remembered(packet, now))
     return *visit;
   if (packet.resets)
@@ -135,6 +135,58 @@
   return visit_agent{known->agent, header};
 }
 
+// An opening packet carries the number of its earlier copies. The first one may
+// use the address and port of an ended flow again.
+entry_action entry_core::place(const flow_packet& packet, const route& from,
+                               time_point now)
+{
+  if (packet.acknowledged == 0)
+    memory_.erase(packet.from_caller());
+  else if (const auto visit = visit_reported(packet, from, now))
+    return *visit;
+  return open_flow(packet, from, 0, now);
+}
+
+/// A visit to the agent that has reported the flow: another one would open it a
+/// second time. None if there is no such agent, or it seems to be dead.
+std::optional<visit_agent> entry_core::visit_reported(const flow_packet& packet,
+                                                      const route& from,
+                                                      time_point now)
+{
+  const auto flow = packet.from_caller();
+  const auto known = memory_.find(flow, now);
+  if (!known || !known->reported)
+    return std::nullopt;
+  const auto* target = live_holder(*known, from, flow_hash(flow), now);
+  if (target == nullptr)
+    return std::nullopt;
+  searched_.erase(flow);
+  ++counters_.reported_copies;
+  relay_header header;
+  header.service = known->service;
+  header.configuration = table_->configuration_version();
+  header.table = table_->version().index;
+  header.balancer = options_.self;
+  header.remembered = true;
+  header.stops.add(known->agent);
+  header.near_stops = options_.placement.prefers(target->data_centre) ? 1 : 0;
+  return visit_agent{known->agent, header};
+}
+
+const holder* entry_core::live_holder(const remembered_agent& known,
+                                      const route& from, std::uint64_t hash,
+                                      time_point now) const
+{
+  if (monitor_.unresponsive(now).count(known.agent) != 0)
+    return nullptr;
+  for (const auto* service : possible_services(*table_, from, hash))
+    if (service->key == known.service)
+      for (const auto& candidate : service->table.holders)
+        if (candidate.agent == known.agent)
+          return candidate.suspect ? nullptr : &candidate;
+  return nullptr;
+}
+
 // When the service that the weights select is full, the flow goes to the next
 // service of the route: refused callers retry at once and would keep the full
 // one overloaded.
@@ -156,8 +208,7 @@
   const auto& service = *services[stage];
   const auto placed = opening_stops(service, hash, options_.max_opening_stops,
                                     options_.placement);
-  // An opening packet carries the number of its earlier copies. They were lost,
-  // so a further one starts at another agent.
+  // Earlier copies were lost, so a further one starts at another agent.
   const std::size_t copy = packet.acknowledged % placed.stops.size;
   if (copy > 0)
     avoided_until_[key_of(placed.stops.agents[copy - 1])] =
@@ -241,6 +292,12 @@
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
+  if (packet.opens && header.remembered)
+  {
+    // The agent that had reported the flow does not hold it any more.
+    memory_.erase(packet.from_caller(), agent);
+    return open_flow(packet, *from, 0, now);
+  }
   if (packet.opens)
   {
     if (header.reason != miss_reason::refused || !confirmed(now) ||
@@ -271,7 +328,7 @@
     search->second.found = true;
     search->second.not_found.reset();
   }
-  memory_.put(flow, {agent, header.service}, now);
+  memory_.put(flow, {agent, header.service, true}, now);
 }
 
 void entry_core::on_tick(time_point now)
--- a/src/relay/placed_flow_test.cpp
+++ b/src/relay/placed_flow_test.cpp
@@ -23,6 +23,11 @@
   return reset != nullptr && reset->reason == reason;
 }
 
+flow_key flow_at(std::uint16_t port)
+{
+  return opening(port).from_caller();
+}
+
 } // namespace
 
 TEST_GROUP(placed_flow)
@@ -46,6 +51,14 @@
   {
     return visit_of(core.on_packet(opening(port, earlier_copies), start + at));
   }
+
+  /// The third stop of the visit reports that it admitted the flow.
+  endpoint report_third(const visit_agent& visit)
+  {
+    const auto agent = visit.header.stops.agents[2];
+    core.on_found(visit.header, agent, flow_at(port), start + 1ms);
+    return agent;
+  }
 };
 
 // Guards against callers that time out, or retry at once and without end, while
@@ -89,6 +102,21 @@
   CHECK_TRUE(send(0).agent == endpoint_at(20));
 }
 
+// Guards against a flow that two upstreams open because its copy overtakes the
+// answer of the first one.
+TEST(placed_flow, copy_goes_only_to_the_agent_that_reported_the_flow)
+{
+  install(6, 6);
+  const auto agent = report_third(send(0));
+  const auto copy = send(1, 200ms);
+  CHECK_TRUE(copy.agent == agent);
+  CHECK_EQUAL(1, copy.header.stops.size);
+  CHECK_EQUAL(1, copy.header.near_stops);
+  CHECK_TRUE(copy.header.remembered);
+  CHECK_TRUE(send(2, 600ms).agent == agent);
+  CHECK_EQUAL(2U, core.counters().reported_copies);
+}
+
 // Guards against a copy that follows its lost first packet to a dead agent: the
 // balancer only assumes that the first stop holds the flow.
 TEST(placed_flow, copy_of_an_unreported_flow_starts_at_the_next_near_stop)
@@ -118,6 +146,49 @@
              near);
 }
 
+// Guards against a caller whose copies are returned to it, or reset, because
+// the agent that had reported the flow has restarted.
+TEST(placed_flow, copy_that_the_reporting_agent_returns_is_placed_again)
+{
+  install(6, 6);
+  report_third(send(0));
+  auto returned = send(1, 200ms);
+  returned.header.kind = relay_kind::missed;
+  returned.header.reason = miss_reason::refused;
+  const auto again = visit_of(core.on_missed(returned.header, returned.agent,
+                                             opening(port, 1), start + 201ms));
+  CHECK_EQUAL(8, again.header.stops.size);
+  CHECK_FALSE(again.header.remembered);
+  CHECK_EQUAL(8, send(2, 600ms).header.stops.size);
+}
+
+// Guards against copies that are all lost at an agent that died after its
+// report.
+TEST(placed_flow, copy_avoids_a_reporting_agent_that_is_suspect)
+{
+  install(6, 6);
+  const auto agent = report_third(send(0));
+  auto notes = service_in("notes", 1, 10, near_and_far(6, 6));
+  for (auto& item : notes.holders)
+    item.suspect = item.agent == agent;
+  install(update_of(2, {notes}));
+  const auto copy = send(1, 200ms);
+  CHECK_FALSE(copy.agent == agent);
+  CHECK_EQUAL(8, copy.header.stops.size);
+}
+
+// Guards against a new flow that uses the address and port of an ended one and
+// whose copy goes to the agent of the ended one.
+TEST(placed_flow, first_opening_packet_forgets_the_earlier_flow)
+{
+  install(6, 6);
+  const auto agent = report_third(send(0));
+  CHECK_FALSE(send(0, 5s).agent == agent);
+  const auto copy = send(1, 5200ms);
+  CHECK_FALSE(copy.header.remembered);
+  CHECK_EQUAL(8, copy.header.stops.size);
+}
+
 // Guards against metrics by which a deployment cannot tell how many flows leave
 // the data centre before it changes its placement.
 TEST(placed_flow, new_flows_are_counted_by_distance_with_either_placement)
