daemon: settings and metrics of near placement

Cause: the setting balancer.placement was read but had no effect, and no metric told how many new flows leave the data centre.

Change: the direct balancer passes placement and its data centre to entry_core, and exports toucanmill_new_flows_total by the distance of the first stop and toucanmill_reported_copies_total.

--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -30,6 +30,16 @@
 /// The stop ends this long before the limit, so that it ends by itself.
 constexpr duration stop_margin = std::chrono::seconds(1);
 
+void add_new_flows(std::vector<sample>& to, const char* first_stop,
+                   std::uint64_t count)
+{
+  to.push_back({"toucanmill_new_flows_total",
+                "New flows, by the distance of the first agent they visit.",
+                true,
+                static_cast<double>(count),
+                {{"first_stop", first_stop}}});
+}
+
 class entry_role final : public role, private feed_node
 {
 public:
@@ -47,6 +57,7 @@
     identity_ = make_identity(instance_, node_role::balancer, settings.data);
     entry_balancer_options options;
     options.entry.self = settings.relay;
+    options.entry.placement = placement_of(settings);
     options.callers = settings.data;
     options.caller_port = settings.data.port;
     options.codec = platform::make_packet_codec();
@@ -103,6 +114,12 @@
     const auto& counters = status.counters;
     add_counter(out, "toucanmill_forwarded_total", "Packets sent to agents.",
                 counters.visits);
+    add_new_flows(out, "near", counters.near_flows);
+    add_new_flows(out, "far", counters.far_flows);
+    add_counter(out, "toucanmill_reported_copies_total",
+                "Copies of opening packets sent to the agent that had reported "
+                "their flow.",
+                counters.reported_copies);
     add_counter(out, "toucanmill_searches_total",
                 "Packets of flows that were not remembered.",
                 counters.searches);
@@ -164,6 +181,13 @@
   }
 
 private:
+  placement_policy placement_of(const balancer_settings& settings) const
+  {
+    const bool near = settings.placement == "near";
+    return {near ? placement_mode::near : placement_mode::hash,
+            key_of_data_centre(instance_.data_centre)};
+  }
+
   node_report make_report() override
   {
     node_report report;
