--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -88,7 +88,7 @@
     if (now - at <= options_.search_timeout)
       denied.insert(agent);
   return search_stages(*table_, from, flow_hash(packet.from_caller()),
-                       state.plan.unresponsive, denied);
+                       state.plan.unresponsive, options_.placement, denied);
 }
 
 void entry_core::record_denials(const relay_header& header,
@@ -118,9 +118,10 @@
   const auto* before = plan.table->find_route(packet.destination);
   const bool equal =
       before != nullptr &&
-      have_same_stops(
-          search_stages(*plan.table, *before, hash, plan.unresponsive),
-          search_stages(*table_, from, hash, plan.unresponsive));
+      have_same_stops(search_stages(*plan.table, *before, hash,
+                                    plan.unresponsive, options_.placement),
+                      search_stages(*table_, from, hash, plan.unresponsive,
+                                    options_.placement));
   if (!equal)
   {
     make_plan(packet, from, state, now);
