cluster, table: put objectives and warm-up limits into force

The declared configuration has fields for the kind of requests, latency objective and priority of a route and for the new flows that a cold upstream of a service can take. Nothing read, checked or distributed them.

Nodes get objectives with their routes: groups of routes separate different objectives, and an agent gets the routes to its service grouped by time limit and objectives, in place of one group without a time limit. A service gets a new version only if its warm-up rate changes. A latency objective beyond the time limit, and a warm-up limit for an undeclared service or a second one, are findings. The TOML file has kind, latency_ms, priority and [[warm_up]].

The test differences_lead_to_the_declared_routes expected agents to get no time limit; it now expects the declared time limit and objectives and draws random objectives as well.

With the objectives left out of the comparison of groups, agent_gets_a_group_for_each_time_limit_and_objectives and differences_lead_to_the_declared_routes fail; without the comparison of rates, or without the rate in an agent's table, warm_up_rate_changes_only_its_service fails.

--- a/src/cluster/declaration.cpp
+++ b/src/cluster/declaration.cpp
@@ -43,6 +43,25 @@
     remove_service(state, name);
 }
 
+/// A service gets a new version only if its rate changes.
+void set_warm_up_rates(cluster_state& state)
+{
+  std::map<std::string, std::uint32_t> rates;
+  for (const auto& [service, rate] : state.declared.warm_up)
+    rates[service] = rate;
+  for (auto& [name, service] : state.services)
+  {
+    const auto found = rates.find(name);
+    const auto rate = found == rates.end() ? 0 : found->second;
+    if (service.table.warm_up_rate == rate)
+      continue;
+    unindex_service(state, name);
+    service.table.warm_up_rate = rate;
+    service.table.version = state.position;
+    index_service(state, name);
+  }
+}
+
 void record_removal(cluster_state& state, const endpoint& address)
 {
   state.route_removals.emplace_back(state.position.index, address);
@@ -93,8 +112,10 @@
 {
   const auto precedes = [](const route* left, const route* right)
   {
-    return std::tie(left->targets, left->former, left->timeout_ms) <
-           std::tie(right->targets, right->former, right->timeout_ms);
+    return std::tie(left->targets, left->former, left->timeout_ms,
+                    left->objectives) < std::tie(right->targets, right->former,
+                                                 right->timeout_ms,
+                                                 right->objectives);
   };
   std::map<const route*, std::uint32_t, decltype(precedes)> groups(precedes);
   state.route_groups.clear();
@@ -125,6 +146,7 @@
       if (state.services.count(name) == 0)
         add_declared_service(state, name);
     remove_undeclared_services(state);
+    set_warm_up_rates(state);
   }
   return {true, {}, {}, state.declared.version, state.declared_index};
 }
--- a/src/cluster/route_changes_test.cpp
+++ b/src/cluster/route_changes_test.cpp
@@ -61,7 +61,7 @@
 }
 
 /// The routes that a node must have; they are sent without names, and to an
-/// agent only with its own service.
+/// agent only with its own service, the time limit and the objectives.
 routes_by_address declared_routes(const state_machine& machine,
                                   const std::optional<std::string>& service)
 {
@@ -72,7 +72,9 @@
     if (!service)
       found[item.address] = item;
     else if (opens_flows_to(item, *service))
-      found[item.address] = {{}, item.address, {{*service, 1}}, 0, {}};
+      found[item.address] = {
+          {}, item.address,   {{*service, 1}}, item.timeout_ms,
+          {}, item.objectives};
   }
   return found;
 }
@@ -104,13 +106,18 @@
     for (const auto& group : changes.changed)
       for (const auto& address : group.addresses)
         routes[address] = {
-            {}, address, group.targets, group.timeout_ms, group.former};
+            {},           address,         group.targets, group.timeout_ms,
+            group.former, group.objectives};
   }
 };
 
 configuration random_configuration(std::uint64_t version, std::mt19937& random)
 {
   const std::vector<std::string> names = {"a", "b", "c"};
+  const auto one_of_two = [&random]
+  {
+    return static_cast<std::uint32_t>(random() % 2);
+  };
   configuration value;
   value.version = version;
   value.services = names;
@@ -119,8 +126,9 @@
       value.routes.push_back({"r",
                               address_at(i),
                               {{names[random() % 3], 1}, {"a", 0}},
-                              1000 + static_cast<std::uint32_t>(random() % 2),
-                              {}});
+                              1000 + one_of_two(),
+                              {},
+                              {{}, 100 * one_of_two(), one_of_two()}});
   return value;
 }
 
@@ -161,6 +169,83 @@
   CHECK_TRUE(encoded_octets(machine.changes_since({1, 1})) < 4096);
 }
 
+// Guards against objectives that reach no node because only targets, names and
+// time limits count as a change, and against sending all routes for one of
+// them.
+TEST(route_changes, changed_objectives_are_sent_without_the_other_routes)
+{
+  declare(machine, 1, many_routes(5, 2000));
+  auto next = many_routes(6, 2000);
+  next.routes[8].objectives = {request_kind::idempotent, 200, 3};
+  declare(machine, 2, next);
+  for (const std::optional<std::string>& service :
+       {std::optional<std::string>{}, std::optional<std::string>{"notes"}})
+  {
+    const auto update = machine.changes_since({1, 1}, {}, {service, false});
+    CHECK_EQUAL(1U, update.routes->changed.size());
+    const auto& group = update.routes->changed[0];
+    CHECK_TRUE(group.objectives == next.routes[8].objectives);
+    CHECK_TRUE(group.addresses == std::vector<endpoint>{address_at(8)});
+    CHECK_TRUE(encoded_octets(update) < 4096);
+  }
+}
+
+// Guards against an agent that applies the objectives or the time limit of one
+// route to the requests of another.
+TEST(route_changes, agent_gets_a_group_for_each_time_limit_and_objectives)
+{
+  auto value = many_routes(5, 8);
+  value.routes[0].objectives = {request_kind::idempotent, 200, 0};
+  value.routes[2].objectives = {request_kind::non_idempotent, 300, 1};
+  value.routes[4].objectives = value.routes[0].objectives;
+  value.routes[6].timeout_ms = 3000;
+  value.routes[6].objectives = value.routes[0].objectives;
+  declare(machine, 1, value);
+  const auto update = machine.changes_since({}, {}, {"notes", false});
+  CHECK_EQUAL(3U, update.routes->changed.size());
+  std::map<endpoint, std::size_t> group_sizes;
+  for (const auto& group : update.routes->changed)
+    for (const auto& address : group.addresses)
+    {
+      group_sizes[address] = group.addresses.size();
+      const auto& declared =
+          value.routes[address.address.value - address_at(0).address.value];
+      CHECK_TRUE(group.objectives == declared.objectives);
+      CHECK_EQUAL(declared.timeout_ms, group.timeout_ms);
+    }
+  CHECK_EQUAL(4U, group_sizes.size());
+  CHECK_EQUAL(2U, group_sizes[address_at(4)]);
+  CHECK_EQUAL(1U, group_sizes[address_at(6)]);
+  const auto all = machine.changes_since({});
+  CHECK_EQUAL(4U, all.routes->changed.size());
+}
+
+// Guards against agents without the warm-up rate of their service, and against
+// a new table of every service for each declaration.
+TEST(route_changes, warm_up_rate_changes_only_its_service)
+{
+  auto value = many_routes(1, 4);
+  value.warm_up = {{"notes", 2500}};
+  declare(machine, 1, value);
+  CHECK_EQUAL(2500U, machine.find_service("notes")->warm_up_rate);
+  CHECK_EQUAL(0U, machine.find_service("charts")->warm_up_rate);
+  machine = state_machine::restore(machine.snapshot()).value();
+  value.version = 2;
+  declare(machine, 2, value);
+  CHECK_TRUE(machine.changes_since({1, 1}).changed.empty());
+  value.version = 3;
+  value.warm_up = {{"notes", 2500}, {"charts", 800}};
+  declare(machine, 3, value);
+  const auto added = machine.changes_since({1, 2}, {}, {{}, false, node_id{1}});
+  CHECK_EQUAL(1U, added.changed.size());
+  STRCMP_EQUAL("charts", added.changed[0].name.c_str());
+  CHECK_EQUAL(800U, added.changed[0].warm_up_rate);
+  value.version = 4;
+  value.warm_up = {{"notes", 2500}};
+  declare(machine, 4, value);
+  CHECK_EQUAL(0U, machine.find_service("charts")->warm_up_rate);
+}
+
 // Guards against a node whose routes differ from the declaration after any
 // sequence of differences, also across a restored snapshot of the state.
 TEST(route_changes, differences_lead_to_the_declared_routes)
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <tuple>
 
 #include <toucanmill/base/invariant.hpp>
 
@@ -142,32 +143,39 @@
     const auto [found, added] =
         positions.try_emplace(state.route_groups[i], changed.size());
     if (added)
-      changed.push_back(
-          {routes[i].targets, routes[i].former, routes[i].timeout_ms, {}});
+      changed.push_back({routes[i].targets,
+                         routes[i].former,
+                         routes[i].timeout_ms,
+                         {},
+                         routes[i].objectives});
     changed[found->second].addresses.push_back(routes[i].address);
   }
   return changed;
 }
 
-/// Adds the routes to the service that changed after a log index. A changed
-/// route to other services counts as removed if the node may have received it
-/// with earlier targets.
+/// Adds the routes to the service that changed after a log index, grouped by
+/// time limit and objectives. A changed route to other services counts as
+/// removed if the node may have received it with earlier targets.
 void add_changes_for(const cluster_state& state, std::uint64_t index,
                      const std::string& service, route_changes& out)
 {
-  route_group admitted;
-  admitted.targets = {{service, 1}};
+  std::map<std::pair<std::uint32_t, route_objectives>, route_group> admitted;
   const auto& routes = state.declared.routes;
   for (std::size_t i = 0; i < routes.size(); ++i)
     if (const auto& age = state.route_ages[i]; age.changed > index)
     {
       if (opens_flows_to(routes[i], service))
-        admitted.addresses.push_back(routes[i].address);
+        admitted[{routes[i].timeout_ms, routes[i].objectives}]
+            .addresses.push_back(routes[i].address);
       else if (age.added <= index)
         out.removed.push_back(routes[i].address);
     }
-  if (!admitted.addresses.empty())
-    out.changed.push_back(std::move(admitted));
+  for (auto& [limits, group] : admitted)
+  {
+    group.targets = {{service, 1}};
+    std::tie(group.timeout_ms, group.objectives) = limits;
+    out.changed.push_back(std::move(group));
+  }
 }
 
 route_changes route_changes_since(const cluster_state& state,
@@ -241,6 +249,7 @@
   part.former_addresses = table.former_addresses;
   part.kind = table.kind;
   part.version = table.version;
+  part.warm_up_rate = table.warm_up_rate;
   part.buckets.resize(table.buckets.size());
   for (const auto& item : table.holders)
     if (item.node == holder)
--- a/src/control/configuration_file.cpp
+++ b/src/control/configuration_file.cpp
@@ -1,5 +1,10 @@
 #include <toucanmill/control/configuration_file.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -12,6 +17,22 @@
 namespace
 {
 
+constexpr std::int64_t max_u32 = std::numeric_limits<std::uint32_t>::max();
+
+/// configuration::warm_up counts flows in 1,000 s.
+constexpr double warm_up_seconds = 1000;
+
+struct kind_name
+{
+  const char* name;
+  request_kind kind;
+};
+
+constexpr std::array<kind_name, 2> kind_names = {{
+    {"idempotent", request_kind::idempotent},
+    {"non_idempotent", request_kind::non_idempotent},
+}};
+
 class configuration_reader
 {
 public:
@@ -27,6 +48,7 @@
         number(root_, "idle_timeout_ms", "idle_timeout_ms").value_or(0));
     read_services();
     read_routes();
+    read_warm_up();
     if (found_.empty())
       for (auto& item : check_configuration(value_))
       {
@@ -59,6 +81,20 @@
     return std::nullopt;
   }
 
+  /// 0 if the key is missing.
+  std::uint32_t optional_number(const toml::table& from, const char* key,
+                                const std::string& name)
+  {
+    const auto* node = from.get(key);
+    if (node == nullptr)
+      return 0;
+    const auto value = node->value_exact<std::int64_t>();
+    if (value && *value >= 0 && *value <= max_u32)
+      return static_cast<std::uint32_t>(*value);
+    add_finding(*node, name, "must be an integer from 0 to 4294967295");
+    return 0;
+  }
+
   std::string text(const toml::table& from, const char* key,
                    const std::string& name)
   {
@@ -82,6 +118,52 @@
         add_finding(item, "services", "must be an array of names");
   }
 
+  request_kind read_kind(const toml::table& from, const std::string& key)
+  {
+    const auto* node = from.get("kind");
+    if (node == nullptr)
+      return request_kind::unknown;
+    if (const auto name = node->value_exact<std::string>())
+      for (const auto& item : kind_names)
+        if (*name == item.name)
+          return item.kind;
+    add_finding(*node, key + "kind",
+                "must be \"idempotent\" or \"non_idempotent\"");
+    return request_kind::unknown;
+  }
+
+  void read_warm_up()
+  {
+    const auto* node = root_.get("warm_up");
+    if (node == nullptr)
+      return;
+    const auto* list = node->as_array();
+    if (list == nullptr || !list->is_array_of_tables())
+      return add_finding(*node, "warm_up", "must be an array of tables");
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+      const auto& from = *(*list)[i].as_table();
+      const auto key = "warm_up[" + std::to_string(i) + "].";
+      auto service = text(from, "service", key + "service");
+      value_.warm_up.push_back({std::move(service), read_rate(from, key)});
+    }
+  }
+
+  /// New flows in 1,000 s; at least 1, since 0 means no limit.
+  std::uint32_t read_rate(const toml::table& from, const std::string& key)
+  {
+    const auto* node = from.get("flows_per_s");
+    const auto value = node != nullptr && node->is_number()
+                           ? node->value<double>()
+                           : std::nullopt;
+    if (value && *value > 0 && *value * warm_up_seconds <= max_u32)
+      return static_cast<std::uint32_t>(
+          std::max(1.0, std::round(*value * warm_up_seconds)));
+    add_finding(node != nullptr ? *node : from, key + "flows_per_s",
+                "must be a number above 0 and at most 4294967");
+    return 0;
+  }
+
   void read_routes()
   {
     const auto* list = root_.get_as<toml::array>("route");
@@ -102,6 +184,9 @@
       add_finding(from, key + "address", address.error().message);
     out.timeout_ms = static_cast<std::uint32_t>(
         number(from, "timeout_ms", key + "timeout_ms").value_or(0));
+    out.objectives = {read_kind(from, key),
+                      optional_number(from, "latency_ms", key + "latency_ms"),
+                      optional_number(from, "priority", key + "priority")};
     const auto* targets = from.get_as<toml::array>("targets");
     if (targets == nullptr || !targets->is_array_of_tables())
       add_finding(from, key + "targets", "must be an array of tables");
--- a/src/table/configuration.cpp
+++ b/src/table/configuration.cpp
@@ -29,6 +29,9 @@
       check_service("services[" + std::to_string(i) + "]", value_.services[i]);
     for (std::size_t i = 0; i < value_.routes.size(); ++i)
       check_route("routes[" + std::to_string(i) + "]", value_.routes[i]);
+    for (std::size_t i = 0; i < value_.warm_up.size(); ++i)
+      check_warm_up("warm_up[" + std::to_string(i) + "]",
+                    value_.warm_up[i].service);
     return std::move(findings_);
   }
 
@@ -50,6 +53,10 @@
   {
     if (item.timeout_ms == 0)
       add_finding(key + ".timeout", "must be at least 1 ms");
+    else if (item.objectives.latency_ms > item.timeout_ms)
+      add_finding(key + ".latency", "must not exceed the time limit of " +
+                                        std::to_string(item.timeout_ms) +
+                                        " ms");
     if (item.address.address.value == 0 || item.address.port == 0)
       add_finding(key + ".address", "must have a non-zero address and port");
     else if (const auto [first, added] =
@@ -76,9 +83,18 @@
         add_finding(key, "service \"" + target.service + "\" is not declared");
   }
 
+  void check_warm_up(const std::string& key, const std::string& service)
+  {
+    if (services_.count(service) == 0)
+      add_finding(key, "service \"" + service + "\" is not declared");
+    else if (!limited_services_.insert(service).second)
+      add_finding(key, "service \"" + service + "\" has two limits");
+  }
+
   const configuration& value_;
   const std::set<std::string> services_;
   std::set<std::string> seen_services_;
+  std::set<std::string> limited_services_;
   std::map<endpoint, std::string> route_keys_; ///< by address
   findings findings_;
 };
--- a/src/table/configuration_test.cpp
+++ b/src/table/configuration_test.cpp
@@ -55,6 +55,31 @@
                keys.c_str());
 }
 
+// Guards against an objective that no response within the time limit misses.
+TEST(configuration, objective_beyond_the_time_limit_is_a_finding)
+{
+  auto value = valid_configuration();
+  value.routes[0].objectives.latency_ms = 1000;
+  CHECK_TRUE(check_configuration(value).empty());
+  value.routes[1].objectives.latency_ms = 1001;
+  const auto found = check_configuration(value);
+  CHECK_EQUAL(1U, found.size());
+  STRCMP_EQUAL("routes[1].latency", found[0].key.c_str());
+}
+
+// Guards against a limit that is declared and has no effect.
+TEST(configuration, warm_up_limit_needs_one_declared_service)
+{
+  auto value = valid_configuration();
+  value.warm_up = {{"a", 1000}, {"b", 0}};
+  CHECK_TRUE(check_configuration(value).empty());
+  value.warm_up = {{"a", 1000}, {"c", 1000}, {"a", 2000}};
+  std::string keys;
+  for (const auto& item : check_configuration(value))
+    keys += item.key + " ";
+  STRCMP_EQUAL("warm_up[1] warm_up[2] ", keys.c_str());
+}
+
 // Guards against established flows that break when the targets of a route are
 // replaced, because balancers cannot locate flows opened under an earlier
 // version; seen on six of seven days in the deployment cpl-obsnet.
