cluster, control: replicate orders to evacuate a data centre

Operators had no way to order that no new flow is sent to the upstreams of a data centre: such orders got 404.

The log has the command set_evacuation, and requests of operators have the changes evacuateDataCentre and restoreDataCentre with request id and version. The state machine keeps the evacuated data centres by name, with the log index and the time since when. A repeated order changes nothing. An order that changes the list increments the configuration version, so that another operator's request that is based on the earlier one is refused.

control_server::set_evacuation and the RPC check the name after a quorum confirmed the leader: names are those of the settings or, without any, of the known nodes. The name of an evacuated data centre is always known, so that it can be restored. An unknown one is refused and nothing is proposed.

The sample of codec_test that is looked at in detail moved by two places. The random run evacuates and restores data centres too.

--- a/include/toucanmill/cluster/command.hpp
+++ b/include/toucanmill/cluster/command.hpp
@@ -46,10 +46,20 @@
 {
   std::string node; ///< name of a balancer
 };
+/// New flows are no longer placed in this data centre.
+struct evacuate_data_centre
+{
+  std::string data_centre;
+};
+struct restore_data_centre
+{
+  std::string data_centre;
+};
 
 using operator_change =
     std::variant<create_service, change_service, delete_service, drain_node,
-                 restore_node, retire_node>;
+                 restore_node, retire_node, evacuate_data_centre,
+                 restore_data_centre>;
 
 /// An operator's change. The request id makes resending it idempotent. The
 /// change is refused unless if_version is the present value of
@@ -71,6 +81,15 @@
   configuration value;
 };
 
+/// Evacuates or restores a data centre. It has no request id: a copy that is
+/// appended after the opposite order counts as a new order.
+struct set_evacuation
+{
+  std::string data_centre;
+  bool evacuated = true;
+  std::uint64_t wall_clock = 0; ///< as in operator_request
+};
+
 // Changes proposed by the leader itself.
 struct register_node
 {
@@ -138,9 +157,9 @@
 using command =
     std::variant<operator_request, register_node, set_node_state,
                  release_buckets, rebalance, claim_request, claim_completion,
-                 claim_release, declare_configuration>;
+                 claim_release, declare_configuration, set_evacuation>;
 
-/// Result of an operator's change or of a declaration.
+/// Result of an operator's change, a declaration or an evacuation order.
 struct change_outcome
 {
   bool accepted = false;
--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -34,6 +34,20 @@
   table_version changed; ///< log entry that last changed state or incarnation
 };
 
+/// A data centre whose upstreams get no new flows.
+struct evacuation
+{
+  std::string data_centre;
+  std::uint64_t index = 0; ///< log entry since which it applies
+  std::uint64_t since = 0; ///< seconds since 1970, by the leader's clock
+
+  bool operator==(const evacuation& other) const
+  {
+    return data_centre == other.data_centre && index == other.index &&
+           since == other.since;
+  }
+};
+
 /// Part and form of an update that a node needs.
 struct declaration_scope
 {
@@ -63,8 +77,8 @@
   /// Position of the last applied log entry.
   table_version position() const;
 
-  /// Incremented by each accepted operator change; unrelated to the version of
-  /// the declared configuration.
+  /// Incremented by each accepted operator change and by each change of the
+  /// evacuations; unrelated to the version of the declared configuration.
   std::uint64_t configuration_version() const;
 
   /// Changes after a position, limited to service `only` if given. The update
@@ -78,6 +92,12 @@
   /// The configuration in force; version 0 before the first declaration.
   const configuration& declared() const;
 
+  /// Ordered by name.
+  std::vector<evacuation> evacuations() const;
+
+  /// Log index of the latest change of the evacuations; 0: none yet.
+  std::uint64_t evacuations_index() const;
+
   /// Null if there is no such service.
   const service_table* find_service(const std::string& name) const;
   std::vector<const service_table*> services() const;
--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include <toucanmill/base/outcome.hpp>
 #include <toucanmill/cluster/membership_core.hpp>
@@ -20,6 +22,7 @@
   membership_options membership;
   group_options group;
   std::function<void(const control_notice&)> notify;
+  std::vector<std::string> data_centres; ///< see control_state_options
 
   /// See control_state_options; called on the log's thread. May be empty.
   std::function<void(duration)> on_in_force;
@@ -77,6 +80,13 @@
   /// unavailable, limit_reached. The callback runs on the log's thread.
   virtual void declare(configuration value, declare_callback done) = 0;
 
+  /// Evacuates a data centre or withdraws that order; a repeated order changes
+  /// nothing. An unknown name gives an outcome with accepted == false and the
+  /// reason not_found. Errors: not_leader, unavailable, limit_reached. The
+  /// callback runs on the log's thread.
+  virtual void set_evacuation(std::string data_centre, bool evacuated,
+                              declare_callback done) = 0;
+
   /// Reads the declared configuration, confirmed by a quorum; version 0: none.
   /// Errors: not_leader, unavailable.
   virtual void read_configuration(configuration_callback done) = 0;
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -39,6 +39,7 @@
     node_state_changed,
     node_registered,
     group_changed,
+    evacuation_changed,
   };
 
   kind what;
@@ -61,6 +62,8 @@
   /// the settings list the group's members explicitly.
   bool remove_silent_members = false;
   bool persists_log = true; ///< this instance keeps its log on disk
+  /// Data centres that may be evacuated; empty: those of the known nodes.
+  std::vector<std::string> data_centres;
   group_options group;
   membership_options membership;
   assignment_options assignment;
@@ -114,6 +117,17 @@
     return machine_.declared();
   }
 
+  std::vector<evacuation> evacuations() const
+  {
+    return machine_.evacuations();
+  }
+
+  /// The refusal of an evacuation order, which is also reported as a notice, if
+  /// the data centre is unknown. One that is evacuated is always known, so that
+  /// it can be restored after its nodes are gone or the settings have changed.
+  std::optional<change_outcome>
+  refuse_unknown(const std::string& data_centre) const;
+
   /// Names of live nodes that have not applied this log index yet.
   std::vector<std::string> waiting_for(std::uint64_t index,
                                        time_point now) const;
@@ -135,7 +149,9 @@
   std::vector<endpoint> members() const;
   std::vector<endpoint> reachable_members() const;
   void remove_silent_members();
+  bool knows_data_centre(const std::string& name) const;
   void notify_command(const command& value, const command_outcome& outcome);
+  void notify_evacuations() const;
   void check_in_force(time_point now);
 
   control_state_options options_;
--- a/include/toucanmill/control/operator_client.hpp
+++ b/include/toucanmill/control/operator_client.hpp
@@ -22,6 +22,11 @@
   std::uint64_t version = 0; ///< configuration version
 };
 
+struct evacuation_list
+{
+  std::vector<evacuation> evacuations; ///< ordered by name
+};
+
 struct in_force_state
 {
   bool in_force = false;
@@ -74,6 +79,9 @@
   /// The declared configuration, confirmed by a quorum; version 0: none.
   virtual result<configuration> declared() = 0;
 
+  /// The evacuated data centres, confirmed by a quorum.
+  virtual result<evacuation_list> evacuations() = 0;
+
   /// Status of the leader. On timeout: of the instance asked last, if it
   /// answered.
   virtual result<system_status> status() = 0;
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -55,6 +55,12 @@
   claim @2 :UInt64;
 }
 
+struct SetEvacuation {
+  dataCentre @0 :Text;
+  evacuated @1 :Bool;
+  wallClock @2 :UInt64;
+}
+
 struct Command {
   union {
     operatorRequest @0 :OperatorRequest;
@@ -66,6 +72,7 @@
     claimCompletion @6 :ClaimCompletion;
     claimRelease @7 :ClaimRelease;
     declareConfiguration @8 :Rpc.Configuration;
+    setEvacuation @9 :SetEvacuation;
   }
 }
 
@@ -141,4 +148,6 @@
   routeAges @12 :List(RouteAge);  # empty before builds that record them
   routeRemovals @13 :List(RouteRemoval);
   routeRemovalsFloor @14 :UInt64;
+  evacuations @15 :List(Rpc.Evacuation);
+  evacuationsIndex @16 :UInt64;  # latest change of the list; 0: none yet
 }
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -185,9 +185,18 @@
     drainNode @5 :Text;
     restoreNode @6 :Text;
     retireNode @7 :Text;
+    evacuateDataCentre @8 :Text;
+    restoreDataCentre @9 :Text;
   }
 }
 
+# A data centre whose upstreams get no new flows.
+struct Evacuation {
+  dataCentre @0 :Text;
+  index @1 :UInt64;  # log entry since which it applies
+  since @2 :UInt64;  # seconds since 1970, by the leader's clock
+}
+
 enum Reason {
   invalidArgument @0;
   notFound @1;
@@ -288,6 +297,8 @@
   leave @13 (replica :ReplicaStatus) -> (notLeader :NotLeader);
   # The leader names the members to a seed that is none: it may know nobody.
   invite @14 (members :List(Endpoint)) -> ();
+  # Answered by the leader after a quorum confirmed it.
+  evacuations @15 () -> (evacuations :List(Evacuation), notLeader :NotLeader);
 }
 
 enum Standing {
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -45,6 +45,13 @@
   std::uint64_t added = 0;
 };
 
+/// Log index and time, in seconds, since which a data centre is evacuated.
+struct evacuated_since
+{
+  std::uint64_t index = 0;
+  std::uint64_t at = 0;
+};
+
 /// Data of the state machine. Ordered containers make iteration deterministic,
 /// so that all replicas compute the same assignments and snapshots.
 struct cluster_state
@@ -68,6 +75,9 @@
   std::deque<std::pair<std::uint64_t, endpoint>> route_removals;
   std::uint64_t route_removals_floor = 0; ///< latest index without a record
 
+  std::map<std::string, evacuated_since> evacuations; ///< by data centre
+  std::uint64_t evacuations_index = 0; ///< of their latest change; 0: none yet
+
   std::map<std::string, service_entry> services;
   std::map<endpoint, std::string> addresses;
   std::set<std::pair<std::uint64_t, std::string>> services_by_change;
@@ -117,11 +127,18 @@
                              const operator_request& request);
 change_outcome apply_declaration(cluster_state& state,
                                  const configuration& value);
+change_outcome apply_evacuation(cluster_state& state,
+                                const set_evacuation& value);
 void apply_register(cluster_state& state, const register_node& value);
 void apply_node_state(cluster_state& state, const set_node_state& value);
 void apply_release(cluster_state& state, const release_buckets& value);
 void apply_rebalance(cluster_state& state, const rebalance& value);
 
+/// Carries out an evacuation order. Returns whether it changed anything.
+/// Errors: invalid_argument if the name is not one of a data centre.
+result<bool> change_evacuation(cluster_state& state,
+                               const set_evacuation& order);
+
 /// Sets the groups of the declared routes.
 void group_routes(cluster_state& state);
 
--- a/src/cluster/codec_test.cpp
+++ b/src/cluster/codec_test.cpp
@@ -27,6 +27,8 @@
       operator_request{"id", 4, drain_node{"n"}, 99},
       operator_request{"id", 4, restore_node{"n"}, 99},
       operator_request{"id", 4, retire_node{"n"}, 99},
+      operator_request{"id", 4, evacuate_data_centre{"d"}, 99},
+      operator_request{"id", 4, restore_data_centre{"d"}, 99},
       register_node{agent(1, "s")},
       set_node_state{node_id{1}, incarnation{2}, node_state::suspect},
       release_buckets{node_id{1}, incarnation{2}, 77, {1, 2, 65535}},
@@ -34,6 +36,8 @@
       claim_request{key, claim_id{8}, {1, 2, 3}, 99},
       claim_completion{key, claim_id{8}, std::string("a\0b", 3)},
       claim_release{key, claim_id{8}},
+      set_evacuation{"d", true, 99},
+      set_evacuation{"d", false, 99},
   };
 }
 
@@ -53,7 +57,7 @@
     CHECK_EQUAL(value.index(), decoded.value().index());
     CHECK_TRUE(encode(decoded.value()) == bytes);
   }
-  const auto decoded = decode_command(encode(sample_commands()[9]));
+  const auto decoded = decode_command(encode(sample_commands()[11]));
   const auto& step = std::get<rebalance>(decoded.value());
   STRCMP_EQUAL("s", step.service.c_str());
   CHECK_EQUAL(4000U, step.weights[1].per_mille);
@@ -85,6 +89,7 @@
   control.change(create_service{"s", address_of(1), {}, 16});
   control.apply(register_node{agent(1, "s")});
   control.claim("k", 1);
+  control.apply(set_evacuation{"spata", true, 1});
   const auto snapshot = control.state.snapshot();
   for (std::size_t i = 0; i < snapshot.size(); ++i)
   {
--- a/src/cluster/command_codec.cpp
+++ b/src/cluster/command_codec.cpp
@@ -85,6 +85,13 @@
   {
     wire::write(to.initDeclareConfiguration(), value.value);
   }
+  void operator()(const set_evacuation& value)
+  {
+    auto set = to.initSetEvacuation();
+    set.setDataCentre(value.data_centre);
+    set.setEvacuated(value.evacuated);
+    set.setWallClock(value.wall_clock);
+  }
 };
 
 result<command> read_operator_request(schema::OperatorRequest::Reader from)
@@ -174,6 +181,12 @@
   case schema::Command::DECLARE_CONFIGURATION:
     return command{
         declare_configuration{wire::read(from.getDeclareConfiguration())}};
+  case schema::Command::SET_EVACUATION:
+  {
+    const auto set = from.getSetEvacuation();
+    return command{set_evacuation{copy_text(set.getDataCentre()),
+                                  set.getEvacuated(), set.getWallClock()}};
+  }
   }
   return error{error_code::corrupt_data, "unknown command type"};
 }
--- a/src/cluster/operator_changes.cpp
+++ b/src/cluster/operator_changes.cpp
@@ -20,6 +20,8 @@
 struct change_applier
 {
   cluster_state& state;
+  std::uint64_t wall_clock = 0;
+  bool changed = true; ///< false: the order was already in force
 
   result<void> operator()(const create_service& value)
   {
@@ -106,7 +108,25 @@
     return outcome::success();
   }
 
+  result<void> operator()(const evacuate_data_centre& value)
+  {
+    return set_evacuated(value.data_centre, true);
+  }
+
+  result<void> operator()(const restore_data_centre& value)
+  {
+    return set_evacuated(value.data_centre, false);
+  }
+
 private:
+  result<void> set_evacuated(const std::string& name, bool evacuated)
+  {
+    BOOST_OUTCOME_TRY(result,
+                      change_evacuation(state, {name, evacuated, wall_clock}));
+    changed = result;
+    return outcome::success();
+  }
+
   result<service_entry*> find_service(const std::string& name)
   {
     const auto found = state.services.find(name);
@@ -189,10 +209,11 @@
 {
   if (auto checked = check_version(state, request); checked.has_error())
     return refused_outcome(state, checked.error());
-  if (auto applied = std::visit(change_applier{state}, request.change);
-      applied.has_error())
+  change_applier applier{state, request.wall_clock};
+  if (auto applied = std::visit(applier, request.change); applied.has_error())
     return refused_outcome(state, applied.error());
-  ++state.configuration_version;
+  if (applier.changed)
+    ++state.configuration_version;
   return {true, {}, {}, state.configuration_version, state.position.index};
 }
 
--- a/src/cluster/random_run_test.cpp
+++ b/src/cluster/random_run_test.cpp
@@ -250,6 +250,14 @@
       return membership_.on_leader(control_.state, now());
     case 12:
       return claim_random_key();
+    case 13:
+      return send_change(evacuate_data_centre{agent.identity.data_centre});
+    case 14:
+      return send_change(restore_data_centre{agent.identity.data_centre});
+    case 15:
+      apply(set_evacuation{agent.identity.data_centre, random_below(2) == 0,
+                           step_});
+      return;
     default:
       return;
     }
@@ -342,9 +350,9 @@
 
 TEST_GROUP(random_run){};
 
-// Guards against losing flows, request outcomes or claims when drains,
-// restarts, crashes, network partitions, conflicting changes and leader changes
-// coincide.
+// Guards against losing flows, request outcomes, claims or evacuations when
+// drains, restarts, crashes, network partitions, conflicting changes and leader
+// changes coincide.
 TEST(random_run, invariants_hold)
 {
   for (std::uint64_t seed = 1; seed <= seeds(); ++seed)
--- a/src/cluster/request_store.cpp
+++ b/src/cluster/request_store.cpp
@@ -10,9 +10,10 @@
 namespace
 {
 
-constexpr std::array<const char*, 6> change_names = {
-    "create service", "change service", "delete service",
-    "drain node",     "restore node",   "retire node"};
+constexpr std::array<const char*, 8> change_names = {
+    "create service", "change service", "delete service", "drain node",
+    "restore node",   "retire node",    "evacuate",       "restore"};
+static_assert(change_names.size() == std::variant_size_v<operator_change>);
 
 std::string quoted(const std::string& text)
 {
@@ -52,6 +53,14 @@
   {
     return {{"node", quoted(value.node)}};
   }
+  fields operator()(const evacuate_data_centre& value) const
+  {
+    return {{"data centre", quoted(value.data_centre)}};
+  }
+  fields operator()(const restore_data_centre& value) const
+  {
+    return {{"data centre", quoted(value.data_centre)}};
+  }
 };
 
 field_formatter::fields fields_of(const operator_request& request)
--- a/src/cluster/snapshot_codec.cpp
+++ b/src/cluster/snapshot_codec.cpp
@@ -46,6 +46,15 @@
   to.setRouteRemovalsFloor(state.route_removals_floor);
 }
 
+void write_evacuations(schema::Snapshot::Builder to, const cluster_state& state)
+{
+  auto list = to.initEvacuations(list_size(state.evacuations.size()));
+  unsigned i = 0;
+  for (const auto& [name, since] : state.evacuations)
+    wire::write(list[i++], evacuation{name, since.index, since.at});
+  to.setEvacuationsIndex(state.evacuations_index);
+}
+
 void write_services(schema::Snapshot::Builder to, const cluster_state& state)
 {
   auto services = to.initServices(list_size(state.services.size()));
@@ -206,6 +215,16 @@
   return outcome::success();
 }
 
+void read_evacuations(cluster_state& state, schema::Snapshot::Reader from)
+{
+  state.evacuations_index = from.getEvacuationsIndex();
+  for (const auto item : from.getEvacuations())
+  {
+    auto [name, index, since] = wire::read(item);
+    state.evacuations[std::move(name)] = {index, since};
+  }
+}
+
 void read_scalars(cluster_state& state, schema::Snapshot::Reader from)
 {
   state.position = wire::read(from.getPosition());
@@ -224,6 +243,7 @@
 {
   cluster_state state(options);
   read_scalars(state, from);
+  read_evacuations(state, from);
   BOOST_OUTCOME_TRY(read_route_history(state, from));
   BOOST_OUTCOME_TRY(read_services(state, from));
   BOOST_OUTCOME_TRY(read_nodes(state, from));
@@ -258,6 +278,8 @@
   wire::write(to.initDeclared(), state.declared);
   to.setDeclaredIndex(state.declared_index);
   write_route_history(to, state);
+  if (state.evacuations_index != 0)
+    write_evacuations(to, state);
   return detail::serialize(message);
 }
 
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <set>
 #include <tuple>
 
 #include <toucanmill/base/invariant.hpp>
@@ -35,6 +36,11 @@
   {
     return apply_declaration(state, value.value);
   }
+  command_outcome operator()(const set_evacuation& value)
+  {
+    advance_clock(value.wall_clock);
+    return apply_evacuation(state, value);
+  }
   command_outcome operator()(const register_node& value)
   {
     apply_register(state, value);
@@ -206,6 +212,14 @@
   return removed;
 }
 
+std::vector<data_centre_key> evacuated_keys(const cluster_state& state)
+{
+  std::set<data_centre_key> keys;
+  for (const auto& [name, since] : state.evacuations)
+    keys.insert(key_of_data_centre(name));
+  return {keys.begin(), keys.end()};
+}
+
 } // namespace
 
 state_machine::state_machine(assignment_options options)
@@ -287,9 +301,24 @@
     else
       update.routes = route_changes_since(*state_, after, scope.service);
   }
+  if (state_->evacuations_index > after)
+    update.evacuated = evacuated_keys(*state_);
   return update;
 }
 
+std::vector<evacuation> state_machine::evacuations() const
+{
+  std::vector<evacuation> found;
+  for (const auto& [name, since] : state_->evacuations)
+    found.push_back({name, since.index, since.at});
+  return found;
+}
+
+std::uint64_t state_machine::evacuations_index() const
+{
+  return state_->evacuations_index;
+}
+
 const configuration& state_machine::declared() const
 {
   return state_->declared;
--- a/src/cluster/wire_change.cpp
+++ b/src/cluster/wire_change.cpp
@@ -46,6 +46,14 @@
   {
     to.setRetireNode(value.node);
   }
+  void operator()(const evacuate_data_centre& value)
+  {
+    to.setEvacuateDataCentre(value.data_centre);
+  }
+  void operator()(const restore_data_centre& value)
+  {
+    to.setRestoreDataCentre(value.data_centre);
+  }
 };
 
 result<operator_change> read_change(schema::Change::Reader from)
@@ -74,6 +82,12 @@
     return operator_change{restore_node{copy_text(from.getRestoreNode())}};
   case schema::Change::RETIRE_NODE:
     return operator_change{retire_node{copy_text(from.getRetireNode())}};
+  case schema::Change::EVACUATE_DATA_CENTRE:
+    return operator_change{
+        evacuate_data_centre{copy_text(from.getEvacuateDataCentre())}};
+  case schema::Change::RESTORE_DATA_CENTRE:
+    return operator_change{
+        restore_data_centre{copy_text(from.getRestoreDataCentre())}};
   }
   return error{error_code::corrupt_data, "unknown operator change type"};
 }
@@ -118,6 +132,18 @@
   return value;
 }
 
+void write(schema::Evacuation::Builder to, const evacuation& value)
+{
+  to.setDataCentre(value.data_centre);
+  to.setIndex(value.index);
+  to.setSince(value.since);
+}
+
+evacuation read(schema::Evacuation::Reader from)
+{
+  return {copy_text(from.getDataCentre()), from.getIndex(), from.getSince()};
+}
+
 void write(schema::Claim::Builder to, const claim_request& value)
 {
   to.setService(value.key.service.value);
--- a/src/control/configuration_store.cpp
+++ b/src/control/configuration_store.cpp
@@ -2,24 +2,10 @@
 
 #include <utility>
 
-namespace toucanmill::detail
-{
-
-namespace
-{
+#include "applied_outcome.hpp"
 
-result<change_outcome> read_outcome(const std::string& applied)
+namespace toucanmill::detail
 {
-  const auto decoded = decode_command_outcome(applied);
-  if (!decoded)
-    return decoded.error();
-  if (const auto* outcome = std::get_if<change_outcome>(&decoded.value()))
-    return *outcome;
-  return error{error_code::corrupt_data,
-               "log returned the outcome of a different command"};
-}
-
-} // namespace
 
 void configuration_store::declare(configuration value, declare_callback done)
 {
@@ -27,7 +13,7 @@
                [this, done](const result<std::string>& applied)
                {
                  if (applied)
-                   done(read_outcome(applied.value()), {});
+                   done(read_change_outcome(applied.value()), {});
                  else
                    done(applied.error(), leader_hint(log_));
                });
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -13,6 +13,7 @@
 
 #include "configuration_store.hpp"
 #include "control_service.hpp"
+#include "evacuation_orders.hpp"
 #include "group_joiner.hpp"
 #include "peer_links.hpp"
 
@@ -100,6 +101,7 @@
     BOOST_OUTCOME_TRY(log, replicated_log::open(options_.log, state_));
     log_ = std::move(log);
     store_ = std::make_unique<detail::configuration_store>(*log_, state_);
+    orders_ = std::make_unique<detail::evacuation_orders>(*log_, state_);
     log_->post(
         [this]
         {
@@ -136,6 +138,12 @@
     store_->declare(std::move(value), std::move(done));
   }
 
+  void set_evacuation(std::string data_centre, bool evacuated,
+                      declare_callback done) override
+  {
+    orders_->set(std::move(data_centre), evacuated, std::move(done));
+  }
+
   void read_configuration(configuration_callback done) override
   {
     store_->read(std::move(done));
@@ -190,6 +198,7 @@
     out.persists_log = persists_log();
     out.group = options_.group;
     out.notify = options_.notify;
+    out.data_centres = options_.data_centres;
     out.on_in_force = options_.on_in_force;
     out.on_members = [this](const std::vector<endpoint>& members,
                             const std::vector<endpoint>& reachable)
@@ -331,6 +340,7 @@
   std::atomic<std::uint64_t> peer_messages_lost_{0};
   std::unique_ptr<replicated_log> log_;
   std::unique_ptr<detail::configuration_store> store_;
+  std::unique_ptr<detail::evacuation_orders> orders_;
   rpc_thread_state* rpc_state_ = nullptr; ///< used on the RPC thread only
   rpc_loop rpc_;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,11 +1,10 @@
 #include "control_service.hpp"
 
-#include <chrono>
-
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/cluster/wire.hpp>
 
 #include "leader_hint.hpp"
+#include "wall_clock.hpp"
 
 namespace toucanmill::detail
 {
@@ -13,14 +12,6 @@
 namespace
 {
 
-std::uint64_t wall_clock_seconds()
-{
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 [[noreturn]] void fail_call(const error& why)
 {
   kj::throwFatalException(kj::Exception(kj::Exception::Type::FAILED, __FILE__,
@@ -87,6 +78,16 @@
     wire::write(group[i], log.group[i]);
 }
 
+/// The data centre that a change evacuates or restores; null: none.
+const std::string* ordered_data_centre(const operator_change& change)
+{
+  if (const auto* evacuate = std::get_if<evacuate_data_centre>(&change))
+    return &evacuate->data_centre;
+  if (const auto* restore = std::get_if<restore_data_centre>(&change))
+    return &restore->data_centre;
+  return nullptr;
+}
+
 } // namespace
 
 control_service::control_service(replicated_log& log, control_state& state,
@@ -157,6 +158,21 @@
       });
 }
 
+/// Proposes a command and returns its change_outcome to the caller.
+template <class Context>
+kj::Promise<void> control_service::answer_change(Context context,
+                                                 const command& value)
+{
+  return propose(value).then(
+      [this, context](const answer<command_outcome>& reply) mutable
+      {
+        auto results = context.getResults();
+        if (!handle_failure(results, reply))
+          wire::write(results.initOutcome(),
+                      std::get<change_outcome>(reply.value.value()));
+      });
+}
+
 /// Returns the parsed value; otherwise counts a malformed call and fails it.
 template <class T>
 T control_service::require_valid(result<T> parsed)
@@ -172,14 +188,28 @@
   ++counters_.changes;
   auto request = require_valid(wire::read(context.getParams().getChange()));
   request.wall_clock = wall_clock_seconds();
-  return propose(request).then(
-      [this, context](const answer<command_outcome>& reply) mutable
-      {
-        auto results = context.getResults();
-        if (!handle_failure(results, reply))
-          wire::write(results.initOutcome(),
-                      std::get<change_outcome>(reply.value.value()));
-      });
+  const auto* data_centre = ordered_data_centre(request.change);
+  if (data_centre == nullptr)
+    return answer_change(context, request);
+  return read_as_leader<std::optional<change_outcome>>(
+             [this, name = *data_centre](time_point)
+             {
+               return state_.refuse_unknown(name);
+             })
+      .then(
+          [this, context, request = std::move(request)](
+              const answer<std::optional<change_outcome>>& checked) mutable
+          -> kj::Promise<void>
+          {
+            auto results = context.getResults();
+            if (handle_failure(results, checked))
+              return kj::READY_NOW;
+            const auto& refusal = checked.value.value();
+            if (!refusal)
+              return answer_change(context, request);
+            wire::write(results.initOutcome(), *refusal);
+            return kj::READY_NOW;
+          });
 }
 
 kj::Promise<void> control_service::status(StatusContext context)
@@ -337,16 +367,8 @@
 kj::Promise<void> control_service::declare(DeclareContext context)
 {
   ++counters_.changes;
-  return propose(declare_configuration{
-                     wire::read(context.getParams().getConfiguration())})
-      .then(
-          [this, context](const answer<command_outcome>& reply) mutable
-          {
-            auto results = context.getResults();
-            if (!handle_failure(results, reply))
-              wire::write(results.initOutcome(),
-                          std::get<change_outcome>(reply.value.value()));
-          });
+  return answer_change(context, declare_configuration{wire::read(
+                                    context.getParams().getConfiguration())});
 }
 
 kj::Promise<void> control_service::declared(DeclaredContext context)
@@ -365,6 +387,27 @@
           });
 }
 
+kj::Promise<void> control_service::evacuations(EvacuationsContext context)
+{
+  using found = std::vector<evacuation>;
+  return read_as_leader<found>(
+             [this](time_point)
+             {
+               return state_.evacuations();
+             })
+      .then(
+          [this, context](const answer<found>& reply) mutable
+          {
+            auto results = context.getResults();
+            if (handle_failure(results, reply))
+              return;
+            const auto& values = reply.value.value();
+            auto list = results.initEvacuations(values.size());
+            for (unsigned i = 0; i < values.size(); ++i)
+              wire::write(list[i], values[i]);
+          });
+}
+
 kj::Promise<void> control_service::join(JoinContext context)
 {
   const auto params = context.getParams();
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -48,6 +48,7 @@
   kj::Promise<void> changeGroup(ChangeGroupContext context) override;
   kj::Promise<void> declare(DeclareContext context) override;
   kj::Promise<void> declared(DeclaredContext context) override;
+  kj::Promise<void> evacuations(EvacuationsContext context) override;
   kj::Promise<void> join(JoinContext context) override;
   kj::Promise<void> leave(LeaveContext context) override;
   kj::Promise<void> invite(InviteContext context) override;
@@ -71,6 +72,9 @@
   template <class Context>
   kj::Promise<void> commit(Context context, const command& value);
 
+  template <class Context>
+  kj::Promise<void> answer_change(Context context, const command& value);
+
   template <class T>
   T require_valid(result<T> parsed);
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -69,6 +69,14 @@
   {
     return "retire " + change.node;
   }
+  std::string operator()(const evacuate_data_centre& change) const
+  {
+    return "evacuate data centre " + change.data_centre;
+  }
+  std::string operator()(const restore_data_centre& change) const
+  {
+    return "restore data centre " + change.data_centre;
+  }
 };
 
 control_notice declaration_notice(const configuration& value,
@@ -93,6 +101,18 @@
   return {notice::kind::change_refused, what + ": " + outcome.message};
 }
 
+control_notice order_notice(const set_evacuation& order,
+                            const change_outcome& outcome)
+{
+  const auto what =
+      (order.evacuated ? "evacuate data centre " : "restore data centre ") +
+      order.data_centre;
+  if (outcome.accepted)
+    return {notice::kind::change_accepted,
+            what + ", version " + std::to_string(outcome.version)};
+  return {notice::kind::change_refused, what + ": " + outcome.message};
+}
+
 } // namespace
 
 control_state::control_state(control_state_options options)
@@ -286,6 +306,38 @@
   return out;
 }
 
+bool control_state::knows_data_centre(const std::string& name) const
+{
+  const auto evacuated = machine_.evacuations();
+  if (std::any_of(evacuated.begin(), evacuated.end(),
+                  [&](const evacuation& item)
+                  {
+                    return item.data_centre == name;
+                  }))
+    return true;
+  if (const auto& names = options_.data_centres; !names.empty())
+    return std::find(names.begin(), names.end(), name) != names.end();
+  const auto nodes = machine_.nodes();
+  return !name.empty() &&
+         std::any_of(nodes.begin(), nodes.end(),
+                     [&](const node_record* node)
+                     {
+                       return node->identity.data_centre == name;
+                     });
+}
+
+std::optional<change_outcome>
+control_state::refuse_unknown(const std::string& data_centre) const
+{
+  if (knows_data_centre(data_centre))
+    return std::nullopt;
+  change_outcome refusal{false, error_code::not_found,
+                         "data centre \"" + data_centre + "\" is not known",
+                         machine_.configuration_version(), 0};
+  options_.notify({notice::kind::change_refused, refusal.message});
+  return refusal;
+}
+
 std::vector<std::string> control_state::waiting_for(std::uint64_t index,
                                                     time_point now) const
 {
@@ -315,6 +367,9 @@
   if (const auto* declared = std::get_if<declare_configuration>(&value))
     options_.notify(
         declaration_notice(declared->value, std::get<change_outcome>(outcome)));
+  if (const auto* order = std::get_if<set_evacuation>(&value))
+    options_.notify(order_notice(*order, std::get<change_outcome>(outcome)));
+  notify_evacuations();
   if (const auto* added = std::get_if<register_node>(&value))
     options_.notify({notice::kind::node_registered, added->identity.name});
   if (const auto* set = std::get_if<set_node_state>(&value))
@@ -323,4 +378,18 @@
                        record->identity.name + " is " + name_of(set->state)});
 }
 
+/// Reports the evacuated data centres if the last applied command changed them.
+void control_state::notify_evacuations() const
+{
+  const auto index = machine_.evacuations_index();
+  if (index == 0 || index != machine_.position().index)
+    return;
+  std::string names;
+  for (const auto& item : machine_.evacuations())
+    names += (names.empty() ? "" : ", ") + item.data_centre;
+  options_.notify({notice::kind::evacuation_changed,
+                   "evacuated since index " + std::to_string(index) + ": " +
+                       (names.empty() ? "none" : names)});
+}
+
 } // namespace toucanmill
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -148,6 +148,22 @@
         });
   }
 
+  result<evacuation_list> evacuations() override
+  {
+    return retry_until_answered<evacuation_list>(
+        [](schema::Control::Client& control)
+        {
+          return control.evacuationsRequest().send();
+        },
+        [](auto&& response) -> result<evacuation_list>
+        {
+          evacuation_list out;
+          for (const auto item : response.getEvacuations())
+            out.evacuations.push_back(wire::read(item));
+          return out;
+        });
+  }
+
   result<system_status> status() override
   {
     const auto deadline = monotonic_now() + timeout_;
