--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -203,6 +203,34 @@
              });
 }
 
+void declare_evacuations(CLI::App& app, const common_options& common,
+                         run_function& run)
+{
+  add_change(app, "evacuate",
+             "Send no more new flows to the upstreams of a data centre",
+             "Example: toucanmill evacuate spata --request-id drill-7", common,
+             run,
+             [](const change_command& values) -> operator_change
+             {
+               return evacuate_data_centre{values.name};
+             });
+  add_change(app, "restore", "Withdraw the evacuation of a data centre",
+             "Example: toucanmill restore spata", common, run,
+             [](const change_command& values) -> operator_change
+             {
+               return restore_data_centre{values.name};
+             });
+  app.add_subcommand("evacuations", "List the evacuated data centres")
+      ->callback(
+          [&common, &run]
+          {
+            run = [&common](operator_client& control)
+            {
+              return print(control.evacuations(), common.json);
+            };
+          });
+}
+
 int wait_in_force(operator_client& control, std::uint64_t index,
                   const common_options& common)
 {
@@ -361,6 +389,14 @@
       ->check(CLI::Validator(check_endpoint, "ADDRESS:PORT", "control"));
   app.add_option("--timeout-ms", common.timeout_ms, "Limit of the command");
   app.add_flag("--json", common.json, "Print JSON");
+  app.add_option_function<std::string>(
+         "--output",
+         [&common](const std::string& format)
+         {
+           common.json = format == "json";
+         },
+         "text or json; json is the same as --json")
+      ->check(CLI::IsMember({"text", "json"}));
   app.require_subcommand(1);
   app.fallthrough();
 
@@ -369,6 +405,7 @@
   declare_service_changes(*service, common, run);
   declare_service_reads(*service, common, run);
   declare_node_changes(app, common, run);
+  declare_evacuations(app, common, run);
   app.add_subcommand("status", "Show control instances and nodes")
       ->callback(
           [&common, &run]
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -1,5 +1,7 @@
 #include "output.hpp"
 
+#include <ctime>
+#include <iomanip>
 #include <map>
 #include <sstream>
 
@@ -44,6 +46,18 @@
   return counts;
 }
 
+/// UTC, for example 2026-12-04T10:15:00Z.
+std::string time_text(std::uint64_t seconds)
+{
+  const auto raw = static_cast<std::time_t>(seconds);
+  std::tm parts{};
+  if (gmtime_r(&raw, &parts) == nullptr)
+    return std::to_string(seconds);
+  std::ostringstream out;
+  out << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+  return out.str();
+}
+
 nlohmann::json to_json(const node_overview& node)
 {
   const auto& identity = node.record.identity;
@@ -120,6 +134,16 @@
   return {{"inForce", state.in_force}, {"waitingFor", state.waiting}};
 }
 
+nlohmann::json to_json(const evacuation_list& list)
+{
+  auto evacuations = nlohmann::json::array();
+  for (const auto& item : list.evacuations)
+    evacuations.push_back({{"dataCentre", item.data_centre},
+                           {"since", time_text(item.since)},
+                           {"index", item.index}});
+  return {{"evacuations", evacuations}};
+}
+
 std::string to_text(const service_table& service)
 {
   std::ostringstream out;
@@ -159,4 +183,15 @@
   return out.str();
 }
 
+std::string to_text(const evacuation_list& list)
+{
+  if (list.evacuations.empty())
+    return "no data centre is evacuated\n";
+  std::ostringstream out;
+  for (const auto& item : list.evacuations)
+    out << item.data_centre << "  since " << time_text(item.since)
+        << "  changed at index " << item.index << "\n";
+  return out.str();
+}
+
 } // namespace toucanmill::cli
