platform, daemon: evacuate data centres over HTTP

POST /toucanmill/evacuation/ZONE evacuates and DELETE restores a data centre: 200 after the commit, 404 for an unknown data centre, 400 with a body, 405 for other methods, 307 with the same path at the leader, and 503 otherwise, so that a client ends its attempts only when a repetition can't succeed.

Each call is counted by its outcome in toucanmill_evacuation_calls_total. E509 names the evacuated data centres after each change of the list.

--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -51,6 +51,7 @@
   group_changed = 506,
   replica_started = 507,
   replica_removed = 508,
+  evacuation_changed = 509,
 };
 
 enum class severity : std::uint8_t
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -1,5 +1,6 @@
 #include "role.hpp"
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <random>
@@ -40,6 +41,8 @@
     return log_event(event::node_registered, notice.detail);
   case kind::group_changed:
     return log_event(event::group_changed, notice.detail);
+  case kind::evacuation_changed:
+    return log_event(event::evacuation_changed, notice.detail);
   }
 }
 
@@ -64,6 +67,32 @@
   }
 };
 
+/// Counts the calls about evacuations by outcome.
+class evacuation_counters
+{
+public:
+  void count(platform::evacuation_outcome outcome)
+  {
+    ++counts_[static_cast<std::size_t>(outcome)];
+  }
+
+  void add_to(std::vector<sample>& out) const
+  {
+    for (std::size_t i = 0; i < counts_.size(); ++i)
+      out.push_back(
+          {"toucanmill_evacuation_calls_total",
+           "HTTP calls that evacuate or restore a data centre, by outcome.",
+           true,
+           static_cast<double>(counts_[i]),
+           {{"outcome", platform::name_of(
+                            static_cast<platform::evacuation_outcome>(i))}}});
+  }
+
+private:
+  std::array<std::atomic<std::uint64_t>, platform::evacuation_outcome_count>
+      counts_{};
+};
+
 /// Opens the control server; each start after a removal has a new id.
 class server_starter
 {
@@ -97,6 +126,7 @@
     options.membership.ramp = settings_.ramp;
     options.membership.rebalance_interval = settings_.rebalance_interval;
     options.notify = log_notice;
+    options.data_centres = settings_.data_centres;
     options.on_in_force = [this](duration taken)
     {
       timings_.in_force.observe(taken);
@@ -212,6 +242,7 @@
             done(std::move(found), leader.address);
           });
     };
+    add_evacuation_calls(calls);
     return platform::make_control_pages(std::move(calls));
   }
 
@@ -249,6 +280,7 @@
     add_counter(out, "toucanmill_peer_messages_lost_total",
                 "Replication messages dropped: peer slow or unreachable.",
                 counters.peer_messages_lost);
+    evacuations_.add_to(out);
     timings_.add_to(out);
     if (!stopping_)
       add_log_samples(out, *current);
@@ -271,6 +303,34 @@
     return {error_code::unavailable, "the control instance is starting"};
   }
 
+  void add_evacuation_calls(platform::operator_calls& calls)
+  {
+    calls.set_evacuation =
+        [this](std::string data_centre, bool evacuated,
+               const platform::operator_calls::declared& done)
+    {
+      const auto current = server();
+      if (current == nullptr)
+        return done(not_running(), {});
+      current->set_evacuation(
+          std::move(data_centre), evacuated,
+          [done](result<change_outcome> outcome, endpoint leader)
+          {
+            done(std::move(outcome), leader.address);
+          });
+    };
+    calls.on_evacuation = [this](platform::evacuation_outcome outcome,
+                                 const std::string& data_centre)
+    {
+      evacuations_.count(outcome);
+      // Control itself reports what it commits or refuses.
+      if (outcome == platform::evacuation_outcome::has_body ||
+          outcome == platform::evacuation_outcome::other_method)
+        log_event(event::change_refused, "evacuation of " + data_centre + ": " +
+                                             platform::name_of(outcome));
+    };
+  }
+
   /// Null while the instance stops, or starts again.
   std::shared_ptr<control_server> server() const
   {
@@ -315,6 +375,7 @@
   }
 
   control_timings timings_;
+  evacuation_counters evacuations_;
   server_starter starter_;
   const std::uint16_t api_port_;
   mutable std::mutex mutex_;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -131,6 +131,8 @@
       {event::replica_removed, severity::warning, "replica_removed",
        "The group removed this replica; it clears its folder and joins under a "
        "new id."},
+      {event::evacuation_changed, severity::warning, "evacuation_changed",
+       "A data centre was evacuated or restored; names all evacuated ones."},
   };
   return all;
 }
