--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -379,6 +379,22 @@
   CHECK_TRUE(list == group.client->evacuations().value().evacuations);
 }
 
+// Guards against an order that is acknowledged without a quorum and gone with
+// the disk of one instance.
+TEST(control_server, order_without_a_quorum_is_not_acknowledged)
+{
+  server_group group(folder, {"north"});
+  const auto leader = group.leader();
+  CHECK_TRUE(eventually_accepts(*group.servers[leader], "north", true));
+  for (std::size_t i = 0; i < group.servers.size(); ++i)
+    if (i != leader)
+      group.servers[i].reset();
+  const auto answer = order(*group.servers[leader], "north", false);
+  CHECK_TRUE(answer.outcome.has_error());
+  CHECK_TRUE(answer.outcome.error().code == error_code::unavailable ||
+             answer.outcome.error().code == error_code::not_leader);
+}
+
 // Guards against an instance that acknowledges an order without the group, or
 // gives the operator no way to the leader.
 TEST(control_server, other_instances_name_the_leader_for_an_order)
