--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <set>
+#include <tuple>
 
 #include <toucanmill/base/invariant.hpp>
 
@@ -34,6 +36,11 @@
   {
     return apply_declaration(state, value.value);
   }
+  command_outcome operator()(const set_evacuation& value)
+  {
+    advance_clock(value.wall_clock);
+    return apply_evacuation(state, value);
+  }
   command_outcome operator()(const register_node& value)
   {
     apply_register(state, value);
@@ -142,32 +149,39 @@
     const auto [found, added] =
         positions.try_emplace(state.route_groups[i], changed.size());
     if (added)
-      changed.push_back(
-          {routes[i].targets, routes[i].former, routes[i].timeout_ms, {}});
+      changed.push_back({routes[i].targets,
+                         routes[i].former,
+                         routes[i].timeout_ms,
+                         {},
+                         routes[i].objectives});
     changed[found->second].addresses.push_back(routes[i].address);
   }
   return changed;
 }
 
-/// Adds the routes to the service that changed after a log index. A changed
-/// route to other services counts as removed if the node may have received it
-/// with earlier targets.
+/// Adds the routes to the service that changed after a log index, grouped by
+/// time limit and objectives. A changed route to other services counts as
+/// removed if the node may have received it with earlier targets.
 void add_changes_for(const cluster_state& state, std::uint64_t index,
                      const std::string& service, route_changes& out)
 {
-  route_group admitted;
-  admitted.targets = {{service, 1}};
+  std::map<std::pair<std::uint32_t, route_objectives>, route_group> admitted;
   const auto& routes = state.declared.routes;
   for (std::size_t i = 0; i < routes.size(); ++i)
     if (const auto& age = state.route_ages[i]; age.changed > index)
     {
       if (opens_flows_to(routes[i], service))
-        admitted.addresses.push_back(routes[i].address);
+        admitted[{routes[i].timeout_ms, routes[i].objectives}]
+            .addresses.push_back(routes[i].address);
       else if (age.added <= index)
         out.removed.push_back(routes[i].address);
     }
-  if (!admitted.addresses.empty())
-    out.changed.push_back(std::move(admitted));
+  for (auto& [limits, group] : admitted)
+  {
+    group.targets = {{service, 1}};
+    std::tie(group.timeout_ms, group.objectives) = limits;
+    out.changed.push_back(std::move(group));
+  }
 }
 
 route_changes route_changes_since(const cluster_state& state,
@@ -198,6 +212,14 @@
   return removed;
 }
 
+std::vector<data_centre_key> evacuated_keys(const cluster_state& state)
+{
+  std::set<data_centre_key> keys;
+  for (const auto& [name, since] : state.evacuations)
+    keys.insert(key_of_data_centre(name));
+  return {keys.begin(), keys.end()};
+}
+
 } // namespace
 
 state_machine::state_machine(assignment_options options)
@@ -241,6 +263,7 @@
   part.former_addresses = table.former_addresses;
   part.kind = table.kind;
   part.version = table.version;
+  part.warm_up_rate = table.warm_up_rate;
   part.buckets.resize(table.buckets.size());
   for (const auto& item : table.holders)
     if (item.node == holder)
@@ -278,9 +301,24 @@
     else
       update.routes = route_changes_since(*state_, after, scope.service);
   }
+  if (state_->evacuations_index > after)
+    update.evacuated = evacuated_keys(*state_);
   return update;
 }
 
+std::vector<evacuation> state_machine::evacuations() const
+{
+  std::vector<evacuation> found;
+  for (const auto& [name, since] : state_->evacuations)
+    found.push_back({name, since.index, since.at});
+  return found;
+}
+
+std::uint64_t state_machine::evacuations_index() const
+{
+  return state_->evacuations_index;
+}
+
 const configuration& state_machine::declared() const
 {
   return state_->declared;
