admission, relay: limit new flows of cold upstreams, refuse them when evacuated

Cause: an agent gives a cold upstream as many new flows as a warm one, and admits new flows in an evacuated data centre from balancers with an older table. Change: warm_up_limiter, a token bucket of one token, empty at each start of the agent or its upstream; events cold and evacuated; both follow the routing table.

--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -50,6 +50,12 @@
   /// `changes` must be relative to the present configuration or an earlier one.
   virtual void change_routes(route_changes changes) = 0;
 
+  /// Whether the agent's data centre is evacuated.
+  virtual void set_evacuated(bool evacuated) = 0;
+
+  /// New flows in 1,000 s that a cold upstream gets; 0: no limit.
+  virtual void set_warm_up_rate(std::uint32_t flows) = 0;
+
   /// Calls `done` on the packet thread, unless the agent stops first. Returns
   /// false if it is stopping or too many calls are queued.
   virtual bool announce(upstream_announcement value, verdict_callback done) = 0;
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <toucanmill/admission/warm_up_limiter.hpp>
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
 #include <toucanmill/relay/relay_message.hpp>
@@ -72,9 +73,11 @@
   flow_reset,         ///< its upstream ended
   request_waits,      ///< no response after slow_request_limit
   request_unanswered, ///< its flow ended without a response
+  evacuated, ///< opening packet; no new flows in the agent's data centre
+  cold,      ///< opening packet; the upstream is cold and has had its share
 };
 
-inline constexpr std::size_t relay_event_count = 16;
+inline constexpr std::size_t relay_event_count = 18;
 
 const char* to_string(relay_event event);
 
@@ -155,6 +158,20 @@
   /// `changes` must be relative to the present configuration or an earlier one.
   void change_routes(const route_changes& changes);
 
+  /// Whether the agent's data centre is evacuated: its upstream gets no new
+  /// flows and keeps those it has.
+  void set_evacuated(bool evacuated)
+  {
+    evacuated_ = evacuated;
+  }
+
+  /// New flows in 1,000 s that a cold upstream of the service gets; 0: no
+  /// limit. Unknown until the first call.
+  void set_warm_up_rate(std::uint32_t flows)
+  {
+    warm_up_.set_rate(flows);
+  }
+
   upstream_core& upstream()
   {
     return upstream_;
@@ -278,7 +295,9 @@
   relay_options options_;
   const service_key service_;
   upstream_core upstream_;
+  warm_up_limiter warm_up_;
   bool stopping_ = false;
+  bool evacuated_ = false;
   bool saw_start_of_upstream_ = false;
   std::size_t bucket_count_ = 0;
   std::uint64_t configuration_ = 0;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -251,14 +251,36 @@
       agent_->change_routes(*update.routes);
       log_configuration(update.routes->version, update.version);
     }
-    for (const auto& service : update.changed)
-      if (service.name == identity_.service)
-        agent_->set_bucket_count(service.buckets.size());
+    take_service(update);
+    take_evacuated(update);
     departure_.on_answer(update, reported_departure_, monotonic_now());
     applied_ = update.version;
     applied_index_ = update.version.index;
   }
 
+  void take_service(const table_update& update)
+  {
+    // A service without a table has no limit.
+    if (update.full)
+      agent_->set_warm_up_rate(0);
+    for (const auto& service : update.changed)
+      if (service.name == identity_.service)
+      {
+        agent_->set_bucket_count(service.buckets.size());
+        agent_->set_warm_up_rate(service.warm_up_rate);
+      }
+  }
+
+  void take_evacuated(const table_update& update)
+  {
+    if (!update.full && !update.evacuated)
+      return;
+    const auto own = key_of_data_centre(instance_.data_centre);
+    agent_->set_evacuated(update.evacuated &&
+                          std::binary_search(update.evacuated->begin(),
+                                             update.evacuated->end(), own));
+  }
+
   static void log_configuration(std::uint64_t configuration,
                                 const table_version& version)
   {
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -91,6 +91,24 @@
         });
   }
 
+  void set_evacuated(bool evacuated) override
+  {
+    loop_.post(
+        [this, evacuated]
+        {
+          core_.set_evacuated(evacuated);
+        });
+  }
+
+  void set_warm_up_rate(std::uint32_t flows) override
+  {
+    loop_.post(
+        [this, flows]
+        {
+          core_.set_warm_up_rate(flows);
+        });
+  }
+
   bool announce(upstream_announcement value, verdict_callback done) override
   {
     return loop_.post(
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -56,6 +56,10 @@
     return "request_waits";
   case relay_event::request_unanswered:
     return "request_unanswered";
+  case relay_event::evacuated:
+    return "evacuated";
+  case relay_event::cold:
+    return "cold";
   }
   return "unknown";
 }
@@ -63,7 +67,8 @@
 relay_core::relay_core(relay_options options)
     : options_(std::move(options)),
       service_(key_of_service(options_.upstream.service)),
-      upstream_(options_.upstream), tracked_visits_(options_.max_tracked_visits)
+      upstream_(options_.upstream), warm_up_(options_.started),
+      tracked_visits_(options_.max_tracked_visits)
 {
 }
 
@@ -116,6 +121,8 @@
   if (before != upstream_.life())
     on_start_of_upstream(value, before != incarnation{}, wall_clock_ms, now,
                          sink);
+  if (verdict == announcement_verdict::accepted)
+    warm_up_.announce(value.cold_left, now);
   return verdict;
 }
 
@@ -136,6 +143,7 @@
                                       std::uint64_t wall_clock_ms,
                                       time_point now, relay_sink& sink)
 {
+  warm_up_.restart(now);
   const bool has_age = value.born_ms != 0 && value.born_ms <= wall_clock_ms;
   const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
                                               : 0);
@@ -167,6 +175,8 @@
 {
   if (stopping_ || !upstream_.admits(now))
     return relay_event::not_admitted;
+  if (evacuated_)
+    return relay_event::evacuated;
   if (header.configuration <= configuration_ &&
       !route_allows(packet.destination))
     return relay_event::route_replaced;
@@ -179,6 +189,8 @@
       upstream_.slots() * (first ? 1 : options_.requests_per_slot);
   if (busy_ >= limit)
     return relay_event::busy;
+  if (!warm_up_.has_room(now))
+    return relay_event::cold;
   return std::nullopt;
 }
 
@@ -257,7 +269,10 @@
   }
   upstream_.on_opening_delivered(now);
   if (!known)
+  {
+    warm_up_.take(now);
     erase(packet.from_caller(), now, sink);
+  }
   auto& flow = flows_[packet.from_caller()];
   flow.used = now;
   if (!known)
