admission: ordered queue with time limits, decision about opening packets

Cause: nothing waits at an agent, so a refusal for one busy moment is final. Change: waiting_list (priority, on time, deadline; every eighth release is the oldest past half of its limit), request_queue (bounds, merging), opening_policy; relay_core uses them in mode "objectives" of [agent] admission, with a tour to the best stop, held opening packets and held requests; metrics and log lines. In mode "slots" the decisions are as before.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -4,13 +4,17 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include <toucanmill/admission/opening_policy.hpp>
+#include <toucanmill/admission/request_queue.hpp>
 #include <toucanmill/admission/warm_up_limiter.hpp>
 #include <toucanmill/base/time.hpp>
+#include <toucanmill/load/upstream_meter.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
 #include <toucanmill/relay/relay_message.hpp>
 #include <toucanmill/relay/upstream_core.hpp>
@@ -24,6 +28,7 @@
 {
   handshake, ///< from the opening packet to the answer that accepts it
   request, ///< from the first packet of a request to the first of its response
+  held,    ///< from the arrival of what was held to its release
 };
 
 /// Carries out the decisions of relay_core. Implementations copy the packets
@@ -75,9 +80,17 @@
   request_unanswered, ///< its flow ended without a response
   evacuated, ///< opening packet; no new flows in the agent's data centre
   cold,      ///< opening packet; the upstream is cold and has had its share
+  reduced,   ///< opening packet; beyond the share that a failing upstream gets
+  held_opening,     ///< opening packet; waits until the upstream can take it
+  held_request,     ///< request on an open flow; waits
+  held_copy,        ///< copy of a packet that waits
+  opening_expired,  ///< held opening packet refused; its time was up
+  opening_returned, ///< held opening packet refused; no new flows any more
+  request_expired,  ///< held request dropped; its time was up
+  queue_full,       ///< request passed on at once for want of memory
 };
 
-inline constexpr std::size_t relay_event_count = 18;
+inline constexpr std::size_t relay_event_count = 26;
 
 const char* to_string(relay_event event);
 
@@ -94,8 +107,15 @@
   duration waited{0};              ///< since the request arrived
 };
 
+enum class admission_mode : std::uint8_t
+{
+  slots,      ///< new flows by requests per slot; nothing waits
+  objectives, ///< by the objectives of routes; requests and new flows wait
+};
+
 struct relay_options
 {
+  admission_mode admission = admission_mode::slots;
   upstream_core::options upstream;
   time_point started; ///< start of this agent's process
   /// Flows end this long after their opening packet. An agent that has run for
@@ -121,6 +141,21 @@
   /// dropped.
   duration proof_timeout = std::chrono::seconds(2);
   std::size_t max_awaited_proofs = 4096;
+
+  // Mode objectives.
+  request_queue::options queue;
+  upstream_meter::options meter;
+  /// Requests at the upstream per slot, running and queued there. One queued
+  /// for each slot keeps the slots busy while the next one is on its way.
+  std::uint32_t passed_per_slot = 2;
+  /// Callers send the first request of a flow at once. It counts as waiting for
+  /// this long after the flow was admitted.
+  duration request_awaited = std::chrono::milliseconds(100);
+  /// Used where no limit is declared, or the route is not known.
+  duration default_time_limit = std::chrono::seconds(3);
+  /// Retransmissions of a request that was dropped are dropped for this long.
+  /// Their interval is at most 1.6 s.
+  duration expired_retention = std::chrono::seconds(2);
 };
 
 /// State of an agent for reports and metrics.
@@ -138,6 +173,9 @@
   bool knows_buckets = false; ///< their number, without which none is held
   bool knows_all_flows = false;
   std::uint64_t configuration = 0;
+  std::size_t held_requests = 0;
+  std::size_t held_openings = 0;
+  std::size_t held_data = 0; ///< octets
   std::array<std::uint64_t, relay_event_count> events{};
 };
 
@@ -197,6 +235,15 @@
                           const std::optional<flow_packet>& packet,
                           time_point now, relay_sink& sink);
 
+  /// Refuses and drops what has waited too long, and releases what the upstream
+  /// can take; call at least every 50 ms while holds_packets().
+  void serve_held(time_point now, relay_sink& sink);
+
+  bool holds_packets() const
+  {
+    return !queue_.empty();
+  }
+
   /// Evicts idle flows and logs slow requests; call about once a second.
   void on_tick(time_point now, relay_sink& sink);
 
@@ -231,6 +278,24 @@
     time_point busy_since;
     bool wait_recorded = false; ///< request_waits was recorded
     std::string request_id;     ///< of the request in progress
+
+    bool counted = false; ///< its request is in in_progress_
+    time_point passed_at; ///< its request went to the upstream
+    /// Its first request is awaited since then.
+    std::optional<time_point> awaited_since;
+    /// Position after the caller's data that went to the upstream.
+    std::optional<std::uint32_t> passed_end;
+    /// A held request was dropped then, with data up to this position.
+    std::optional<std::pair<time_point, std::uint32_t>> expired;
+  };
+
+  /// A copy of a packet that waits.
+  struct held_packet
+  {
+    relay_header header;
+    std::vector<std::uint8_t> bytes;
+    flow_packet packet; ///< its request_id is empty
+    std::string request_id;
   };
 
   /// A visit that is answered once the upstream has shown that it holds the
@@ -255,12 +320,67 @@
   bool knows_all_flows(time_point now) const;
   std::vector<std::uint16_t> held_buckets(time_point now) const;
   bool opens_flows(const std::vector<route_target>& targets) const;
+  waiting_terms terms_of(const route_objectives& objectives,
+                         std::uint32_t timeout_ms) const;
+  waiting_terms terms_of(const endpoint& address) const;
   bool route_allows(const endpoint& address) const;
+  /// Refusal that does not depend on the load of the upstream.
+  std::optional<relay_event> standing_refusal(const relay_header& header,
+                                              const flow_packet& packet,
+                                              time_point now) const;
   std::optional<relay_event> refusal(const relay_header& header,
                                      const flow_packet& packet,
                                      time_point now) const;
   void open_flow(const relay_message& message, const flow_packet& packet,
                  time_point now, relay_sink& sink);
+  void refuse_flow(const relay_message& message, const flow_packet& packet,
+                   relay_event reason, relay_sink& sink);
+  void admit_flow(const relay_message& message, const flow_packet& packet,
+                  time_point now, relay_sink& sink);
+
+  // Opening packets by objectives (relay_admission_core.cpp).
+  void decide_flow(relay_message message, const flow_packet& packet,
+                   time_point now, relay_sink& sink);
+  opening_view view_of(const relay_header& header, const waiting_terms& terms,
+                       time_point now);
+  bool take_share(time_point now);
+  void hold_opening(const relay_message& message, const flow_packet& packet,
+                    const waiting_terms& terms, time_point now,
+                    relay_sink& sink);
+  void answer_copy_of_held(const relay_header& header, const flow_key& key,
+                           relay_sink& sink);
+  bool admits_no_more(time_point now) const;
+  void release_openings(time_point now, relay_sink& sink);
+  void release_opening(const waiting_entry& entry, time_point now,
+                       relay_sink& sink);
+  void refuse_held(const flow_key& flow, relay_event event, miss_reason reason,
+                   duration waited, relay_sink& sink);
+  void return_openings(relay_sink& sink);
+
+  // Requests on open flows by objectives (relay_requests_core.cpp).
+  /// True if the packet is held, or dropped since it is not needed.
+  bool hold_request(const relay_message& message, const flow_packet& packet,
+                    time_point now, relay_sink& sink);
+  bool hold_more(const relay_message& message, const flow_packet& packet,
+                 time_point now, relay_sink& sink);
+  bool hold_first(const relay_message& message, const flow_packet& packet,
+                  flow_state& flow, time_point now);
+  /// Stores a copy of the packet, in the order of the data.
+  void keep(const relay_message& message, const flow_packet& packet);
+  bool has_capacity() const;
+  void await_request(const flow_key& key, flow_state& flow, time_point now);
+  /// Flows whose first request is awaited; it is not awaited for long.
+  std::size_t awaited_requests(time_point now);
+  void release_requests(time_point now, relay_sink& sink);
+  void release_request(const waiting_entry& entry, time_point now,
+                       relay_sink& sink);
+  void deliver_held(const flow_key& flow, time_point now, relay_sink& sink);
+  void drop_expired_requests(time_point now, relay_sink& sink);
+  void forget_held(const flow_key& flow);
+  void stop_counting_overdue(flow_state& flow, const flow_key& key,
+                             time_point now);
+  static bool is_new_data(const flow_state& flow, const flow_packet& packet);
+
   void deliver(const relay_message& message, const flow_packet& packet,
                relay_sink& sink);
   void track_caller_packet(const flow_packet& packet, time_point now);
@@ -269,15 +389,26 @@
   /// Answers the visit: this agent holds the flow.
   void send_found(const relay_header& visit, const flow_key& key,
                   flow_state& flow, time_point now, relay_sink& sink);
+  void send_found(const relay_header& visit, const flow_key& key,
+                  relay_sink& sink);
   void on_locate(const relay_message& message, time_point now,
                  relay_sink& sink);
   void pass_on(relay_header header, byte_view packet, miss_reason reason,
                relay_sink& sink);
+  void return_missed(relay_header header, byte_view packet, miss_reason reason,
+                     relay_sink& sink);
+  /// The stop after the present one; none if the balancer gets the packet.
+  static std::optional<std::uint8_t> next_stop(const relay_header& header);
   void on_bounced(byte_view bytes, const flow_packet& packet, time_point now,
                   relay_sink& sink);
   void track_upstream_packet(const flow_packet& packet, time_point now,
                              relay_sink& sink);
-  void set_busy(flow_state& flow, bool busy);
+  void begin_request(flow_state& flow, time_point now);
+  /// `status`: of the response; none when there was no response.
+  void end_request(flow_state& flow, std::optional<std::uint16_t> status,
+                   time_point now);
+  /// Takes the flow, which is about to be erased or ended, out of all counts.
+  void release(const flow_key& key, flow_state& flow, time_point now);
   bool lacks_flow(const flow_key& flow, time_point now) const;
   void end(const flow_key& flow, time_point now, relay_sink& sink);
   void erase(const flow_key& flow, time_point now, relay_sink& sink);
@@ -302,7 +433,8 @@
   std::size_t bucket_count_ = 0;
   std::uint64_t configuration_ = 0;
   std::uint64_t newest_seen_ = 0;
-  std::unordered_map<std::uint64_t, bool> routes_; ///< by address and port
+  /// By address and port.
+  std::unordered_map<std::uint64_t, waiting_terms> routes_;
   std::unordered_map<flow_key, flow_state> flows_;
   std::unordered_map<flow_key, awaited_proof> awaited_proofs_;
   std::size_t busy_ = 0;
@@ -310,6 +442,15 @@
   std::vector<tracked_visit> tracked_visits_;
   std::uint32_t next_tag_ = 1;
   std::array<std::uint64_t, relay_event_count> events_{};
+
+  upstream_meter meter_;
+  request_queue queue_;
+  std::unordered_map<flow_key, held_packet> held_openings_;
+  std::unordered_map<flow_key, std::vector<held_packet>> held_requests_;
+  std::size_t in_progress_ = 0; ///< requests at the upstream, overdue ones not
+  std::size_t awaited_ = 0;     ///< flows with awaited_since
+  std::deque<std::pair<time_point, flow_key>> awaited_flows_; ///< by time
+  double share_credit_ = 0; ///< an admitted opening packet takes 1
 };
 
 } // namespace toucanmill
--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -97,6 +97,7 @@
     return event::flow_ended;
   case relay_event::request_waits:
   case relay_event::request_unanswered:
+  case relay_event::request_expired:
     return event::request_unanswered;
   default:
     return event::flow_refused;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -57,6 +57,9 @@
   upstream.address = settings.upstream;
   upstream.silence_limit = lost_announcements * settings.announce_interval;
   auto& relay = options.relay;
+  relay.admission = settings.admission == "objectives"
+                        ? admission_mode::objectives
+                        : admission_mode::slots;
   relay.max_flow_age = settings.max_flow_age;
   relay.flow_idle_limit = std::max(relay.flow_idle_limit, relay.max_flow_age);
   options.data = settings.data;
@@ -94,8 +97,7 @@
     };
     options.on_latency = [this](relay_timing what, duration taken)
     {
-      (what == relay_timing::handshake ? handshakes_ : requests_)
-          .observe(taken);
+      observe(what, taken);
     };
     BOOST_OUTCOME_TRY(started, relay_agent::start(std::move(options)));
     agent_ = std::move(started);
@@ -143,10 +145,18 @@
                      {{"event", to_string(static_cast<relay_event>(i))}}});
     out.push_back(handshakes_.read());
     out.push_back(requests_.read());
+    out.push_back(waits_.read());
     out.push_back(feed_.report_times());
     add_gauge(out, "toucanmill_flows", "Open flows.", status.flows);
     add_gauge(out, "toucanmill_busy_flows",
               "Flows whose request has no response yet.", status.busy);
+    add_gauge(out, "toucanmill_held_requests",
+              "Requests on open flows that wait for the upstream.",
+              status.held_requests);
+    add_gauge(out, "toucanmill_held_openings",
+              "New flows that wait for the upstream.", status.held_openings);
+    add_gauge(out, "toucanmill_held_octets",
+              "Memory of the requests that wait.", status.held_data);
     return out;
   }
 
@@ -184,6 +194,19 @@
   }
 
 private:
+  void observe(relay_timing what, duration taken)
+  {
+    switch (what)
+    {
+    case relay_timing::handshake:
+      return handshakes_.observe(taken);
+    case relay_timing::request:
+      return requests_.observe(taken);
+    case relay_timing::held:
+      return waits_.observe(taken);
+    }
+  }
+
   bool announce(upstream_announcement value,
                 platform::upstream_calls::done done)
   {
@@ -312,6 +335,9 @@
   latency_histogram requests_{
       "toucanmill_request_seconds",
       "Time from a request to the first packet of its response."};
+  latency_histogram waits_{
+      "toucanmill_held_seconds",
+      "Time that released requests and new flows waited at the agent."};
   table_feed feed_;
 };
 
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -17,6 +17,9 @@
 
 constexpr duration tick_interval = std::chrono::seconds(1);
 
+/// Interval between checks of held packets; less than a service time.
+constexpr duration held_check_interval = std::chrono::milliseconds(20);
+
 /// Upper bound of the size of a packet in octets.
 constexpr std::size_t max_packet_size = 2048;
 
@@ -180,8 +183,22 @@
     return count == udp_channel::batch_size;
   }
 
+  /// What is held may be due without a packet that would release it.
+  void check_held()
+  {
+    if (!core_.holds_packets())
+      return;
+    if (const auto now = monotonic_now(); now >= next_held_check_)
+    {
+      core_.serve_held(now, *this);
+      next_held_check_ = now + held_check_interval;
+    }
+    loop_.wake_at(next_held_check_);
+  }
+
   void flush()
   {
+    check_held();
     data_.flush();
     outbound_.flush();
     if (const auto seen = core_.newest_seen();
@@ -246,6 +263,7 @@
   udp_channel outbound_;
   relay_core core_;
   std::uint64_t requested_configuration_ = 0;
+  time_point next_held_check_;
   std::array<std::uint8_t, max_packet_size> scratch_{};
   packet_loop loop_;
 };
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -60,6 +60,22 @@
     return "evacuated";
   case relay_event::cold:
     return "cold";
+  case relay_event::reduced:
+    return "reduced";
+  case relay_event::held_opening:
+    return "held_opening";
+  case relay_event::held_request:
+    return "held_request";
+  case relay_event::held_copy:
+    return "held_copy";
+  case relay_event::opening_expired:
+    return "opening_expired";
+  case relay_event::opening_returned:
+    return "opening_returned";
+  case relay_event::request_expired:
+    return "request_expired";
+  case relay_event::queue_full:
+    return "queue_full";
   }
   return "unknown";
 }
@@ -68,50 +84,11 @@
     : options_(std::move(options)),
       service_(key_of_service(options_.upstream.service)),
       upstream_(options_.upstream), warm_up_(options_.started),
-      tracked_visits_(options_.max_tracked_visits)
+      tracked_visits_(options_.max_tracked_visits), meter_(options_.meter),
+      queue_(options_.queue)
 {
 }
 
-void relay_core::set_configuration(const configuration& declared)
-{
-  if (declared.version <= configuration_)
-    return;
-  configuration_ = declared.version;
-  newest_seen_ = std::max(newest_seen_, configuration_);
-  routes_.clear();
-  for (const auto& item : declared.routes)
-    if (opens_flows(item.targets))
-      routes_[key_of(item.address)] = true;
-}
-
-void relay_core::change_routes(const route_changes& changes)
-{
-  if (changes.version <= configuration_)
-    return;
-  configuration_ = changes.version;
-  newest_seen_ = std::max(newest_seen_, configuration_);
-  if (changes.whole)
-    routes_.clear();
-  for (const auto& address : changes.removed)
-    routes_.erase(key_of(address));
-  for (const auto& group : changes.changed)
-    for (const auto& address : group.addresses)
-      if (opens_flows(group.targets))
-        routes_[key_of(address)] = true;
-      else
-        routes_.erase(key_of(address));
-}
-
-bool relay_core::opens_flows(const std::vector<route_target>& targets) const
-{
-  return std::any_of(targets.begin(), targets.end(),
-                     [&](const route_target& target)
-                     {
-                       return target.weight > 0 &&
-                              target.service == options_.upstream.service;
-                     });
-}
-
 announcement_verdict relay_core::announce(const upstream_announcement& value,
                                           std::uint64_t wall_clock_ms,
                                           time_point now, relay_sink& sink)
@@ -122,7 +99,10 @@
     on_start_of_upstream(value, before != incarnation{}, wall_clock_ms, now,
                          sink);
   if (verdict == announcement_verdict::accepted)
+  {
     warm_up_.announce(value.cold_left, now);
+    meter_.set_slots(value.slots);
+  }
   return verdict;
 }
 
@@ -131,7 +111,10 @@
 {
   const auto verdict = upstream_.leave(instance, now);
   if (verdict == announcement_verdict::accepted)
+  {
     reset_flows(time_point::max(), now, sink);
+    serve_held(now, sink);
+  }
   return verdict;
 }
 
@@ -151,6 +134,7 @@
                            (has_age && age <= now - options_.started);
   if (restarted)
     reset_flows(has_age ? now - age : time_point::max(), now, sink);
+  meter_.reset();
 }
 
 void relay_core::set_bucket_count(std::size_t count)
@@ -163,15 +147,9 @@
   stopping_ = true;
 }
 
-bool relay_core::route_allows(const endpoint& address) const
-{
-  return routes_.count(key_of(address)) != 0;
-}
-
-/// Why this agent does not admit the new flow; none when it does.
-std::optional<relay_event> relay_core::refusal(const relay_header& header,
-                                               const flow_packet& packet,
-                                               time_point now) const
+std::optional<relay_event>
+relay_core::standing_refusal(const relay_header& header,
+                             const flow_packet& packet, time_point now) const
 {
   if (stopping_ || !upstream_.admits(now))
     return relay_event::not_admitted;
@@ -182,6 +160,16 @@
     return relay_event::route_replaced;
   if (header.configuration < newest_seen_ && configuration_ < newest_seen_)
     return relay_event::older_routing;
+  return std::nullopt;
+}
+
+/// Why this agent does not admit the new flow; none when it does.
+std::optional<relay_event> relay_core::refusal(const relay_header& header,
+                                               const flow_packet& packet,
+                                               time_point now) const
+{
+  if (const auto standing = standing_refusal(header, packet, now))
+    return standing;
   // The first stop passes the flow on when all its slots are taken, so that
   // requests do not queue at one upstream while another is idle.
   const bool first = header.stop == 0 && header.stops.size > 1;
@@ -204,6 +192,7 @@
   if (!packet || packet->bounced || header.kind != relay_kind::visit)
     return count(relay_event::malformed);
   newest_seen_ = std::max(newest_seen_, header.configuration);
+  serve_held(now, sink);
   if (header.service != service_)
   {
     count(relay_event::other_service);
@@ -216,10 +205,13 @@
     count(relay_event::not_held);
     return pass_on(header, message.packet, miss_reason::unknown_flow, sink);
   }
-  track_caller_packet(*packet, now);
+  const bool held = hold_request(message, *packet, now, sink);
+  if (!held)
+    track_caller_packet(*packet, now);
   if (!header.remembered || header.probe)
     report_found(header, packet->from_caller(), now, sink);
-  deliver(message, *packet, sink);
+  if (!held)
+    deliver(message, *packet, sink);
 }
 
 // An agent that has not seen all flows of its upstream cannot tell without the
@@ -255,30 +247,52 @@
   // A caller may use the address and port of an ended flow again.
   const auto found = flows_.find(packet.from_caller());
   const bool known = found != flows_.end() && !found->second.ended;
-  if (const auto refused = refusal(message.header, packet, now);
-      refused && !(known && upstream_.present(now)))
-  {
-    count(*refused);
-    sink.record(make_decision(*refused, packet.from_caller(), message.header));
-    // Dropped: the agent soon has the newest configuration, and the caller
-    // retransmits.
-    if (*refused == relay_event::older_routing)
-      return;
-    return pass_on(message.header, message.packet, miss_reason_of(*refused),
-                   sink);
-  }
+  if (known && upstream_.present(now))
+    return admit_flow(message, packet, now, sink);
+  if (options_.admission == admission_mode::objectives)
+    return decide_flow(message, packet, now, sink);
+  if (const auto refused = refusal(message.header, packet, now))
+    return refuse_flow(message, packet, *refused, sink);
+  admit_flow(message, packet, now, sink);
+}
+
+void relay_core::refuse_flow(const relay_message& message,
+                             const flow_packet& packet, relay_event reason,
+                             relay_sink& sink)
+{
+  count(reason);
+  sink.record(make_decision(reason, packet.from_caller(), message.header));
+  // Dropped unless another stop may admit it: the agent soon has the newest
+  // configuration, and the caller retransmits.
+  const bool goes_on = options_.admission == admission_mode::objectives &&
+                       next_stop(message.header);
+  if (reason == relay_event::older_routing && !goes_on)
+    return;
+  pass_on(message.header, message.packet, miss_reason_of(reason), sink);
+}
+
+void relay_core::admit_flow(const relay_message& message,
+                            const flow_packet& packet, time_point now,
+                            relay_sink& sink)
+{
+  const auto key = packet.from_caller();
+  const auto found = flows_.find(key);
+  const bool known = found != flows_.end() && !found->second.ended;
   upstream_.on_opening_delivered(now);
   if (!known)
   {
     warm_up_.take(now);
-    erase(packet.from_caller(), now, sink);
+    erase(key, now, sink);
   }
-  auto& flow = flows_[packet.from_caller()];
+  auto& flow = flows_[key];
   flow.used = now;
   if (!known)
+  {
     flow.opening = flow.seen_since = now;
+    await_request(key, flow, now);
+  }
   if (message.header.stop > 0)
-    send_found(message.header, packet.from_caller(), flow, now, sink);
+    send_found(message.header, key, flow, now, sink);
   deliver(message, packet, sink);
 }
 
@@ -304,6 +318,12 @@
                             flow_state& flow, time_point now, relay_sink& sink)
 {
   flow.found_sent = now;
+  send_found(visit, key, sink);
+}
+
+void relay_core::send_found(const relay_header& visit, const flow_key& key,
+                            relay_sink& sink)
+{
   relay_header reply;
   reply.kind = relay_kind::found;
   reply.service = service_;
@@ -331,12 +351,31 @@
   // The balancer's table is outdated if it lists this agent for another
   // service, so a miss proves nothing.
   header.inconclusive |= reason == miss_reason::other_service;
+  const auto next = next_stop(header);
+  if (!next)
+    return return_missed(header, packet, reason, sink);
+  count(relay_event::passed_on);
+  header.final_stop = *next <= header.stop;
+  header.stop = *next;
+  sink.send(header.stops.agents[header.stop], header, packet);
+}
+
+// An opening packet goes from its last stop to the best one, unless that is
+// this one.
+std::optional<std::uint8_t> relay_core::next_stop(const relay_header& header)
+{
+  if (header.final_stop)
+    return std::nullopt;
   if (header.stop + 1 < header.stops.size)
-  {
-    count(relay_event::passed_on);
-    ++header.stop;
-    return sink.send(header.stops.agents[header.stop], header, packet);
-  }
+    return static_cast<std::uint8_t>(header.stop + 1);
+  if (header.best_stop < header.stop)
+    return header.best_stop;
+  return std::nullopt;
+}
+
+void relay_core::return_missed(relay_header header, byte_view packet,
+                               miss_reason reason, relay_sink& sink)
+{
   count(relay_event::missed);
   header.kind = relay_kind::missed;
   header.reason = reason;
@@ -356,6 +395,7 @@
   track_upstream_packet(*packet, now, sink);
   count(relay_event::replied);
   sink.reply(packet->destination, bytes);
+  serve_held(now, sink);
 }
 
 void relay_core::on_bounced(byte_view bytes, const flow_packet& packet,
@@ -391,9 +431,8 @@
   value.routed_by = header.configuration;
   value.configuration = configuration_;
   value.busy = busy_;
-  value.next = header.stop + 1 < header.stops.size
-                   ? header.stops.agents[header.stop + 1U]
-                   : header.balancer;
+  const auto next = next_stop(header);
+  value.next = next ? header.stops.agents[*next] : header.balancer;
   return value;
 }
 
@@ -411,6 +450,9 @@
   out.knows_buckets = bucket_count_ > 0;
   out.knows_all_flows = knows_all_flows(now);
   out.configuration = configuration_;
+  out.held_requests = queue_.requests().size();
+  out.held_openings = queue_.openings().size();
+  out.held_data = queue_.data();
   out.events = events_;
   return out;
 }
--- a/src/relay/relay_flows_core.cpp
+++ b/src/relay/relay_flows_core.cpp
@@ -44,7 +44,7 @@
       record_unanswered(flow, state, relay_event::flow_reset, now, sink);
     }
     awaited_proofs_.erase(flow);
-    set_busy(it->second, false);
+    release(flow, it->second, now);
     ended_flows_ -= state.ended ? 1 : 0;
     it = flows_.erase(it);
   }
@@ -59,7 +59,13 @@
   flow.used = now;
   if (packet.acknowledges)
     flow.acknowledged = packet.acknowledged;
-  if (packet.payload_size > 0 && !flow.ended)
+  // Only mode objectives tells data from its retransmission.
+  const bool carries = options_.admission == admission_mode::objectives
+                           ? is_new_data(flow, packet)
+                           : packet.payload_size > 0;
+  if (packet.payload_size > 0 && is_new_data(flow, packet))
+    flow.passed_end = packet.sequence + packet.payload_size;
+  if (carries && !flow.ended)
   {
     if (!flow.busy)
     {
@@ -67,7 +73,7 @@
       flow.wait_recorded = false;
       flow.request_id = packet.request_id;
     }
-    set_busy(flow, true);
+    begin_request(flow, now);
   }
   flow.caller_finished |= packet.finishes;
 }
@@ -102,19 +108,51 @@
   {
     if (flow.busy)
       sink.record_latency(relay_timing::request, now - flow.busy_since);
-    set_busy(flow, false);
+    end_request(flow, packet.response_status, now);
   }
   flow.upstream_finished |= packet.finishes;
   if (flow.caller_finished && flow.upstream_finished)
     end(key, now, sink);
 }
 
-void relay_core::set_busy(flow_state& flow, bool busy)
+void relay_core::begin_request(flow_state& flow, time_point now)
 {
-  if (flow.busy == busy)
+  if (flow.awaited_since)
+    --awaited_;
+  flow.awaited_since.reset();
+  if (flow.busy)
     return;
-  flow.busy = busy;
-  busy_ += busy ? 1 : std::size_t(-1);
+  flow.busy = flow.counted = true;
+  flow.passed_at = now;
+  ++busy_;
+  ++in_progress_;
+  meter_.on_request(now);
+}
+
+void relay_core::end_request(flow_state& flow,
+                             std::optional<std::uint16_t> status,
+                             time_point now)
+{
+  if (!flow.busy)
+    return;
+  flow.busy = false;
+  --busy_;
+  if (!std::exchange(flow.counted, false))
+    return;
+  --in_progress_;
+  if (status)
+    meter_.on_response(flow.passed_at, *status, now);
+  else
+    meter_.on_failure(flow.passed_at, now);
+}
+
+void relay_core::release(const flow_key& key, flow_state& flow, time_point now)
+{
+  end_request(flow, std::nullopt, now);
+  if (flow.awaited_since)
+    --awaited_;
+  flow.awaited_since.reset();
+  forget_held(key);
 }
 
 void relay_core::end(const flow_key& flow, time_point now, relay_sink& sink)
@@ -125,7 +163,7 @@
   if (found->second.busy)
     record_unanswered(flow, found->second, relay_event::request_unanswered, now,
                       sink);
-  set_busy(found->second, false);
+  release(flow, found->second, now);
   found->second.ended = true;
   ++ended_flows_;
 }
@@ -164,6 +202,7 @@
   for (auto it = flows_.begin(); it != flows_.end();)
   {
     auto& [key, flow] = *it;
+    stop_counting_overdue(flow, key, now);
     const bool waits = flow.busy && !flow.wait_recorded &&
                        now - flow.busy_since > options_.slow_request_limit;
     if (waits)
@@ -178,7 +217,7 @@
       ++it;
       continue;
     }
-    set_busy(flow, false);
+    release(key, flow, now);
     ended_flows_ -= flow.ended ? 1 : 0;
     it = flows_.erase(it);
   }
