--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -7,20 +7,6 @@
 namespace toucanmill
 {
 
-namespace
-{
-
-/// Rotates the stops so that the one at index `first` comes first.
-visit_stops rotated(const visit_stops& stops, std::size_t first)
-{
-  visit_stops out;
-  for (std::size_t i = 0; i < stops.size; ++i)
-    out.add(stops.agents[(first + i) % stops.size]);
-  return out;
-}
-
-} // namespace
-
 const char* to_string(reset_reason reason)
 {
   switch (reason)
@@ -31,6 +17,8 @@
     return "refused";
   case reset_reason::unknown_flow:
     return "unknown_flow";
+  case reset_reason::evacuated:
+    return "evacuated";
   }
   return "unknown";
 }
@@ -111,7 +99,7 @@
   if (from == nullptr)
     return on_missing_route(packet, now);
   if (packet.opens)
-    return open_flow(packet, *from, 0, now);
+    return place(packet, *from, now);
   if (const auto visit = visit_remembered(packet, now))
     return *visit;
   if (packet.resets)
@@ -147,6 +135,58 @@
   return visit_agent{known->agent, header};
 }
 
+// An opening packet carries the number of its earlier copies. The first one may
+// use the address and port of an ended flow again.
+entry_action entry_core::place(const flow_packet& packet, const route& from,
+                               time_point now)
+{
+  if (packet.acknowledged == 0)
+    memory_.erase(packet.from_caller());
+  else if (const auto visit = visit_reported(packet, from, now))
+    return *visit;
+  return open_flow(packet, from, 0, now);
+}
+
+/// A visit to the agent that has reported the flow: another one would open it a
+/// second time. None if there is no such agent, or it seems to be dead.
+std::optional<visit_agent> entry_core::visit_reported(const flow_packet& packet,
+                                                      const route& from,
+                                                      time_point now)
+{
+  const auto flow = packet.from_caller();
+  const auto known = memory_.find(flow, now);
+  if (!known || !known->reported)
+    return std::nullopt;
+  const auto* target = live_holder(*known, from, flow_hash(flow), now);
+  if (target == nullptr)
+    return std::nullopt;
+  searched_.erase(flow);
+  ++counters_.reported_copies;
+  relay_header header;
+  header.service = known->service;
+  header.configuration = table_->configuration_version();
+  header.table = table_->version().index;
+  header.balancer = options_.self;
+  header.remembered = true;
+  header.stops.add(known->agent);
+  header.near_stops = options_.placement.prefers(target->data_centre) ? 1 : 0;
+  return visit_agent{known->agent, header};
+}
+
+const holder* entry_core::live_holder(const remembered_agent& known,
+                                      const route& from, std::uint64_t hash,
+                                      time_point now) const
+{
+  if (monitor_.unresponsive(now).count(known.agent) != 0)
+    return nullptr;
+  for (const auto* service : possible_services(*table_, from, hash))
+    if (service->key == known.service)
+      for (const auto& candidate : service->table.holders)
+        if (candidate.agent == known.agent)
+          return candidate.suspect ? nullptr : &candidate;
+  return nullptr;
+}
+
 // When the service that the weights select is full, the flow goes to the next
 // service of the route: refused callers retry at once and would keep the full
 // one overloaded.
@@ -158,41 +198,57 @@
   const auto hash = flow_hash(flow);
   const auto services = opening_services(*table_, from, hash);
   if (stage >= services.size())
-    return confirmed(now)
-               ? entry_action{reset_caller{flow, 0, reset_reason::refused}}
-               : entry_action{entry_drop::no_upstream};
+  {
+    const bool evacuated = services.empty() && is_evacuated(*table_, from);
+    const auto reason =
+        evacuated ? reset_reason::evacuated : reset_reason::refused;
+    return confirmed(now) ? entry_action{reset_caller{flow, 0, reason}}
+                          : entry_action{entry_drop::no_upstream};
+  }
   const auto& service = *services[stage];
-  auto stops = opening_stops(service, hash, options_.max_opening_stops);
-  // An opening packet carries the number of its earlier copies. They were lost,
-  // so a retransmission starts at another agent.
-  const std::size_t retransmissions = packet.acknowledged % stops.size;
-  if (retransmissions > 0)
-    avoided_until_[key_of(stops.agents[retransmissions - 1])] =
+  const auto placed = opening_stops(service, hash, options_.max_opening_stops,
+                                    options_.placement);
+  // Earlier copies were lost, so a further one starts at another agent.
+  const std::size_t copy = packet.acknowledged % placed.stops.size;
+  if (copy > 0)
+    avoided_until_[key_of(placed.stops.agents[copy - 1])] =
         now + options_.avoid_duration;
-  stops = avoided_last(rotated(stops, retransmissions), now);
+  const auto [stops, near_stops] =
+      reordered(placed, copy, avoided_of(placed.stops, now));
   auto header = make_header(service);
   header.stage = stage;
   header.stops = stops;
+  header.near_stops = near_stops;
+  if (packet.acknowledged == 0 && stage == 0)
+    count_new_flow(service, stops.agents[0]);
   // If another stop admits the flow, its found message corrects this entry.
   memory_.put(flow, {stops.agents[0], service.key}, now);
   return visit_agent{stops.agents[0], header};
 }
 
-visit_stops entry_core::avoided_last(const visit_stops& stops,
-                                     time_point now) const
+void entry_core::count_new_flow(const relay_service& service,
+                                const endpoint& first)
 {
-  const auto avoided = [&](const endpoint& agent)
-  {
-    const auto found = avoided_until_.find(key_of(agent));
-    return found != avoided_until_.end() && now < found->second;
-  };
-  visit_stops out;
-  for (std::size_t i = 0; i < stops.size; ++i)
-    if (!avoided(stops.agents[i]))
-      out.add(stops.agents[i]);
+  const auto own = options_.placement.data_centre;
+  const auto& holders = service.table.holders;
+  const bool is_near =
+      own != 0 && std::any_of(holders.begin(), holders.end(),
+                              [&](const holder& value)
+                              {
+                                return value.agent == first &&
+                                       value.data_centre == own;
+                              });
+  ++(is_near ? counters_.near_flows : counters_.far_flows);
+}
+
+agent_set entry_core::avoided_of(const visit_stops& stops, time_point now) const
+{
+  agent_set avoided;
   for (std::size_t i = 0; i < stops.size; ++i)
-    out.add(stops.agents[i]);
-  return out;
+    if (const auto found = avoided_until_.find(key_of(stops.agents[i]));
+        found != avoided_until_.end() && now < found->second)
+      avoided.insert(stops.agents[i]);
+  return avoided;
 }
 
 entry_action entry_core::on_missing_route(const flow_packet& packet,
@@ -230,12 +286,20 @@
                                        const flow_packet& packet,
                                        time_point now)
 {
+  if (header.reason == miss_reason::unknown_flow && !packet.opens)
+    record_denials(header, packet.from_caller(), now);
   if (header.probe && !header.remembered)
     return header.undecided != 0 ? probe_by_packet(header, agent)
                                  : entry_action{entry_drop::probe_missed};
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
+  if (packet.opens && header.remembered)
+  {
+    // The agent that had reported the flow does not hold it any more.
+    memory_.erase(packet.from_caller(), agent);
+    return open_flow(packet, *from, 0, now);
+  }
   if (packet.opens)
   {
     if (header.reason != miss_reason::refused || !confirmed(now) ||
@@ -266,7 +330,7 @@
     search->second.found = true;
     search->second.not_found.reset();
   }
-  memory_.put(flow, {agent, header.service}, now);
+  memory_.put(flow, {agent, header.service, true}, now);
 }
 
 void entry_core::on_tick(time_point now)
