control: calls share a connection attempt, and reports do not overlap

Cause: a balancer kept its table of 1.2 s for 16 s after the control group had lost power and come back (trace: five balancers, confirmed 13 to 16 s ago; FLOW 1 through one of them). That this alone kept the five from control for 16 s is suspected; the second trace did not show it. Ruled out: a learner on the same machine that is behind; its log followed the leader's in the second trace.

Change: calls during a connection attempt share it; a failure selects the next instance only if none was selected since the call began; one report at a time.

--- a/include/toucanmill/control/control_channel.hpp
+++ b/include/toucanmill/control/control_channel.hpp
@@ -33,9 +33,17 @@
   control_channel(kj::AsyncIoContext& io, std::vector<endpoint> endpoints);
   ~control_channel();
 
-  /// Client of the current target instance; connects first if necessary.
+  /// Client of the current target instance; connects first if necessary. Calls
+  /// during a connection attempt share it: a second connection would replace
+  /// the first one and fail the calls on it.
   kj::Promise<schema::Control::Client> client();
 
+  /// Changes with each selection of an instance.
+  std::uint64_t generation() const
+  {
+    return generation_;
+  }
+
   /// Replaces the instances to try; must not be empty. Keeps the current
   /// connection.
   void set_endpoints(std::vector<endpoint> endpoints);
@@ -43,6 +51,11 @@
   /// Closes the connection and selects the next instance.
   void select_next_instance();
 
+  /// The same after a failed call that began at this generation. Does nothing
+  /// if another instance was selected since: one failure of a connection fails
+  /// all calls on it.
+  void select_next_instance(std::uint64_t failed);
+
   /// Closes the connection and selects the hinted instance, or the next one if
   /// the port of the hint is 0.
   void redirect(const endpoint& hint);
@@ -56,6 +69,7 @@
   }
 
 private:
+  void connect();
   void close_connection();
 
   kj::AsyncIoContext& io_;
@@ -64,6 +78,9 @@
   std::size_t selected_ = 0; ///< index of the last selected endpoint
   endpoint target_;
   std::shared_ptr<rpc_connection> connection_;
+  std::uint64_t generation_ = 0;
+  kj::Maybe<kj::ForkedPromise<void>> connecting_;
+  std::uint64_t connecting_generation_ = 0; ///< of connecting_
 };
 
 } // namespace toucanmill
--- a/src/control/control_channel.cpp
+++ b/src/control/control_channel.cpp
@@ -27,15 +27,33 @@
 {
   if (connection_ != nullptr)
     return connection_->control;
-  return connect_rpc(io_, target_, connect_timeout)
+  if (connecting_ == nullptr || connecting_generation_ != generation_)
+    connect();
+  return KJ_ASSERT_NONNULL(connecting_)
+      .addBranch()
       .then(
-          [this](kj::Own<kj::AsyncIoStream> stream)
+          [this]
           {
-            connection_ = std::make_shared<rpc_connection>(kj::mv(stream));
+            KJ_REQUIRE(connection_ != nullptr, "another instance was selected");
             return connection_->control;
           });
 }
 
+void control_channel::connect()
+{
+  connecting_generation_ = generation_;
+  connecting_ =
+      connect_rpc(io_, target_, connect_timeout)
+          .then(
+              [this, attempt = generation_](kj::Own<kj::AsyncIoStream> stream)
+              {
+                if (attempt == generation_)
+                  connection_ =
+                      std::make_shared<rpc_connection>(kj::mv(stream));
+              })
+          .fork();
+}
+
 void control_channel::set_endpoints(std::vector<endpoint> endpoints)
 {
   endpoints_ = std::move(endpoints);
@@ -49,6 +67,12 @@
   close_connection();
 }
 
+void control_channel::select_next_instance(std::uint64_t failed)
+{
+  if (failed == generation_)
+    select_next_instance();
+}
+
 void control_channel::redirect(const endpoint& hint)
 {
   if (hint.port == 0)
@@ -59,6 +83,7 @@
 
 void control_channel::close_connection()
 {
+  ++generation_;
   // Destroying the connection inside one of its own callbacks would destroy the
   // running promise, so the destruction is deferred to the event loop.
   if (auto old = std::move(connection_))
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -90,6 +90,20 @@
   return start(make_options(folder, {{{1}, rpc, true}}, 0));
 }
 
+/// Accepts connections, and answers nothing.
+int listen_without_answers(const endpoint& at)
+{
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_addr.s_addr = htonl(at.address.value);
+  raw.sin_port = htons(at.port);
+  CHECK_EQUAL(
+      0, bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof raw));
+  CHECK_EQUAL(0, listen(descriptor, SOMAXCONN));
+  return descriptor;
+}
+
 template <class Condition>
 bool eventually(Condition condition)
 {
@@ -275,6 +289,41 @@
       }));
 }
 
+// Guards against reports that close each other's connections: several under way
+// at once each opened one, the newest replaced the others, and each failure
+// selected another instance, so that no report reached the leader.
+TEST(control_server, requests_for_reports_do_not_add_up)
+{
+  const auto silent = free_endpoint();
+  const int listener = listen_without_answers(silent);
+  const auto server = start_single(folder, rpc);
+  CHECK_TRUE(
+      connect()->change(create("r1", 0, "defects", 80)).value().accepted);
+  std::atomic<int> confirmed{0};
+  node_callbacks callbacks{[]
+                           {
+                             return node_report{};
+                           },
+                           [](const table_update&) {},
+                           [&](time_point)
+                           {
+                             ++confirmed;
+                           },
+                           [](node_order) {}, [](bool) {}};
+  node_client_options options;
+  options.control = {silent, rpc};
+  const auto node = node_client::start(options, callbacks);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        node->report_now();
+        return confirmed > 0;
+      }));
+  // The silent instance takes one report, which ends by its timeout.
+  CHECK_EQUAL(1U, node->counters().failed_reports);
+  close(listener);
+}
+
 // Guards against granting a claim to two requests, and against not replaying
 // the stored answer.
 TEST(control_server, claim_is_granted_once_and_its_answer_is_replayed)
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -85,9 +85,9 @@
                 });
           }))
       .catch_(
-          [this](kj::Exception&&)
+          [this, used = channel_.generation()](kj::Exception&&)
           {
-            channel_.select_next_instance();
+            channel_.select_next_instance(used);
           });
 }
 
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -67,10 +67,7 @@
 
   void report_now()
   {
-    if (reporting_)
-      report_again_ = true;
-    else
-      tasks_.add(report_once());
+    tasks_.add(report_once());
   }
 
   void set_control(std::vector<endpoint> endpoints)
@@ -92,7 +89,7 @@
 
   kj::Promise<void> report_periodically()
   {
-    return report_once()
+    return (reporting_ ? kj::Promise<void>(kj::READY_NOW) : report_once())
         .then(
             [this]
             {
@@ -117,9 +114,17 @@
                : options_.retry_interval;
   }
 
+  /// Does nothing while a report is under way; the next one then follows its
+  /// answer.
   kj::Promise<void> report_once()
   {
+    if (reporting_)
+    {
+      report_again_ = true;
+      return kj::READY_NOW;
+    }
     reporting_ = true;
+    report_again_ = false;
     answered_ = false;
     return reports_
         .with_timeout(reports_.client().then(
@@ -229,9 +234,9 @@
               return call->attempt(control);
             }))
         .catch_(
-            [this](kj::Exception&&)
+            [this, used = claims_.generation()](kj::Exception&&)
             {
-              claims_.select_next_instance();
+              claims_.select_next_instance(used);
               return false;
             })
         .then(
