--- a/include/toucanmill/admission/opening_policy.hpp
+++ b/include/toucanmill/admission/opening_policy.hpp
@@ -22,8 +22,9 @@
 struct opening_view
 {
   waiting_terms terms;
-  duration wait{0};         ///< until the flow's request would start
-  duration token_wait{0};   ///< until the warm-up limit has room
+  duration wait{0};       ///< until the flow's request would start, if on time
+  duration late_wait{0};  ///< the same, if it is late and ranks behind others
+  duration token_wait{0}; ///< until the warm-up limit has room
   duration service_time{0}; ///< of one request
   bool within_share = true; ///< in the share of new flows that is admitted
   bool has_room = true;     ///< for another held opening packet
@@ -46,10 +47,15 @@
 opening_decision decide_opening(const opening_view& view);
 
 /// Whether a flow that has waited for `waited` is admitted now. Within the
-/// objective it is, as long as it can be met; later only if the wait is as
-/// short as at any stop.
+/// objective it is, as long as it can be met; later only if nothing else needs
+/// the capacity.
 bool admits_held_opening(const opening_view& view, duration waited);
 
+/// Whether a flow is admitted at the end of the time that it can be held, and
+/// its request waits on: callers that are refused come back and look like new
+/// ones. False if it would be answered too late.
+bool admits_at_end_of_hold(const opening_view& view, duration waited);
+
 } // namespace toucanmill
 
 #endif
--- a/include/toucanmill/admission/request_queue.hpp
+++ b/include/toucanmill/admission/request_queue.hpp
@@ -55,10 +55,10 @@
   explicit request_queue(options chosen) : options_(chosen) {}
 
   /// `service_time`: of one request; a request must start this much before its
-  /// deadlines.
+  /// deadlines. `since`: its objective and limit count from then.
   hold_verdict add_request(const flow_key& flow, const waiting_terms& terms,
                            data_range data, duration service_time,
-                           time_point now);
+                           time_point since, time_point now);
 
   /// Further data of a flow whose request waits.
   hold_verdict add_data(const flow_key& flow, data_range data);
--- a/include/toucanmill/admission/waiting_list.hpp
+++ b/include/toucanmill/admission/waiting_list.hpp
@@ -53,6 +53,9 @@
   /// change.
   const waiting_entry* next(time_point now);
 
+  /// Ranks the entry as late; false if it is.
+  bool mark_late(const flow_key& flow);
+
   /// Removes the entry that next() returned.
   waiting_entry take(const flow_key& flow);
 
--- a/include/toucanmill/admission/waiting_terms.hpp
+++ b/include/toucanmill/admission/waiting_terms.hpp
@@ -1,6 +1,7 @@
 #ifndef TOUCANMILL_ADMISSION_WAITING_TERMS_HPP
 #define TOUCANMILL_ADMISSION_WAITING_TERMS_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <tuple>
 
@@ -27,6 +28,16 @@
   }
 };
 
+/// Time from the release of a request to its response, at most half of the
+/// objective: behind one that is queued for its slot, its own service time, and
+/// as much again for the tail. With less, a queue that serves the earliest
+/// deadline first answers most requests just after it.
+inline duration service_reserve(const waiting_terms& terms,
+                                duration service_time)
+{
+  return std::min(3 * service_time, terms.objective / 2);
+}
+
 } // namespace toucanmill
 
 #endif
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -281,8 +281,9 @@
 
     bool counted = false; ///< its request is in in_progress_
     time_point passed_at; ///< its request went to the upstream
-    /// Its first request is awaited since then.
+    /// Its first request is awaited since then, and the opening packet came.
     std::optional<time_point> awaited_since;
+    time_point opened;
     /// Position after the caller's data that went to the upstream.
     std::optional<std::uint32_t> passed_end;
     /// A held request was dropped then, with data up to this position.
@@ -350,6 +351,8 @@
   void answer_copy_of_held(const relay_header& header, const flow_key& key,
                            relay_sink& sink);
   bool admits_no_more(time_point now) const;
+  /// Admits or refuses those that have been held for the longest time.
+  void end_holds(time_point now, relay_sink& sink);
   void release_openings(time_point now, relay_sink& sink);
   void release_opening(const waiting_entry& entry, time_point now,
                        relay_sink& sink);
--- a/src/admission/opening_policy.cpp
+++ b/src/admission/opening_policy.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Part of the objective for accepting the flow and getting its request.
+constexpr int objective_parts_for_handshake = 8;
+
 duration effective_wait(const opening_view& view)
 {
   return std::max(view.wait, view.token_wait);
@@ -15,8 +18,8 @@
 
 bool can_be_answered(const opening_view& view)
 {
-  return view.has_room &&
-         effective_wait(view) + view.service_time <= view.terms.time_limit;
+  const auto wait = std::max(effective_wait(view), view.late_wait);
+  return view.has_room && wait + view.service_time <= view.terms.time_limit;
 }
 
 bool has_short_wait(const opening_view& view)
@@ -24,12 +27,17 @@
   return view.wait <= view.terms.objective / objective_parts_for_wait;
 }
 
+bool meets_objective(const opening_view& view, duration waited)
+{
+  return waited + view.wait + service_reserve(view.terms, view.service_time) +
+             view.terms.objective / objective_parts_for_handshake <=
+         view.terms.objective;
+}
+
 opening_verdict decide_at_final_stop(const opening_view& view)
 {
-  const bool meets_objective =
-      view.wait + view.service_time <= view.terms.objective;
   if (view.token_wait == duration{0} &&
-      (meets_objective || has_short_wait(view)))
+      (meets_objective(view, duration{0}) || has_short_wait(view)))
     return opening_verdict::admit;
   return can_be_answered(view) ? opening_verdict::hold
                                : opening_verdict::refuse;
@@ -68,8 +76,15 @@
 {
   if (view.token_wait > duration{0})
     return false;
-  return has_short_wait(view) ||
-         waited + view.wait + view.service_time <= view.terms.objective;
+  if (meets_objective(view, waited))
+    return true;
+  return view.late_wait <= view.terms.objective / objective_parts_for_wait;
+}
+
+bool admits_at_end_of_hold(const opening_view& view, duration waited)
+{
+  return view.token_wait == duration{0} &&
+         waited + view.late_wait + view.service_time <= view.terms.time_limit;
 }
 
 } // namespace toucanmill
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -25,7 +25,8 @@
 {
   const auto reserve =
       std::min(service_time, terms.time_limit / limit_parts_for_service);
-  return {flow, terms, now, now + terms.objective - service_time,
+  return {flow, terms, now,
+          now + terms.objective - service_reserve(terms, service_time),
           now + terms.time_limit - reserve};
 }
 
@@ -39,13 +40,13 @@
 hold_verdict request_queue::add_request(const flow_key& flow,
                                         const waiting_terms& terms,
                                         data_range data, duration service_time,
-                                        time_point now)
+                                        time_point since, time_point now)
 {
   if (requests_.contains(flow))
     return add_data(flow, data);
   if (!has_room(data))
     return hold_verdict::full;
-  requests_.add(make_entry(flow, terms, service_time, now), now);
+  requests_.add(make_entry(flow, terms, service_time, since), now);
   ranges_[flow] = {data};
   data_ += data.size + packet_overhead;
   return hold_verdict::held;
--- a/src/admission/waiting_list.cpp
+++ b/src/admission/waiting_list.cpp
@@ -102,6 +102,17 @@
   return &entries_.find(flow)->second.entry;
 }
 
+bool waiting_list::mark_late(const flow_key& flow)
+{
+  auto& value = entries_.find(flow)->second;
+  if (value.late)
+    return false;
+  unlink(value);
+  value.late = true;
+  link(value);
+  return true;
+}
+
 waiting_entry waiting_list::take(const flow_key& flow)
 {
   const auto entry = entries_.find(flow)->second.entry;
--- a/src/admission/waiting_list_test.cpp
+++ b/src/admission/waiting_list_test.cpp
@@ -61,6 +61,18 @@
   CHECK_EQUAL(0, take(list, now));
 }
 
+// Guards against one entry that can't be on time and holds up those that can.
+TEST(waiting_list, entry_marked_late_ranks_behind_others)
+{
+  add(entry(1, 0, 0ms));
+  add(entry(2, 0, 10ms));
+  CHECK_TRUE(list.mark_late(flow(1)));
+  CHECK_FALSE(list.mark_late(flow(1)));
+  CHECK_EQUAL(1U, list.ahead(0, start + 10ms));
+  CHECK_EQUAL(2, take(list, start + 10ms));
+  CHECK_EQUAL(1, take(list, start + 10ms));
+}
+
 // Guards against an entry that takes the place of one that can still be served.
 TEST(waiting_list, expired_entries_are_not_released)
 {
--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/// Callers give up an attempt 400 ms after the longest hold. An agent that was
+/// paused admits no flow whose caller may have done so.
+constexpr duration late_check = std::chrono::milliseconds(200);
+
 std::uint16_t header_wait(duration wait)
 {
   const auto ms =
@@ -27,9 +31,10 @@
 {
   opening_view view;
   view.terms = terms;
-  const auto ahead = in_progress_ + awaited_requests(now) +
-                     queue_.requests().ahead(terms.priority, now);
-  view.wait = meter_.expected_wait(ahead);
+  const auto passed = in_progress_ + awaited_requests(now);
+  view.wait = meter_.expected_wait(
+      passed + queue_.requests().ahead(terms.priority, now));
+  view.late_wait = meter_.expected_wait(passed + queue_.requests().size());
   view.token_wait = warm_up_.wait(now);
   view.service_time = meter_.service_time();
   view.has_room = queue_.has_room_for_opening();
@@ -121,15 +126,31 @@
   if (queue_.empty())
     return;
   drop_expired_requests(now, sink);
-  for (const auto& entry : queue_.openings().take_expired(now))
-    refuse_held(entry.flow, relay_event::opening_expired, miss_reason::refused,
-                now - entry.since, sink);
   if (admits_no_more(now))
     return_openings(sink);
+  end_holds(now, sink);
   release_requests(now, sink);
   release_openings(now, sink);
 }
 
+void relay_core::end_holds(time_point now, relay_sink& sink)
+{
+  for (const auto& entry : queue_.openings().take_expired(now))
+  {
+    const auto found = held_openings_.find(entry.flow);
+    if (found == held_openings_.end())
+      continue;
+    const auto view = view_of(found->second.header, entry.terms, now);
+    if (upstream_.admits(now) &&
+        admits_at_end_of_hold(view, now - entry.since) &&
+        now - entry.since <= options_.queue.max_opening_wait + late_check)
+      release_opening(entry, now, sink);
+    else
+      refuse_held(entry.flow, relay_event::opening_expired,
+                  miss_reason::refused, now - entry.since, sink);
+  }
+}
+
 void relay_core::return_openings(relay_sink& sink)
 {
   for (const auto& flow : queue_.openings().flows())
@@ -169,7 +190,13 @@
     const auto found = held_openings_.find(next->flow);
     const auto view = view_of(found->second.header, next->terms, now);
     if (!admits_held_opening(view, now - next->since))
+    {
+      // It cannot be on time any more, but those behind it may be.
+      if (view.token_wait == duration{0} &&
+          queue_.openings().mark_late(next->flow))
+        continue;
       return;
+    }
     // The agent soon has the configuration that decides.
     if (standing_refusal(found->second.header, found->second.packet, now) ==
         relay_event::older_routing)
@@ -195,6 +222,7 @@
   sink.record_latency(relay_timing::held, now - entry.since);
   admit_flow({held.header, {held.bytes.data(), held.bytes.size()}}, held.packet,
              now, sink);
+  flows_[entry.flow].opened = entry.since;
 }
 
 } // namespace toucanmill
--- /dev/null
+++ b/src/relay/relay_admission_test.cpp
@@ -0,0 +1,674 @@
+#include <toucanmill/relay/relay_core.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "relay_fixture_test.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+namespace
+{
+
+const endpoint balancer = endpoint_at(1, 7720);
+const endpoint other_balancer = endpoint_at(4, 7720);
+const endpoint upstream_address = endpoint_at(3, 8080);
+
+constexpr std::size_t capacity = 4; ///< two slots, twice
+
+relay_options options(admission_mode mode)
+{
+  relay_options value;
+  value.admission = mode;
+  value.upstream.service = "notes";
+  value.upstream.address = upstream_address;
+  value.started = start;
+  return value;
+}
+
+configuration declared(std::uint32_t objective = 200)
+{
+  auto value = routes_to(5, {{"notes", 1}});
+  value.routes[0].timeout_ms = 3000;
+  value.routes[0].objectives = {request_kind::idempotent, objective, 0};
+  return value;
+}
+
+upstream_announcement announcement(std::uint64_t sequence = 1)
+{
+  upstream_announcement value;
+  value.instance = "i-1";
+  value.service = "notes";
+  value.address = upstream_address;
+  value.slots = 2;
+  value.sequence = sequence;
+  value.born_ms = 1000;
+  return value;
+}
+
+/// `stops`: number of agents that the packet may visit; this one is `stop`.
+relay_message visit(std::uint8_t stops = 1, std::uint8_t stop = 0)
+{
+  relay_message message;
+  message.header.service = key_of_service("notes");
+  message.header.configuration = 5;
+  message.header.balancer = balancer;
+  for (std::uint8_t i = 0; i < stops; ++i)
+    message.header.stops.add(endpoint_at(100U + i));
+  message.header.stop = stop;
+  return message;
+}
+
+flow_packet data_at(std::uint16_t port, std::uint32_t sequence)
+{
+  auto packet = data(port);
+  packet.sequence = sequence;
+  return packet;
+}
+
+/// An agent and its upstream, which accepts each flow at once.
+struct agent
+{
+  explicit agent(admission_mode mode = admission_mode::objectives)
+      : core(options(mode))
+  {
+    core.set_configuration(declared());
+    core.announce(announcement(), 1, start, sink);
+  }
+
+  void answer_to(const flow_packet& packet, time_point now)
+  {
+    core.on_upstream_packet({}, answer(packet), now, sink);
+  }
+
+  void accept(std::uint16_t port, time_point now)
+  {
+    auto accepted = data(port);
+    accepted.accepts = true;
+    accepted.payload_size = 0;
+    answer_to(accepted, now);
+  }
+
+  /// Sends packets on; returns how many reached the upstream.
+  std::size_t take(const flow_packet& packet, time_point now,
+                   const relay_message& message = visit())
+  {
+    const auto before = sink.delivered.size();
+    core.on_visit(message, packet, now, sink);
+    return sink.delivered.size() - before;
+  }
+
+  /// Opens flows a second before `now`, so that none is awaited any more.
+  void open_flows(std::uint16_t count, time_point now = start)
+  {
+    for (std::uint16_t port = 1; port <= count; ++port)
+    {
+      take(opening(port), now - 60s + port * 200ms);
+      accept(port, now - 60s + port * 200ms);
+    }
+    accept(1, now); // the upstream has just been heard
+  }
+
+  /// Opens flows and sends a request on each.
+  void load(std::uint16_t count, time_point now = start)
+  {
+    open_flows(count, now);
+    for (std::uint16_t port = 1; port <= count; ++port)
+      take(data(port), now);
+  }
+
+  relay_status status(time_point now = start) const
+  {
+    return core.status(now);
+  }
+
+  std::uint64_t count_of(relay_event event) const
+  {
+    return core.status(start).events[static_cast<std::size_t>(event)];
+  }
+
+  const relay_header& last_header() const
+  {
+    return sink.messages.back().header;
+  }
+
+  relay_core core;
+  recording_sink sink;
+};
+
+} // namespace
+
+TEST_GROUP(relay_admission)
+{
+  agent tested;
+};
+
+// Guards against requests on open flows that a full upstream answers with "not
+// run" although a slot is free a moment later.
+TEST(relay_admission, requests_beyond_the_capacity_wait_for_a_response)
+{
+  tested.load(6);
+  CHECK_EQUAL(capacity, tested.status().busy);
+  CHECK_EQUAL(2U, tested.status().held_requests);
+  const auto before = tested.sink.delivered.size();
+  tested.answer_to(data(1), start + 30ms);
+  CHECK_EQUAL(before + 1, tested.sink.delivered.size());
+  CHECK_EQUAL(1U, tested.status().held_requests);
+  // The end of a flow frees its place, too.
+  auto reset = data(2);
+  reset.resets = true;
+  tested.answer_to(reset, start + 40ms);
+  CHECK_EQUAL(0U, tested.status().held_requests);
+  CHECK_EQUAL(capacity, tested.status().busy);
+  CHECK_TRUE(tested.sink.timings.back() ==
+             std::make_pair(relay_timing::held, duration(40ms)));
+}
+
+// Guards against the new mode taking effect where it is not asked for (R8).
+TEST(relay_admission, nothing_waits_in_mode_slots)
+{
+  agent slots(admission_mode::slots);
+  slots.load(6);
+  CHECK_EQUAL(6U, slots.status().busy);
+  CHECK_EQUAL(0U, slots.status().held_requests);
+  CHECK_EQUAL(0U, slots.take(opening(7), start));
+  CHECK_TRUE(slots.last_header().kind == relay_kind::missed);
+  CHECK_EQUAL(no_stop, slots.last_header().best_stop);
+  CHECK_EQUAL(0U, slots.status().held_openings);
+}
+
+// Guards against acknowledgements that wait behind a request, and against a
+// caller whose retransmission of a request that the upstream lost is held.
+TEST(relay_admission, what_starts_no_request_passes_at_once)
+{
+  tested.load(6);
+  auto acknowledgement = data(6);
+  acknowledgement.payload_size = 0;
+  CHECK_EQUAL(1U, tested.take(acknowledgement, start));
+  CHECK_EQUAL(1U, tested.take(data(1), start));         // passed on before
+  CHECK_EQUAL(1U, tested.take(data_at(1, 100), start)); // same request goes on
+  CHECK_EQUAL(1U, tested.take(data(99), start - 1ms) +
+                      tested.count_of(relay_event::not_held));
+  CHECK_EQUAL(2U, tested.status().held_requests);
+}
+
+// Guards against a retransmission of a finished request that counts as another
+// request, and takes the place of one until the flow ends.
+TEST(relay_admission, late_retransmission_of_an_answered_request_counts_nothing)
+{
+  tested.load(1);
+  tested.answer_to(data(1), start + 10ms);
+  CHECK_EQUAL(1U, tested.take(data(1), start + 20ms));
+  CHECK_EQUAL(0U, tested.status().busy);
+  tested.take(data_at(1, 100), start + 30ms);
+  CHECK_EQUAL(1U, tested.status().busy);
+}
+
+// Guards against an open flow that is reset, or a request that reaches the
+// upstream after its caller has given up.
+TEST(relay_admission, request_past_its_limit_is_dropped_without_an_answer)
+{
+  tested.load(6);
+  const auto before = tested.sink.delivered.size();
+  tested.core.serve_held(start + 2979ms, tested.sink);
+  CHECK_EQUAL(2U, tested.status().held_requests);
+  tested.core.serve_held(start + 2980ms, tested.sink);
+  CHECK_EQUAL(0U, tested.status().held_requests);
+  CHECK_EQUAL(0U, tested.status().held_data);
+  CHECK_EQUAL(2U, tested.count_of(relay_event::request_expired));
+  CHECK_TRUE(tested.sink.resets.empty());
+  tested.answer_to(data(1), start + 2990ms);
+  // A retransmission that was under way.
+  CHECK_EQUAL(0U, tested.take(data(6), start + 3100ms));
+  CHECK_EQUAL(before, tested.sink.delivered.size());
+  CHECK_EQUAL(1U, tested.take(data_at(6, 100), start + 3100ms));
+}
+
+// Guards against an upstream that hangs and holds up all requests behind it for
+// as long as its flows exist.
+TEST(relay_admission, overdue_requests_do_not_count)
+{
+  tested.load(4);
+  tested.core.on_tick(start + 3001ms, tested.sink);
+  CHECK_EQUAL(1U, tested.take(data(5), start + 3001ms) +
+                      tested.count_of(relay_event::not_held));
+  tested.open_flows(6, start + 4000ms);
+  CHECK_EQUAL(1U, tested.take(data(6), start + 4000ms));
+  // A late response does not count twice.
+  tested.answer_to(data(1), start + 4100ms);
+  CHECK_EQUAL(4U, tested.status().busy);
+}
+
+// Guards against an agent that lets through what has been waiting while the
+// process was paused.
+TEST(relay_admission, agent_paused_for_seconds_drops_before_it_admits)
+{
+  tested.load(40);
+  tested.take(opening(50), start);
+  CHECK_EQUAL(1U, tested.status().held_openings);
+  const auto before = tested.sink.delivered.size();
+  tested.core.announce(announcement(2), 1, start + 5s, tested.sink);
+  tested.answer_to(data(1), start + 5s);
+  CHECK_EQUAL(before, tested.sink.delivered.size());
+  CHECK_EQUAL(36U, tested.count_of(relay_event::request_expired));
+  CHECK_EQUAL(1U, tested.count_of(relay_event::opening_expired));
+}
+
+// Guards against a reset of a caller that the upstream could serve a moment
+// later, and against a balancer that gives the packet to another agent.
+TEST(relay_admission, opening_packet_is_held_and_admitted_later)
+{
+  tested.load(30);
+  tested.sink.messages.clear();
+  CHECK_EQUAL(0U, tested.take(opening(50), start));
+  CHECK_EQUAL(1U, tested.status().held_openings);
+  CHECK_EQUAL(1U, tested.sink.messages.size());
+  CHECK_TRUE(tested.last_header().kind == relay_kind::found);
+  // A copy is merged, and its balancer is told.
+  auto copy = visit();
+  copy.header.balancer = other_balancer;
+  CHECK_EQUAL(0U, tested.take(opening(50, 1), start + 50ms, copy));
+  CHECK_EQUAL(1U, tested.status().held_openings);
+  CHECK_TRUE(tested.sink.messages.back().to == other_balancer);
+  CHECK_TRUE(tested.last_header().kind == relay_kind::found);
+  for (std::uint16_t port = 1; port <= 30; ++port)
+    tested.answer_to(data(port), start + 60ms + port * 1ms);
+  CHECK_EQUAL(0U, tested.status().held_openings);
+  const auto before = tested.sink.delivered.size();
+  tested.accept(50, start + 100ms);
+  CHECK_EQUAL(1U, tested.take(data(50), start + 100ms));
+  CHECK_EQUAL(before + 1, tested.sink.delivered.size());
+}
+
+// Guards against a caller that waits for an agent without hearing of it, and a
+// refusal that goes to another balancer than the visit's.
+TEST(relay_admission, held_opening_packet_is_refused_when_its_time_is_up)
+{
+  tested.load(250); // a backlog of 2.5 s
+  tested.take(opening(400), start);
+  tested.core.serve_held(start + 999ms, tested.sink);
+  CHECK_EQUAL(1U, tested.status().held_openings);
+  tested.core.serve_held(start + 1000ms, tested.sink);
+  CHECK_EQUAL(0U, tested.status().held_openings);
+  CHECK_TRUE(tested.sink.messages.back().to == balancer);
+  CHECK_TRUE(tested.last_header().kind == relay_kind::missed);
+  CHECK_TRUE(tested.last_header().reason == miss_reason::refused);
+  CHECK_TRUE(tested.sink.decisions.back().event ==
+             relay_event::opening_expired);
+  CHECK_TRUE(tested.sink.decisions.back().waited == duration(1000ms));
+}
+
+// Guards against a refusal of what can be served in the time left: the caller
+// comes back and competes with new ones.
+TEST(relay_admission, held_opening_packet_is_admitted_at_the_end_of_its_hold)
+{
+  tested.load(30);
+  tested.take(opening(50), start);
+  const auto before = tested.sink.delivered.size();
+  tested.core.serve_held(start + 1000ms, tested.sink);
+  CHECK_EQUAL(before + 1, tested.sink.delivered.size());
+  CHECK_EQUAL(0U, tested.status().held_openings);
+}
+
+// Guards against a flow that was held and whose request then ranks as if its
+// caller had only begun to wait.
+TEST(relay_admission, time_of_the_first_request_counts_from_the_opening_packet)
+{
+  tested.load(30);
+  tested.take(opening(50), start);
+  for (std::uint16_t port = 1; port <= 27; ++port)
+    tested.answer_to(data(port), start + 150ms);
+  tested.accept(50, start + 150ms);
+  tested.open_flows(2, start + 150ms); // two more requests fill the upstream
+  tested.take(data_at(1, 100), start + 151ms);
+  CHECK_EQUAL(0U, tested.take(data(50), start + 152ms));
+  CHECK_EQUAL(0U, tested.take(data_at(2, 100), start + 152ms));
+  tested.core.serve_held(start + 2979ms, tested.sink);
+  CHECK_EQUAL(2U, tested.status().held_requests);
+  tested.core.serve_held(start + 2980ms, tested.sink);
+  CHECK_EQUAL(1U, tested.status().held_requests);
+}
+
+// Guards against new flows that reach an upstream after it was evacuated, began
+// to drain or ended, because they had been waiting.
+TEST(relay_admission, held_packets_are_returned_when_no_new_flows_are_admitted)
+{
+  const std::array<void (*)(agent&), 4> changes = {
+      [](agent& of)
+      {
+        of.core.set_evacuated(true);
+      },
+      [](agent& of)
+      {
+        auto draining = announcement(2);
+        draining.draining = true;
+        of.core.announce(draining, 1, start, of.sink);
+      },
+      [](agent& of)
+      {
+        of.core.set_stopping();
+      },
+      [](agent& of)
+      {
+        of.core.leave("i-1", start, of.sink);
+      }};
+  for (const auto change : changes)
+  {
+    agent one;
+    one.load(30);
+    one.take(opening(50), start);
+    one.take(opening(51), start);
+    const auto before = one.sink.delivered.size();
+    change(one);
+    one.core.serve_held(start + 20ms, one.sink);
+    CHECK_EQUAL(before, one.sink.delivered.size());
+    CHECK_EQUAL(0U, one.status().held_openings);
+    CHECK_EQUAL(2U, one.count_of(relay_event::opening_returned));
+    CHECK_TRUE(one.last_header().kind == relay_kind::missed);
+  }
+}
+
+// Guards against a held flow that is admitted on a route that was moved.
+TEST(relay_admission, held_packet_of_a_replaced_route_is_returned)
+{
+  tested.load(30);
+  tested.take(opening(50), start);
+  tested.core.set_configuration(routes_to(8, {{"other", 1}}));
+  for (std::uint16_t port = 1; port <= 30; ++port)
+    tested.answer_to(data(port), start + 50ms);
+  CHECK_EQUAL(0U, tested.status().held_openings);
+  CHECK_TRUE(
+      std::any_of(tested.sink.messages.begin(), tested.sink.messages.end(),
+                  [](const recording_sink::sent& sent)
+                  {
+                    return sent.header.kind == relay_kind::missed &&
+                           sent.header.reason == miss_reason::route_replaced;
+                  }));
+}
+
+// Guards against requests that are run although their caller has ended the
+// flow.
+TEST(relay_admission, reset_by_the_caller_drops_its_held_request)
+{
+  tested.load(5);
+  auto reset = data(5);
+  reset.resets = true;
+  reset.payload_size = 0;
+  CHECK_EQUAL(1U, tested.take(reset, start));
+  CHECK_EQUAL(0U, tested.status().held_requests);
+  const auto before = tested.sink.delivered.size();
+  tested.answer_to(data(1), start + 10ms);
+  CHECK_EQUAL(before, tested.sink.delivered.size());
+}
+
+// Guards against a burst of opening packets that are all admitted since none of
+// their requests has arrived yet, and against flows that never send one.
+TEST(relay_admission, admitted_flows_count_until_their_request_is_overdue)
+{
+  const auto admitted_at = [&](time_point now, std::uint16_t first)
+  {
+    std::size_t count = 0;
+    for (std::uint16_t port = first; port < first + 40; ++port)
+    {
+      count += tested.take(opening(port), now, visit(2));
+      tested.accept(port, now);
+    }
+    return count;
+  };
+  // Six requests ahead are 50 ms, a quarter of the objective.
+  CHECK_EQUAL(7U, admitted_at(start, 100));
+  CHECK_EQUAL(0U, admitted_at(start + 99ms, 200));
+  CHECK_EQUAL(7U, admitted_at(start + 100ms, 300));
+}
+
+// Guards against a new flow of a cold upstream that is refused although it can
+// have a token soon, and against one without a token.
+TEST(relay_admission, final_stop_of_a_cold_upstream_holds_until_a_token)
+{
+  tested.core.set_warm_up_rate(2'000);
+  auto cold = announcement(2);
+  cold.cold_left = 10s;
+  tested.core.announce(cold, 1, start, tested.sink);
+  CHECK_EQUAL(0U, tested.take(opening(1), start));
+  CHECK_EQUAL(1U, tested.status().held_openings);
+  const auto before = tested.sink.delivered.size();
+  tested.core.serve_held(start + 400ms, tested.sink);
+  CHECK_EQUAL(before, tested.sink.delivered.size());
+  tested.core.serve_held(start + 500ms, tested.sink);
+  CHECK_EQUAL(before + 1, tested.sink.delivered.size());
+}
+
+// Guards against an agent that holds up an open flow for want of memory.
+TEST(relay_admission, request_that_finds_no_memory_goes_on_at_once)
+{
+  auto chosen = options(admission_mode::objectives);
+  chosen.queue.max_data = 1000;
+  relay_core small(chosen);
+  small.set_configuration(declared());
+  small.announce(announcement(), 1, start, tested.sink);
+  const auto before = tested.sink.delivered.size();
+  for (std::uint16_t port = 1; port <= 7; ++port)
+  {
+    auto accepted = answer(data(port));
+    accepted.accepts = true;
+    accepted.payload_size = 0;
+    small.on_upstream_packet({}, accepted, start, tested.sink);
+    small.on_visit(visit(), data(port), start, tested.sink);
+  }
+  // Four at the upstream, two held, and the seventh beyond the bound.
+  CHECK_EQUAL(before + 5, tested.sink.delivered.size());
+  // Data that does not fit releases the request that it belongs to.
+  small.on_visit(visit(), data_at(5, 100), start, tested.sink);
+  CHECK_EQUAL(before + 7, tested.sink.delivered.size());
+  CHECK_EQUAL(1U, small.status(start).held_requests);
+}
+
+namespace
+{
+
+/// Several agents that a tour visits in order. Messages to them are delivered
+/// until none is left.
+struct tour
+{
+  explicit tour(std::size_t size)
+  {
+    for (std::size_t i = 0; i < size; ++i)
+      agents.push_back(std::make_unique<agent>());
+  }
+
+  /// Returns the final message to the balancer, if any.
+  std::optional<relay_header> send(std::uint16_t port)
+  {
+    auto message = visit(static_cast<std::uint8_t>(agents.size()));
+    for (int hops = 0; hops < 20; ++hops)
+    {
+      path.push_back(message.header.stop);
+      auto& at = *agents[message.header.stop];
+      const auto before = at.sink.messages.size();
+      at.take(opening(port), start, message);
+      if (at.sink.messages.size() == before)
+        return std::nullopt;
+      message.header = at.sink.messages.back().header;
+      if (message.header.kind != relay_kind::visit)
+        return message.header;
+    }
+    FAIL("the packet travels in a circle");
+    return std::nullopt;
+  }
+
+  std::vector<std::unique_ptr<agent>> agents;
+  std::vector<int> path;
+};
+
+} // namespace
+
+// Guards against flows that end up at the last stop, however long its wait, or
+// travel without end.
+TEST(relay_admission, tour_returns_to_the_stop_with_the_shortest_wait)
+{
+  tour three(3);
+  three.agents[0]->load(16);
+  three.agents[1]->load(10);
+  three.agents[2]->load(16);
+  const auto answer = three.send(90);
+  CHECK_TRUE(three.path == (std::vector<int>{0, 1, 2, 1}));
+  CHECK_TRUE(answer && answer->kind == relay_kind::found);
+  CHECK_EQUAL(11U, three.agents[1]->status().flows);
+}
+
+// Guards against a search that goes on although the first stop is idle.
+TEST(relay_admission, idle_first_stop_admits)
+{
+  tour three(3);
+  CHECK_FALSE(three.send(90).has_value());
+  CHECK_TRUE(three.path == std::vector<int>{0});
+  CHECK_EQUAL(1U, three.agents[0]->status().flows);
+}
+
+// Guards against a best stop that will never admit the flow.
+TEST(relay_admission, stop_that_admits_no_flows_is_never_the_best)
+{
+  tour three(3);
+  three.agents[0]->core.set_evacuated(true);
+  three.agents[1]->core.set_stopping();
+  three.agents[2]->core.set_configuration(routes_to(8, {{"other", 1}}));
+  const auto answer = three.send(90);
+  CHECK_TRUE(three.path == (std::vector<int>{0, 1, 2}));
+  CHECK_TRUE(answer && answer->kind == relay_kind::missed);
+  CHECK_EQUAL(no_stop, answer->best_stop);
+}
+
+// Guards against a packet that is passed on again by its final stop.
+TEST(relay_admission, final_stop_that_cannot_admit_returns_the_packet)
+{
+  tested.core.set_evacuated(true);
+  auto final = visit(3, 1);
+  final.header.best_stop = 1;
+  final.header.final_stop = true;
+  CHECK_EQUAL(0U, tested.take(opening(1), start, final));
+  CHECK_TRUE(tested.last_header().kind == relay_kind::missed);
+  CHECK_TRUE(tested.sink.messages.back().to == balancer);
+}
+
+namespace
+{
+
+/// Records what reaches the upstream; the octets of a packet are its port and
+/// position.
+class content_sink final : public relay_sink
+{
+public:
+  void deliver(byte_view packet, std::uint32_t) override
+  {
+    if (packet.size == 4)
+      delivered.emplace_back(packet.data[0] << 8 | packet.data[1],
+                             packet.data[2] << 8 | packet.data[3]);
+  }
+  void send(const endpoint&, const relay_header&, byte_view) override {}
+  void reply(const endpoint&, byte_view) override {}
+  void reset(const flow_key&, std::uint32_t) override
+  {
+    ++resets;
+  }
+  void record(const relay_decision&) override {}
+  void record_latency(relay_timing, duration) override {}
+
+  std::vector<std::pair<int, int>> delivered; ///< port, position
+  int resets = 0;
+};
+
+} // namespace
+
+// Guards against a held request that is delivered twice, in another order than
+// its data, or kept for ever. Callers send requests of one to three packets,
+// at times twice or in another order; the upstream answers at random times.
+TEST(relay_admission, held_requests_are_delivered_once_and_in_order_or_dropped)
+{
+  for (unsigned seed = 0; seed < 60; ++seed)
+  {
+    std::mt19937 random(seed);
+    relay_core core(options(admission_mode::objectives));
+    content_sink sink;
+    core.set_configuration(declared());
+    core.announce(announcement(), 1, start, sink);
+    std::set<std::uint16_t> at_upstream;
+    std::map<std::uint16_t, int> parts;
+    constexpr std::uint16_t flows = 30;
+    for (std::uint16_t port = 1; port <= flows; ++port)
+    {
+      auto accepted = answer(data(port));
+      accepted.accepts = true;
+      accepted.payload_size = 0;
+      core.on_upstream_packet({}, accepted, start, sink);
+    }
+    auto now = start;
+    std::size_t seen = 0;
+    std::map<std::uint16_t, int> last; // position delivered before
+    const auto check_delivered = [&]
+    {
+      for (; seen < sink.delivered.size(); ++seen)
+      {
+        const auto [port, position] = sink.delivered[seen];
+        const auto key = static_cast<std::uint16_t>(port);
+        const auto before = last.find(key);
+        CHECK_TRUE(before == last.end() || before->second < position);
+        last[key] = position;
+        at_upstream.insert(key);
+      }
+      CHECK_TRUE(core.status(now).busy <= capacity);
+    };
+    std::uint16_t next_flow = 1;
+    for (int step = 0; step < 300; ++step)
+    {
+      now += std::chrono::milliseconds(random() % 40);
+      if (random() % 40 == 0)
+        now += 2s; // the agent is paused
+      if (next_flow <= flows && random() % 3 == 0)
+      {
+        parts[next_flow] = 1 + static_cast<int>(random() % 3);
+        std::vector<int> order;
+        for (int i = 0; i < parts[next_flow]; ++i)
+          order.insert(order.end(), 1 + random() % 2, i);
+        // The first packet arrives first, so that it starts the request.
+        std::shuffle(order.begin() + 1, order.end(), random);
+        for (const int part : order)
+        {
+          // A copy of data that has gone to the upstream passes at once.
+          const auto sent = last.find(next_flow);
+          if (sent != last.end() && sent->second >= part * 100)
+            continue;
+          const auto position = static_cast<std::uint16_t>(part * 100);
+          const std::array<std::uint8_t, 4> bytes = {
+              static_cast<std::uint8_t>(next_flow >> 8),
+              static_cast<std::uint8_t>(next_flow),
+              static_cast<std::uint8_t>(position >> 8),
+              static_cast<std::uint8_t>(position)};
+          auto message = visit();
+          message.packet = {bytes.data(), bytes.size()};
+          core.on_visit(message, data_at(next_flow, position), now, sink);
+          check_delivered();
+        }
+        ++next_flow;
+      }
+      else if (!at_upstream.empty() && random() % 2 == 0)
+      {
+        const auto port = *at_upstream.begin();
+        at_upstream.erase(at_upstream.begin());
+        core.on_upstream_packet({}, answer(data(port)), now, sink);
+      }
+      core.serve_held(now, sink);
+      check_delivered();
+    }
+    core.serve_held(now + 5s, sink);
+    CHECK_FALSE(core.holds_packets());
+    CHECK_EQUAL(0U, core.status(now).held_data);
+    CHECK_EQUAL(0, sink.resets);
+  }
+}
--- a/src/relay/relay_requests_core.cpp
+++ b/src/relay/relay_requests_core.cpp
@@ -37,7 +37,7 @@
 {
   if (options_.admission != admission_mode::objectives)
     return;
-  flow.awaited_since = now;
+  flow.awaited_since = flow.opened = now;
   ++awaited_;
   awaited_flows_.emplace_back(now, key);
 }
@@ -89,8 +89,13 @@
 {
   const auto key = packet.from_caller();
   const data_range range{packet.sequence, packet.payload_size};
+  // Callers count the time of the first request from the opening packet.
+  const bool awaited = flow.awaited_since &&
+                       now - *flow.awaited_since < options_.request_awaited;
+  const auto since = awaited ? flow.opened : now;
   if (queue_.add_request(key, terms_of(packet.destination), range,
-                         meter_.service_time(), now) == hold_verdict::full)
+                         meter_.service_time(), since,
+                         now) == hold_verdict::full)
   {
     count(relay_event::queue_full);
     return false;
