relay: new flows see that the upstream hangs

The meter takes silence of a busy upstream as service time, but only inputs of the meter let time pass, and a hanging upstream causes none. Its agent kept estimating a short wait and admitted new flows as first stop. The decision about an opening packet now advances the meter.

relay_review, upstream_that_hangs_passes_new_flows_on failed before.

--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -66,6 +66,8 @@
   if (const auto refused = standing_refusal(header, packet, now))
     return refuse_flow(message, packet, *refused, sink);
   const auto terms = terms_of(packet.destination);
+  // An upstream that hangs ends no request, so only time shows it.
+  meter_.advance(now);
   auto view = view_of(header, terms, now);
   const auto held = queue_.openings().ahead(terms.priority, now);
   view.wait += meter_.service_time() * static_cast<std::int64_t>(held) /
--- /dev/null
+++ b/src/relay/relay_review_test.cpp
@@ -0,0 +1,118 @@
+// Failures of upstreams and callers while requests and new flows wait.
+
+#include <toucanmill/relay/relay_core.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "relay_fixture_test.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::relay_test;
+
+namespace
+{
+
+const endpoint upstream_address = endpoint_at(3, 8080);
+
+relay_options options()
+{
+  relay_options value;
+  value.admission = admission_mode::objectives;
+  value.upstream.service = "notes";
+  value.upstream.address = upstream_address;
+  value.started = start - 2s;
+  return value;
+}
+
+/// The first route has an objective of 200 ms and the highest priority; the
+/// second one, on port 444, 800 ms and a lower priority.
+configuration declared()
+{
+  auto value = routes_to(5, {{"notes", 1}});
+  value.routes[0].timeout_ms = 3000;
+  value.routes[0].objectives = {request_kind::idempotent, 200, 0};
+  value.routes.push_back(value.routes[0]);
+  value.routes[1].name = "s";
+  value.routes[1].address = public_address(444);
+  value.routes[1].objectives = {request_kind::idempotent, 800, 1};
+  return value;
+}
+
+upstream_announcement announcement(std::uint64_t sequence = 1)
+{
+  upstream_announcement value;
+  value.instance = "i-1";
+  value.service = "notes";
+  value.address = upstream_address;
+  value.slots = 2;
+  value.sequence = sequence;
+  value.born_ms = 1000;
+  return value;
+}
+
+relay_message visit(std::uint8_t stops = 1)
+{
+  relay_message message;
+  message.header.service = key_of_service("notes");
+  message.header.configuration = 5;
+  message.header.balancer = endpoint_at(1, 7720);
+  for (std::uint8_t i = 0; i < stops; ++i)
+    message.header.stops.add(endpoint_at(100U + i));
+  return message;
+}
+
+} // namespace
+
+TEST_GROUP(relay_review)
+{
+  relay_core core{options()};
+  recording_sink sink;
+
+  void setup() override
+  {
+    core.set_configuration(declared());
+    core.announce(announcement(), 1, start - 1s, sink);
+  }
+
+  /// Returns how many packets reached the upstream.
+  std::size_t take(const flow_packet& packet, time_point now,
+                   std::uint8_t stops = 1)
+  {
+    const auto before = sink.delivered.size();
+    core.on_visit(visit(stops), packet, now, sink);
+    return sink.delivered.size() - before;
+  }
+
+  void answer_to(const flow_packet& packet, time_point now)
+  {
+    core.on_upstream_packet({}, answer(packet), now, sink);
+  }
+
+  /// The upstream has the flow, and the agent learns it from its answer.
+  void open_at_upstream(std::uint16_t port, time_point now)
+  {
+    auto accepted = data(port);
+    accepted.accepts = true;
+    accepted.payload_size = 0;
+    answer_to(accepted, now);
+  }
+
+  void load(std::uint16_t count, time_point now = start)
+  {
+    for (std::uint16_t port = 1; port <= count; ++port)
+      open_at_upstream(port, now);
+    for (std::uint16_t port = 1; port <= count; ++port)
+      take(data(port), now);
+  }
+};
+
+// Guards against an upstream that has stopped answering its requests and gets
+// all new flows that visit it first, because nothing tells the meter that time
+// passes while no request starts or ends.
+TEST(relay_review, upstream_that_hangs_passes_new_flows_on)
+{
+  load(4);
+  core.announce(announcement(2), 1, start + 2s, sink);
+  CHECK_EQUAL(0U, take(opening(50), start + 2s, 2));
+  CHECK_TRUE(sink.messages.back().header.kind == relay_kind::visit);
+}
