relay: a caller's reset ends its request in progress

A request whose caller reset the flow counted as in progress until the time limit of its route, and as busy until the flow was evicted after 60 s, so that its place stayed unused while other requests waited. In mode objectives the reset now ends the count. The flow stays known, since the upstream may not accept the reset; its later packets pass as before.

relay_review, reset_by_the_caller_ends_its_request_in_progress failed before.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -410,6 +410,8 @@
   /// `status`: of the response; none when there was no response.
   void end_request(flow_state& flow, std::optional<std::uint16_t> status,
                    time_point now);
+  /// Neither a response nor the first request is expected any more.
+  void stop_waiting(flow_state& flow, time_point now);
   /// Takes the flow, which is about to be erased or ended, out of all counts.
   void release(const flow_key& key, flow_state& flow, time_point now);
   bool lacks_flow(const flow_key& flow, time_point now) const;
--- a/src/relay/relay_flows_core.cpp
+++ b/src/relay/relay_flows_core.cpp
@@ -76,6 +76,9 @@
     begin_request(flow, now);
   }
   flow.caller_finished |= packet.finishes;
+  // The flow stays known: the upstream may not accept the reset.
+  if (packet.resets && options_.admission == admission_mode::objectives)
+    stop_waiting(flow, now);
 }
 
 void relay_core::track_upstream_packet(const flow_packet& packet,
@@ -146,12 +149,17 @@
     meter_.on_failure(flow.passed_at, now);
 }
 
-void relay_core::release(const flow_key& key, flow_state& flow, time_point now)
+void relay_core::stop_waiting(flow_state& flow, time_point now)
 {
   end_request(flow, std::nullopt, now);
   if (flow.awaited_since)
     --awaited_;
   flow.awaited_since.reset();
+}
+
+void relay_core::release(const flow_key& key, flow_state& flow, time_point now)
+{
+  stop_waiting(flow, now);
   forget_held(key);
 }
 
--- a/src/relay/relay_review_test.cpp
+++ b/src/relay/relay_review_test.cpp
@@ -116,3 +116,23 @@
   CHECK_EQUAL(0U, take(opening(50), start + 2s, 2));
   CHECK_TRUE(sink.messages.back().header.kind == relay_kind::visit);
 }
+
+// Guards against capacity that stays unused until the time limit of the route,
+// because the caller has reset the flow of a request in progress.
+TEST(relay_review, reset_by_the_caller_ends_its_request_in_progress)
+{
+  load(5);
+  CHECK_EQUAL(1U, core.status(start).held_requests);
+  auto reset = data(1);
+  reset.resets = true;
+  reset.payload_size = 0;
+  CHECK_EQUAL(1U, take(reset, start + 10ms));
+  CHECK_EQUAL(3U, core.status(start).busy);
+  core.serve_held(start + 10ms, sink);
+  CHECK_EQUAL(4U, core.status(start).busy);
+  CHECK_EQUAL(0U, core.status(start).held_requests);
+  // The upstream may not have accepted the reset; the flow stays known.
+  CHECK_EQUAL(1U, take(data(1), start + 20ms));
+  answer_to(data(1), start + 30ms);
+  CHECK_EQUAL(4U, core.status(start).busy);
+}
