relay: a late refusal of a copy does not end an open flow

A held opening packet may be refused up to a second after its arrival. If the found message of its agent was lost, another agent may have admitted a copy by then. The balancer reset the flow, or opened it at an upstream of the next service, although the caller was already using it. It now ignores refusals of opening packets once the caller has sent data on the flow.

placed_flow, late_refusal_of_a_copy_does_not_end_an_open_flow failed before.

--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -59,6 +59,10 @@
     return flows_.count(flow) != 0;
   }
 
+  /// Whether the caller has sent data since the flow was remembered, so that it
+  /// is open.
+  bool has_data(const flow_key& flow) const;
+
   /// Notes the data of a remembered flow's packet. Returns `verify` and
   /// `search` once for each unanswered question.
   recall_advice advise(const flow_key& flow, const flow_packet& packet,
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -291,6 +291,9 @@
   if (header.probe && !header.remembered)
     return header.undecided != 0 ? probe_by_packet(header, agent)
                                  : entry_action{entry_drop::probe_missed};
+  // Another agent admitted another copy, and the caller uses the flow.
+  if (packet.opens && memory_.has_data(packet.from_caller()))
+    return entry_drop::stale_answer;
   const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
--- a/src/relay/flow_memory.cpp
+++ b/src/relay/flow_memory.cpp
@@ -26,6 +26,12 @@
   return found->second.where;
 }
 
+bool flow_memory::has_data(const flow_key& flow) const
+{
+  const auto found = flows_.find(flow);
+  return found != flows_.end() && found->second.data_end;
+}
+
 bool flow_memory::repeats(state& flow, const flow_packet& packet,
                           time_point now) const
 {
--- a/src/relay/placed_flow_test.cpp
+++ b/src/relay/placed_flow_test.cpp
@@ -117,6 +117,33 @@
   CHECK_EQUAL(2U, core.counters().reported_copies);
 }
 
+// Guards against a reset of an open flow, or a second upstream for it: one copy
+// of the opening packet is refused after a hold, while another agent admitted
+// another copy and the caller has sent data since.
+TEST(placed_flow, late_refusal_of_a_copy_does_not_end_an_open_flow)
+{
+  install(6, 6);
+  const auto first = send(0);
+  const auto copy = send(1, 200ms);
+  auto refused = first.header;
+  refused.kind = relay_kind::missed;
+  refused.reason = miss_reason::refused;
+  const auto refuse_first = [&]
+  {
+    return core.on_missed(refused, first.agent, opening(port), start + 1s);
+  };
+  CHECK_TRUE(is_reset(refuse_first(), reset_reason::refused));
+  core.on_packet(data(port), start + 300ms);
+  const auto after_data = refuse_first();
+  const auto* drop = std::get_if<entry_drop>(&after_data);
+  CHECK_TRUE(drop != nullptr && *drop == entry_drop::stale_answer);
+  CHECK_TRUE(visit_of(core.on_packet(data(port), start + 301ms)).agent ==
+             copy.agent);
+  // Another flow with this address and port.
+  send(0, 700ms);
+  CHECK_TRUE(is_reset(refuse_first(), reset_reason::refused));
+}
+
 // Guards against a copy that follows its lost first packet to a dead agent: the
 // balancer only assumes that the first stop holds the flow.
 TEST(placed_flow, copy_of_an_unreported_flow_starts_at_the_next_near_stop)
