relay: late copies and unanswered requests do not occupy an agent

Cause: in admission by objectives an agent passes on four requests at once and holds the others. Ruled out: lost deliveries, bounces.

Change: what the upstream acknowledges counts as received, so a copy of it is no new request; a request that is unanswered for its objective, or four service times, no longer counts as in progress.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <toucanmill/admission/opening_policy.hpp>
@@ -167,7 +168,8 @@
   incarnation life;
   std::uint32_t slots = 0;
   std::size_t flows = 0;
-  std::size_t busy = 0; ///< flows whose request has no response yet
+  std::size_t busy = 0;        ///< flows whose request has no response yet
+  std::size_t in_progress = 0; ///< of these, at the upstream and not overdue
   /// Buckets in which the upstream may hold flows, ascending.
   std::vector<std::uint16_t> held_buckets;
   bool knows_buckets = false; ///< their number, without which none is held
@@ -380,8 +382,10 @@
   void deliver_held(const flow_key& flow, time_point now, relay_sink& sink);
   void drop_expired_requests(time_point now, relay_sink& sink);
   void forget_held(const flow_key& flow);
-  void stop_counting_overdue(flow_state& flow, const flow_key& key,
-                             time_point now);
+  static void note_received(flow_state& flow, std::uint32_t position);
+  bool is_overdue(const flow_key& key, time_point passed_at,
+                  time_point now) const;
+  void stop_counting_overdue(time_point now);
   static bool is_new_data(const flow_state& flow, const flow_packet& packet);
 
   void deliver(const relay_message& message, const flow_packet& packet,
@@ -406,7 +410,7 @@
                   relay_sink& sink);
   void track_upstream_packet(const flow_packet& packet, time_point now,
                              relay_sink& sink);
-  void begin_request(flow_state& flow, time_point now);
+  void begin_request(const flow_key& key, flow_state& flow, time_point now);
   /// `status`: of the response; none when there was no response.
   void end_request(flow_state& flow, std::optional<std::uint16_t> status,
                    time_point now);
@@ -452,6 +456,8 @@
   request_queue queue_;
   std::unordered_map<flow_key, held_packet> held_openings_;
   std::unordered_map<flow_key, std::vector<held_packet>> held_requests_;
+  /// Requests in the order in which they were passed on, some already answered.
+  std::deque<std::pair<time_point, flow_key>> passed_requests_;
   std::size_t in_progress_ = 0; ///< requests at the upstream, overdue ones not
   std::size_t awaited_ = 0;     ///< flows with awaited_since
   std::deque<std::pair<time_point, flow_key>> awaited_flows_; ///< by time
--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -127,6 +127,7 @@
 {
   if (queue_.empty())
     return;
+  stop_counting_overdue(now);
   drop_expired_requests(now, sink);
   if (admits_no_more(now))
     return_openings(sink);
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -446,6 +446,7 @@
   out.slots = upstream_.slots();
   out.flows = flows_.size() - ended_flows_;
   out.busy = busy_;
+  out.in_progress = in_progress_;
   out.held_buckets = held_buckets(now);
   out.knows_buckets = bucket_count_ > 0;
   out.knows_all_flows = knows_all_flows(now);
--- a/src/relay/relay_fixture_test.hpp
+++ b/src/relay/relay_fixture_test.hpp
@@ -52,11 +52,12 @@
   return packet;
 }
 
-/// The upstream's answer to a caller's packet.
+/// The upstream's answer to a caller's packet; it acknowledges the data.
 inline flow_packet answer(flow_packet packet)
 {
   std::swap(packet.source, packet.destination);
   packet.opens = false;
+  packet.acknowledged = packet.sequence + packet.payload_size;
   return packet;
 }
 
--- a/src/relay/relay_flows_core.cpp
+++ b/src/relay/relay_flows_core.cpp
@@ -73,7 +73,7 @@
       flow.wait_recorded = false;
       flow.request_id = packet.request_id;
     }
-    begin_request(flow, now);
+    begin_request(packet.from_caller(), flow, now);
   }
   flow.caller_finished |= packet.finishes;
   // The flow stays known: the upstream may not accept the reset.
@@ -98,6 +98,8 @@
   flow.used = now;
   flow.answered = true;
   flow.open |= !packet.accepts;
+  if (packet.acknowledges && !packet.accepts)
+    note_received(flow, packet.acknowledged);
   if (const auto awaited = awaited_proofs_.find(key);
       awaited != awaited_proofs_.end())
   {
@@ -118,7 +120,8 @@
     end(key, now, sink);
 }
 
-void relay_core::begin_request(flow_state& flow, time_point now)
+void relay_core::begin_request(const flow_key& key, flow_state& flow,
+                               time_point now)
 {
   if (flow.awaited_since)
     --awaited_;
@@ -130,6 +133,8 @@
   ++busy_;
   ++in_progress_;
   meter_.on_request(now);
+  if (options_.admission == admission_mode::objectives)
+    passed_requests_.emplace_back(now, key);
 }
 
 void relay_core::end_request(flow_state& flow,
@@ -203,6 +208,7 @@
 
 void relay_core::on_tick(time_point now, relay_sink& sink)
 {
+  stop_counting_overdue(now);
   for (auto it = awaited_proofs_.begin(); it != awaited_proofs_.end();)
     it = now - it->second.since > options_.proof_timeout
              ? awaited_proofs_.erase(it)
@@ -210,7 +216,6 @@
   for (auto it = flows_.begin(); it != flows_.end();)
   {
     auto& [key, flow] = *it;
-    stop_counting_overdue(flow, key, now);
     const bool waits = flow.busy && !flow.wait_recorded &&
                        now - flow.busy_since > options_.slow_request_limit;
     if (waits)
--- a/src/relay/relay_requests_core.cpp
+++ b/src/relay/relay_requests_core.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Service times after which a request counts as unanswered, if its objective
+/// is shorter.
+constexpr int overdue_services = 4;
+
 /// Whether position a is after b; positions wrap around.
 bool is_after(std::uint32_t a, std::uint32_t b)
 {
@@ -228,17 +232,43 @@
   held_requests_.erase(flow);
 }
 
-/// The caller of an overdue request has given up, and an upstream that hangs
-/// must not hold up the requests behind it.
-void relay_core::stop_counting_overdue(flow_state& flow, const flow_key& key,
-                                       time_point now)
+/// Data that the upstream has received is not new, also if another agent or an
+/// earlier process passed it on: a late copy of it would count as a request
+/// that never gets a response.
+void relay_core::note_received(flow_state& flow, std::uint32_t position)
 {
-  if (options_.admission != admission_mode::objectives || !flow.counted ||
-      now - flow.passed_at <= terms_of(key.service).time_limit)
-    return;
-  flow.counted = false;
-  --in_progress_;
-  meter_.on_failure(flow.passed_at, now);
+  if (!flow.passed_end || is_after(position, *flow.passed_end))
+    flow.passed_end = position;
+}
+
+/// With at most one request queued for each slot, an upstream that works
+/// answers within its objective. One that hangs, or a flow that it gave up,
+/// must not keep the requests behind it from the upstream.
+bool relay_core::is_overdue(const flow_key& key, time_point passed_at,
+                            time_point now) const
+{
+  const auto terms = terms_of(key.service);
+  const auto limit =
+      std::clamp(overdue_services * meter_.service_time(), terms.objective,
+                 std::max(terms.objective, terms.time_limit));
+  return now - passed_at > limit;
+}
+
+void relay_core::stop_counting_overdue(time_point now)
+{
+  for (; !passed_requests_.empty(); passed_requests_.pop_front())
+  {
+    const auto& [passed_at, key] = passed_requests_.front();
+    const auto found = flows_.find(key);
+    if (found == flows_.end() || !found->second.counted ||
+        found->second.passed_at != passed_at)
+      continue;
+    if (!is_overdue(key, passed_at, now))
+      return;
+    found->second.counted = false;
+    --in_progress_;
+    meter_.on_failure(passed_at, now);
+  }
 }
 
 } // namespace toucanmill
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -190,9 +190,13 @@
     next->erase(key_of(address));
   for (const auto& group : changes.changed)
     for (const auto& address : group.addresses)
-      (*next)[key_of(address)] = std::make_shared<const route>(
-          route{{}, address, group.targets, group.timeout_ms, group.former,
-                group.objectives});
+      (*next)[key_of(address)] =
+          std::make_shared<const route>(route{{},
+                                              address,
+                                              group.targets,
+                                              group.timeout_ms,
+                                              group.former,
+                                              group.objectives});
   routes_ = std::move(next);
   configuration_ = changes.version;
 }
