admission: late requests of a higher priority count as ahead

The list releases late entries of a higher priority, and all that have aged, before those on time of a lower one, but the expected wait of a new flow left all late entries out. Flows of a lower priority were admitted as on time in front of a long backlog. ahead() now counts what ranks before.

--- a/include/toucanmill/admission/waiting_list.hpp
+++ b/include/toucanmill/admission/waiting_list.hpp
@@ -62,8 +62,8 @@
   /// Removes and returns the flows whose time is up.
   std::vector<waiting_entry> take_expired(time_point now);
 
-  /// Number of entries that a new one of this priority would wait for. Those
-  /// that are late do not count: they rank behind it.
+  /// Number of entries that a new one of this priority would wait for. Late
+  /// ones count only if they rank before it by a higher priority or their age.
   std::size_t ahead(std::uint32_t priority, time_point now);
 
   std::size_t size() const
@@ -100,8 +100,10 @@
   std::set<rank> order_;
   std::set<timer> timers_; ///< when the rank of an entry changes, or it expires
   std::set<timer> aged_;   ///< by `since`
-  std::array<std::size_t, lowest_priority + 1> on_time_{}; ///< by priority
-  std::vector<waiting_entry> expired_;                     ///< not yet returned
+  using counts = std::array<std::size_t, lowest_priority + 1>;
+  counts on_time_{};                   ///< by priority
+  counts late_{};                      ///< by priority
+  std::vector<waiting_entry> expired_; ///< not yet returned
   std::uint32_t releases_ = 0;
 };
 
--- a/src/admission/waiting_list.cpp
+++ b/src/admission/waiting_list.cpp
@@ -40,7 +40,7 @@
   timers_.emplace(next_change(value), value.entry.flow);
   if (value.aged)
     aged_.emplace(value.entry.since, value.entry.flow);
-  on_time_[std::get<0>(place)] += value.late ? 0 : 1;
+  ++(value.late ? late_ : on_time_)[std::get<0>(place)];
 }
 
 void waiting_list::unlink(const state& value)
@@ -50,7 +50,7 @@
   timers_.erase({next_change(value), value.entry.flow});
   if (value.aged)
     aged_.erase({value.entry.since, value.entry.flow});
-  on_time_[std::get<0>(place)] -= value.late ? 0 : 1;
+  --(value.late ? late_ : on_time_)[std::get<0>(place)];
 }
 
 void waiting_list::advance(time_point now)
@@ -130,9 +130,10 @@
 std::size_t waiting_list::ahead(std::uint32_t priority, time_point now)
 {
   advance(now);
-  std::size_t sum = 0;
-  for (std::size_t i = 0; i <= std::min(priority, lowest_priority); ++i)
-    sum += on_time_[i];
+  const auto own = std::min(priority, lowest_priority);
+  auto sum = on_time_[own];
+  for (std::size_t i = 0; i < own; ++i)
+    sum += on_time_[i] + late_[i];
   return sum;
 }
 
