admission: the oldest held flow does not block those on time

Each eighth release is the turn of the oldest entry. If that flow could not be admitted yet, release_openings() returned and the turn came again at each call, so that flows on time, for example those that waited for a warm-up token, stayed held until the end of their hold. The turn is now passed over.

relay_review, oldest_flow_does_not_block_those_on_time failed before.

--- a/include/toucanmill/admission/waiting_list.hpp
+++ b/include/toucanmill/admission/waiting_list.hpp
@@ -56,6 +56,9 @@
   /// Ranks the entry as late; false if it is.
   bool mark_late(const flow_key& flow);
 
+  /// Passes over the turn of the oldest entry; false if it is not its turn.
+  bool skip_oldest();
+
   /// Removes the entry that next() returned.
   waiting_entry take(const flow_key& flow);
 
@@ -91,6 +94,7 @@
   static rank rank_of(const state& value);
   static time_point next_change(const state& value);
   static time_point ages_at(const waiting_entry& entry);
+  bool is_turn_of_oldest() const;
   static void update(state& value, time_point now);
   void link(const state& value);
   void unlink(const state& value);
--- a/src/admission/waiting_list.cpp
+++ b/src/admission/waiting_list.cpp
@@ -90,15 +90,26 @@
   return true;
 }
 
+bool waiting_list::is_turn_of_oldest() const
+{
+  return !aged_.empty() && releases_ % fair_interval == fair_interval - 1;
+}
+
+bool waiting_list::skip_oldest()
+{
+  if (!is_turn_of_oldest())
+    return false;
+  ++releases_;
+  return true;
+}
+
 const waiting_entry* waiting_list::next(time_point now)
 {
   advance(now);
   if (entries_.empty())
     return nullptr;
-  const bool oldest =
-      !aged_.empty() && releases_ % fair_interval == fair_interval - 1;
-  const auto& flow =
-      oldest ? aged_.begin()->second : std::get<flow_key>(*order_.begin());
+  const auto& flow = is_turn_of_oldest() ? aged_.begin()->second
+                                         : std::get<flow_key>(*order_.begin());
   return &entries_.find(flow)->second.entry;
 }
 
--- a/src/admission/waiting_list_test.cpp
+++ b/src/admission/waiting_list_test.cpp
@@ -114,6 +114,25 @@
   FAIL("the request with low priority was not released");
 }
 
+// Guards against a turn of the oldest entry that lasts until it can be
+// released.
+TEST(waiting_list, turn_of_the_oldest_can_be_passed_over)
+{
+  for (std::uint16_t port = 1; port <= 9; ++port)
+    add(entry(port, 0, 0ms));
+  add(entry(10, 0, 1500ms));
+  const auto now = start + 1500ms; // the first ones are late and aged
+  CHECK_FALSE(list.skip_oldest());
+  CHECK_EQUAL(10, take(list, now));
+  for (std::uint16_t port = 1; port <= 6; ++port)
+    CHECK_EQUAL(port, take(list, now));
+  add(entry(11, 0, 1500ms));
+  CHECK_EQUAL(7, list.next(now)->flow.caller.port);
+  CHECK_TRUE(list.skip_oldest());
+  CHECK_FALSE(list.skip_oldest());
+  CHECK_EQUAL(11, take(list, now));
+}
+
 // Guards against an estimate of the wait that counts what ranks behind, or
 // leaves out late entries that rank first by their priority or their age.
 TEST(waiting_list, ahead_counts_what_ranks_before_a_new_entry_on_time)
--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -195,7 +195,8 @@
     {
       // It cannot be on time any more, but those behind it may be.
       if (view.token_wait == duration{0} &&
-          queue_.openings().mark_late(next->flow))
+          (queue_.openings().mark_late(next->flow) ||
+           queue_.openings().skip_oldest()))
         continue;
       return;
     }
--- a/src/relay/relay_review_test.cpp
+++ b/src/relay/relay_review_test.cpp
@@ -24,8 +24,8 @@
   return value;
 }
 
-/// The first route has an objective of 200 ms and the highest priority; the
-/// second one, on port 444, 800 ms and a lower priority.
+/// Two routes with an objective of 200 ms; the second one, on port 444, has the
+/// shorter time limit.
 configuration declared()
 {
   auto value = routes_to(5, {{"notes", 1}});
@@ -34,7 +34,7 @@
   value.routes.push_back(value.routes[0]);
   value.routes[1].name = "s";
   value.routes[1].address = public_address(444);
-  value.routes[1].objectives = {request_kind::idempotent, 800, 1};
+  value.routes[1].timeout_ms = 1500;
   return value;
 }
 
@@ -136,3 +136,44 @@
   answer_to(data(1), start + 30ms);
   CHECK_EQUAL(4U, core.status(start).busy);
 }
+
+// Guards against new flows that miss their objective because the turn of the
+// oldest one is due, and it cannot be admitted yet.
+TEST(relay_review, oldest_flow_does_not_block_those_on_time)
+{
+  // Seven held flows are admitted; the turn of the oldest comes next.
+  load(30);
+  for (std::uint16_t port = 101; port <= 107; ++port)
+    CHECK_EQUAL(0U, take(opening(port), start));
+  auto now = start;
+  for (std::uint16_t port = 1; port <= 30; ++port)
+    answer_to(data(port), now += 10ms);
+  for (std::uint16_t port = 101; port <= 107; ++port)
+    open_at_upstream(port, now);
+  CHECK_EQUAL(0U, core.status(now).held_openings);
+  // A backlog, and a flow that gets old behind it.
+  now += 5s;
+  constexpr std::uint16_t first = 200;
+  constexpr std::uint16_t count = 120;
+  for (std::uint16_t port = first; port < first + count; ++port)
+    open_at_upstream(port, now);
+  for (std::uint16_t port = first; port < first + count; ++port)
+    take(data(port), now);
+  auto old = opening(501);
+  old.destination = public_address(444);
+  CHECK_EQUAL(0U, take(old, now));
+  std::uint16_t next = first;
+  for (; next < first + 76; ++next)
+    answer_to(data(next), now += 10ms);
+  // A flow that waits for a token only.
+  core.set_warm_up_rate(50'000);
+  auto cold = announcement(2);
+  cold.cold_left = 10s;
+  core.announce(cold, 1, now, sink);
+  CHECK_EQUAL(1U, take(opening(502), now));
+  open_at_upstream(502, now);
+  CHECK_EQUAL(0U, take(opening(503), now));
+  CHECK_EQUAL(2U, core.status(now).held_openings);
+  core.serve_held(now + 21ms, sink);
+  CHECK_EQUAL(1U, core.status(now).held_openings);
+}
