--- a/include/toucanmill/admission/waiting_list.hpp
+++ b/include/toucanmill/admission/waiting_list.hpp
@@ -56,14 +56,17 @@
   /// Ranks the entry as late; false if it is.
   bool mark_late(const flow_key& flow);
 
+  /// Passes over the turn of the oldest entry; false if it is not its turn.
+  bool skip_oldest();
+
   /// Removes the entry that next() returned.
   waiting_entry take(const flow_key& flow);
 
   /// Removes and returns the flows whose time is up.
   std::vector<waiting_entry> take_expired(time_point now);
 
-  /// Number of entries that a new one of this priority would wait for. Those
-  /// that are late do not count: they rank behind it.
+  /// Number of entries that a new one of this priority would wait for. Late
+  /// ones count only if they rank before it by a higher priority or their age.
   std::size_t ahead(std::uint32_t priority, time_point now);
 
   std::size_t size() const
@@ -91,6 +94,7 @@
   static rank rank_of(const state& value);
   static time_point next_change(const state& value);
   static time_point ages_at(const waiting_entry& entry);
+  bool is_turn_of_oldest() const;
   static void update(state& value, time_point now);
   void link(const state& value);
   void unlink(const state& value);
@@ -100,8 +104,10 @@
   std::set<rank> order_;
   std::set<timer> timers_; ///< when the rank of an entry changes, or it expires
   std::set<timer> aged_;   ///< by `since`
-  std::array<std::size_t, lowest_priority + 1> on_time_{}; ///< by priority
-  std::vector<waiting_entry> expired_;                     ///< not yet returned
+  using counts = std::array<std::size_t, lowest_priority + 1>;
+  counts on_time_{};                   ///< by priority
+  counts late_{};                      ///< by priority
+  std::vector<waiting_entry> expired_; ///< not yet returned
   std::uint32_t releases_ = 0;
 };
 
