agent: sort the sources into tcp, session, dispatch and runtime

Cause: 59 files in one folder mixed TCP in user space, sessions, packet dispatch and the runtime. Change: each file moves into the folder of its duty; include guards and three includes across folders follow, and slices are globbed recursively. In tests only include lines and include guards change.

--- a/src/agent/dispatch_random_test.cpp
+++ b/src/agent/dispatch/dispatch_random_test.cpp
@@ -10,7 +10,7 @@
 #include <toucanmill/base/invariant.hpp>
 #include <toucanmill/table/flow_hash.hpp>
 
-#include "random_seeds_test.hpp"
+#include "../random_seeds_test.hpp"
 
 using namespace toucanmill;
 using namespace std::chrono_literals;
--- a/src/agent/agent_flow.hpp
+++ b/src/agent/runtime/agent_flow.hpp
@@ -1,5 +1,5 @@
-#ifndef TOUCANMILL_SRC_AGENT_AGENT_FLOW_HPP
-#define TOUCANMILL_SRC_AGENT_AGENT_FLOW_HPP
+#ifndef TOUCANMILL_SRC_AGENT_RUNTIME_AGENT_FLOW_HPP
+#define TOUCANMILL_SRC_AGENT_RUNTIME_AGENT_FLOW_HPP
 
 #include <asio.hpp>
 #include <cstddef>
@@ -12,7 +12,7 @@
 #include <toucanmill/agent/session_core.hpp>
 #include <toucanmill/agent/tcp_stack.hpp>
 
-#include "send_queue.hpp"
+#include "../tcp/send_queue.hpp"
 #include "upstream_connection.hpp"
 
 namespace toucanmill::detail
--- a/src/agent/http_message_core.hpp
+++ b/src/agent/session/http_message_core.hpp
@@ -1,5 +1,5 @@
-#ifndef TOUCANMILL_SRC_AGENT_HTTP_MESSAGE_CORE_HPP
-#define TOUCANMILL_SRC_AGENT_HTTP_MESSAGE_CORE_HPP
+#ifndef TOUCANMILL_SRC_AGENT_SESSION_HTTP_MESSAGE_CORE_HPP
+#define TOUCANMILL_SRC_AGENT_SESSION_HTTP_MESSAGE_CORE_HPP
 
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/src/agent/http_random_test.cpp
+++ b/src/agent/session/http_random_test.cpp
@@ -10,8 +10,8 @@
 
 #include <toucanmill/agent/admission_core.hpp>
 
+#include "../random_seeds_test.hpp"
 #include "http_message_core.hpp"
-#include "random_seeds_test.hpp"
 
 using namespace toucanmill;
 using namespace std::chrono_literals;
