agent: clearer names for upstream states and caller events

Cause: the enumeration `connection` of an HTTP session was about the upstream only, `on_caller` did not say that it takes events, and a comment called a streamed response a feed. Change: `upstream_state`, `on_caller_event`, `read_big_endian` in place of a comment; no change of behaviour. Result: agent 58 tests pass.

--- a/src/agent/runtime/agent_flow.cpp
+++ b/src/agent/runtime/agent_flow.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void agent_flow::on_caller(const tcp_event& event)
+void agent_flow::on_caller_event(const tcp_event& event)
 {
   if (const auto* received = std::get_if<tcp_received>(&event.what))
   {
--- a/src/agent/runtime/agent_flow.hpp
+++ b/src/agent/runtime/agent_flow.hpp
@@ -30,7 +30,7 @@
              std::unique_ptr<session_core> session);
 
   /// Handles an event of the caller's connection. tcp_closed is the last one.
-  void on_caller(const tcp_event& event);
+  void on_caller_event(const tcp_event& event);
 
   void handle(session_input input);
 
--- a/src/agent/runtime/agent_runtime.cpp
+++ b/src/agent/runtime/agent_runtime.cpp
@@ -72,7 +72,7 @@
       found != flows_.end())
   {
     const auto flow = found->second;
-    flow->on_caller(event);
+    flow->on_caller_event(event);
   }
 }
 
@@ -102,7 +102,7 @@
   if (found == flows_.end())
     return;
   const auto flow = found->second;
-  flow->on_caller(event);
+  flow->on_caller_event(event);
   sessions_.erase(flow->id());
   flows_.erase(event.connection.get());
   counts_.open_flows = flows_.size();
--- a/src/agent/session/http_request_core.cpp
+++ b/src/agent/session/http_request_core.cpp
@@ -205,10 +205,10 @@
 
 void http_session::connect()
 {
-  TOUCANMILL_INVARIANT(upstream_ == connection::none,
+  TOUCANMILL_INVARIANT(upstream_ == upstream_state::none,
                        "an upstream connection outlived its request");
   phase_ = phase::connecting;
-  upstream_ = connection::connecting;
+  upstream_ = upstream_state::connecting;
   emit(connect_upstream{});
 }
 
--- a/src/agent/session/http_session_core.hpp
+++ b/src/agent/session/http_session_core.hpp
@@ -40,7 +40,7 @@
     closed,
   };
 
-  enum class connection
+  enum class upstream_state
   {
     none,
     connecting,
@@ -120,7 +120,7 @@
   http_options options_;
   retry_budget& budget_;
   phase phase_ = phase::reading_head;
-  connection upstream_ = connection::none;
+  upstream_state upstream_ = upstream_state::none;
   time_point now_;
   std::string unparsed_; ///< bytes from the caller
   std::optional<http_exchange> exchange_;
--- a/src/agent/session/http_upstream_core.cpp
+++ b/src/agent/session/http_upstream_core.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-/// True if the head determines the end of the body. A feed has no such head.
+/// False for a streamed response, whose end is known only when it comes (last
+/// chunk or end of the connection).
 bool declares_length(const response_reader& response)
 {
   return response.state() == parse_state::complete ||
@@ -31,9 +32,9 @@
 
 void http_session::on(upstream_connected&)
 {
-  if (upstream_ != connection::connecting)
+  if (upstream_ != upstream_state::connecting)
     return;
-  upstream_ = connection::open;
+  upstream_ = upstream_state::open;
   phase_ = phase::exchanging;
   start_response_parser();
   send_request();
@@ -41,9 +42,9 @@
 
 void http_session::on(upstream_refused&)
 {
-  if (upstream_ != connection::connecting)
+  if (upstream_ != upstream_state::connecting)
     return;
-  upstream_ = connection::none;
+  upstream_ = upstream_state::none;
   if (exchange_->sent)
     end_with_unknown_outcome(request_event::unknown_upstream_gone);
   else
@@ -53,7 +54,7 @@
 
 void http_session::on(upstream_bytes& value)
 {
-  if (phase_ != phase::exchanging || upstream_ != connection::open)
+  if (phase_ != phase::exchanging || upstream_ != upstream_state::open)
   {
     count(request_event::unexpected_upstream_bytes);
     return;
@@ -68,7 +69,7 @@
 
 void http_session::on(upstream_finished&)
 {
-  if (phase_ != phase::exchanging || upstream_ != connection::open)
+  if (phase_ != phase::exchanging || upstream_ != upstream_state::open)
     return;
   auto& response = *exchange_->response;
   if (response.state() == parse_state::head_complete)
@@ -81,12 +82,12 @@
 
 void http_session::on(upstream_disconnected&)
 {
-  if (upstream_ == connection::connecting)
+  if (upstream_ == upstream_state::connecting)
   {
     upstream_refused refused;
     return on(refused);
   }
-  if (std::exchange(upstream_, connection::none) == connection::open &&
+  if (std::exchange(upstream_, upstream_state::none) == upstream_state::open &&
       phase_ == phase::exchanging)
     on_response_failed();
 }
@@ -113,7 +114,7 @@
 
 void http_session::send_upstream(std::string bytes)
 {
-  TOUCANMILL_INVARIANT(upstream_ == connection::open,
+  TOUCANMILL_INVARIANT(upstream_ == upstream_state::open,
                        "request bytes without an upstream connection");
   exchange_->sent = true;
   emit(send_to_upstream{std::move(bytes)});
@@ -285,7 +286,7 @@
 
 void http_session::drop_upstream()
 {
-  if (std::exchange(upstream_, connection::none) != connection::none)
+  if (std::exchange(upstream_, upstream_state::none) != upstream_state::none)
     emit(close_upstream{});
 }
 
--- a/src/agent/tcp/tcp_stack_callbacks.cpp
+++ b/src/agent/tcp/tcp_stack_callbacks.cpp
@@ -19,8 +19,8 @@
   return tcp_end::timed_out;
 }
 
-/// Reads a number in network byte order.
-std::uint32_t read_number(pbuf* packet, std::size_t offset, std::size_t octets)
+std::uint32_t read_big_endian(pbuf* packet, std::size_t offset,
+                              std::size_t octets)
 {
   std::uint32_t value = 0;
   for (std::size_t i = 0; i < octets; ++i)
@@ -31,8 +31,8 @@
 endpoint read_endpoint(pbuf* packet, std::size_t address_offset,
                        std::size_t port_offset)
 {
-  return {{read_number(packet, address_offset, 4)},
-          static_cast<std::uint16_t>(read_number(packet, port_offset, 2))};
+  return {{read_big_endian(packet, address_offset, 4)},
+          static_cast<std::uint16_t>(read_big_endian(packet, port_offset, 2))};
 }
 
 /// Source and destination from the IPv4 and TCP headers.
