relay: split the decoding of messages; clearer names

Change: the checks and the fields are decoded by functions of their own; `add_if` takes a predicate; `asked`, `where`, `leading` and `first` become `verification_sent`, `location`, `leading_near_stops` and `bucket_chain`. No change of behaviour.

--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -84,11 +84,11 @@
 private:
   struct state
   {
-    remembered_agent where;
+    remembered_agent location;
     time_point used;
     std::optional<std::uint32_t> data_end; ///< newest position of the caller
-    time_point data_sent;                  ///< when it first came by
-    std::optional<time_point> asked;       ///< the open question
+    time_point data_sent;                  ///< when it first arrived
+    std::optional<time_point> verification_sent; ///< not answered yet
   };
 
   bool repeats(state& flow, const flow_packet& packet, time_point now) const;
--- a/src/relay/flow_memory.cpp
+++ b/src/relay/flow_memory.cpp
@@ -23,7 +23,7 @@
   if (found == flows_.end())
     return std::nullopt;
   found->second.used = now;
-  return found->second.where;
+  return found->second.location;
 }
 
 bool flow_memory::repeats(state& flow, const flow_packet& packet,
@@ -48,13 +48,14 @@
   auto& state = found->second;
   if (!repeats(state, packet, now))
     return recall_advice::send;
-  if (!state.asked)
+  if (!state.verification_sent)
   {
-    state.asked = now;
+    state.verification_sent = now;
     return recall_advice::verify;
   }
-  return now - *state.asked < options_.answer_timeout ? recall_advice::send
-                                                      : recall_advice::search;
+  return now - *state.verification_sent < options_.answer_timeout
+             ? recall_advice::send
+             : recall_advice::search;
 }
 
 void flow_memory::put(const flow_key& flow, const remembered_agent& value,
@@ -63,9 +64,9 @@
   if (flows_.size() >= options_.max_flows && flows_.count(flow) == 0)
     return;
   auto& state = flows_[flow];
-  state.where = value;
+  state.location = value;
   state.used = now;
-  state.asked.reset();
+  state.verification_sent.reset();
 }
 
 void flow_memory::erase(const flow_key& flow)
@@ -76,7 +77,7 @@
 void flow_memory::erase(const flow_key& flow, const endpoint& agent)
 {
   if (const auto found = flows_.find(flow);
-      found != flows_.end() && found->second.where.agent == agent)
+      found != flows_.end() && found->second.location.agent == agent)
     flows_.erase(found);
 }
 
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -16,12 +16,13 @@
     to.add(from.agents[begin + (first + i) % size]);
 }
 
-/// Stops from `begin` to `end` that are avoided, or those that are not.
-void add_avoided(visit_stops& to, const visit_stops& from, std::size_t begin,
-                 std::size_t end, const agent_set& avoided, bool wanted)
+/// Adds the stops from `begin` to `end` for which the predicate holds.
+template <class Predicate>
+void add_if(visit_stops& to, const visit_stops& from, std::size_t begin,
+            std::size_t end, Predicate predicate)
 {
   for (auto i = begin; i < end; ++i)
-    if ((avoided.count(from.agents[i]) != 0) == wanted)
+    if (predicate(from.agents[i]))
       to.add(from.agents[i]);
 }
 
@@ -46,16 +47,25 @@
 visit_stops with_avoided_last(const visit_stops& stops, std::size_t near_stops,
                               const agent_set& avoided)
 {
+  const auto is_avoided = [&avoided](const endpoint& agent)
+  {
+    return avoided.count(agent) != 0;
+  };
+  const auto is_preferred = [&is_avoided](const endpoint& agent)
+  {
+    return !is_avoided(agent);
+  };
   visit_stops out;
-  add_avoided(out, stops, 0, near_stops, avoided, false);
+  add_if(out, stops, 0, near_stops, is_preferred);
   if (out.size > 0)
-    add_avoided(out, stops, 0, near_stops, avoided, true);
-  add_avoided(out, stops, near_stops, stops.size, avoided, false);
-  add_avoided(out, stops, 0, stops.size, avoided, true);
+    add_if(out, stops, 0, near_stops, is_avoided);
+  add_if(out, stops, near_stops, stops.size, is_preferred);
+  add_if(out, stops, 0, stops.size, is_avoided);
   return out;
 }
 
-std::size_t leading(const visit_stops& stops, const placed_stops& placed)
+std::size_t leading_near_stops(const visit_stops& stops,
+                               const placed_stops& placed)
 {
   const auto* const begin = placed.stops.agents.data();
   const auto* const end = begin + placed.near_stops;
@@ -74,8 +84,9 @@
   if (placed.stops.size == 0)
     return placed;
   const auto copy = rotated(placed, earlier);
-  const auto out = with_avoided_last(copy, leading(copy, placed), avoided);
-  return {out, static_cast<std::uint8_t>(leading(out, placed))};
+  const auto out =
+      with_avoided_last(copy, leading_near_stops(copy, placed), avoided);
+  return {out, static_cast<std::uint8_t>(leading_near_stops(out, placed))};
 }
 
 } // namespace toucanmill
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -20,8 +20,7 @@
 /// Interval between checks of held packets; less than a service time.
 constexpr duration held_check_interval = std::chrono::milliseconds(20);
 
-/// Upper bound of the size of a packet in octets.
-constexpr std::size_t max_packet_size = 2048;
+constexpr std::size_t max_packet_size = 2048; ///< octets
 
 std::uint64_t wall_clock_ms()
 {
@@ -183,7 +182,8 @@
     return count == udp_channel::batch_size;
   }
 
-  /// What is held may be due without a packet that would release it.
+  /// Held packets become due even if no packet arrives, so the loop is woken
+  /// for them.
   void check_held()
   {
     if (!core_.holds_packets())
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -44,6 +44,54 @@
       XXH3_64bits(header + checksum_size, size - checksum_size));
 }
 
+bool has_known_kind_and_reason(const std::uint8_t* from)
+{
+  return from[5] >= static_cast<std::uint8_t>(relay_kind::visit) &&
+         from[5] <= static_cast<std::uint8_t>(relay_kind::missed) &&
+         from[6] < miss_reason_count;
+}
+
+/// Includes the number of stops, but not their addresses.
+void load_fixed_header(const std::uint8_t* from, relay_header& header)
+{
+  header.kind = static_cast<relay_kind>(from[5]);
+  header.reason = static_cast<miss_reason>(from[6]);
+  header.remembered = (from[7] & remembered_bit) != 0;
+  header.inconclusive = (from[7] & inconclusive_bit) != 0;
+  header.probe = (from[7] & probe_bit) != 0;
+  header.locates = (from[7] & locates_bit) != 0;
+  header.final_stop = (from[7] & final_stop_bit) != 0;
+  header.stage = from[8];
+  header.stop = from[9];
+  header.undecided = boost::endian::load_big_u16(from + 10);
+  header.service = boost::endian::load_big_u64(from + 12);
+  header.configuration = boost::endian::load_big_u64(from + 20);
+  header.balancer = load_endpoint(from + 28);
+  header.table = boost::endian::load_big_u64(from + 36);
+  header.stops.size = from[34];
+  header.plan = from[35];
+  header.near_stops = from[44];
+  header.best_stop = from[45];
+  header.best_wait_ms = boost::endian::load_big_u16(from + 46);
+}
+
+/// Each index of a stop, and the number of near stops, is within the stops.
+bool has_valid_positions(const relay_header& header)
+{
+  const auto count = header.stops.size;
+  if (header.kind == relay_kind::visit && header.stop >= count)
+    return false;
+  return header.near_stops <= count &&
+         (header.best_stop == no_stop || header.best_stop < count) &&
+         (!header.final_stop || header.best_stop == header.stop);
+}
+
+void load_stops(const std::uint8_t* from, visit_stops& stops)
+{
+  for (std::size_t i = 0; i < stops.size; ++i)
+    stops.agents[i] = load_endpoint(from + i * endpoint_size);
+}
+
 } // namespace
 
 service_key key_of_service(std::string_view name)
@@ -135,42 +183,14 @@
     return std::nullopt;
   const std::size_t size = fixed_header_size + from[34] * endpoint_size;
   if (datagram.size < size ||
-      boost::endian::load_big_u32(from) != checksum_of(from, size))
+      boost::endian::load_big_u32(from) != checksum_of(from, size) ||
+      !has_known_kind_and_reason(from))
     return std::nullopt;
   relay_message message;
-  auto& header = message.header;
-  if (from[5] < static_cast<std::uint8_t>(relay_kind::visit) ||
-      from[5] > static_cast<std::uint8_t>(relay_kind::missed) ||
-      from[6] >= miss_reason_count)
+  load_fixed_header(from, message.header);
+  if (!has_valid_positions(message.header))
     return std::nullopt;
-  header.kind = static_cast<relay_kind>(from[5]);
-  header.reason = static_cast<miss_reason>(from[6]);
-  header.remembered = (from[7] & remembered_bit) != 0;
-  header.inconclusive = (from[7] & inconclusive_bit) != 0;
-  header.probe = (from[7] & probe_bit) != 0;
-  header.locates = (from[7] & locates_bit) != 0;
-  header.final_stop = (from[7] & final_stop_bit) != 0;
-  header.stage = from[8];
-  header.stop = from[9];
-  header.undecided = boost::endian::load_big_u16(from + 10);
-  header.service = boost::endian::load_big_u64(from + 12);
-  header.configuration = boost::endian::load_big_u64(from + 20);
-  header.balancer = load_endpoint(from + 28);
-  header.table = boost::endian::load_big_u64(from + 36);
-  header.stops.size = from[34];
-  header.plan = from[35];
-  header.near_stops = from[44];
-  header.best_stop = from[45];
-  header.best_wait_ms = boost::endian::load_big_u16(from + 46);
-  if (header.kind == relay_kind::visit && header.stop >= header.stops.size)
-    return std::nullopt;
-  if (header.near_stops > header.stops.size ||
-      (header.best_stop != no_stop && header.best_stop >= header.stops.size) ||
-      (header.final_stop && header.best_stop != header.stop))
-    return std::nullopt;
-  for (std::size_t i = 0; i < header.stops.size; ++i)
-    header.stops.agents[i] =
-        load_endpoint(from + fixed_header_size + i * endpoint_size);
+  load_stops(from + fixed_header_size, message.header.stops);
   message.packet = {from + size, datagram.size - size};
   return message;
 }
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -260,7 +260,7 @@
                                    const placement_policy& placement)
 {
   const auto& table = service.table;
-  const auto& first = chain_of(table, hash);
+  const auto& bucket_chain = chain_of(table, hash);
   std::vector<std::uint16_t> near;
   std::vector<std::uint16_t> chained;
   std::vector<std::uint16_t> others;
@@ -272,7 +272,7 @@
   {
     return placement.prefers(table.holders[index].data_centre);
   };
-  for (const auto index : first)
+  for (const auto index : bucket_chain)
     if (is_wanted(index) && !is_near(index))
       chained.push_back(index);
   for (std::size_t i = 0; i < table.holders.size(); ++i)
@@ -280,7 +280,8 @@
       continue;
     else if (is_near(index))
       near.push_back(index);
-    else if (std::find(first.begin(), first.end(), index) == first.end())
+    else if (std::find(bucket_chain.begin(), bucket_chain.end(), index) ==
+             bucket_chain.end())
       others.push_back(index);
   std::vector<endpoint> order;
   const auto add = [&](const std::vector<std::uint16_t>& indices)
