agent: merge the repeated abort and error code of the TCP stack

Cause: two places aborted a connection and closed it themselves in TIME_WAIT, and two built the same error from a code of lwIP. Change: tcp_stack_state::abort and to_error, no change of behaviour.

--- a/src/agent/tcp/tcp_closing_flows.cpp
+++ b/src/agent/tcp/tcp_closing_flows.cpp
@@ -45,13 +45,16 @@
     else if (entry.state->finished)
       send_keepalive_if_due(*entry.state);
   for (const auto& connection : expired)
-  {
-    // In TIME_WAIT lwIP frees the connection without calling on_error().
-    const bool in_time_wait = connection->pcb->state == TIME_WAIT;
-    tcp_abort(connection->pcb);
-    if (in_time_wait)
-      close(*connection, tcp_end::finished);
-  }
+    abort(*connection, tcp_end::finished);
+}
+
+void tcp_stack_state::abort(connection_state& connection,
+                            tcp_end time_wait_reason)
+{
+  const bool in_time_wait = connection.pcb->state == TIME_WAIT;
+  tcp_abort(connection.pcb);
+  if (in_time_wait)
+    close(connection, time_wait_reason);
 }
 
 /// True if TIME_WAIT is over, or if a peer that has not sent its FIN has not
--- a/src/agent/tcp/tcp_connection.cpp
+++ b/src/agent/tcp/tcp_connection.cpp
@@ -71,14 +71,7 @@
   if (state_->pcb == nullptr)
     return;
   state_->reset_requested = true;
-  // In TIME_WAIT lwIP frees the connection without calling on_error().
-  if (auto* const pcb = state_->pcb; pcb->state == TIME_WAIT)
-  {
-    tcp_abort(pcb);
-    state_->stack->close(*state_, tcp_end::reset_locally);
-  }
-  else
-    tcp_abort(pcb);
+  state_->stack->abort(*state_, tcp_end::reset_locally);
 }
 
 bool tcp_connection::has_unacknowledged() const
--- a/src/agent/tcp/tcp_stack.cpp
+++ b/src/agent/tcp/tcp_stack.cpp
@@ -1,5 +1,6 @@
 #include <toucanmill/agent/tcp_stack.hpp>
 
+#include <string>
 #include <utility>
 
 #include "tcp_stack_state.hpp"
@@ -7,6 +8,18 @@
 namespace toucanmill
 {
 
+namespace
+{
+
+error to_error(err_t code, const std::string& failed_action)
+{
+  return {code == ERR_USE ? error_code::already_exists
+                          : error_code::limit_reached,
+          failed_action + ": " + lwip_strerr(code)};
+}
+
+} // namespace
+
 std::uint8_t* packet_batch::append(const entry& addresses, std::size_t size)
 {
   auto added = addresses;
@@ -31,9 +44,7 @@
   const auto error = state_->listen(address);
   if (error == ERR_OK)
     return outcome::success();
-  return toucanmill::error{
-      error == ERR_USE ? error_code::already_exists : error_code::limit_reached,
-      "cannot listen on " + to_string(address) + ": " + lwip_strerr(error)};
+  return to_error(error, "cannot listen on " + to_string(address));
 }
 
 result<tcp_connection_ptr> tcp_stack::open(const endpoint& local,
@@ -43,10 +54,8 @@
   err_t error = ERR_OK;
   if (auto opened = state_->open(local, remote, error))
     return opened;
-  return toucanmill::error{error == ERR_USE ? error_code::already_exists
-                                            : error_code::limit_reached,
-                           "cannot connect " + to_string(local) + " to " +
-                               to_string(remote) + ": " + lwip_strerr(error)};
+  return to_error(error, "cannot connect " + to_string(local) + " to " +
+                             to_string(remote));
 }
 
 bool tcp_stack::inject(const tcp_packet& packet)
--- a/src/agent/tcp/tcp_stack_state.hpp
+++ b/src/agent/tcp/tcp_stack_state.hpp
@@ -50,6 +50,10 @@
   std::size_t flow_count() const;
   std::uint64_t dropped_packets() const;
 
+  /// Aborts the connection. In TIME_WAIT lwIP frees it without calling
+  /// on_error(), so this function closes it with the given reason.
+  void abort(connection_state& connection, tcp_end time_wait_reason);
+
   /// Queues tcp_closed and removes the flow.
   void close(connection_state& connection, tcp_end reason);
 
