scripts: fault soak of evacuations, cold upstreams and data centres

Cause: the soak knew one data centre, warm upstreams and routes without objectives.

Existing checks are unchanged.

--- a/scripts/relay_system.py
+++ b/scripts/relay_system.py
@@ -79,6 +79,8 @@
         self.address, self.index = address, index
         self.lives, self.state, self.sequence = 0, "ready", 0
         self.clock_offset_s = 0.0
+        self.data_centre = "z"
+        self.cold_s = 0.0         # after each start
         self.openings = []        # (time, caller) of this life
         self.begin_life()
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -91,6 +93,10 @@
         self.state, self.sequence = "ready", 0
         self.born = int((time.time() + self.clock_offset_s) * 1e3)
         self.flows, self.openings = {}, []
+        self.started = time.monotonic()
+
+    def cold_left_s(self):
+        return max(0.0, self.started + self.cold_s - time.monotonic())
 
     def first_sequence(self, caller):
         """Names the upstream and its life, so that a caller can tell them."""
@@ -128,8 +134,10 @@
 
     def announcement(self):
         return {"service": SERVICE, "address": f"{self.address}:{UPSTREAM_PORT}",
-                "zone": "z", "version": "v1", "slots": 64, "state": self.state,
-                "coldLeftMs": 0, "seqNo": self.sequence, "born": self.born}
+                "zone": self.data_centre, "version": "v1", "slots": 64,
+                "state": self.state,
+                "coldLeftMs": int(self.cold_left_s() * 1e3),
+                "seqNo": self.sequence, "born": self.born}
 
 
 def call(method, address, path, body=None, timeout=2):
@@ -153,7 +161,7 @@
     """The daemons, each with its settings and log in the work folder."""
 
     def __init__(self, build, folder, net="127.0", control=3, balancers=2,
-                 agents=3, proxied=False):
+                 agents=3, proxied=False, data_centres=("z",)):
         self.build, self.folder, self.net = build, folder, net
         self.running, self.proxied = {}, proxied
         self.control = [f"{net}.10.{i + 1}" for i in range(control)]
@@ -161,6 +169,12 @@
         self.agents = [f"{net}.12.{i + 1}" for i in range(agents)]
         self.seeds = self.control[:3]
         self.started = set()
+        self.data_centres = list(data_centres)
+        self.extra = {}           # role: further lines of its section
+
+    def data_centre(self, address):
+        return self.data_centres[(int(address.split(".")[3]) - 1) %
+                                 len(self.data_centres)]
 
     def role(self, address):
         return {"10": "control", "11": "balancer",
@@ -170,10 +184,13 @@
         return os.path.join(self.folder, "data-" + address)
 
     def settings(self, address):
+        return self.own_settings(address) + self.extra.get(self.role(address), "")
+
+    def own_settings(self, address):
         role = self.role(address)
         seeds = ", ".join(f'"{seed}:{API_PORT}"' for seed in self.seeds)
         common = (f'role = "{role}"\nname = "{role}-{address.split(".")[-1]}"\n'
-                  f'data_centre = "z"\napi = "{address}:{API_PORT}"\n'
+                  f'data_centre = "{self.data_centre(address)}"\napi = "{address}:{API_PORT}"\n'
                   f"control_seeds = [{seeds}]\ncontrol_rpc_port = {RPC_PORT}\n"
                   f"stop_limit_ms = 6000\n[{role}]\n")
         if role == "control":
@@ -205,6 +222,15 @@
                 [os.path.join(self.build, "toucanmilld"), path], stdout=log,
                 stderr=log)
 
+    def tool(self, *arguments):
+        """Exit code and output of the command-line tool."""
+        control = ",".join(f"{address}:{RPC_PORT}" for address in self.control)
+        done = subprocess.run(
+            [os.path.join(self.build, "toucanmill"), "--control", control,
+             "--timeout-ms", "3000", *arguments], stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT, check=False)
+        return done.returncode, done.stdout.decode()
+
     def start_all(self):
         for address in self.control + self.balancers + self.agents:
             self.start(address)
@@ -251,14 +277,17 @@
             return False
 
 
-def configuration(version):
-    """One route in use, and as many others as the version says."""
-    routes = [{"name": "r", "host": PUBLIC[0], "pathPrefix": f"/{PUBLIC[1]}/",
-               "timeoutMs": 1000, "service": SERVICE}]
-    routes += [{"name": f"x{i}", "host": PUBLIC[0], "pathPrefix": f"/{1000 + i}/",
-                "timeoutMs": 1000, "service": SERVICE} for i in range(version)]
-    return {"version": version, "routes": routes,
-            "services": [{"name": SERVICE}], "limits": {"idleTimeoutMs": 15000}}
+def configuration(version, objectives=({},), cold_per_s=0):
+    """One route in use, and as many others as the version says; they have the
+    objectives in turn."""
+    names = [("r", PUBLIC[1])] + [(f"x{i}", 1000 + i) for i in range(version)]
+    routes = [{"name": name, "host": PUBLIC[0], "pathPrefix": f"/{port}/",
+               "timeoutMs": 1000, "service": SERVICE,
+               **objectives[i % len(objectives)]}
+              for i, (name, port) in enumerate(names)]
+    service = {"name": SERVICE, **({"coldPerS": cold_per_s} if cold_per_s else {})}
+    return {"version": version, "routes": routes, "services": [service],
+            "limits": {"idleTimeoutMs": 15000}}
 
 
 def announce_all(upstreams, stopping):
