control: an operator client outlives the connections that it closed

Cause: the tool crashed (exit code -11) after a time-out: a closed connection is destroyed by the event loop, which may not run again before the client ends, and then outlives the loop.

Change: the client runs what is left before it ends.

--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -463,6 +463,24 @@
   CHECK_TRUE(group.client->evacuations().value().evacuations.empty());
 }
 
+// Guards against a crash of the tool when its time is up just after another
+// instance was named: the connection that is left behind was destroyed after
+// the event loop that it uses.
+TEST(control_server, client_ends_just_after_it_was_sent_to_the_leader)
+{
+  server_group group(folder, {"north"});
+  CHECK_TRUE(eventually_accepts(*group.servers[group.leader()], "north", true));
+  const auto follower = (group.leader() + 1) % group.members.size();
+  // A thread has at most one client.
+  group.client.reset();
+  for (int i = 0; i < 50; ++i)
+  {
+    const auto client =
+        operator_client::connect({group.members[follower].rpc}, duration(0));
+    CHECK_FALSE(client->evacuations().has_value());
+  }
+}
+
 // Guards against an order that is lost on restart, and against a resent request
 // that undoes the opposite order of another operator.
 TEST(control_server, orders_survive_restart_and_resent_request_is_idempotent)
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -64,7 +64,12 @@
   }
 
   // The destructor of the base class is noexcept, but those of kj may throw.
-  ~operator_client_impl() noexcept override {}
+  ~operator_client_impl() noexcept override
+  {
+    // Connections that the channel closed are destroyed by the event loop, and
+    // must not outlive it.
+    io_.waitScope.poll();
+  }
 
   result<change_outcome> change(const operator_request& value) override
   {
