agent: a table without the service states no warm-up rate

Cause: a full update without the agent's service set the rate 0, no limit.

Change: such an update leaves the rate as it is, at first unknown, which admits four new flows.

--- a/include/toucanmill/table/service_table.hpp
+++ b/include/toucanmill/table/service_table.hpp
@@ -118,6 +118,11 @@
   }
 };
 
+/// The warm-up rate that the update states for a service; none: it says nothing
+/// about the service, which then has an unknown rate or keeps its present one.
+std::optional<std::uint32_t> warm_up_rate_in(const table_update& update,
+                                             const std::string& service);
+
 } // namespace toucanmill
 
 #endif
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -283,15 +283,11 @@
 
   void take_service(const table_update& update)
   {
-    // A service without a table has no limit.
-    if (update.full)
-      agent_->set_warm_up_rate(0);
+    if (const auto rate = warm_up_rate_in(update, identity_.service))
+      agent_->set_warm_up_rate(*rate);
     for (const auto& service : update.changed)
       if (service.name == identity_.service)
-      {
         agent_->set_bucket_count(service.buckets.size());
-        agent_->set_warm_up_rate(service.warm_up_rate);
-      }
   }
 
   void take_evacuated(const table_update& update)
