daemon: a full table does not lift the warm-up limit for a moment

The agent's role set the rate to 0, which means no limit, for each full table and to the service's rate in a second step. Opening packets relayed between the two reached a cold upstream without a limit, for example after the agent's restart. The rate after an update is now computed first and set once.

relay_table, update_gives_one_warm_up_rate covers the computation; the short interval between the two steps has not been reproduced in a test.

--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -168,6 +169,11 @@
                                         const placement_policy& placement = {},
                                         const agent_set& denied = {});
 
+/// The warm-up rate of the service after the update: new flows in 1,000 s, 0
+/// without a limit. None if the update leaves it as it is.
+std::optional<std::uint32_t> warm_up_rate_after(const table_update& update,
+                                                const std::string& service);
+
 } // namespace toucanmill
 
 #endif
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -11,6 +11,7 @@
 #include <toucanmill/observe/event.hpp>
 #include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/relay/relay_agent.hpp>
+#include <toucanmill/relay/relay_table.hpp>
 
 #include <platform/packet_layout.hpp>
 #include <platform/pages.hpp>
@@ -283,15 +284,12 @@
 
   void take_service(const table_update& update)
   {
-    // A service without a table has no limit.
-    if (update.full)
-      agent_->set_warm_up_rate(0);
+    // In one step: packets are relayed meanwhile.
+    if (const auto rate = warm_up_rate_after(update, identity_.service))
+      agent_->set_warm_up_rate(*rate);
     for (const auto& service : update.changed)
       if (service.name == identity_.service)
-      {
         agent_->set_bucket_count(service.buckets.size());
-        agent_->set_warm_up_rate(service.warm_up_rate);
-      }
   }
 
   void take_evacuated(const table_update& update)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -384,4 +384,14 @@
   return stages;
 }
 
+std::optional<std::uint32_t> warm_up_rate_after(const table_update& update,
+                                                const std::string& service)
+{
+  for (const auto& changed : update.changed)
+    if (changed.name == service)
+      return changed.warm_up_rate;
+  // A service without a table has no limit.
+  return update.full ? std::optional<std::uint32_t>(0) : std::nullopt;
+}
+
 } // namespace toucanmill
--- a/src/relay/relay_table_test.cpp
+++ b/src/relay/relay_table_test.cpp
@@ -95,3 +95,18 @@
   CHECK_EQUAL(6U, next.configuration_version());
   CHECK_TRUE(next.find_route({{1}, 443}) == nullptr);
 }
+
+// Guards against a full table that lifts the limit of a cold upstream for a
+// moment before it sets the limit again.
+TEST(relay_table, update_gives_one_warm_up_rate)
+{
+  table_update update;
+  CHECK_FALSE(warm_up_rate_after(update, "notes").has_value());
+  update.full = true;
+  CHECK_EQUAL(0U, *warm_up_rate_after(update, "notes"));
+  update.changed = {service("other", 1, 10, 1), service("notes", 2, 20, 1)};
+  update.changed[1].warm_up_rate = 7'000;
+  CHECK_EQUAL(7'000U, *warm_up_rate_after(update, "notes"));
+  update.full = false;
+  CHECK_EQUAL(7'000U, *warm_up_rate_after(update, "notes"));
+}
