--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -11,6 +11,7 @@
 #include <toucanmill/observe/event.hpp>
 #include <toucanmill/observe/latency_histogram.hpp>
 #include <toucanmill/relay/relay_agent.hpp>
+#include <toucanmill/relay/relay_table.hpp>
 
 #include <platform/packet_layout.hpp>
 #include <platform/pages.hpp>
@@ -283,6 +284,7 @@
 
   void take_service(const table_update& update)
   {
+    // In one step: packets are relayed meanwhile.
     if (const auto rate = warm_up_rate_in(update, identity_.service))
       agent_->set_warm_up_rate(*rate);
     for (const auto& service : update.changed)
