--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -59,6 +59,10 @@
     return flows_.count(flow) != 0;
   }
 
+  /// Whether the caller has sent data since the flow was remembered, so that it
+  /// is open.
+  bool has_data(const flow_key& flow) const;
+
   /// Notes the data of a remembered flow's packet. Returns `verify` and
   /// `search` once for each unanswered question.
   recall_advice advise(const flow_key& flow, const flow_packet& packet,
@@ -84,11 +88,11 @@
 private:
   struct state
   {
-    remembered_agent where;
+    remembered_agent location;
     time_point used;
     std::optional<std::uint32_t> data_end; ///< newest position of the caller
-    time_point data_sent;                  ///< when it first came by
-    std::optional<time_point> asked;       ///< the open question
+    time_point data_sent;                  ///< when it first arrived
+    std::optional<time_point> verification_sent; ///< not answered yet
   };
 
   bool repeats(state& flow, const flow_packet& packet, time_point now) const;
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
--- a/src/admission/waiting_list.cpp
+++ b/src/admission/waiting_list.cpp
@@ -40,7 +40,7 @@
   timers_.emplace(next_change(value), value.entry.flow);
   if (value.aged)
     aged_.emplace(value.entry.since, value.entry.flow);
-  on_time_[std::get<0>(place)] += value.late ? 0 : 1;
+  ++(value.late ? late_ : on_time_)[std::get<0>(place)];
 }
 
 void waiting_list::unlink(const state& value)
@@ -50,7 +50,7 @@
   timers_.erase({next_change(value), value.entry.flow});
   if (value.aged)
     aged_.erase({value.entry.since, value.entry.flow});
-  on_time_[std::get<0>(place)] -= value.late ? 0 : 1;
+  --(value.late ? late_ : on_time_)[std::get<0>(place)];
 }
 
 void waiting_list::advance(time_point now)
@@ -90,18 +90,40 @@
   return true;
 }
 
+bool waiting_list::is_turn_of_oldest() const
+{
+  return !aged_.empty() && releases_ % fair_interval == fair_interval - 1;
+}
+
+bool waiting_list::skip_oldest()
+{
+  if (!is_turn_of_oldest())
+    return false;
+  ++releases_;
+  return true;
+}
+
 const waiting_entry* waiting_list::next(time_point now)
 {
   advance(now);
   if (entries_.empty())
     return nullptr;
-  const bool oldest =
-      !aged_.empty() && releases_ % fair_interval == fair_interval - 1;
-  const auto& flow =
-      oldest ? aged_.begin()->second : std::get<flow_key>(*order_.begin());
+  const auto& flow = is_turn_of_oldest() ? aged_.begin()->second
+                                         : std::get<flow_key>(*order_.begin());
   return &entries_.find(flow)->second.entry;
 }
 
+bool waiting_list::mark_late(const flow_key& flow)
+{
+  auto& value = entries_.find(flow)->second;
+  if (value.late)
+    return false;
+  unlink(value);
+  value.late = true;
+  link(value);
+  return true;
+}
+
 waiting_entry waiting_list::take(const flow_key& flow)
 {
   const auto entry = entries_.find(flow)->second.entry;
@@ -119,9 +141,10 @@
 std::size_t waiting_list::ahead(std::uint32_t priority, time_point now)
 {
   advance(now);
-  std::size_t sum = 0;
-  for (std::size_t i = 0; i <= std::min(priority, lowest_priority); ++i)
-    sum += on_time_[i];
+  const auto own = std::min(priority, lowest_priority);
+  auto sum = on_time_[own];
+  for (std::size_t i = 0; i < own; ++i)
+    sum += on_time_[i] + late_[i];
   return sum;
 }
 
--- a/src/admission/waiting_list_test.cpp
+++ b/src/admission/waiting_list_test.cpp
@@ -61,6 +61,18 @@
   CHECK_EQUAL(0, take(list, now));
 }
 
+// Guards against one entry that can't be on time and holds up those that can.
+TEST(waiting_list, entry_marked_late_ranks_behind_others)
+{
+  add(entry(1, 0, 0ms));
+  add(entry(2, 0, 10ms));
+  CHECK_TRUE(list.mark_late(flow(1)));
+  CHECK_FALSE(list.mark_late(flow(1)));
+  CHECK_EQUAL(1U, list.ahead(0, start + 10ms));
+  CHECK_EQUAL(2, take(list, start + 10ms));
+  CHECK_EQUAL(1, take(list, start + 10ms));
+}
+
 // Guards against an entry that takes the place of one that can still be served.
 TEST(waiting_list, expired_entries_are_not_released)
 {
@@ -102,8 +114,28 @@
   FAIL("the request with low priority was not released");
 }
 
-// Guards against an estimate of the wait that counts what ranks behind.
-TEST(waiting_list, ahead_counts_entries_on_time_of_higher_or_equal_priority)
+// Guards against a turn of the oldest entry that lasts until it can be
+// released.
+TEST(waiting_list, turn_of_the_oldest_can_be_passed_over)
+{
+  for (std::uint16_t port = 1; port <= 9; ++port)
+    add(entry(port, 0, 0ms));
+  add(entry(10, 0, 1500ms));
+  const auto now = start + 1500ms; // the first ones are late and aged
+  CHECK_FALSE(list.skip_oldest());
+  CHECK_EQUAL(10, take(list, now));
+  for (std::uint16_t port = 1; port <= 6; ++port)
+    CHECK_EQUAL(port, take(list, now));
+  add(entry(11, 0, 1500ms));
+  CHECK_EQUAL(7, list.next(now)->flow.caller.port);
+  CHECK_TRUE(list.skip_oldest());
+  CHECK_FALSE(list.skip_oldest());
+  CHECK_EQUAL(11, take(list, now));
+}
+
+// Guards against an estimate of the wait that counts what ranks behind, or
+// leaves out late entries that rank first by their priority or their age.
+TEST(waiting_list, ahead_counts_what_ranks_before_a_new_entry_on_time)
 {
   add(entry(1, 0, 0ms));
   add(entry(2, 1, 0ms));
@@ -112,12 +144,27 @@
   CHECK_EQUAL(1U, list.ahead(0, start));
   CHECK_EQUAL(3U, list.ahead(1, start));
   CHECK_EQUAL(2U, list.ahead(1, start + 100ms));
-  CHECK_EQUAL(3U, list.ahead(20, start + 100ms));
+  // The third is late but has a higher priority.
+  CHECK_EQUAL(4U, list.ahead(20, start + 100ms));
   CHECK_TRUE(list.remove(flow(1)));
   CHECK_FALSE(list.remove(flow(1)));
   CHECK_EQUAL(0U, list.ahead(0, start + 100ms));
 }
 
+// Guards against flows that are admitted as on time and then wait behind late
+// requests of a higher priority.
+TEST(waiting_list, ahead_counts_late_and_aged_entries_of_higher_priority)
+{
+  add(entry(1, 0, 0ms, 50ms));
+  add(entry(2, 2, 0ms, 50ms, 200ms));
+  CHECK_EQUAL(1U, list.ahead(1, start));
+  CHECK_EQUAL(1U, list.ahead(1, start + 99ms));
+  CHECK_EQUAL(2U, list.ahead(1, start + 100ms)); // the second has aged
+  CHECK_EQUAL(0U, list.ahead(0, start + 100ms));
+  CHECK_TRUE(list.remove(flow(2)));
+  CHECK_EQUAL(1U, list.ahead(1, start + 100ms));
+}
+
 // Guards against indexes that disagree after many changes: an entry is returned
 // exactly once, in the order that a plain search of all entries gives.
 TEST(waiting_list, random_operations_agree_with_a_plain_list)
@@ -156,6 +203,16 @@
                                value.on_time_until <= now, value.on_time_until,
                                value.flow);
       };
+      for (std::uint32_t priority = 0; priority < 3; ++priority)
+        CHECK_EQUAL(std::count_if(plain.begin(), plain.end(),
+                                  [&](const auto& item)
+                                  {
+                                    const auto [own, late, until, key] =
+                                        rank(item.second);
+                                    return own < priority ||
+                                           (own == priority && !late);
+                                  }),
+                    static_cast<std::ptrdiff_t>(tested.ahead(priority, now)));
       const auto best =
           std::min_element(plain.begin(), plain.end(),
                            [&](const auto& a, const auto& b)
