scripts: fault soak restarts all control instances during evacuations

Change: new faults stay off the control instances until the restart, which is drawn more often while an evacuation stands; the result counts such restarts.

--- a/scripts/soak_orders.py
+++ b/scripts/soak_orders.py
@@ -28,7 +28,7 @@
         self.acknowledged = {}  # evacuated data centre: since when
         self.ending = threading.Event()
         self.turns, self.ids = itertools.count(), itertools.count()
-        self.accepted, self.hold_s = 0, 0.0
+        self.accepted, self.restarts, self.hold_s = 0, 0, 0.0
 
     def is_closed(self, name):
         """No new flow may reach the data centre at present."""
@@ -47,7 +47,7 @@
     def play(self):
         name = self.random.choice(self.names)
         if name in self.acknowledged:
-            tasks = [self.evacuate_twice, self.restart_processes, self.read]
+            tasks = [self.evacuate_twice, self.read] + 4 * [self.restart_processes]
             if time.monotonic() > self.acknowledged[name] + self.hold_s:
                 tasks += 2 * [self.restore, self.restore_twice, self.compete]
             task = self.random.choice(tasks)
@@ -97,8 +97,9 @@
     def restart_processes(self, name):
         """All control instances, an agent and a balancer, while it stands."""
         system = self.soak.system
-        if not self.soak.kill_control_if_idle():
+        if not self.soak.kill_control_when_idle():
             return
+        self.restarts += 1
         for address in (self.random.choice(system.agents),
                         self.random.choice(system.balancers)):
             self.soak.kill_if_idle(address)
