--- a/src/control/control_channel.cpp
+++ b/src/control/control_channel.cpp
@@ -34,7 +34,9 @@
       .then(
           [this]
           {
-            KJ_REQUIRE(connection_ != nullptr, "another instance was selected");
+            if (connection_ == nullptr)
+              kj::throwFatalException(
+                  KJ_EXCEPTION(DISCONNECTED, "another instance was selected"));
             return connection_->control;
           });
 }
