relay: an opening packet that was held is not refused later

Ruled out: the rule that a balancer ignores late refusals once it has seen data, since the data goes through others.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -299,6 +299,7 @@
     std::vector<std::uint8_t> bytes;
     flow_packet packet; ///< its request_id is empty
     std::string request_id;
+    time_point since;
   };
 
   /// A visit that is answered once the upstream has shown that it holds the
@@ -359,8 +360,8 @@
   void release_opening(const waiting_entry& entry, time_point now,
                        relay_sink& sink);
   void refuse_held(const flow_key& flow, relay_event event, miss_reason reason,
-                   duration waited, relay_sink& sink);
-  void return_openings(relay_sink& sink);
+                   time_point now, relay_sink& sink);
+  void return_openings(time_point now, relay_sink& sink);
 
   // Requests on open flows by objectives (relay_requests_core.cpp).
   /// True if the packet is held, or dropped since it is not needed.
@@ -371,7 +372,8 @@
   bool hold_first(const relay_message& message, const flow_packet& packet,
                   flow_state& flow, time_point now);
   /// Stores a copy of the packet, in the order of the data.
-  void keep(const relay_message& message, const flow_packet& packet);
+  void keep(const relay_message& message, const flow_packet& packet,
+            time_point now);
   bool has_capacity() const;
   void await_request(const flow_key& key, flow_state& flow, time_point now);
   /// Flows whose first request is awaited; it is not awaited for long.
--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -16,6 +16,9 @@
 /// paused admits no flow whose caller may have done so.
 constexpr duration late_check = std::chrono::milliseconds(200);
 
+/// Callers send the first copy of an opening packet after this time.
+constexpr duration first_copy_after = std::chrono::milliseconds(200);
+
 std::uint16_t header_wait(duration wait)
 {
   const auto ms =
@@ -100,7 +103,7 @@
       hold_verdict::held)
     return refuse_flow(message, packet, relay_event::busy, sink);
   count(relay_event::held_opening);
-  held_packet held{message.header, {}, packet, {}};
+  held_packet held{message.header, {}, packet, {}, now};
   const auto& bytes = message.packet;
   held.bytes.assign(bytes.data, bytes.data + bytes.size);
   held.packet.request_id = {};
@@ -130,7 +133,7 @@
   stop_counting_overdue(now);
   drop_expired_requests(now, sink);
   if (admits_no_more(now))
-    return_openings(sink);
+    return_openings(now, sink);
   end_holds(now, sink);
   release_requests(now, sink);
   release_openings(now, sink);
@@ -150,22 +153,22 @@
       release_opening(entry, now, sink);
     else
       refuse_held(entry.flow, relay_event::opening_expired,
-                  miss_reason::refused, now - entry.since, sink);
+                  miss_reason::refused, now, sink);
   }
 }
 
-void relay_core::return_openings(relay_sink& sink)
+void relay_core::return_openings(time_point now, relay_sink& sink)
 {
   for (const auto& flow : queue_.openings().flows())
   {
     queue_.openings().remove(flow);
-    refuse_held(flow, relay_event::opening_returned, miss_reason::refused,
-                duration{0}, sink);
+    refuse_held(flow, relay_event::opening_returned, miss_reason::refused, now,
+                sink);
   }
 }
 
 void relay_core::refuse_held(const flow_key& flow, relay_event event,
-                             miss_reason reason, duration waited,
+                             miss_reason reason, time_point now,
                              relay_sink& sink)
 {
   const auto found = held_openings_.find(flow);
@@ -176,8 +179,13 @@
   count(event);
   auto decision = make_decision(event, flow, held.header);
   decision.next = held.header.balancer;
-  decision.waited = waited;
+  decision.waited = now - held.since;
   sink.record(decision);
+  // Another agent may have admitted a copy that came through another balancer,
+  // and the refusal would reset the open flow. The caller's attempt ends by
+  // itself.
+  if (decision.waited >= first_copy_after)
+    return;
   return_missed(held.header, {held.bytes.data(), held.bytes.size()}, reason,
                 sink);
 }
@@ -220,7 +228,7 @@
                        *refused == relay_event::route_replaced
                            ? miss_reason::route_replaced
                            : miss_reason::refused,
-                       now - entry.since, sink);
+                       now, sink);
   const auto held = std::move(found->second);
   held_openings_.erase(found);
   sink.record_latency(relay_timing::held, now - entry.since);
--- a/src/relay/relay_requests_core.cpp
+++ b/src/relay/relay_requests_core.cpp
@@ -108,7 +108,7 @@
   flow.used = now;
   if (std::exchange(flow.awaited_since, std::nullopt))
     --awaited_;
-  keep(message, packet);
+  keep(message, packet, now);
   return true;
 }
 
@@ -133,7 +133,7 @@
     count(relay_event::held_copy);
     return true;
   case hold_verdict::held:
-    keep(message, packet);
+    keep(message, packet, now);
     return true;
   case hold_verdict::full:
     break;
@@ -144,10 +144,12 @@
   return false;
 }
 
-void relay_core::keep(const relay_message& message, const flow_packet& packet)
+void relay_core::keep(const relay_message& message, const flow_packet& packet,
+                      time_point now)
 {
   auto& packets = held_requests_[packet.from_caller()];
-  held_packet held{message.header, {}, packet, std::string(packet.request_id)};
+  held_packet held{
+      message.header, {}, packet, std::string(packet.request_id), now};
   held.bytes.assign(message.packet.data,
                     message.packet.data + message.packet.size);
   held.packet.request_id = {};
