packet, relay: one comparison of stream positions

Cause: the memory of flows and the requests of an agent each had their own copy. Change: both use is_after() of packet/flow_packet.hpp; no behaviour changes. relay: 169 tests pass.

--- a/include/toucanmill/packet/flow_packet.hpp
+++ b/include/toucanmill/packet/flow_packet.hpp
@@ -12,6 +12,13 @@
 namespace toucanmill
 {
 
+/// Whether a position of a stream comes after another. Positions wrap around,
+/// so they are compared by their distance.
+inline bool is_after(std::uint32_t left, std::uint32_t right)
+{
+  return static_cast<std::int32_t>(left - right) > 0;
+}
+
 /// Fields parsed from a packet of a flow that terminates at the upstream.
 struct flow_packet
 {
--- a/src/relay/flow_memory.cpp
+++ b/src/relay/flow_memory.cpp
@@ -5,17 +5,6 @@
 namespace toucanmill
 {
 
-namespace
-{
-
-/// Positions wrap around, so they are compared by their distance.
-bool is_after(std::uint32_t left, std::uint32_t right)
-{
-  return static_cast<std::int32_t>(left - right) > 0;
-}
-
-} // namespace
-
 std::optional<remembered_agent> flow_memory::find(const flow_key& flow,
                                                   time_point now)
 {
--- a/src/relay/relay_requests_core.cpp
+++ b/src/relay/relay_requests_core.cpp
@@ -15,12 +15,6 @@
 /// is shorter.
 constexpr int overdue_services = 4;
 
-/// Whether position a is after b; positions wrap around.
-bool is_after(std::uint32_t a, std::uint32_t b)
-{
-  return static_cast<std::int32_t>(a - b) > 0;
-}
-
 } // namespace
 
 bool relay_core::is_new_data(const flow_state& flow, const flow_packet& packet)
