--- a/include/toucanmill/admission/waiting_list.hpp
+++ b/include/toucanmill/admission/waiting_list.hpp
@@ -78,8 +78,8 @@
     return entries_.empty();
   }
 
-  /// All flows that wait, in no particular order.
-  std::vector<flow_key> flows() const;
+  /// Removes and returns all that wait, in no particular order.
+  std::vector<waiting_entry> take_all();
 
 private:
   struct state
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -85,8 +85,8 @@
   held_opening,     ///< opening packet; waits until the upstream can take it
   held_request,     ///< request on an open flow; waits
   held_copy,        ///< copy of a packet that waits
-  opening_expired,  ///< held opening packet refused; its time was up
-  opening_returned, ///< held opening packet refused; no new flows any more
+  opening_expired,  ///< held opening packet given up; its time was up
+  opening_returned, ///< held opening packet given up; no new flows any more
   request_expired,  ///< held request dropped; its time was up
   queue_full,       ///< request passed on at once for want of memory
 };
@@ -299,7 +299,6 @@
     std::vector<std::uint8_t> bytes;
     flow_packet packet; ///< its request_id is empty
     std::string request_id;
-    time_point since;
   };
 
   /// A visit that is answered once the upstream has shown that it holds the
@@ -359,8 +358,9 @@
   void release_openings(time_point now, relay_sink& sink);
   void release_opening(const waiting_entry& entry, time_point now,
                        relay_sink& sink);
+  /// Gives up an opening packet that has been held for `waited`.
   void refuse_held(const flow_key& flow, relay_event event, miss_reason reason,
-                   time_point now, relay_sink& sink);
+                   duration waited, relay_sink& sink);
   void return_openings(time_point now, relay_sink& sink);
 
   // Requests on open flows by objectives (relay_requests_core.cpp).
@@ -372,8 +372,7 @@
   bool hold_first(const relay_message& message, const flow_packet& packet,
                   flow_state& flow, time_point now);
   /// Stores a copy of the packet, in the order of the data.
-  void keep(const relay_message& message, const flow_packet& packet,
-            time_point now);
+  void keep(const relay_message& message, const flow_packet& packet);
   bool has_capacity() const;
   void await_request(const flow_key& key, flow_state& flow, time_point now);
   /// Flows whose first request is awaited; it is not awaited for long.
--- a/src/admission/waiting_list.cpp
+++ b/src/admission/waiting_list.cpp
@@ -148,13 +148,15 @@
   return sum;
 }
 
-std::vector<flow_key> waiting_list::flows() const
+std::vector<waiting_entry> waiting_list::take_all()
 {
-  std::vector<flow_key> out;
-  out.reserve(entries_.size());
+  std::vector<waiting_entry> taken;
+  taken.reserve(entries_.size());
   for (const auto& [flow, value] : entries_)
-    out.push_back(flow);
-  return out;
+    taken.push_back(value.entry);
+  for (const auto& entry : taken)
+    remove(entry.flow);
+  return taken;
 }
 
 } // namespace toucanmill
--- a/src/relay/relay_admission_core.cpp
+++ b/src/relay/relay_admission_core.cpp
@@ -103,7 +103,7 @@
       hold_verdict::held)
     return refuse_flow(message, packet, relay_event::busy, sink);
   count(relay_event::held_opening);
-  held_packet held{message.header, {}, packet, {}, now};
+  held_packet held{message.header, {}, packet, {}};
   const auto& bytes = message.packet;
   held.bytes.assign(bytes.data, bytes.data + bytes.size);
   held.packet.request_id = {};
@@ -153,22 +153,19 @@
       release_opening(entry, now, sink);
     else
       refuse_held(entry.flow, relay_event::opening_expired,
-                  miss_reason::refused, now, sink);
+                  miss_reason::refused, now - entry.since, sink);
   }
 }
 
 void relay_core::return_openings(time_point now, relay_sink& sink)
 {
-  for (const auto& flow : queue_.openings().flows())
-  {
-    queue_.openings().remove(flow);
-    refuse_held(flow, relay_event::opening_returned, miss_reason::refused, now,
-                sink);
-  }
+  for (const auto& entry : queue_.openings().take_all())
+    refuse_held(entry.flow, relay_event::opening_returned, miss_reason::refused,
+                now - entry.since, sink);
 }
 
 void relay_core::refuse_held(const flow_key& flow, relay_event event,
-                             miss_reason reason, time_point now,
+                             miss_reason reason, duration waited,
                              relay_sink& sink)
 {
   const auto found = held_openings_.find(flow);
@@ -179,12 +176,12 @@
   count(event);
   auto decision = make_decision(event, flow, held.header);
   decision.next = held.header.balancer;
-  decision.waited = now - held.since;
+  decision.waited = waited;
   sink.record(decision);
   // Another agent may have admitted a copy that came through another balancer,
   // and the refusal would reset the open flow. The caller's attempt ends by
   // itself.
-  if (decision.waited >= first_copy_after)
+  if (waited >= first_copy_after)
     return;
   return_missed(held.header, {held.bytes.data(), held.bytes.size()}, reason,
                 sink);
@@ -228,7 +225,7 @@
                        *refused == relay_event::route_replaced
                            ? miss_reason::route_replaced
                            : miss_reason::refused,
-                       now, sink);
+                       now - entry.since, sink);
   const auto held = std::move(found->second);
   held_openings_.erase(found);
   sink.record_latency(relay_timing::held, now - entry.since);
--- a/src/relay/relay_requests_core.cpp
+++ b/src/relay/relay_requests_core.cpp
@@ -102,7 +102,7 @@
   flow.used = now;
   if (std::exchange(flow.awaited_since, std::nullopt))
     --awaited_;
-  keep(message, packet, now);
+  keep(message, packet);
   return true;
 }
 
@@ -127,7 +127,7 @@
     count(relay_event::held_copy);
     return true;
   case hold_verdict::held:
-    keep(message, packet, now);
+    keep(message, packet);
     return true;
   case hold_verdict::full:
     break;
@@ -138,12 +138,10 @@
   return false;
 }
 
-void relay_core::keep(const relay_message& message, const flow_packet& packet,
-                      time_point now)
+void relay_core::keep(const relay_message& message, const flow_packet& packet)
 {
   auto& packets = held_requests_[packet.from_caller()];
-  held_packet held{
-      message.header, {}, packet, std::string(packet.request_id), now};
+  held_packet held{message.header, {}, packet, std::string(packet.request_id)};
   held.bytes.assign(message.packet.data,
                     message.packet.data + message.packet.size);
   held.packet.request_id = {};
