relay: bound the plan numbers of a search, and sort its agents once

Cause: a search that goes on kept a growing list of plan numbers with repeats, and search_stages() ordered all agents a second time for those that denied the flow, also at the start of a search, when there are none. Change: a bitset of the 256 values; the second pass only after denials.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -2,6 +2,7 @@
 #define TOUCANMILL_RELAY_ENTRY_CORE_HPP
 
 #include <array>
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -220,6 +221,9 @@
     time_point at;
   };
 
+  /// Values of relay_header::plan.
+  static constexpr std::size_t plan_number_count = 256;
+
   /// The stages that the attempts of a search visit.
   struct search_plan
   {
@@ -235,7 +239,7 @@
     time_point last;    ///< latest attempt, answer or result
     std::uint32_t attempts = 0;
     search_plan plan;
-    std::vector<std::uint8_t> plan_numbers; ///< of all plans of this search
+    std::bitset<plan_number_count> plan_numbers; ///< of all its plans
     /// Agents that answered that they do not hold the flow, and when. An open
     /// flow does not move to another upstream, so they are asked last.
     std::map<endpoint, time_point> denials;
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr std::uint8_t max_plan_number = 255;
-
 /// Questions without a packet that count as one probe with it, by their size.
 constexpr std::size_t questions_per_probe = 4;
 
@@ -65,10 +63,10 @@
 {
   auto& plan = state.plan;
   // 0 means that an agent did not return the number.
-  last_plan_ = last_plan_ == max_plan_number ? 1 : last_plan_ + 1;
+  last_plan_ = last_plan_ + 1 == plan_number_count ? 1 : last_plan_ + 1;
   plan.number = last_plan_;
   plan.table = table_;
-  state.plan_numbers.push_back(plan.number);
+  state.plan_numbers.set(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
   plan.stages = open_stages(packet, from, state, now);
   state.walk = stage_walk(plan.stages);
@@ -98,8 +96,7 @@
   if (found == searched_.end() || header.inconclusive)
     return;
   auto& state = found->second;
-  const auto& numbers = state.plan_numbers;
-  if (std::find(numbers.begin(), numbers.end(), header.plan) == numbers.end())
+  if (!state.plan_numbers.test(header.plan))
     return;
   for (std::size_t i = 0; i < header.stops.size; ++i)
     if ((header.undecided >> i & 1U) == 0)
--- a/src/relay/relay_table.cpp
+++ b/src/relay/relay_table.cpp
@@ -383,10 +383,14 @@
     }
   };
   for (const bool wants_denied : {false, true})
+  {
+    if (wants_denied && denied.empty())
+      break;
     for (const auto health : {holder_health::live, holder_health::unresponsive,
                               holder_health::suspect})
       for (const auto* service : services)
         add(*service, health, wants_denied);
+  }
   return stages;
 }
 
