control: every failed call names the generation that it began at

Cause: the fix of shared connections added a guarded select_next_instance() and left the unguarded one to a node's reports, to an instance that leaves and to the operators' client, so the same fault could come back with a second call on those channels. Change: the guarded one is the only one; for calls that come one at a time nothing changes. control: 40 pass.

--- a/include/toucanmill/control/control_channel.hpp
+++ b/include/toucanmill/control/control_channel.hpp
@@ -48,12 +48,9 @@
   /// connection.
   void set_endpoints(std::vector<endpoint> endpoints);
 
-  /// Closes the connection and selects the next instance.
-  void select_next_instance();
-
-  /// The same after a failed call that began at this generation. Does nothing
-  /// if another instance was selected since: one failure of a connection fails
-  /// all calls on it.
+  /// Closes the connection and selects the next instance, after the failure of
+  /// a call that began at this generation. Does nothing if another instance was
+  /// selected since: one failure of a connection fails all calls on it.
   void select_next_instance(std::uint64_t failed);
 
   /// Closes the connection and selects the hinted instance, or the next one if
@@ -70,6 +67,7 @@
 
 private:
   void connect();
+  void move_to_next_instance();
   void close_connection();
 
   kj::AsyncIoContext& io_;
--- a/src/control/control_channel.cpp
+++ b/src/control/control_channel.cpp
@@ -62,7 +62,7 @@
   selected_ = selected_ % endpoints_.size();
 }
 
-void control_channel::select_next_instance()
+void control_channel::move_to_next_instance()
 {
   selected_ = (selected_ + 1) % endpoints_.size();
   target_ = endpoints_[selected_];
@@ -72,13 +72,13 @@
 void control_channel::select_next_instance(std::uint64_t failed)
 {
   if (failed == generation_)
-    select_next_instance();
+    move_to_next_instance();
 }
 
 void control_channel::redirect(const endpoint& hint)
 {
   if (hint.port == 0)
-    return select_next_instance();
+    return move_to_next_instance();
   target_ = hint;
   close_connection();
 }
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -110,9 +110,9 @@
                 });
           }))
       .catch_(
-          [this](kj::Exception&&)
+          [this, used = channel_.generation()](kj::Exception&&)
           {
-            channel_.select_next_instance();
+            channel_.select_next_instance(used);
             return false;
           })
       .then(
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -139,11 +139,11 @@
               if (std::exchange(report_again_, false))
                 tasks_.add(report_once());
             },
-            [this](kj::Exception&&)
+            [this, used = reports_.generation()](kj::Exception&&)
             {
               reporting_ = false;
               ++counters_.failed_reports;
-              reports_.select_next_instance();
+              reports_.select_next_instance(used);
               check_reachable();
             });
   }
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -242,6 +242,7 @@
   template <class T, class Send, class Read>
   std::optional<result<T>> attempt(Send& send, Read& read)
   {
+    const auto used = channel_.generation();
     try
     {
       auto control = channel_.client().wait(io_.waitScope);
@@ -259,7 +260,7 @@
     catch (const kj::Exception& failure)
     {
       last_failure_ = failure.getDescription().cStr();
-      channel_.select_next_instance();
+      channel_.select_next_instance(used);
       return std::nullopt;
     }
   }
