--- a/src/relay/relay_admission_test.cpp
+++ b/src/relay/relay_admission_test.cpp
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "relay_fixture_test.hpp"
+#include "relay_visit_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
@@ -19,7 +20,6 @@
 
 const endpoint balancer = endpoint_at(1, 7720);
 const endpoint other_balancer = endpoint_at(4, 7720);
-const endpoint upstream_address = endpoint_at(3, 8080);
 
 constexpr std::size_t capacity = 4; ///< two slots, twice
 
@@ -41,31 +41,6 @@
   return value;
 }
 
-upstream_announcement announcement(std::uint64_t sequence = 1)
-{
-  upstream_announcement value;
-  value.instance = "i-1";
-  value.service = "notes";
-  value.address = upstream_address;
-  value.slots = 2;
-  value.sequence = sequence;
-  value.born_ms = 1000;
-  return value;
-}
-
-/// `stops`: number of agents that the packet may visit; this one is `stop`.
-relay_message visit(std::uint8_t stops = 1, std::uint8_t stop = 0)
-{
-  relay_message message;
-  message.header.service = key_of_service("notes");
-  message.header.configuration = 5;
-  message.header.balancer = balancer;
-  for (std::uint8_t i = 0; i < stops; ++i)
-    message.header.stops.add(endpoint_at(100U + i));
-  message.header.stop = stop;
-  return message;
-}
-
 flow_packet data_at(std::uint16_t port, std::uint32_t sequence)
 {
   auto packet = data(port);
--- a/src/relay/relay_core_test.cpp
+++ b/src/relay/relay_core_test.cpp
@@ -13,21 +13,6 @@
 
 const endpoint balancer = endpoint_at(1, 7720);
 const endpoint next_agent = endpoint_at(2);
-const endpoint upstream_address = endpoint_at(3, 8080);
-
-upstream_announcement announcement(std::uint64_t sequence = 1,
-                                   const std::string& instance = "i-1",
-                                   std::uint64_t born = 1000)
-{
-  upstream_announcement value;
-  value.instance = instance;
-  value.service = "notes";
-  value.address = upstream_address;
-  value.slots = 2;
-  value.sequence = sequence;
-  value.born_ms = born;
-  return value;
-}
 
 relay_options options()
 {
--- a/src/relay/relay_fixture_test.hpp
+++ b/src/relay/relay_fixture_test.hpp
@@ -84,6 +84,22 @@
   return declared;
 }
 
+inline const endpoint upstream_address = endpoint_at(3, 8080);
+
+inline upstream_announcement announcement(std::uint64_t sequence = 1,
+                                          const std::string& instance = "i-1",
+                                          std::uint64_t born = 1000)
+{
+  upstream_announcement value;
+  value.instance = instance;
+  value.service = "notes";
+  value.address = upstream_address;
+  value.slots = 2;
+  value.sequence = sequence;
+  value.born_ms = born;
+  return value;
+}
+
 /// A service whose agents have the addresses first, first + 1, ... Each agent
 /// but the first owns one bucket; the first owns all others.
 inline service_table service(const std::string& name, std::uint32_t id,
--- a/src/relay/relay_review_test.cpp
+++ b/src/relay/relay_review_test.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "relay_fixture_test.hpp"
+#include "relay_visit_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
@@ -12,8 +13,6 @@
 namespace
 {
 
-const endpoint upstream_address = endpoint_at(3, 8080);
-
 relay_options options()
 {
   relay_options value;
@@ -38,29 +37,6 @@
   return value;
 }
 
-upstream_announcement announcement(std::uint64_t sequence = 1)
-{
-  upstream_announcement value;
-  value.instance = "i-1";
-  value.service = "notes";
-  value.address = upstream_address;
-  value.slots = 2;
-  value.sequence = sequence;
-  value.born_ms = 1000;
-  return value;
-}
-
-relay_message visit(std::uint8_t stops = 1)
-{
-  relay_message message;
-  message.header.service = key_of_service("notes");
-  message.header.configuration = 5;
-  message.header.balancer = endpoint_at(1, 7720);
-  for (std::uint8_t i = 0; i < stops; ++i)
-    message.header.stops.add(endpoint_at(100U + i));
-  return message;
-}
-
 } // namespace
 
 TEST_GROUP(relay_review)
--- a/src/relay/relay_warm_up_test.cpp
+++ b/src/relay/relay_warm_up_test.cpp
@@ -12,7 +12,6 @@
 
 const endpoint balancer = endpoint_at(1, 7720);
 const endpoint next_agent = endpoint_at(2);
-const endpoint upstream_address = endpoint_at(3, 8080);
 
 relay_options options()
 {
