--- a/standin/node_swarm/main.cpp
+++ b/standin/node_swarm/main.cpp
@@ -93,10 +93,10 @@
         });
     return channel_.with_timeout(kj::mv(report))
         .catch_(
-            [this](kj::Exception&&)
+            [this, used = channel_.generation()](kj::Exception&&)
             {
               ++totals_.failed;
-              channel_.select_next_instance();
+              channel_.select_next_instance(used);
             })
         .then(
             [this]
