daemon: one limit of a graceful stop; tests name no deployment

Cause: stop_margin stood in two roles, and four comments of tests named deployments, which a reader of the code does not know. Change: max_stop_time() in role.hpp; the comments say the failure only.

--- a/src/cluster/state_machine_test.cpp
+++ b/src/cluster/state_machine_test.cpp
@@ -367,7 +367,7 @@
 } // namespace
 
 // Guards against sending all new flows to the upstreams that register last
-// after a power failure (cpl-obsnet: 338 refusals in two seconds).
+// after a power failure, which then refuse them (338 refusals in two seconds).
 TEST(declaration, upstreams_that_restart_together_keep_their_shares)
 {
   state_machine machine;
--- a/src/daemon/entry_role.cpp
+++ b/src/daemon/entry_role.cpp
@@ -27,9 +27,6 @@
 /// No packet for this long after the withdrawal ends a graceful stop.
 constexpr duration quiet_period = std::chrono::milliseconds(700);
 
-/// The stop ends this long before the limit, so that it ends by itself.
-constexpr duration stop_margin = std::chrono::seconds(1);
-
 void add_new_flows(std::vector<sample>& to, const char* first_stop,
                    std::uint64_t count)
 {
@@ -94,7 +91,7 @@
       packets_seen_ = packets;
       quiet_since_ = now;
     }
-    const auto limit = instance_.stop_limit - stop_margin;
+    const auto limit = max_stop_time(instance_);
     return now - leaving_since_ >= limit ||
            (now - leaving_since_ >= withdrawal_time &&
             now - quiet_since_ >= quiet_period);
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -34,9 +34,6 @@
 /// long, so that balancers learn of it before packets are lost.
 constexpr duration handover_time = std::chrono::seconds(1);
 
-/// The stop ends this long before the limit, so that it ends by itself.
-constexpr duration stop_margin = std::chrono::seconds(1);
-
 node_identity relay_identity(const instance_settings& instance,
                              const agent_settings& settings)
 {
@@ -124,7 +121,7 @@
     const bool nothing_left = status.ended || status.life == incarnation{};
     if (!nothing_left)
       return since >= handover_time;
-    return departed_ || since >= instance_.stop_limit - stop_margin;
+    return departed_ || since >= max_stop_time(instance_);
   }
 
   std::string unfinished_work() override
--- a/src/daemon/role.hpp
+++ b/src/daemon/role.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <toucanmill/base/outcome.hpp>
+#include <toucanmill/base/time.hpp>
 #include <toucanmill/observe/sample.hpp>
 #include <toucanmill/observe/status_server.hpp>
 #include <toucanmill/settings/settings.hpp>
@@ -13,6 +14,14 @@
 namespace toucanmill::daemon
 {
 
+/// Longest time of a graceful stop. It ends before the limit at which the
+/// platform kills the process.
+inline duration max_stop_time(const instance_settings& instance)
+{
+  constexpr duration margin = std::chrono::seconds(1);
+  return instance.stop_limit - margin;
+}
+
 /// What the daemon does in one of its roles.
 class role
 {
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry_core_test.cpp
@@ -192,8 +192,7 @@
 }
 
 // Guards against copies to every holder, which saturate the link of a balancer
-// when the flows of a failed agent are searched for (seen in run
-// kad-lease-return-grown, trouble-3).
+// when the flows of a failed agent are searched for.
 TEST(entry_core, repeated_search_probes_only_the_unanswered_stages)
 {
   install_table(
@@ -368,8 +367,7 @@
 }
 
 // Guards against a reset of an open flow because the order of the services
-// changed between two stages of its search (seen in run cpl-obsnet, trouble-3,
-// seed 412204822735).
+// changed between two stages of its search.
 TEST(entry_core, search_over_two_tables_starts_again_and_never_resets)
 {
   install_table(
--- a/src/table/configuration_test.cpp
+++ b/src/table/configuration_test.cpp
@@ -82,7 +82,7 @@
 
 // Guards against established flows that break when the targets of a route are
 // replaced, because balancers cannot locate flows opened under an earlier
-// version; seen on six of seven days in the deployment cpl-obsnet.
+// version.
 TEST(configuration, former_services_of_a_route_are_kept)
 {
   auto first = valid_configuration();
