log: rounds of reads go to voters and postpone no heartbeat

Cause: each round of reads was a heartbeat to all members. Learners got one message for each read, though no quorum needs their replies. It also set the time of the next regular heartbeat, so under a steady load of reads the leader never checked that a quorum is in contact, resent no lost request and ended no leadership transfer. Change: a round goes to voters and leaves the regular heartbeat alone. Learners keep the regular heartbeat; when one has acknowledged an entry and no message has announced its commit yet, it gets one heartbeat at once, because it no longer learns the commit from a round.

--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -52,6 +52,11 @@
            peer.next <= log_.last().index &&
            peer.in_flight.size() < settings_.max_messages_in_flight)
       send_entries(peer);
+    // Rounds of reads also announce the commit index, but only to voters;
+    // learners would have to wait for the next entry or regular heartbeat.
+    if (!peer.address.voter &&
+        std::min(commit_, peer.match) > peer.announced_commit)
+      send_heartbeat(peer);
   }
 }
 
@@ -69,6 +74,8 @@
     request.entries.push_back(log_.at(index));
     bytes += request.entries.back().payload.size();
   }
+  peer.announced_commit =
+      std::max(peer.announced_commit, std::min(commit_, index - 1));
   peer.last_activity = now_;
   if (peer.state == progress_state::probe)
     peer.waiting = true;
@@ -80,17 +87,22 @@
   send_now(std::move(request));
 }
 
+void replica_core::send_heartbeat(progress& peer)
+{
+  auto message = make_message(message_kind::heartbeat, peer.address.id);
+  message.commit = commit_;
+  message.index = peer.match;
+  message.round = round_;
+  peer.announced_commit =
+      std::max(peer.announced_commit, std::min(commit_, peer.match));
+  send_now(std::move(message));
+}
+
 void replica_core::send_heartbeats()
 {
   heartbeat_due_ = now_ + settings_.heartbeat_interval;
-  for (const auto& [id, peer] : peers_)
-  {
-    auto message = make_message(message_kind::heartbeat, id);
-    message.commit = commit_;
-    message.index = peer.match;
-    message.round = round_;
-    send_now(std::move(message));
-  }
+  for (auto& [id, peer] : peers_)
+    send_heartbeat(peer);
 }
 
 // Resends requests that were not acknowledged within two heartbeat intervals.
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -206,6 +206,7 @@
     std::uint64_t next = 1;
     std::deque<std::uint64_t> in_flight; ///< last index of each append request
     std::uint64_t round = 0;             ///< last heartbeat round answered
+    std::uint64_t announced_commit = 0;  ///< it can rely on, of those sent
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
@@ -256,6 +257,7 @@
   // replica_append_core.cpp
   void send_pending();
   void send_entries(progress& peer);
+  void send_heartbeat(progress& peer);
   void send_heartbeats();
   void retransmit();
   void record_leader_contact(const replica_message& message);
@@ -290,6 +292,7 @@
 
   // replica_read_core.cpp
   void start_reads();
+  void send_round();
   void finish_reads();
   void fail_reads();
 
@@ -320,7 +323,7 @@
 
   /// Last heartbeat round: number of the newest batch of reads. Heartbeats
   /// carry it, so that the replies confirm this replica as leader for the
-  /// batch.
+  /// batch, even if the first heartbeats of the round are lost.
   std::uint64_t round_ = 0;
   std::deque<pending_read> pending_reads_;
 
--- a/src/log/replica_read_core.cpp
+++ b/src/log/replica_read_core.cpp
@@ -28,7 +28,18 @@
     read.index = commit_;
     read.round = round_;
   }
-  send_heartbeats();
+  send_round();
+}
+
+// Learners get no round: no quorum needs their replies, and one message for
+// each round would fill the link of a small machine. Leaves the time of the
+// next regular heartbeat as it is, because that one also reaches learners,
+// resends lost requests and checks that a quorum is in contact.
+void replica_core::send_round()
+{
+  for (auto& [id, peer] : peers_)
+    if (peer.address.voter)
+      send_heartbeat(peer);
 }
 
 void replica_core::finish_reads()
