log: reads that arrive within 10 ms share a round

Cause: each batch of reads started a round of its own, with 600 reports a second nearly one round, and one message to each voter, per report. Change: rounds start at least read_round_interval (10 ms) apart; reads that arrive in between wait and share the next one, whether or not the last one is complete. A read without a recent round, and the only voter of a group, still start at once. A round confirms only reads that arrived before it began. The log's thread wakes up for a round that is due (next_round_time()) instead of with its next tick. read() takes the time, because the core's own may be a tick old.

--- a/src/log/group_faults_test.cpp
+++ b/src/log/group_faults_test.cpp
@@ -81,7 +81,7 @@
       reads_[read] = {id, acknowledged_};
       if (defects_.unconfirmed_reads)
         finish_read(replica, {read, true});
-      else if (!replica.core->read(read))
+      else if (!replica.core->read(read, context_of(replica)))
         reads_.erase(read);
     }
     if (chance(0.05))
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -122,7 +122,7 @@
   if (closing_)
     return done(stopped_error());
   const auto id = next_read_id_++;
-  if (auto accepted = core_->read(id); !accepted)
+  if (auto accepted = core_->read(id, now_and_random()); !accepted)
     return done(accepted.error());
   reads_[id] = std::move(done);
 }
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -140,7 +140,7 @@
 void log_runtime::tick_if_due()
 {
   const auto now = monotonic_now();
-  if (now < next_tick_)
+  if (now < core_tick_time())
     return;
   next_tick_ = now + tick_interval;
   core_->tick(now_and_random());
@@ -300,13 +300,18 @@
     core_->compact(*written.value());
 }
 
+time_point log_runtime::core_tick_time() const
+{
+  return std::min(next_tick_, core_->next_round_time().value_or(next_tick_));
+}
+
 // Zero while a snapshot is being written, so that its next part follows at
 // once.
 duration log_runtime::time_to_wakeup() const
 {
   if (store_->snapshot_in_progress())
     return duration{0};
-  return std::max(next_tick_ - monotonic_now(), duration{0});
+  return std::max(core_tick_time() - monotonic_now(), duration{0});
 }
 
 table_version log_runtime::applied_position() const
--- a/src/log/log_runtime.hpp
+++ b/src/log/log_runtime.hpp
@@ -63,6 +63,7 @@
   void fail_lost_proposals();
   void snapshot_if_due();
   void continue_snapshot();
+  time_point core_tick_time() const;
   duration time_to_wakeup() const;
   void close();
   void start_proposal(const std::string& command, outcome_callback done);
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -32,6 +32,10 @@
   replica_id self;
   duration heartbeat_interval = std::chrono::milliseconds(100);
   duration election_timeout = std::chrono::milliseconds(600);
+  /// Least time between the starts of two rounds that confirm reads. Nodes
+  /// report every 500 ms, so that 10 ms until an answer matter little to them;
+  /// 300 of them would start 600 rounds a second, each a message to each voter.
+  duration read_round_interval = std::chrono::milliseconds(10);
   std::size_t max_message_bytes =
       std::size_t{256} * 1024; ///< of entry payloads or snapshot data
   std::size_t max_messages_in_flight = 16; ///< append requests per replica
@@ -126,9 +130,14 @@
   /// limit_reached for a command over 8 MiB.
   result<table_version> propose(std::string command);
 
-  /// Starts a linearizable read; its outcome appears in the actions. Errors:
+  /// Starts a linearizable read; its outcome appears in the actions. Shares a
+  /// round with the reads that arrive within read_round_interval. Errors:
   /// not_leader.
-  result<void> read(std::uint64_t id);
+  result<void> read(std::uint64_t id, call_context context);
+
+  /// When tick() is due for reads that wait for the next round; none if none
+  /// wait for it.
+  std::optional<time_point> next_round_time() const;
 
   /// Adds, promotes, changes or removes one member. Errors: not_leader,
   /// invalid_argument, unavailable.
@@ -291,6 +300,7 @@
   void send_timeout_now();
 
   // replica_read_core.cpp
+  bool has_unassigned_reads() const;
   void start_reads();
   void send_round();
   void finish_reads();
@@ -325,6 +335,7 @@
   /// carry it, so that the replies confirm this replica as leader for the
   /// batch, even if the first heartbeats of the round are lost.
   std::uint64_t round_ = 0;
+  time_point next_round_time_;
   std::deque<pending_read> pending_reads_;
 
   std::string incoming_snapshot_;
--- a/src/log/replica_read_core.cpp
+++ b/src/log/replica_read_core.cpp
@@ -5,8 +5,9 @@
 namespace toucanmill::log_detail
 {
 
-result<void> replica_core::read(std::uint64_t id)
+result<void> replica_core::read(std::uint64_t id, call_context context)
 {
+  set_time(context);
   if (role_ != replica_role::leader)
     return error{error_code::not_leader, "this instance is not the leader"};
   pending_reads_.push_back({id, 0, 0});
@@ -15,11 +16,24 @@
 
 // Waits for the first commit of the leader's own term: only then is its commit
 // index known to cover every committed entry.
+bool replica_core::has_unassigned_reads() const
+{
+  return !pending_reads_.empty() && pending_reads_.back().round == 0 &&
+         own_term_committed();
+}
+
+std::optional<time_point> replica_core::next_round_time() const
+{
+  return has_unassigned_reads() ? std::make_optional(next_round_time_)
+                                : std::nullopt;
+}
+
 void replica_core::start_reads()
 {
-  if (pending_reads_.empty() || pending_reads_.back().round != 0 ||
-      !own_term_committed())
+  // The only voter confirms its reads without messages, so they need not wait.
+  if (!has_unassigned_reads() || (quorum() > 1 && now_ < next_round_time_))
     return;
+  next_round_time_ = now_ + settings_.read_round_interval;
   ++round_;
   for (auto& read : pending_reads_)
   {
--- a/src/log/replica_read_test.cpp
+++ b/src/log/replica_read_test.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <map>
+#include <utility>
+#include <vector>
 
 using namespace toucanmill;
 using namespace toucanmill::log_detail;
@@ -52,7 +54,7 @@
 
   void read()
   {
-    CHECK_TRUE(core_.read(++reads_));
+    CHECK_TRUE(core_.read(++reads_, {now_, 0}));
     exchange();
   }
 
@@ -70,6 +72,15 @@
     }
   }
 
+  /// The members answer the messages that came while they were cut off.
+  void answer_late()
+  {
+    cut_off = false;
+    for (const auto& message : std::exchange(unanswered_, {}))
+      answer(message);
+    exchange();
+  }
+
   replica_core& core()
   {
     return core_;
@@ -88,7 +99,9 @@
       for (const auto& item : actions.messages)
       {
         ++sent[item.to.id.value];
-        if (!cut_off)
+        if (cut_off)
+          unanswered_.push_back(item.message);
+        else
           answer(item.message);
       }
     }
@@ -97,7 +110,7 @@
   std::map<std::uint64_t, int> sent; ///< messages by member
   int confirmed = 0;
   int failed = 0;
-  bool cut_off = false; ///< messages to the members are lost
+  bool cut_off = false; ///< messages to the members are not answered
 
 private:
   static stored_state stored()
@@ -131,6 +144,7 @@
   }
 
   time_point now_;
+  std::vector<replica_message> unanswered_;
   std::uint64_t reads_ = 0;
   replica_core core_;
 };
@@ -169,6 +183,7 @@
   }
   CHECK_TRUE(group.core().role() != replica_role::leader);
   CHECK_COMPARE(group.failed, >, 0);
+  CHECK_FALSE(group.core().next_round_time().has_value());
   CHECK_EQUAL(0, group.confirmed);
 }
 
@@ -183,3 +198,63 @@
   for (auto id = voters + 1; id <= members; ++id)
     CHECK_EQUAL(2, group.sent[id]);
 }
+
+// Guards against one round of messages for each read when many arrive.
+TEST(replica_read, reads_that_arrive_together_share_a_round)
+{
+  leader_of_twelve group;
+  group.read_for_a_second();
+  for (std::uint64_t id = 2; id <= voters; ++id)
+    CHECK_COMPARE(group.sent[id], <=, 101 + heartbeats_per_second);
+}
+
+// Guards against a read at rest that waits for the interval between rounds.
+TEST(replica_read, read_without_a_recent_round_starts_one_at_once)
+{
+  leader_of_twelve group;
+  group.read();
+  CHECK_EQUAL(1, group.confirmed);
+}
+
+// Guards against a stale read: the members may have answered the round before
+// another leader committed an entry that the read must see.
+TEST(replica_read, round_confirms_no_read_that_arrived_after_its_start)
+{
+  leader_of_twelve group;
+  group.cut_off = true;
+  group.read();
+  group.read();
+  CHECK_TRUE(group.core().next_round_time().has_value());
+  group.answer_late();
+  CHECK_EQUAL(1, group.confirmed);
+  group.run(leader_of_twelve::settings().read_round_interval);
+  CHECK_EQUAL(2, group.confirmed);
+  CHECK_FALSE(group.core().next_round_time().has_value());
+}
+
+// Guards against reads that are never answered because the messages of their
+// round were lost and no other read follows.
+TEST(replica_read, next_heartbeat_confirms_reads_of_a_lost_round)
+{
+  leader_of_twelve group;
+  group.cut_off = true;
+  group.read();
+  group.cut_off = false;
+  group.run(leader_of_twelve::settings().heartbeat_interval);
+  CHECK_EQUAL(1, group.confirmed);
+}
+
+// Guards against a promoted learner that counts for the quorum and gets no
+// rounds.
+TEST(replica_read, promoted_learner_confirms_reads)
+{
+  leader_of_twelve group;
+  auto promoted = group.core().group().members;
+  promoted.back().voter = true;
+  CHECK_TRUE(group.core().change_group(promoted, {}));
+  group.exchange();
+  group.sent.clear();
+  group.read();
+  CHECK_EQUAL(1, group.sent[promoted.back().id.value]);
+  CHECK_EQUAL(1, group.confirmed);
+}
