log: one large append request at a time for each replica

Cause: the leader pipelines up to 16 append requests of 256 KB or more to a replica. On a link of 2 Mbit/s that a learner shares with a balancer these are seconds of the link. The transport is to carry only one large message to an instance at a time, and a dropped request waits 200 ms for its retransmission.

Change: while a request of large_message_octets (4,096) or more is in flight, the next large one waits for its acknowledgement and follows it at once. Smaller requests are pipelined as before, and the time until a retransmission is the same. The randomised test runs with a limit of 420 octets, so that it covers both sizes. An entry that waits behind a large request takes one round trip more.

Tests: without the change next_large_request_follows_the_acknowledgement (three requests at once) and entries_that_make_a_large_request_count_as_one fail. small_requests_are_pipelined and dropped_large_request_is_sent_again guard what stays and pass without it.

--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -1,6 +1,7 @@
 #ifndef TOUCANMILL_LOG_REPLICATED_LOG_HPP
 #define TOUCANMILL_LOG_REPLICATED_LOG_HPP
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,6 +15,11 @@
 namespace toucanmill
 {
 
+/// Replication messages of this size or more, in octets, are large: the
+/// transport carries one of them to an instance at a time. Heartbeats and votes
+/// are smaller and must not wait for entries.
+constexpr std::size_t large_message_octets = 4096;
+
 /// Callbacks that the replicated log makes to its state machine, and the
 /// transport for its messages. All calls come from the log's thread.
 class log_client
@@ -39,7 +45,8 @@
   /// Called about every 50 ms.
   virtual void on_tick(time_point now) = 0;
 
-  /// Sends a replication message; messages may be lost, delayed or reordered.
+  /// Sends a replication message; messages may be lost, delayed or reordered. A
+  /// large one is lost if another is on its way to the same instance.
   virtual void send(const replica_address& to, std::string message) = 0;
 };
 
--- a/src/log/group_driver_test.cpp
+++ b/src/log/group_driver_test.cpp
@@ -16,6 +16,9 @@
 
 /// Small, so that the tests cover several messages, chunks and segments.
 constexpr std::size_t message_bytes = 300;
+
+/// Makes requests with three commands or more large ones.
+constexpr std::size_t large_message_bytes = 420;
 constexpr std::uint64_t segment_bytes = 3000;
 
 const std::string folder = "data";
@@ -112,6 +115,7 @@
   settings.self = replica.address.id;
   settings.max_message_bytes = message_bytes;
   settings.max_messages_in_flight = 4;
+  settings.large_message_bytes = large_message_bytes;
   settings.retained_entries = 5;
   settings.heartbeat_interval =
       short_timeouts_ ? 3 * step_time : 10 * step_time;
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -11,6 +11,11 @@
 namespace
 {
 
+/// Upper bounds of the octets that encode() adds to the payloads: 176 for an
+/// append request, and 47 for an entry, whose payload is padded to 8.
+constexpr std::size_t request_overhead = 256;
+constexpr std::size_t entry_overhead = 48;
+
 /// Whether the entries follow the message's position without a gap, their terms
 /// do not decrease or exceed the message's term, and the membership entries can
 /// be decoded.
@@ -48,13 +53,39 @@
       send_snapshot(peer);
     else if (peer.state == progress_state::probe && !peer.waiting)
       send_entries(peer);
-    while (peer.state == progress_state::replicate &&
-           peer.next <= log_.last().index &&
-           peer.in_flight.size() < settings_.max_messages_in_flight)
+    while (peer.state == progress_state::replicate && may_pipeline(peer))
       send_entries(peer);
   }
 }
 
+// A second large request would be dropped by the transport and wait for its
+// retransmission; it follows the acknowledgement of the first.
+bool replica_core::may_pipeline(const progress& peer) const
+{
+  if (peer.next > log_.last().index ||
+      peer.in_flight.size() >= settings_.max_messages_in_flight)
+    return false;
+  const bool large_in_flight =
+      std::any_of(peer.in_flight.begin(), peer.in_flight.end(),
+                  [](const sent_request& sent)
+                  {
+                    return sent.large;
+                  });
+  return !large_in_flight || !next_is_large(peer);
+}
+
+bool replica_core::next_is_large(const progress& peer) const
+{
+  auto bytes = request_overhead;
+  for (auto index = peer.next; index <= log_.last().index; ++index)
+  {
+    bytes += entry_overhead + log_.at(index).payload.size();
+    if (bytes >= settings_.large_message_bytes)
+      return true;
+  }
+  return false;
+}
+
 void replica_core::send_entries(progress& peer)
 {
   auto request = make_message(message_kind::append_request, peer.address.id);
@@ -74,8 +105,8 @@
     peer.waiting = true;
   else
   {
+    peer.in_flight.push_back({index - 1, next_is_large(peer)});
     peer.next = index;
-    peer.in_flight.push_back(index - 1);
   }
   send_now(std::move(request));
 }
@@ -208,7 +239,8 @@
     return;
   peer->match = std::max(peer->match, message.index);
   peer->next = std::max(peer->next, peer->match + 1);
-  while (!peer->in_flight.empty() && peer->in_flight.front() <= peer->match)
+  while (!peer->in_flight.empty() &&
+         peer->in_flight.front().last <= peer->match)
     peer->in_flight.pop_front();
   if (peer->state == progress_state::probe)
   {
--- /dev/null
+++ b/src/log/replica_append_test.cpp
@@ -0,0 +1,186 @@
+#include "replica_core.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include "codec.hpp"
+
+using namespace toucanmill;
+using namespace toucanmill::log_detail;
+
+namespace
+{
+
+const replica_address leader_address = {replica_id{1}, {}, true};
+const replica_address learner_address = {replica_id{2}, {}, false};
+
+constexpr time_point start_time{std::chrono::seconds(10)};
+
+const std::string large_command(300'000, 'x');
+const std::string small_command(100, 'x');
+
+/// The only voter of a group with a learner that has acknowledged the first
+/// entry, so that entries are pipelined.
+class leader_with_learner
+{
+public:
+  leader_with_learner() : core_(settings(), stored(), {})
+  {
+    core_.tick({start_time, 0});
+    sent();
+    acknowledge(1);
+    sent();
+  }
+
+  void propose(const std::string& command)
+  {
+    CHECK_TRUE(core_.propose(command).has_value());
+  }
+
+  void tick(duration since_start)
+  {
+    core_.tick({start_time + since_start, 0});
+  }
+
+  void acknowledge(std::uint64_t index)
+  {
+    replica_message reply;
+    reply.kind = message_kind::append_reply;
+    reply.from = learner_address;
+    reply.to = leader_address.id;
+    reply.term = core_.hard().term;
+    reply.granted = true;
+    reply.index = index;
+    core_.receive(reply, {start_time, 0});
+  }
+
+  /// Performs all actions; returns the index of the first entry of each append
+  /// request that they send.
+  std::vector<std::uint64_t> sent()
+  {
+    std::vector<std::uint64_t> first;
+    for (auto actions = core_.take_actions(); !actions.empty();
+         actions = core_.take_actions())
+    {
+      for (const auto& [to, message] : actions.messages)
+        if (message.kind == message_kind::append_request)
+        {
+          first.push_back(message.position.index + 1);
+          last_size_ = encode(message).size();
+        }
+      core_.persisted(actions.persist.sequence, {start_time, 0});
+    }
+    return first;
+  }
+
+  /// Encoded octets of the last append request sent.
+  std::size_t last_size() const
+  {
+    return last_size_;
+  }
+
+private:
+  static replica_settings settings()
+  {
+    replica_settings made;
+    made.self = leader_address.id;
+    return made;
+  }
+
+  static stored_state stored()
+  {
+    stored_state made;
+    made.hard = {1, {}, true};
+    made.snapshot.group.members = {leader_address, learner_address};
+    return made;
+  }
+
+  replica_core core_;
+  std::size_t last_size_ = 0;
+};
+
+/// Whether a request with these entries is sent while a large one is in flight.
+bool is_small(std::size_t count, std::size_t command_size)
+{
+  leader_with_learner leader;
+  leader.propose(large_command);
+  leader.sent();
+  for (std::size_t i = 0; i < count; ++i)
+    leader.propose(std::string(command_size, 'x'));
+  const bool sent = !leader.sent().empty();
+  CHECK_TRUE(!sent || leader.last_size() < large_message_octets);
+  return sent;
+}
+
+using indices = std::vector<std::uint64_t>;
+
+} // namespace
+
+TEST_GROUP(replica_append){};
+
+// Guards against large requests that fill a slow link for seconds, and against
+// the wait for a retransmission where the connection drops the second of two.
+TEST(replica_append, next_large_request_follows_the_acknowledgement)
+{
+  leader_with_learner leader;
+  for (int i = 0; i < 3; ++i)
+    leader.propose(large_command);
+  CHECK_TRUE(leader.sent() == indices{2});
+  leader.acknowledge(2);
+  CHECK_TRUE(leader.sent() == indices{3});
+  leader.acknowledge(3);
+  CHECK_TRUE(leader.sent() == indices{4});
+}
+
+// Guards against many entries of a slow learner that are sent as several large
+// requests at once.
+TEST(replica_append, entries_that_make_a_large_request_count_as_one)
+{
+  leader_with_learner leader;
+  leader.propose(large_command);
+  CHECK_TRUE(leader.sent() == indices{2});
+  for (int i = 0; i < 170; ++i)
+    leader.propose(small_command);
+  CHECK_TRUE(leader.sent().empty());
+  leader.acknowledge(2);
+  CHECK_TRUE(leader.sent() == indices{3});
+}
+
+// Guards against small entries that wait for the acknowledgement of others.
+TEST(replica_append, small_requests_are_pipelined)
+{
+  leader_with_learner leader;
+  leader.propose(large_command);
+  CHECK_TRUE(leader.sent() == indices{2});
+  for (std::uint64_t index = 3; index < 3 + 10; ++index)
+  {
+    leader.propose(small_command);
+    CHECK_TRUE(leader.sent() == indices{index});
+  }
+}
+
+// Guards against a request that counts as small here and as large to the
+// transport, which drops it.
+TEST(replica_append, small_requests_encode_to_less_than_the_limit)
+{
+  for (std::size_t size = 3'700; size < 4'000; ++size)
+    is_small(1, size);
+  for (std::size_t count = 60; count < 90; ++count)
+    is_small(count, 1);
+  CHECK_TRUE(is_small(1, 3'700));
+  CHECK_TRUE(is_small(60, 1));
+  CHECK_FALSE(is_small(1, 3'900));
+  CHECK_FALSE(is_small(90, 1));
+}
+
+// Guards against a large request that the connection dropped and that is not
+// sent again before the time that a slow link would need for it.
+TEST(replica_append, dropped_large_request_is_sent_again)
+{
+  leader_with_learner leader;
+  leader.propose(large_command);
+  CHECK_TRUE(leader.sent() == indices{2});
+  leader.tick(std::chrono::milliseconds(100));
+  CHECK_TRUE(leader.sent().empty());
+  leader.tick(std::chrono::milliseconds(200));
+  CHECK_TRUE(leader.sent() == indices{2});
+}
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -35,6 +35,8 @@
   std::size_t max_message_bytes =
       std::size_t{256} * 1024; ///< of entry payloads or snapshot data
   std::size_t max_messages_in_flight = 16; ///< append requests per replica
+  /// Encoded size from which a replica gets one append request at a time.
+  std::size_t large_message_bytes = large_message_octets;
   /// Entries covered by a snapshot that stay in the log, so that a replica that
   /// lags by fewer entries does not need the snapshot.
   std::uint64_t retained_entries = 1000;
@@ -197,6 +199,12 @@
     snapshot,  ///< needs entries that were compacted
   };
 
+  struct sent_request
+  {
+    std::uint64_t last = 0; ///< index of its last entry
+    bool large = false;
+  };
+
   /// Replication state that the leader keeps for another replica.
   struct progress
   {
@@ -204,8 +212,8 @@
     progress_state state = progress_state::probe;
     std::uint64_t match = 0;
     std::uint64_t next = 1;
-    std::deque<std::uint64_t> in_flight; ///< last index of each append request
-    std::uint64_t round = 0;             ///< last heartbeat round answered
+    std::deque<sent_request> in_flight; ///< append requests
+    std::uint64_t round = 0;            ///< last heartbeat round answered
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
@@ -255,6 +263,8 @@
 
   // replica_append_core.cpp
   void send_pending();
+  bool may_pipeline(const progress& peer) const;
+  bool next_is_large(const progress& peer) const;
   void send_entries(progress& peer);
   void send_heartbeats();
   void retransmit();
