control: one large message at a time on a connection, with time for its size

Cause: an entry that is not acknowledged is sent again every 200 ms, also while the connection still delivers it. Up to 1 MiB of copies was put on a connection, 4 s of a link of 2 Mbit/s, and after 2 s the connection was closed and all was sent again, so the links of learners stayed full.

Change: a large message is dropped while another is unacknowledged on its connection; replication sends it again. Small ones pass as before. The time allowed for a message is 2 s and the time that the unacknowledged octets up to its end need at 125 KB/s, half of the slowest supported link; so neither a declaration of 300 KB (4.4 s) nor a heartbeat behind it closes the connection. A connection to an instance without power that holds such a message is replaced later by as much. The timer is a parameter, so that tests need not wait.

Tests: large_messages_in_flight_are_limited is stricter: of five messages of 400 KB one passes and four are lost, where two passed. Without the change it fails (3 lost), as do next_large_message_passes_after_an_acknowledgement (both large messages are received at once) and time_allowed_for_a_message_grows_with_its_size (both messages given up before 5.9 s). small_messages_are_given_up_after_two_seconds passes without it too. control_test: 43 pass.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -64,7 +64,8 @@
   rpc_thread_state(kj::AsyncIoContext& io, const endpoint& listen,
                    kj::Own<schema::Control::Server> service,
                    std::atomic<std::uint64_t>& lost)
-      : links(io, lost), receiver(bind(io, listen)), server(kj::mv(service)),
+      : links(io, io.provider->getTimer(), lost), receiver(bind(io, listen)),
+        server(kj::mv(service)),
         listening(server.listen(*receiver).eagerlyEvaluate(nullptr))
   {
   }
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -15,19 +15,26 @@
 /// Delay between attempts to connect to an unreachable instance.
 constexpr auto reconnect_delay = 100 * kj::MILLISECONDS;
 
-/// A connection is replaced if a message is not acknowledged in this time.
+/// A connection is replaced if a message is not acknowledged in this time and
+/// the time that the octets up to its end need at the minimum rate.
 constexpr auto delivery_timeout = 2 * kj::SECONDS;
 
-/// Octets that count towards peer_links::max_octets_in_flight.
-std::size_t limited_octets(const std::string& message)
+kj::Duration time_allowed(std::size_t octets)
 {
-  return message.size() < peer_links::large_message_size ? 0 : message.size();
+  return delivery_timeout +
+         octets * kj::SECONDS / peer_links::min_delivery_rate;
+}
+
+bool is_large(const std::string& message)
+{
+  return message.size() >= large_message_octets;
 }
 
 } // namespace
 
-peer_links::peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost)
-    : io_(io), lost_(lost), tasks_(*this)
+peer_links::peer_links(kj::AsyncIoContext& io, kj::Timer& timer,
+                       std::atomic<std::uint64_t>& lost)
+    : io_(io), timer_(timer), lost_(lost), tasks_(*this)
 {
 }
 
@@ -47,10 +54,8 @@
 
 bool peer_links::has_room(const link& peer, const std::string& message)
 {
-  const auto octets = limited_octets(message);
   return peer.in_flight < max_in_flight &&
-         (octets == 0 || peer.octets_in_flight == 0 ||
-          peer.octets_in_flight + octets <= max_octets_in_flight);
+         !(peer.large_in_flight && is_large(message));
 }
 
 void peer_links::invite(const endpoint& to,
@@ -67,7 +72,7 @@
                            static_cast<unsigned>(members.size()));
                        for (unsigned i = 0; i < list.size(); ++i)
                          wire::write(list[i], members[i]);
-                       return io_.provider->getTimer()
+                       return timer_
                            .timeoutAfter(delivery_timeout,
                                          request.send().ignoreResult())
                            .attach(kj::mv(connection));
@@ -107,6 +112,7 @@
                            std::make_shared<rpc_connection>(kj::mv(stream));
                        peer->in_flight = 0;
                        peer->octets_in_flight = 0;
+                       peer->large_in_flight = false;
                        peer->connecting = false;
                        deliver_queued(peer);
                      })
@@ -115,8 +121,7 @@
                      {
                        lost_ += peer->queued.size();
                        peer->queued.clear();
-                       return io_.provider->getTimer()
-                           .afterDelay(reconnect_delay)
+                       return timer_.afterDelay(reconnect_delay)
                            .then(
                                [peer]
                                {
@@ -130,29 +135,33 @@
 {
   auto request = peer->connection->control.stepRequest();
   request.setMessage(kj::StringPtr(message.c_str(), message.size()).asBytes());
-  const auto octets = limited_octets(message);
+  const auto octets = message.size();
+  const bool large = is_large(message);
   ++peer->in_flight;
   peer->octets_in_flight += octets;
+  peer->large_in_flight = peer->large_in_flight || large;
   const auto used = peer->connection;
   auto sent = request.send().ignoreResult();
-  auto& timer = io_.provider->getTimer();
   // The task keeps the connection alive, so that it is not destroyed inside one
   // of its own callbacks.
-  tasks_.add(timer.timeoutAfter(delivery_timeout, kj::mv(sent))
-                 .then(
-                     [peer, used, octets]
-                     {
-                       if (peer->connection != used)
-                         return;
-                       --peer->in_flight;
-                       peer->octets_in_flight -= octets;
-                     },
-                     [this, peer, used](kj::Exception&&)
-                     {
-                       ++lost_;
-                       if (peer->connection == used)
-                         peer->connection = nullptr;
-                     }));
+  tasks_.add(
+      timer_.timeoutAfter(time_allowed(peer->octets_in_flight), kj::mv(sent))
+          .then(
+              [peer, used, octets, large]
+              {
+                if (peer->connection != used)
+                  return;
+                --peer->in_flight;
+                peer->octets_in_flight -= octets;
+                if (large)
+                  peer->large_in_flight = false;
+              },
+              [this, peer, used](kj::Exception&&)
+              {
+                ++lost_;
+                if (peer->connection == used)
+                  peer->connection = nullptr;
+              }));
 }
 
 void peer_links::taskFailed(kj::Exception&&) {}
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -8,36 +8,38 @@
 #include <vector>
 
 #include <kj/async-io.h>
+#include <kj/timer.h>
 
 #include <toucanmill/control/rpc_connection.hpp>
-#include <toucanmill/log/types.hpp>
+#include <toucanmill/log/replicated_log.hpp>
 
 namespace toucanmill::detail
 {
 
 /// Connections to the other control instances; used on one kj thread. Messages
-/// to a slow or unreachable instance are dropped; replication resends them.
+/// to a slow or unreachable instance are dropped; replication resends them. A
+/// large message is dropped while another is unacknowledged: replication
+/// resends an entry every 200 ms, also while the connection still delivers it,
+/// and copies of one declaration of 300 KB filled a link of 2 Mbit/s for
+/// seconds.
 class peer_links : private kj::TaskSet::ErrorHandler
 {
 public:
   /// Maximum number of unacknowledged replication messages per instance.
   static constexpr std::size_t max_in_flight = 256;
 
-  /// Maximum octets of unacknowledged large messages per instance. Replication
-  /// resends an entry every 200 ms, also while the connection still delivers
-  /// it; without this limit the copies of one declaration of 500 KB for a slow
-  /// or frozen instance took 5 MB. A single larger message may pass.
-  static constexpr std::size_t max_octets_in_flight = std::size_t{1} << 20;
-
-  /// Heartbeats and votes are smaller and must not wait for entries.
-  static constexpr std::size_t large_message_size = 4096;
+  /// Octets per second at which an unacknowledged message may be delivered
+  /// before its connection is replaced: half of the slowest supported link, one
+  /// of 2 Mbit/s, which a learner shares with the packets of a balancer.
+  static constexpr std::size_t min_delivery_rate = 125'000;
 
   /// Maximum number of messages queued per instance while its connection is
   /// being opened. They are kept because they may start an election.
   static constexpr std::size_t max_queued = 16;
 
   /// `lost` counts messages that were dropped or not acknowledged.
-  peer_links(kj::AsyncIoContext& io, std::atomic<std::uint64_t>& lost);
+  peer_links(kj::AsyncIoContext& io, kj::Timer& timer,
+             std::atomic<std::uint64_t>& lost);
 
   void send(const replica_address& to, const std::string& message);
 
@@ -50,7 +52,8 @@
     endpoint to;
     bool connecting = false;
     std::size_t in_flight = 0;
-    std::size_t octets_in_flight = 0; ///< of large messages
+    std::size_t octets_in_flight = 0;
+    bool large_in_flight = false;
     std::vector<std::string> queued;
     std::shared_ptr<rpc_connection> connection; ///< null: not connected
   };
@@ -63,6 +66,7 @@
   void taskFailed(kj::Exception&& exception) override;
 
   kj::AsyncIoContext& io_;
+  kj::Timer& timer_;
   std::atomic<std::uint64_t>& lost_;
   std::map<endpoint, std::shared_ptr<link>> links_;
   kj::TaskSet tasks_;
