relay: a late returned packet leaves the newer flow in the table

What callers may see: a caller that uses the address and port of an ended flow again can lose the new flow. A packet of the ended flow that the upstream returns after it answered the new opening packet erased the new flow's entry; an agent that knows all flows then denies the open flow, which can end in a reset.

Cause: on_bounced erased the entry whatever the order of the deliveries. The return of an earlier copy of an opening packet erased it too, though a later copy was still at the upstream.

Change: deliveries are counted; a visit keeps its number and a flow the number of its latest opening packet. Only a packet that was delivered at or after that one shows that the upstream does not hold the flow. The returned packet itself is passed on as before.

No load was measured: the change adds one comparison per returned packet.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -290,6 +290,8 @@
     std::optional<std::uint32_t> passed_end;
     /// A held request was dropped then, with data up to this position.
     std::optional<std::pair<time_point, std::uint32_t>> expired;
+    /// Number of the delivery of its latest opening packet; 0 if none.
+    std::uint64_t opening_delivery = 0;
   };
 
   /// A copy of a packet that waits.
@@ -312,6 +314,7 @@
   struct tracked_visit
   {
     std::uint32_t tag = 0;
+    std::uint64_t delivery = 0; ///< counts from 1; tags start again
     flow_key flow;
     relay_header header;
   };
@@ -409,6 +412,10 @@
   static std::optional<std::uint8_t> next_stop(const relay_header& header);
   void on_bounced(byte_view bytes, const flow_packet& packet, time_point now,
                   relay_sink& sink);
+  /// Whether the packet, returned from this visit, shows that the upstream does
+  /// not hold the flow now.
+  bool shows_absence(const tracked_visit& visit,
+                     const flow_packet& packet) const;
   void track_upstream_packet(const flow_packet& packet, time_point now,
                              relay_sink& sink);
   void begin_request(const flow_key& key, flow_state& flow, time_point now);
@@ -451,6 +458,7 @@
   std::size_t ended_flows_ = 0; ///< in flows_
   std::vector<tracked_visit> tracked_visits_;
   std::uint32_t next_tag_ = 1;
+  std::uint64_t deliveries_ = 0;
   std::array<std::uint64_t, relay_event_count> events_{};
 
   upstream_meter meter_;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -294,6 +294,7 @@
   if (message.header.stop > 0)
     send_found(message.header, key, flow, now, sink);
   deliver(message, packet, sink);
+  flow.opening_delivery = deliveries_;
 }
 
 /// Tells the balancer that this agent holds the flow, at once or when the
@@ -340,7 +341,7 @@
   if (next_tag_ == 0)
     next_tag_ = 1;
   tracked_visits_[tag & (tracked_visits_.size() - 1)] = {
-      tag, packet.from_caller(), message.header};
+      tag, ++deliveries_, packet.from_caller(), message.header};
   count(relay_event::delivered);
   sink.deliver(message.packet, tag);
 }
@@ -408,10 +409,7 @@
   if (visit.tag != packet.tag || !(visit.flow == flow))
     return count(relay_event::unknown_bounce);
   sink.record(make_decision(relay_event::bounced, flow, visit.header));
-  // An upstream may return a copy of the opening packet of a flow that it has
-  // accepted.
-  const auto known = flows_.find(flow);
-  if (!packet.opens || known == flows_.end() || !known->second.answered)
+  if (shows_absence(visit, packet))
   {
     awaited_proofs_.erase(flow);
     erase(flow, now, sink);
@@ -421,6 +419,21 @@
           sink);
 }
 
+/// A packet that was delivered before the latest opening packet of its flow
+/// belongs to an earlier flow of the same addresses and ports, or is an earlier
+/// copy of that opening packet. An upstream may also return a later copy of the
+/// opening packet of a flow that it has accepted.
+bool relay_core::shows_absence(const tracked_visit& visit,
+                               const flow_packet& packet) const
+{
+  const auto known = flows_.find(visit.flow);
+  if (known == flows_.end())
+    return true;
+  const auto& flow = known->second;
+  return visit.delivery >= flow.opening_delivery &&
+         !(packet.opens && flow.answered);
+}
+
 relay_decision relay_core::make_decision(relay_event event,
                                          const flow_key& flow,
                                          const relay_header& header) const
