relay: a restarted agent denies flows that its upstream has returned

One agent, restarted 60 s before or less, delivered 5,716 packets in 20 s and got 4,396 of them back.

Cause: an agent that does not know all flows of its upstream cannot deny one by its table. It did not remember that the upstream had returned a packet of the flow, so each attempt of each balancer had the flow delivered there again, and each question for it stayed undecided, which costs one more visit of the packet.

Change: returned_flows, a bounded set of flows (16,384, the oldest is evicted). A returned packet that is no opening packet adds its flow; such a flow is denied like one that an agent with all flows does not have (not_held, and no undecided bit). The flow is taken out when an opening packet of it is admitted here, the upstream sends any packet of it, or the upstream starts again; all are dropped once the agent knows all flows, max_flow_age after its start at the latest. A packet from before the flow's latest opening packet, from before the announced start of the upstream, or of a visit that is no longer tracked denies nothing.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -18,6 +18,7 @@
 #include <toucanmill/load/upstream_meter.hpp>
 #include <toucanmill/packet/flow_packet.hpp>
 #include <toucanmill/relay/relay_message.hpp>
+#include <toucanmill/relay/returned_flows.hpp>
 #include <toucanmill/relay/upstream_core.hpp>
 #include <toucanmill/table/configuration.hpp>
 
@@ -142,6 +143,10 @@
   /// dropped.
   duration proof_timeout = std::chrono::seconds(2);
   std::size_t max_awaited_proofs = 4096;
+  /// Flows kept to deny them at once since the upstream has returned a packet
+  /// of them, 75 octets each. Needed until the agent knows all flows: after a
+  /// loss of power, searches for thousands of flows visit it.
+  std::size_t max_returned_flows = 16384;
 
   // Mode objectives.
   request_queue::options queue;
@@ -426,6 +431,7 @@
   void stop_waiting(flow_state& flow, time_point now);
   /// Takes the flow, which is about to be erased or ended, out of all counts.
   void release(const flow_key& key, flow_state& flow, time_point now);
+  /// Whether the upstream is known not to hold the flow.
   bool lacks_flow(const flow_key& flow, time_point now) const;
   void end(const flow_key& flow, time_point now, relay_sink& sink);
   void erase(const flow_key& flow, time_point now, relay_sink& sink);
@@ -454,11 +460,14 @@
   std::unordered_map<std::uint64_t, waiting_terms> routes_;
   std::unordered_map<flow_key, flow_state> flows_;
   std::unordered_map<flow_key, awaited_proof> awaited_proofs_;
+  returned_flows returned_; ///< none of them in flows_
   std::size_t busy_ = 0;
   std::size_t ended_flows_ = 0; ///< in flows_
   std::vector<tracked_visit> tracked_visits_;
   std::uint32_t next_tag_ = 1;
   std::uint64_t deliveries_ = 0;
+  /// deliveries_ when the upstream announced its start.
+  std::uint64_t deliveries_before_start_ = 0;
   std::array<std::uint64_t, relay_event_count> events_{};
 
   upstream_meter meter_;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -84,6 +84,7 @@
     : options_(std::move(options)),
       service_(key_of_service(options_.upstream.service)),
       upstream_(options_.upstream), warm_up_(options_.started),
+      returned_(options_.max_returned_flows),
       tracked_visits_(options_.max_tracked_visits), meter_(options_.meter),
       queue_(options_.queue)
 {
@@ -134,6 +135,8 @@
                            (has_age && age <= now - options_.started);
   if (restarted)
     reset_flows(has_age ? now - age : time_point::max(), now, sink);
+  returned_.clear();
+  deliveries_before_start_ = deliveries_;
   meter_.reset();
 }
 
@@ -230,13 +233,12 @@
     return pass_on(header, message.packet, miss_reason::other_service, sink);
   }
   const auto found = flows_.find(*key);
-  const bool known = found != flows_.end();
-  if (known && found->second.answered)
+  if (found != flows_.end() && found->second.answered)
     return send_found(header, *key, found->second, now, sink);
-  if (known || !knows_all_flows(now))
-    header.undecided |= static_cast<std::uint16_t>(1U << header.stop);
-  else
+  if (lacks_flow(*key, now))
     count(relay_event::not_held);
+  else
+    header.undecided |= static_cast<std::uint16_t>(1U << header.stop);
   pass_on(header, message.packet, miss_reason::unknown_flow, sink);
 }
 
@@ -284,6 +286,7 @@
     warm_up_.take(now);
     erase(key, now, sink);
   }
+  returned_.erase(key);
   auto& flow = flows_[key];
   flow.used = now;
   if (!known)
@@ -413,6 +416,8 @@
   {
     awaited_proofs_.erase(flow);
     erase(flow, now, sink);
+    if (!packet.opens && !knows_all_flows(now))
+      returned_.add(flow);
   }
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
@@ -422,10 +427,13 @@
 /// A packet that was delivered before the latest opening packet of its flow
 /// belongs to an earlier flow of the same addresses and ports, or is an earlier
 /// copy of that opening packet. An upstream may also return a later copy of the
-/// opening packet of a flow that it has accepted.
+/// opening packet of a flow that it has accepted. What an earlier start of the
+/// upstream returned says nothing about the present one.
 bool relay_core::shows_absence(const tracked_visit& visit,
                                const flow_packet& packet) const
 {
+  if (visit.delivery <= deliveries_before_start_)
+    return false;
   const auto known = flows_.find(visit.flow);
   if (known == flows_.end())
     return true;
--- a/src/relay/relay_flows_core.cpp
+++ b/src/relay/relay_flows_core.cpp
@@ -21,7 +21,8 @@
 /// search for a flow that nobody holds.
 bool relay_core::lacks_flow(const flow_key& flow, time_point now) const
 {
-  return flows_.count(flow) == 0 && knows_all_flows(now);
+  return flows_.count(flow) == 0 &&
+         (knows_all_flows(now) || returned_.contains(flow));
 }
 
 void relay_core::reset_flows(time_point before, time_point now,
@@ -85,6 +86,7 @@
                                        time_point now, relay_sink& sink)
 {
   const auto key = packet.from_upstream();
+  returned_.erase(key);
   if (packet.resets)
     return end(key, now, sink);
   // A bare acknowledgement may follow the end of a flow, so it creates no
@@ -209,6 +211,8 @@
 void relay_core::on_tick(time_point now, relay_sink& sink)
 {
   stop_counting_overdue(now);
+  if (knows_all_flows(now))
+    returned_.clear();
   for (auto it = awaited_proofs_.begin(); it != awaited_proofs_.end();)
     it = now - it->second.since > options_.proof_timeout
              ? awaited_proofs_.erase(it)
