log, daemon: messages between control instances are counted by kind

Messages that the transport then drops are in these counts too, and in toucanmill_peer_messages_lost_total.

--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -70,6 +70,14 @@
   duration age{0};
 };
 
+/// Replication messages and replies handed to log_client::send().
+struct sent_messages
+{
+  const char* kind = ""; ///< vote, append, heartbeat or snapshot
+  std::uint64_t messages = 0;
+  std::uint64_t octets = 0; ///< before the framing of the transport
+};
+
 struct replicated_log_status
 {
   replica_id self;
@@ -85,6 +93,7 @@
   /// Of the other members; empty unless this instance is the leader.
   std::vector<replica_contact_age> contact_ages;
   std::uint64_t malformed_messages = 0; ///< received and dropped
+  std::vector<sent_messages> sent;      ///< one of each kind
 };
 
 /// Reads the replica id of a data folder; none if the folder is empty or its
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -372,6 +372,19 @@
               status.applied_index);
     add_gauge(out, "toucanmill_log_leads", "1 on the leader.",
               status.leads ? 1 : 0);
+    for (const auto& sent : status.sent)
+    {
+      out.push_back({"toucanmill_replication_messages_total",
+                     "Replication messages and replies sent, by kind.",
+                     true,
+                     static_cast<double>(sent.messages),
+                     {{"kind", sent.kind}}});
+      out.push_back({"toucanmill_replication_octets_total",
+                     "Octets of replication messages and replies, by kind.",
+                     true,
+                     static_cast<double>(sent.octets),
+                     {{"kind", sent.kind}}});
+    }
   }
 
   control_timings timings_;
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -63,6 +63,25 @@
   return seed + options.self.value;
 }
 
+/// Index in log_runtime::sent_.
+std::size_t index_of_kind(message_kind kind)
+{
+  switch (kind)
+  {
+  case message_kind::append_request:
+  case message_kind::append_reply:
+    return 1;
+  case message_kind::heartbeat:
+  case message_kind::heartbeat_reply:
+    return 2;
+  case message_kind::snapshot_chunk:
+  case message_kind::snapshot_reply:
+    return 3;
+  default:
+    return 0;
+  }
+}
+
 error stopped_error()
 {
   return error{error_code::unavailable, "the replicated log is stopped"};
@@ -196,7 +215,11 @@
       terminate_process(data.error());
     message.data = std::move(data.value());
   }
-  client_.send(outgoing.to, encode(message));
+  auto bytes = encode(message);
+  auto& sent = sent_[index_of_kind(message.kind)];
+  ++sent.messages;
+  sent.octets += bytes.size();
+  client_.send(outgoing.to, std::move(bytes));
 }
 
 void log_runtime::apply(const log_entry& entry)
--- a/src/log/log_runtime.hpp
+++ b/src/log/log_runtime.hpp
@@ -94,6 +94,8 @@
   std::uint64_t announced_term_ = 0;
   std::uint64_t bytes_since_snapshot_ = 0;
   std::uint64_t malformed_messages_ = 0;
+  std::vector<sent_messages> sent_{
+      {"vote"}, {"append"}, {"heartbeat"}, {"snapshot"}};
   time_point next_tick_;
   time_point next_client_tick_;
   bool closing_ = false;
--- a/src/log/replicated_log_test.cpp
+++ b/src/log/replicated_log_test.cpp
@@ -260,6 +260,30 @@
   logs.wait_for_state(first, expected);
 }
 
+// Guards against messages that are counted as another kind or not at all, so
+// that an operator cannot see what fills a link.
+TEST(replicated_log, status_counts_sent_messages_by_kind)
+{
+  group_of_logs logs(2);
+  logs.start(1);
+  logs.start(2);
+  logs.propose("a");
+  logs.wait_for_state(1, "a;");
+  logs.wait_for_state(2, "a;");
+  std::map<std::string, std::uint64_t> messages;
+  for (std::uint64_t id = 1; id <= 2; ++id)
+    for (const auto& sent : logs.status(id).sent)
+    {
+      messages[sent.kind] += sent.messages;
+      CHECK_TRUE(sent.octets >= sent.messages);
+    }
+  CHECK_EQUAL(4U, messages.size());
+  CHECK_TRUE(messages["vote"] >= 2);
+  CHECK_TRUE(messages["append"] >= 2);
+  CHECK_TRUE(messages["heartbeat"] >= 2);
+  CHECK_EQUAL(0U, messages["snapshot"]);
+}
+
 // Guards against a membership change that does not complete, and a new instance
 // that is added as a voter without first being a learner.
 TEST(replicated_log, new_instance_joins_as_a_learner_and_is_promoted)
