log: test that answers to an earlier round confirm no read

Change: one test: a read confirmed by a quorum, then a cut-off, then a read in a round of its own, which must wait for the answers to that round.

--- a/src/log/replica_read_test.cpp
+++ b/src/log/replica_read_test.cpp
@@ -232,6 +232,21 @@
   CHECK_FALSE(group.core().next_round_time().has_value());
 }
 
+// Guards against a leader that takes the answers to an earlier round for those
+// to the round of a read, and so confirms the read after it was cut off.
+TEST(replica_read, answers_to_an_earlier_round_confirm_no_read)
+{
+  leader_of_twelve group;
+  group.read();
+  group.run(leader_of_twelve::settings().read_round_interval);
+  group.cut_off = true;
+  group.read();
+  CHECK_FALSE(group.core().next_round_time().has_value());
+  CHECK_EQUAL(1, group.confirmed);
+  group.answer_late();
+  CHECK_EQUAL(2, group.confirmed);
+}
+
 // Guards against reads that are never answered because the messages of their
 // round were lost and no other read follows.
 TEST(replica_read, next_heartbeat_confirms_reads_of_a_lost_round)
