log: entries are sent again only when a reply shows that they are missing

Cause: entries without an acknowledgement for 200 ms were sent again, though a large one takes seconds on a slow link. Steady reads had hidden this, since they kept the leader from its resends; with rounds that postpone no heartbeat it would happen under reads as well. Change: after 200 ms the leader sends an append request without entries at the end of those sent. It arrives behind them; the reply acknowledges them or shows from where they are missing, and only then they are sent again. A lost entry without later entries costs one more round trip than before.

--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -105,20 +105,32 @@
     send_heartbeat(peer);
 }
 
-// Resends requests that were not acknowledged within two heartbeat intervals.
+// Asks without entries whether the replica has those sent so far.
+void replica_core::send_probe(progress& peer)
+{
+  auto request = make_message(message_kind::append_request, peer.address.id);
+  const auto previous = peer.next - 1;
+  request.position = {log_.term_at(previous).value_or(0), previous};
+  request.commit = commit_;
+  peer.last_activity = now_;
+  send_now(std::move(request));
+}
+
+// Handles requests that were not acknowledged within two heartbeat intervals. A
+// large entry takes longer on a slow link, so entries are sent again only after
+// the reply to a probe shows that they are missing: the probe arrives behind
+// them.
 void replica_core::retransmit()
 {
   for (auto& [id, peer] : peers_)
   {
     if (now_ - peer.last_activity < 2 * settings_.heartbeat_interval)
       continue;
-    peer.waiting = false;
-    if (peer.state == progress_state::replicate && !peer.in_flight.empty())
-    {
-      peer.state = progress_state::probe;
-      peer.next = peer.match + 1;
-      peer.in_flight.clear();
-    }
+    if (peer.state == progress_state::snapshot ||
+        peer.next <= log_.base().index)
+      peer.waiting = false;
+    else if (peer.waiting || !peer.in_flight.empty())
+      send_probe(peer);
   }
 }
 
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -268,6 +268,7 @@
   void send_entries(progress& peer);
   void send_heartbeat(progress& peer);
   void send_heartbeats();
+  void send_probe(progress& peer);
   void retransmit();
   void record_leader_contact(const replica_message& message);
   void on_append_request(const replica_message& message);
--- a/src/log/replica_read_test.cpp
+++ b/src/log/replica_read_test.cpp
@@ -99,6 +99,8 @@
       for (const auto& item : actions.messages)
       {
         ++sent[item.to.id.value];
+        for (const auto& entry : item.message.entries)
+          octets[item.to.id.value] += entry.payload.size();
         if (cut_off)
           unanswered_.push_back(item.message);
         else
@@ -107,7 +109,8 @@
     }
   }
 
-  std::map<std::uint64_t, int> sent; ///< messages by member
+  std::map<std::uint64_t, int> sent;           ///< messages by member
+  std::map<std::uint64_t, std::size_t> octets; ///< of entries, by member
   int confirmed = 0;
   int failed = 0;
   bool cut_off = false; ///< messages to the members are not answered
@@ -273,3 +276,19 @@
   CHECK_EQUAL(1, group.sent[promoted.back().id.value]);
   CHECK_EQUAL(1, group.confirmed);
 }
+
+// Guards against copies of a large entry that fill a slow link while the first
+// one is still on its way.
+TEST(replica_read, entry_is_sent_once_until_a_reply_shows_that_it_is_lost)
+{
+  constexpr std::size_t size = 500000;
+  leader_of_twelve group;
+  group.cut_off = true;
+  CHECK_TRUE(group.core().propose(std::string(size, 'x')));
+  group.run(std::chrono::milliseconds(500));
+  for (std::uint64_t id = 2; id <= members; ++id)
+    CHECK_EQUAL(size, group.octets[id]);
+  CHECK_TRUE(group.core().role() == replica_role::leader);
+  group.answer_late();
+  CHECK_EQUAL(group.core().log().last().index, group.core().commit_index());
+}
