control: large messages are compressed for instances that accept it

Cause: a declaration of 1,400 routes is sent whole to every control instance; on a link of 2 Mbit/s, shared with packets, it takes more than a second for each.

Change: answers to step() say that the instance accepts compressed messages. A large message to an instance whose first answer on the connection said so is compressed with zlib at its fastest level, if that makes it smaller. Earlier builds say nothing and get messages as before.

--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -281,7 +281,8 @@
                               notLeader :NotLeader);
   complete @6 (claim :Claim, answer :Data) -> (notLeader :NotLeader);
   release @7 (claim :Claim) -> (notLeader :NotLeader);
-  step @8 (message :Data) -> ();
+  # `size` is that of the decompressed message; 0: it is not compressed.
+  step @8 (message :Data, size :UInt32) -> (acceptsCompressed :Bool);
   changeGroup @9 (group :List(ReplicaStatus)) -> (message :Text,
                                                   notLeader :NotLeader);
   # Makes the configuration the declared one if its version is the highest.
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -16,6 +16,7 @@
 
 #include <toucanmill/control/node_client.hpp>
 #include <toucanmill/control/operator_client.hpp>
+#include <toucanmill/control/rpc_connection.hpp>
 
 using namespace toucanmill;
 
@@ -231,6 +232,32 @@
   CHECK_EQUAL(1U, list.value().services.size());
 }
 
+// Guards against malformed data of another instance that closes its connection,
+// which carries heartbeats too.
+TEST(control_server, malformed_compressed_message_is_refused_and_counted)
+{
+  const auto server = start_single(folder, rpc);
+  auto io = kj::setupAsyncIo();
+  rpc_connection connection(
+      connect_rpc(io, rpc, 5 * kj::SECONDS).wait(io.waitScope));
+  auto malformed = connection.control.stepRequest();
+  malformed.setMessage(kj::StringPtr("x").asBytes());
+  malformed.setSize(10);
+  std::string refusal;
+  try
+  {
+    malformed.send().wait(io.waitScope);
+  }
+  catch (const kj::Exception& failure)
+  {
+    refusal = failure.getDescription().cStr();
+  }
+  STRCMP_CONTAINS("malformed compressed message: 1 octets", refusal.c_str());
+  CHECK_EQUAL(1U, server->counters().malformed);
+  auto answer = connection.control.stepRequest().send();
+  CHECK_TRUE(answer.wait(io.waitScope).getAcceptsCompressed());
+}
+
 // Guards against accepting two operators' changes based on the same version.
 TEST(control_server, second_change_from_the_same_version_is_refused)
 {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -4,6 +4,7 @@
 #include <toucanmill/cluster/wire.hpp>
 
 #include "leader_hint.hpp"
+#include "message_compression.hpp"
 #include "wall_clock.hpp"
 
 namespace toucanmill::detail
@@ -339,7 +340,12 @@
 
 kj::Promise<void> control_service::step(StepContext context)
 {
-  log_.receive(to_string(context.getParams().getMessage()));
+  const auto params = context.getParams();
+  auto message = to_string(params.getMessage());
+  if (const auto size = params.getSize(); size != 0)
+    message = require_valid(decompress(message, size));
+  log_.receive(std::move(message));
+  context.getResults().setAcceptsCompressed(true);
   return kj::READY_NOW;
 }
 
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -4,6 +4,8 @@
 
 #include <toucanmill/cluster/wire.hpp>
 
+#include "message_compression.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -113,6 +115,7 @@
                        peer->in_flight = 0;
                        peer->octets_in_flight = 0;
                        peer->large_in_flight = false;
+                       peer->accepts_compressed.reset();
                        peer->connecting = false;
                        deliver_queued(peer);
                      })
@@ -133,35 +136,72 @@
 void peer_links::deliver(const std::shared_ptr<link>& peer,
                          const std::string& message)
 {
-  auto request = peer->connection->control.stepRequest();
-  request.setMessage(kj::StringPtr(message.c_str(), message.size()).asBytes());
-  const auto octets = message.size();
   const bool large = is_large(message);
-  ++peer->in_flight;
-  peer->octets_in_flight += octets;
-  peer->large_in_flight = peer->large_in_flight || large;
-  const auto used = peer->connection;
-  auto sent = request.send().ignoreResult();
+  const auto compressed = large && peer->accepts_compressed.value_or(false)
+                              ? compress(message)
+                              : std::nullopt;
+  const auto& bytes = compressed ? *compressed : message;
+  auto request = peer->connection->control.stepRequest();
+  request.setMessage(kj::StringPtr(bytes.c_str(), bytes.size()).asBytes());
+  if (compressed)
+    request.setSize(static_cast<std::uint32_t>(message.size()));
   // The task keeps the connection alive, so that it is not destroyed inside one
   // of its own callbacks.
-  tasks_.add(
-      timer_.timeoutAfter(time_allowed(peer->octets_in_flight), kj::mv(sent))
-          .then(
-              [peer, used, octets, large]
-              {
-                if (peer->connection != used)
-                  return;
-                --peer->in_flight;
-                peer->octets_in_flight -= octets;
-                if (large)
-                  peer->large_in_flight = false;
-              },
-              [this, peer, used](kj::Exception&&)
-              {
-                ++lost_;
-                if (peer->connection == used)
-                  peer->connection = nullptr;
-              }));
+  const sent_message sent{peer->connection, bytes.size(), large,
+                          compressed.has_value()};
+  ++peer->in_flight;
+  peer->octets_in_flight += sent.octets;
+  peer->large_in_flight = peer->large_in_flight || large;
+  tasks_.add(timer_
+                 .timeoutAfter(time_allowed(peer->octets_in_flight),
+                               request.send().then(
+                                   [](auto&& answer)
+                                   {
+                                     return answer.getAcceptsCompressed();
+                                   }))
+                 .then(
+                     [peer, sent](bool accepts_compressed)
+                     {
+                       on_answer(*peer, sent, accepts_compressed);
+                     },
+                     [this, peer, sent](kj::Exception&& failure)
+                     {
+                       ++lost_;
+                       on_failure(*peer, sent, failure);
+                     }));
+}
+
+void peer_links::remove_in_flight(link& peer, const sent_message& sent)
+{
+  --peer.in_flight;
+  peer.octets_in_flight -= sent.octets;
+  if (sent.large)
+    peer.large_in_flight = false;
+}
+
+void peer_links::on_answer(link& peer, const sent_message& sent,
+                           bool accepts_compressed)
+{
+  if (peer.connection != sent.used)
+    return;
+  remove_in_flight(peer, sent);
+  if (!peer.accepts_compressed)
+    peer.accepts_compressed = accepts_compressed;
+}
+
+// An instance that refuses a compressed message still serves its connection.
+void peer_links::on_failure(link& peer, const sent_message& sent,
+                            const kj::Exception& failure)
+{
+  if (peer.connection != sent.used)
+    return;
+  if (sent.compressed && failure.getType() == kj::Exception::Type::FAILED)
+  {
+    remove_in_flight(peer, sent);
+    peer.accepts_compressed = false;
+  }
+  else
+    peer.connection = nullptr;
 }
 
 void peer_links::taskFailed(kj::Exception&&) {}
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,15 +55,30 @@
     std::size_t in_flight = 0;
     std::size_t octets_in_flight = 0;
     bool large_in_flight = false;
+    /// Of the first answer; false once it refused a compressed message.
+    std::optional<bool> accepts_compressed;
     std::vector<std::string> queued;
     std::shared_ptr<rpc_connection> connection; ///< null: not connected
   };
 
+  struct sent_message
+  {
+    std::shared_ptr<rpc_connection> used;
+    std::size_t octets = 0; ///< as sent
+    bool large = false;
+    bool compressed = false;
+  };
+
   std::shared_ptr<link> find_or_create_link(const endpoint& to);
   void connect(const std::shared_ptr<link>& peer);
   static bool has_room(const link& peer, const std::string& message);
   void deliver_queued(const std::shared_ptr<link>& peer);
   void deliver(const std::shared_ptr<link>& peer, const std::string& message);
+  static void remove_in_flight(link& peer, const sent_message& sent);
+  static void on_answer(link& peer, const sent_message& sent,
+                        bool accepts_compressed);
+  static void on_failure(link& peer, const sent_message& sent,
+                         const kj::Exception& failure);
   void taskFailed(kj::Exception&& exception) override;
 
   kj::AsyncIoContext& io_;
--- a/src/control/peer_links_test.cpp
+++ b/src/control/peer_links_test.cpp
@@ -18,8 +18,11 @@
 public:
   struct record
   {
-    std::vector<std::size_t> sizes; ///< of all received messages
+    std::vector<std::size_t> sizes;              ///< of all received messages
+    std::vector<std::size_t> decompressed_sizes; ///< as announced
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> unacknowledged;
+    bool accepts_compressed = false;
+    bool refuses_compressed = false;
   };
 
   explicit slow_instance(record& received) : received_(received) {}
@@ -27,7 +30,12 @@
 protected:
   kj::Promise<void> step(StepContext context) override
   {
-    received_.sizes.push_back(context.getParams().getMessage().size());
+    const auto params = context.getParams();
+    received_.sizes.push_back(params.getMessage().size());
+    received_.decompressed_sizes.push_back(params.getSize());
+    if (received_.refuses_compressed && params.getSize() != 0)
+      return KJ_EXCEPTION(FAILED, "malformed compressed message");
+    context.getResults().setAcceptsCompressed(received_.accepts_compressed);
     auto acknowledgement = kj::newPromiseAndFulfiller<void>();
     received_.unacknowledged.push_back(kj::mv(acknowledgement.fulfiller));
     return kj::mv(acknowledgement.promise);
@@ -146,3 +154,48 @@
   peer.advance(200 * kj::MILLISECONDS);
   CHECK_EQUAL(1U, peer.lost.load());
 }
+
+// Guards against declarations that fill a slow link, and against small messages
+// that cost time to compress for nothing.
+TEST(peer_links, large_messages_are_compressed_if_an_answer_accepted_it)
+{
+  slow_links peer;
+  peer.received.accepts_compressed = true;
+  peer.send(400'000);
+  peer.acknowledge_all();
+  peer.send(400'000);
+  peer.acknowledge_all();
+  peer.send(100);
+  CHECK_TRUE((peer.received.decompressed_sizes == sizes{0, 400'000, 0}));
+  CHECK_TRUE(peer.received.sizes[1] < 4'000);
+}
+
+// Guards against a compressed message for an instance of an earlier build,
+// which cannot read it.
+TEST(peer_links, messages_are_not_compressed_for_an_earlier_build)
+{
+  slow_links peer;
+  peer.send(400'000);
+  peer.acknowledge_all();
+  peer.send(400'000);
+  CHECK_TRUE((peer.received.sizes == sizes{400'000, 400'000}));
+  CHECK_TRUE((peer.received.decompressed_sizes == sizes{0, 0}));
+}
+
+// Guards against an entry that an instance never gets because it refuses each
+// compressed copy, and against a connection that is closed each time.
+TEST(peer_links, refused_compressed_message_is_sent_uncompressed)
+{
+  slow_links peer;
+  peer.received.accepts_compressed = true;
+  peer.received.refuses_compressed = true;
+  peer.send(100);
+  peer.acknowledge_all();
+  peer.send(400'000);
+  CHECK_EQUAL(1U, peer.lost.load());
+  peer.send(100);
+  peer.acknowledge_all();
+  peer.send(400'000);
+  CHECK_TRUE((peer.received.decompressed_sizes == sizes{0, 400'000, 0, 0}));
+  CHECK_EQUAL(400'000U, peer.received.sizes.back());
+}
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -276,7 +276,8 @@
     add_counter(out, "toucanmill_peer_messages_total",
                 "Replication messages sent.", counters.peer_messages);
     add_counter(out, "toucanmill_peer_octets_total",
-                "Octets of replication messages.", counters.peer_octets);
+                "Octets of replication messages before compression.",
+                counters.peer_octets);
     add_counter(out, "toucanmill_peer_messages_lost_total",
                 "Replication messages dropped: peer slow or unreachable.",
                 counters.peer_messages_lost);
