relay: an agent that could not tell gets the packet after a late answer too

What callers saw: an open flow whose agent had restarted was not found at a balancer whose link was full. Cause: an answer that comes after the next attempt began was dropped whole, also with the agents in it that cannot tell without the packet. Change: these agents get the packet beside the walk, as those of a probe did, if the answer is to any plan of the search and the flow is not found. One agent gets it at most once a second so, and not while its denial counts; a walk that leaves such an agent out is inconclusive, so resets do not become more likely.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -112,6 +112,11 @@
   /// visits all stages again, the agents that left probes unanswered last.
   /// Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
+  /// Minimum time between two packets of one search to an agent that cannot
+  /// tell without the packet. Each may reach a wrong upstream, and the answer
+  /// to the first one comes up to 700 ms later when the balancer's link is
+  /// full.
+  duration packet_interval = std::chrono::seconds(1);
   agent_monitor::options monitor;
   flow_memory::options memory;
 };
@@ -243,6 +248,8 @@
     /// Agents that answered that they do not hold the flow, and when. An open
     /// flow does not move to another upstream, so they are asked last.
     std::map<endpoint, time_point> denials;
+    /// Agents that got the packet since they could not tell, and when.
+    std::map<endpoint, time_point> visited_undecided;
     stage_walk walk;           ///< through the stages of the plan
     bool inconclusive = false; ///< misses do not prove that the flow is gone
     bool found = false;        ///< an agent reported that it holds the flow
@@ -289,9 +296,13 @@
   entry_action continue_search(const relay_header& header,
                                const flow_packet& packet, const route& from,
                                time_point now);
-  void add_undecided_stage(const relay_header& header, search_state& state);
-  entry_action probe_by_packet(const relay_header& header,
-                               const endpoint& agent) const;
+  visit_stops take_undecided(const relay_header& header, search_state& state,
+                             time_point now) const;
+  void add_undecided_stage(const relay_header& header, search_state& state,
+                           time_point now);
+  std::optional<visit_agent> visit_undecided(const relay_header& header,
+                                             const flow_key& flow,
+                                             time_point now);
   entry_action on_missing_route(const flow_packet& packet, time_point now);
   entry_action on_search_exhausted(const flow_packet& packet, bool inconclusive,
                                    time_point now);
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -289,8 +289,11 @@
   if (header.reason == miss_reason::unknown_flow && !packet.opens)
     record_denials(header, packet.from_caller(), now);
   if (header.probe && !header.remembered)
-    return header.undecided != 0 ? probe_by_packet(header, agent)
-                                 : entry_action{entry_drop::probe_missed};
+  {
+    const auto visit = visit_undecided(header, packet.from_caller(), now);
+    return visit ? entry_action{*visit}
+                 : entry_action{entry_drop::probe_missed};
+  }
   // Another agent admitted another copy, and the caller uses the flow.
   if (packet.opens && memory_.has_data(packet.from_caller()))
     return entry_drop::stale_answer;
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -226,6 +226,12 @@
   if (found == searched_.end())
     return entry_drop::stale_answer;
   auto& state = found->second;
+  const auto on_late_answer = [&]
+  {
+    const auto visit = visit_undecided(header, packet.from_caller(), now);
+    return visit ? entry_action{*visit}
+                 : entry_action{entry_drop::stale_answer};
+  };
   if (state.found && (state.inconclusive || header.inconclusive))
     return entry_drop::stale_answer;
   const auto& plan = state.plan;
@@ -234,48 +240,88 @@
       header.stage < plan.stages.size() &&
       plan.stages[header.stage].stops == header.stops;
   if (!is_of_this_plan)
-    return entry_drop::stale_answer;
+    return on_late_answer();
   if (update_plan(packet, from, state, now))
     return restart_walk(packet, state, now);
   if (!state.walk.on_missed(header.stage))
-    return entry_drop::stale_answer;
+    return on_late_answer();
   state.last = now;
   state.inconclusive |= header.inconclusive || header.plan == 0;
-  add_undecided_stage(header, state);
+  add_undecided_stage(header, state, now);
   return visit_next_stages(packet, state, now);
 }
 
-entry_action entry_core::probe_by_packet(const relay_header& header,
-                                         const endpoint& agent) const
+/// The stops of the answer that could not tell without the packet and are to
+/// get it now.
+visit_stops entry_core::take_undecided(const relay_header& header,
+                                       search_state& state,
+                                       time_point now) const
 {
-  auto probe = header;
-  probe.kind = relay_kind::visit;
-  probe.stop = 0;
-  probe.stops = {};
-  probe.stops.add(agent);
-  probe.locates = false;
-  probe.undecided = 0;
-  return visit_agent{agent, probe};
+  const auto is_recent =
+      [now](const auto& times, const endpoint& agent, duration limit)
+  {
+    const auto found = times.find(agent);
+    return found != times.end() && now - found->second <= limit;
+  };
+  visit_stops stops;
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+  {
+    const auto& agent = header.stops.agents[i];
+    const bool waits =
+        is_recent(state.denials, agent, options_.search_timeout) ||
+        is_recent(state.visited_undecided, agent, options_.packet_interval);
+    if ((header.undecided >> i & 1U) == 0 || waits)
+      continue;
+    state.visited_undecided[agent] = now;
+    stops.add(agent);
+  }
+  return stops;
+}
+
+/// The packet visits the agents that could not tell without it, beside the walk
+/// through the stages: their answer came to a probe, or after the next attempt
+/// had begun.
+std::optional<visit_agent>
+entry_core::visit_undecided(const relay_header& header, const flow_key& flow,
+                            time_point now)
+{
+  const auto found = searched_.find(flow);
+  if (header.undecided == 0 || found == searched_.end())
+    return std::nullopt;
+  auto& state = found->second;
+  if (state.found || !state.plan_numbers.test(header.plan))
+    return std::nullopt;
+  const auto stops = take_undecided(header, state, now);
+  if (stops.size == 0)
+    return std::nullopt;
+  auto visit = header;
+  visit.kind = relay_kind::visit;
+  visit.stop = 0;
+  visit.stops = stops;
+  visit.probe = true;
+  visit.locates = false;
+  visit.undecided = 0;
+  return visit_agent{stops.agents[0], visit};
 }
 
 /// The packet visits the agents that could not tell without it.
 void entry_core::add_undecided_stage(const relay_header& header,
-                                     search_state& state)
+                                     search_state& state, time_point now)
 {
+  if (header.undecided == 0)
+    return;
   auto& stages = state.plan.stages;
-  if (header.undecided == 0 || stages.size() >= max_search_stages)
-  {
-    state.inconclusive |= header.undecided != 0;
+  // An agent that is left out does not deny the flow to this walk.
+  const auto undecided = std::bitset<visit_stops::capacity>(header.undecided);
+  const auto stops = stages.size() < max_search_stages
+                         ? take_undecided(header, state, now)
+                         : visit_stops{};
+  state.inconclusive |= stops.size != undecided.count();
+  if (stops.size == 0)
     return;
-  }
   search_stage added = stages[header.stage];
   added.by_packet = true;
-  added.stops = {};
-  for (std::size_t i = 0; i < header.stops.size; ++i)
-    if ((header.undecided >> i & 1U) != 0)
-      added.stops.add(header.stops.agents[i]);
-  if (added.stops.size == 0)
-    return;
+  added.stops = stops;
   state.walk.add(added.health);
   stages.push_back(added);
 }
