relay: a search without probes goes on instead of starting anew

What callers saw: packets of an open flow came to the same wrong upstreams with each attempt, and most agents were never asked. Cause: with the probes of the second used up, an attempt made a new plan, whose first stage gets the packet itself; a late answer to an earlier plan or stage did not move the search on. Change: such an attempt visits the next stage, one message as before. A late answer to a stage starts the next round. The first stage is asked again without the packet, and stages that lost their message to an agent found unresponsive are asked again without that one. A new plan is made when all stages were visited; agents that may have got the packet come after other live ones. A walk that skipped a stage is inconclusive, so it justifies no reset.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -109,7 +109,7 @@
   duration retry_interval = std::chrono::milliseconds(100);
   /// Probe packets between two ticks (one second), of which four questions
   /// without a packet make up one; above this an attempt
-  /// visits all stages again, the agents that left probes unanswered last.
+  /// passes by the stages without an answer and visits the next one.
   /// Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
   /// Minimum time between two packets of one search to an agent that cannot
@@ -250,6 +250,8 @@
     std::map<endpoint, time_point> denials;
     /// Agents that got the packet since they could not tell, and when.
     std::map<endpoint, time_point> visited_undecided;
+    /// Agents on the way of the packet through the first stage of a plan.
+    std::map<endpoint, time_point> sent_packet;
     stage_walk walk;           ///< through the stages of the plan
     bool inconclusive = false; ///< misses do not prove that the flow is gone
     bool found = false;        ///< an agent reported that it holds the flow
@@ -291,6 +293,16 @@
   entry_action search_with_probes(search_state& state,
                                   const std::vector<std::size_t>& unanswered,
                                   time_point now);
+  std::optional<visit_agent> pass_by(search_state& state,
+                                     const std::vector<std::size_t>& unanswered,
+                                     time_point now);
+  static void ask_again(search_state& state, std::size_t stage,
+                        const agent_set& unresponsive);
+  static void leave_out(search_state& state, std::size_t stage,
+                        const agent_set& unresponsive);
+  entry_action continue_late(const relay_header& header,
+                             const flow_packet& packet, search_state& state,
+                             time_point now);
   void add_probes(const search_stage& stage, std::uint8_t plan, time_point now,
                   visit_all& out);
   entry_action continue_search(const relay_header& header,
--- a/include/toucanmill/relay/stage_walk.hpp
+++ b/include/toucanmill/relay/stage_walk.hpp
@@ -25,17 +25,26 @@
   /// after all others.
   std::vector<std::size_t> start_round();
 
-  /// No stop of the stage holds the flow. Returns false if the stage was not
-  /// under way.
+  /// The next stage alone; the round after it is as wide as without it.
+  std::vector<std::size_t> start_one();
+
+  /// No stop of the stage holds the flow. Returns false if the stage was
+  /// neither under way nor skipped.
   bool on_missed(std::size_t stage);
 
   /// Ends the round. Returns its stages without an answer, which are open
   /// again.
   std::vector<std::size_t> abandon_round();
 
-  /// The stage needs no answer any more: each of its stops was asked by itself.
+  /// The walk goes on without the answer of the stage, which may still come.
   void skip(std::size_t stage);
 
+  /// The same for all stages under way.
+  void skip_round();
+
+  bool is_skipped(std::size_t stage) const;
+  bool is_open(std::size_t stage) const;
+
   /// A further stage at the end.
   void add(holder_health health);
 
@@ -47,10 +56,12 @@
   {
     open,
     under_way,
+    skipped,
     answered,
   };
 
   std::size_t first(stage_state wanted) const;
+  std::vector<std::size_t> start(std::size_t width);
 
   std::vector<stage_state> states_;
   std::vector<holder_health> health_;
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -28,6 +28,15 @@
                     });
 }
 
+visit_stops without(const visit_stops& stops, const agent_set& agents)
+{
+  visit_stops rest;
+  for (std::size_t i = 0; i < stops.size; ++i)
+    if (agents.count(stops.agents[i]) == 0)
+      rest.add(stops.agents[i]);
+  return rest;
+}
+
 } // namespace
 
 entry_action entry_core::search(const flow_packet& packet, const route& from,
@@ -50,10 +59,13 @@
   state.started = state.last = now;
   ++state.attempts;
   const auto unanswered = state.walk.abandon_round();
-  const bool use_probes = is_searching && !unanswered.empty() &&
-                          probes_sent_ < options_.max_probes_per_tick;
-  if (use_probes)
-    return search_with_probes(state, unanswered, now);
+  if (is_searching && !unanswered.empty())
+  {
+    if (probes_sent_ < options_.max_probes_per_tick)
+      return search_with_probes(state, unanswered, now);
+    if (const auto next = pass_by(state, unanswered, now))
+      return *next;
+  }
   make_plan(packet, from, state, now);
   return visit_next_stages(packet, state, now);
 }
@@ -71,9 +83,13 @@
   plan.stages = open_stages(packet, from, state, now);
   state.walk = stage_walk(plan.stages);
   state.inconclusive = false;
+  if (!plan.stages.empty())
+    for (std::size_t i = 0; i < plan.stages[0].stops.size; ++i)
+      state.sent_packet[plan.stages[0].stops.agents[i]] = now;
 }
 
-/// The stages by the present table; agents that have denied the flow come last.
+/// The stages by the present table; agents that have denied the flow come last,
+/// and so do those on the way of an earlier packet while there are others.
 /// A denial counts for as long as the state of a search, since the caller may
 /// use the address and port of an ended flow again.
 std::vector<search_stage> entry_core::open_stages(const flow_packet& packet,
@@ -85,8 +101,22 @@
   for (const auto& [agent, at] : state.denials)
     if (now - at <= options_.search_timeout)
       denied.insert(agent);
-  return search_stages(*table_, from, flow_hash(packet.from_caller()),
-                       state.plan.unresponsive, options_.placement, denied);
+  auto visited = denied;
+  for (const auto* const times : {&state.sent_packet, &state.visited_undecided})
+    for (const auto& [agent, at] : *times)
+      if (now - at <= options_.search_timeout)
+        visited.insert(agent);
+  const auto stages_with_last = [&](const agent_set& last)
+  {
+    return search_stages(*table_, from, flow_hash(packet.from_caller()),
+                         state.plan.unresponsive, options_.placement, last);
+  };
+  auto stages = stages_with_last(visited);
+  // A live agent that may have got the packet comes before a dead one.
+  const bool others_are_live = !stages.empty() &&
+                               stages[0].health == holder_health::live &&
+                               visited.count(stages[0].stops.agents[0]) == 0;
+  return others_are_live ? stages : stages_with_last(denied);
 }
 
 void entry_core::record_denials(const relay_header& header,
@@ -198,6 +228,60 @@
   return out;
 }
 
+/// The search goes on with the next stage that has not been visited: starting
+/// anew would send the packet to the same wrong agents with each attempt. None
+/// if all have been visited.
+std::optional<visit_agent>
+entry_core::pass_by(search_state& state,
+                    const std::vector<std::size_t>& unanswered, time_point now)
+{
+  const auto unresponsive = monitor_.unresponsive(now);
+  for (const auto stage : unanswered)
+  {
+    state.walk.skip(stage);
+    ask_again(state, stage, unresponsive);
+  }
+  for (std::size_t stage = 0; stage < state.plan.stages.size(); ++stage)
+    if (state.walk.is_open(stage))
+      leave_out(state, stage, unresponsive);
+  const auto next = state.walk.start_one();
+  if (next.empty())
+    return std::nullopt;
+  state.inconclusive = true;
+  return make_visit(state, next.front());
+}
+
+/// Adds a question to the agents of a stage that are not known to be
+/// unresponsive: one that is may have lost the message to the others. The
+/// packet itself may have been lost without that.
+void entry_core::ask_again(search_state& state, std::size_t stage,
+                           const agent_set& unresponsive)
+{
+  auto& stages = state.plan.stages;
+  auto again = stages[stage];
+  again.by_packet = false;
+  again.stops = without(again.stops, unresponsive);
+  const bool is_needed =
+      stages[stage].by_packet || again.stops.size < stages[stage].stops.size;
+  if (!is_needed || again.stops.size == 0 || stages.size() >= max_search_stages)
+    return;
+  state.walk.add(again.health);
+  stages.push_back(again);
+}
+
+/// The agents that became unresponsive since the plan was made are visited by
+/// the next one only.
+void entry_core::leave_out(search_state& state, std::size_t stage,
+                           const agent_set& unresponsive)
+{
+  auto& planned = state.plan.stages[stage];
+  if (planned.health != holder_health::live)
+    return;
+  planned.stops = without(planned.stops, unresponsive);
+  if (planned.stops.size == 0)
+    state.walk.skip(stage);
+}
+
 void entry_core::add_probes(const search_stage& stage, std::uint8_t plan,
                             time_point now, visit_all& out)
 {
@@ -243,14 +327,36 @@
     return on_late_answer();
   if (update_plan(packet, from, state, now))
     return restart_walk(packet, state, now);
+  const bool is_late = state.walk.is_skipped(header.stage);
   if (!state.walk.on_missed(header.stage))
     return on_late_answer();
   state.last = now;
-  state.inconclusive |= header.inconclusive || header.plan == 0;
+  state.inconclusive |= is_late || header.inconclusive || header.plan == 0;
+  if (is_late)
+    return continue_late(header, packet, state, now);
   add_undecided_stage(header, state, now);
   return visit_next_stages(packet, state, now);
 }
 
+/// An answer to a stage that was passed by. The next round does not wait for
+/// those under way: their answers come late too, and with rounds one after the
+/// other the walk takes longer than the flow may stay without its agent.
+entry_action entry_core::continue_late(const relay_header& header,
+                                       const flow_packet& packet,
+                                       search_state& state, time_point now)
+{
+  visit_all out;
+  if (const auto visit = visit_undecided(header, packet.from_caller(), now))
+    out.visits.push_back(*visit);
+  state.walk.skip_round();
+  for (const auto stage : state.walk.start_round())
+    out.visits.push_back(make_visit(state, stage));
+  if (out.visits.empty())
+    return entry_drop::stale_answer;
+  return out.visits.size() == 1 ? entry_action{out.visits.front()}
+                                : entry_action{out};
+}
+
 /// The stops of the answer that could not tell without the packet and are to
 /// get it now.
 visit_stops entry_core::take_undecided(const relay_header& header,
--- a/src/relay/stage_walk.cpp
+++ b/src/relay/stage_walk.cpp
@@ -29,11 +29,23 @@
 
 std::vector<std::size_t> stage_walk::start_round()
 {
-  std::vector<std::size_t> round;
   if (first(stage_state::under_way) < states_.size())
-    return round;
+    return {};
+  const auto round = start(width_);
+  width_ *= round_growth;
+  return round;
+}
+
+std::vector<std::size_t> stage_walk::start_one()
+{
+  return start(1);
+}
+
+std::vector<std::size_t> stage_walk::start(std::size_t width)
+{
+  std::vector<std::size_t> round;
   const auto begin = first(stage_state::open);
-  for (auto at = begin; at < states_.size() && round.size() < width_ &&
+  for (auto at = begin; at < states_.size() && round.size() < width &&
                         health_[at] == health_[begin];
        ++at)
     if (states_[at] == stage_state::open)
@@ -41,13 +53,13 @@
       states_[at] = stage_state::under_way;
       round.push_back(at);
     }
-  width_ *= round_growth;
   return round;
 }
 
 bool stage_walk::on_missed(std::size_t stage)
 {
-  if (stage >= states_.size() || states_[stage] != stage_state::under_way)
+  if (stage >= states_.size() || (states_[stage] != stage_state::under_way &&
+                                  states_[stage] != stage_state::skipped))
     return false;
   states_[stage] = stage_state::answered;
   return true;
@@ -67,7 +79,23 @@
 
 void stage_walk::skip(std::size_t stage)
 {
-  states_[stage] = stage_state::answered;
+  states_[stage] = stage_state::skipped;
+}
+
+void stage_walk::skip_round()
+{
+  std::replace(states_.begin(), states_.end(), stage_state::under_way,
+               stage_state::skipped);
+}
+
+bool stage_walk::is_skipped(std::size_t stage) const
+{
+  return stage < states_.size() && states_[stage] == stage_state::skipped;
+}
+
+bool stage_walk::is_open(std::size_t stage) const
+{
+  return stage < states_.size() && states_[stage] == stage_state::open;
 }
 
 void stage_walk::add(holder_health health)
@@ -81,7 +109,8 @@
   return std::all_of(states_.begin(), states_.end(),
                      [](stage_state state)
                      {
-                       return state == stage_state::answered;
+                       return state == stage_state::answered ||
+                              state == stage_state::skipped;
                      });
 }
 
