relay: the time to wait for a probed agent follows the answer times

What callers saw: with a full link of the balancer, sound agents were visited after all others for ten seconds, or left out of a search. Cause: an agent counted as unresponsive 80 ms after a probe, though all answers took longer. Change: agent_monitor measures the answer times of probes that were sent once and of first stages, and waits one and a half times the highest of late, 80 ms to 1 s. A walk without probes leaves an agent out only when a probe that is no older was answered by another one. The delay before the next attempt stays: a longer one would delay the questions to the agents that were not asked. All other tests of build/relay_test pass.

--- a/include/toucanmill/relay/agent_monitor.hpp
+++ b/include/toucanmill/relay/agent_monitor.hpp
@@ -23,6 +23,9 @@
     /// Shorter than the time between two attempts to find a flow, so that the
     /// attempt after a probe takes its result into account.
     duration answer_timeout = std::chrono::milliseconds(80);
+    /// Limit of the timeout that follows the measured answer times: half of the
+    /// time in which an open flow must reach its agent.
+    duration max_answer_timeout = std::chrono::seconds(1);
     /// An unresponsive agent without further probes is forgotten after this
     /// time; longer than a lease and the election of a leader, after which the
     /// table marks the agent.
@@ -37,9 +40,25 @@
   /// The agent sent a message.
   void on_message(const endpoint& agent);
 
-  /// Agents with a probe that is unanswered for longer than answer_timeout.
+  /// The agent answered; measures the time since its probe.
+  void on_answer(const endpoint& agent, time_point now);
+
+  /// An answer took this long. All answers are late when the balancer's own
+  /// link is full, which shows nothing about a single agent.
+  void on_answer_time(duration taken);
+
+  /// Time after which an answer counts as missing: one and a half times the
+  /// recent answer times, within the limits of the options.
+  duration answer_timeout() const;
+
+  /// Agents with a probe that is unanswered for longer than answer_timeout().
   agent_set unresponsive(time_point now) const;
 
+  /// Those of them whose probe is no newer than one that another agent
+  /// answered: the answer is missing though the balancer's link delivers
+  /// others.
+  agent_set silent(time_point now) const;
+
   /// Forgets old probes; call once a second.
   void on_tick(time_point now);
 
@@ -53,6 +72,8 @@
   bool is_overdue(const unanswered_probes& probes, time_point now) const;
 
   options options_;
+  time_point answered_probe_; ///< when the latest answered one was sent
+  duration answer_time_{0}; ///< highest of late; falls by an eighth per answer
   std::map<endpoint, unanswered_probes> unanswered_;
 };
 
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -233,6 +233,7 @@
   struct search_plan
   {
     std::uint8_t number = 0; ///< a miss by another plan proves nothing
+    time_point made;         ///< when its first stage was visited
     std::shared_ptr<const relay_table> table;
     agent_set unresponsive; ///< visited after the live agents
     std::vector<search_stage> stages;
@@ -297,9 +298,9 @@
                                      const std::vector<std::size_t>& unanswered,
                                      time_point now);
   static void ask_again(search_state& state, std::size_t stage,
-                        const agent_set& unresponsive);
+                        const agent_set& silent);
   static void leave_out(search_state& state, std::size_t stage,
-                        const agent_set& unresponsive);
+                        const agent_set& silent);
   entry_action continue_late(const relay_header& header,
                              const flow_packet& packet, search_state& state,
                              time_point now);
--- a/src/relay/agent_monitor.cpp
+++ b/src/relay/agent_monitor.cpp
@@ -1,5 +1,6 @@
 #include <toucanmill/relay/agent_monitor.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace toucanmill
@@ -18,10 +19,35 @@
   unanswered_.erase(agent);
 }
 
+// After several probes it is not known which of them the agent answers.
+void agent_monitor::on_answer(const endpoint& agent, time_point now)
+{
+  if (const auto found = unanswered_.find(agent);
+      found != unanswered_.end() && found->second.first == found->second.latest)
+  {
+    answered_probe_ = std::max(answered_probe_, found->second.first);
+    on_answer_time(now - found->second.first);
+  }
+  on_message(agent);
+}
+
+void agent_monitor::on_answer_time(duration taken)
+{
+  answer_time_ = std::max(taken, answer_time_ - (answer_time_ - taken) / 8);
+}
+
+duration agent_monitor::answer_timeout() const
+{
+  const auto longest =
+      std::max(options_.answer_timeout, options_.max_answer_timeout);
+  return std::clamp<duration>(answer_time_ + answer_time_ / 2,
+                              options_.answer_timeout, longest);
+}
+
 bool agent_monitor::is_overdue(const unanswered_probes& probes,
                                time_point now) const
 {
-  return now - probes.first > options_.answer_timeout &&
+  return now - probes.first > answer_timeout() &&
          now - probes.latest <= options_.retention;
 }
 
@@ -34,6 +60,15 @@
   return found;
 }
 
+agent_set agent_monitor::silent(time_point now) const
+{
+  agent_set found;
+  for (const auto& [agent, probes] : unanswered_)
+    if (is_overdue(probes, now) && probes.first <= answered_probe_)
+      found.insert(agent);
+  return found;
+}
+
 void agent_monitor::on_tick(time_point now)
 {
   for (auto it = unanswered_.begin(); it != unanswered_.end();)
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -272,7 +272,7 @@
                                    time_point now)
 {
   ++counters_.missed;
-  monitor_.on_message(agent);
+  monitor_.on_answer(agent, now);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   // An answer without a packet may come after the packet was given up.
   if (!packet)
@@ -326,7 +326,7 @@
                           const flow_key& flow, time_point now)
 {
   ++counters_.found;
-  monitor_.on_message(agent);
+  monitor_.on_answer(agent, now);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   avoided_until_.erase(key_of(agent));
   // The search may still go on: the report is wrong if the agent's upstream
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -77,6 +77,7 @@
   // 0 means that an agent did not return the number.
   last_plan_ = last_plan_ + 1 == plan_number_count ? 1 : last_plan_ + 1;
   plan.number = last_plan_;
+  plan.made = now;
   plan.table = table_;
   state.plan_numbers.set(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
@@ -235,15 +236,15 @@
 entry_core::pass_by(search_state& state,
                     const std::vector<std::size_t>& unanswered, time_point now)
 {
-  const auto unresponsive = monitor_.unresponsive(now);
+  const auto silent = monitor_.silent(now);
   for (const auto stage : unanswered)
   {
     state.walk.skip(stage);
-    ask_again(state, stage, unresponsive);
+    ask_again(state, stage, silent);
   }
   for (std::size_t stage = 0; stage < state.plan.stages.size(); ++stage)
     if (state.walk.is_open(stage))
-      leave_out(state, stage, unresponsive);
+      leave_out(state, stage, silent);
   const auto next = state.walk.start_one();
   if (next.empty())
     return std::nullopt;
@@ -251,16 +252,16 @@
   return make_visit(state, next.front());
 }
 
-/// Adds a question to the agents of a stage that are not known to be
-/// unresponsive: one that is may have lost the message to the others. The
-/// packet itself may have been lost without that.
+/// Adds a question to the agents of a stage that are not known to be silent:
+/// one that is may have lost the message to the others. The packet itself may
+/// have been lost without that.
 void entry_core::ask_again(search_state& state, std::size_t stage,
-                           const agent_set& unresponsive)
+                           const agent_set& silent)
 {
   auto& stages = state.plan.stages;
   auto again = stages[stage];
   again.by_packet = false;
-  again.stops = without(again.stops, unresponsive);
+  again.stops = without(again.stops, silent);
   const bool is_needed =
       stages[stage].by_packet || again.stops.size < stages[stage].stops.size;
   if (!is_needed || again.stops.size == 0 || stages.size() >= max_search_stages)
@@ -269,15 +270,15 @@
   stages.push_back(again);
 }
 
-/// The agents that became unresponsive since the plan was made are visited by
+/// The agents that became silent since the plan was made are visited by
 /// the next one only.
 void entry_core::leave_out(search_state& state, std::size_t stage,
-                           const agent_set& unresponsive)
+                           const agent_set& silent)
 {
   auto& planned = state.plan.stages[stage];
   if (planned.health != holder_health::live)
     return;
-  planned.stops = without(planned.stops, unresponsive);
+  planned.stops = without(planned.stops, silent);
   if (planned.stops.size == 0)
     state.walk.skip(stage);
 }
@@ -327,6 +328,8 @@
     return on_late_answer();
   if (update_plan(packet, from, state, now))
     return restart_walk(packet, state, now);
+  if (header.stage == 0 && header.plan == plan.number)
+    monitor_.on_answer_time(now - plan.made);
   const bool is_late = state.walk.is_skipped(header.stage);
   if (!state.walk.on_missed(header.stage))
     return on_late_answer();
