relay: a search asks a stage again in parts when its answer is missing

What callers saw: an open flow whose agent stood behind one that was down in its stage was not found within 2 s at a balancer without probes left. Cause: one agent that is down hides the whole stage. Without probes the stage was asked again only by the next plan, in one message again, and an answer in time waited for the other stages of its round. After a stage was skipped, no round waits for the one before, and agents that cannot tell get the packet at once.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -237,6 +237,8 @@
     std::shared_ptr<const relay_table> table;
     agent_set unresponsive; ///< visited after the live agents
     std::vector<search_stage> stages;
+    /// By stage; none if not visited, or asked again since.
+    std::vector<std::optional<time_point>> visited_at;
   };
 
   struct search_state
@@ -288,7 +290,8 @@
                       time_point now);
   entry_action restart_walk(const flow_packet& packet, search_state& state,
                             time_point now);
-  visit_agent make_visit(const search_state& state, std::size_t stage) const;
+  visit_agent make_visit(search_state& state, std::size_t stage,
+                         time_point now) const;
   entry_action visit_next_stages(const flow_packet& packet, search_state& state,
                                  time_point now);
   entry_action search_with_probes(search_state& state,
@@ -297,8 +300,9 @@
   std::optional<visit_agent> pass_by(search_state& state,
                                      const std::vector<std::size_t>& unanswered,
                                      time_point now);
-  static void ask_again(search_state& state, std::size_t stage,
-                        const agent_set& silent);
+  void ask_again(search_state& state, time_point now);
+  static void divide(search_state& state, std::size_t stage,
+                     const agent_set& silent);
   static void leave_out(search_state& state, std::size_t stage,
                         const agent_set& silent);
   entry_action continue_late(const relay_header& header,
--- a/include/toucanmill/relay/stage_walk.hpp
+++ b/include/toucanmill/relay/stage_walk.hpp
@@ -43,6 +43,7 @@
   void skip_round();
 
   bool is_skipped(std::size_t stage) const;
+  bool has_skipped() const;
   bool is_open(std::size_t stage) const;
 
   /// A further stage at the end.
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -15,6 +15,14 @@
 /// Questions without a packet that count as one probe with it, by their size.
 constexpr std::size_t questions_per_probe = 4;
 
+/// Messages in the place of one that was lost.
+constexpr std::size_t lost_stage_parts = 4;
+
+/// A message counts as lost after this many retry intervals at least. A
+/// balancer that has not measured any answer time yet would ask again after 80
+/// ms, which makes 80% more messages when answers take 700 ms.
+constexpr int min_lost_intervals = 4;
+
 /// Limits the time between two attempts to eight times the first one.
 constexpr std::uint32_t max_retry_doublings = 3;
 
@@ -78,6 +86,7 @@
   last_plan_ = last_plan_ + 1 == plan_number_count ? 1 : last_plan_ + 1;
   plan.number = last_plan_;
   plan.made = now;
+  plan.visited_at.clear();
   plan.table = table_;
   state.plan_numbers.set(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
@@ -175,9 +184,11 @@
   return visit_next_stages(packet, state, now);
 }
 
-visit_agent entry_core::make_visit(const search_state& state,
-                                   std::size_t stage) const
+visit_agent entry_core::make_visit(search_state& state, std::size_t stage,
+                                   time_point now) const
 {
+  state.plan.visited_at.resize(state.plan.stages.size());
+  state.plan.visited_at[stage] = now;
   const auto& [service, stops, health, by_packet] = state.plan.stages[stage];
   auto header = make_header(*service);
   header.stops = stops;
@@ -192,7 +203,7 @@
 {
   visit_all round;
   for (const auto stage : state.walk.start_round())
-    round.visits.push_back(make_visit(state, stage));
+    round.visits.push_back(make_visit(state, stage, now));
   if (round.visits.size() == 1)
     return round.visits.front();
   if (!round.visits.empty())
@@ -224,7 +235,7 @@
   for (const auto next : state.walk.start_round())
   {
     ++probes_sent_;
-    out.visits.push_back(make_visit(state, next));
+    out.visits.push_back(make_visit(state, next, now));
   }
   return out;
 }
@@ -236,12 +247,10 @@
 entry_core::pass_by(search_state& state,
                     const std::vector<std::size_t>& unanswered, time_point now)
 {
-  const auto silent = monitor_.silent(now);
   for (const auto stage : unanswered)
-  {
     state.walk.skip(stage);
-    ask_again(state, stage, silent);
-  }
+  ask_again(state, now);
+  const auto silent = monitor_.silent(now);
   for (std::size_t stage = 0; stage < state.plan.stages.size(); ++stage)
     if (state.walk.is_open(stage))
       leave_out(state, stage, silent);
@@ -249,25 +258,50 @@
   if (next.empty())
     return std::nullopt;
   state.inconclusive = true;
-  return make_visit(state, next.front());
+  return make_visit(state, next.front(), now);
 }
 
-/// Adds a question to the agents of a stage that are not known to be silent:
-/// one that is may have lost the message to the others. The packet itself may
-/// have been lost without that.
-void entry_core::ask_again(search_state& state, std::size_t stage,
-                           const agent_set& silent)
+/// Adds questions for the skipped stages whose answers are missing.
+void entry_core::ask_again(search_state& state, time_point now)
+{
+  const auto silent = monitor_.silent(now);
+  const auto wait = std::max(monitor_.answer_timeout(),
+                             min_lost_intervals * options_.retry_interval);
+  auto& visited_at = state.plan.visited_at;
+  for (std::size_t stage = 0; stage < visited_at.size(); ++stage)
+    if (state.walk.is_skipped(stage) && visited_at[stage] &&
+        now - *visited_at[stage] > wait)
+    {
+      visited_at[stage].reset();
+      divide(state, stage, silent);
+    }
+}
+
+/// An agent that is down loses the message to all agents after it and the
+/// answer of those before it, so each question goes to a quarter of the stage,
+/// and to a silent agent alone.
+void entry_core::divide(search_state& state, std::size_t stage,
+                        const agent_set& silent)
 {
   auto& stages = state.plan.stages;
-  auto again = stages[stage];
-  again.by_packet = false;
-  again.stops = without(again.stops, silent);
-  const bool is_needed =
-      stages[stage].by_packet || again.stops.size < stages[stage].stops.size;
-  if (!is_needed || again.stops.size == 0 || stages.size() >= max_search_stages)
-    return;
-  state.walk.add(again.health);
-  stages.push_back(again);
+  const auto lost = stages[stage];
+  const std::size_t size =
+      (lost.stops.size + lost_stage_parts - 1) / lost_stage_parts;
+  bool is_full = true;
+  for (std::size_t i = 0; i < lost.stops.size; ++i)
+  {
+    const auto& agent = lost.stops.agents[i];
+    const bool is_silent = silent.count(agent) != 0;
+    if (is_full || is_silent)
+    {
+      if (stages.size() == max_search_stages)
+        return;
+      state.walk.add(lost.health);
+      stages.push_back({lost.service, {}, lost.health, false});
+    }
+    stages.back().stops.add(agent);
+    is_full = is_silent || stages.back().stops.size == size;
+  }
 }
 
 /// The agents that became silent since the plan was made are visited by
@@ -330,20 +364,21 @@
     return restart_walk(packet, state, now);
   if (header.stage == 0 && header.plan == plan.number)
     monitor_.on_answer_time(now - plan.made);
-  const bool is_late = state.walk.is_skipped(header.stage);
+  const bool was_late = state.walk.has_skipped();
   if (!state.walk.on_missed(header.stage))
     return on_late_answer();
   state.last = now;
-  state.inconclusive |= is_late || header.inconclusive || header.plan == 0;
-  if (is_late)
+  state.inconclusive |= was_late || header.inconclusive || header.plan == 0;
+  if (was_late)
     return continue_late(header, packet, state, now);
   add_undecided_stage(header, state, now);
   return visit_next_stages(packet, state, now);
 }
 
-/// An answer to a stage that was passed by. The next round does not wait for
-/// those under way: their answers come late too, and with rounds one after the
-/// other the walk takes longer than the flow may stay without its agent.
+/// An answer after stages were skipped, perhaps to one of them. The next round
+/// does not wait for those under way: their answers come late or never, and
+/// with rounds one after the other the walk takes longer than the flow may stay
+/// without its agent.
 entry_action entry_core::continue_late(const relay_header& header,
                                        const flow_packet& packet,
                                        search_state& state, time_point now)
@@ -352,8 +387,9 @@
   if (const auto visit = visit_undecided(header, packet.from_caller(), now))
     out.visits.push_back(*visit);
   state.walk.skip_round();
+  ask_again(state, now);
   for (const auto stage : state.walk.start_round())
-    out.visits.push_back(make_visit(state, stage));
+    out.visits.push_back(make_visit(state, stage, now));
   if (out.visits.empty())
     return entry_drop::stale_answer;
   return out.visits.size() == 1 ? entry_action{out.visits.front()}
--- a/src/relay/stage_walk.cpp
+++ b/src/relay/stage_walk.cpp
@@ -93,6 +93,11 @@
   return stage < states_.size() && states_[stage] == stage_state::skipped;
 }
 
+bool stage_walk::has_skipped() const
+{
+  return first(stage_state::skipped) < states_.size();
+}
+
 bool stage_walk::is_open(std::size_t stage) const
 {
   return stage < states_.size() && states_[stage] == stage_state::open;
