--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -109,9 +109,14 @@
   duration retry_interval = std::chrono::milliseconds(100);
   /// Probe packets between two ticks (one second), of which four questions
   /// without a packet make up one; above this an attempt
-  /// visits all stages again, the agents that left probes unanswered last.
+  /// passes by the stages without an answer and visits the next one.
   /// Limits probes to a fifth of a 4 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
+  /// Minimum time between two packets of one search to an agent that cannot
+  /// tell without the packet. Each may reach a wrong upstream, and the answer
+  /// to the first one comes up to 700 ms later when the balancer's link is
+  /// full.
+  duration packet_interval = std::chrono::seconds(1);
   agent_monitor::options monitor;
   flow_memory::options memory;
 };
@@ -228,9 +233,12 @@
   struct search_plan
   {
     std::uint8_t number = 0; ///< a miss by another plan proves nothing
+    time_point made;         ///< when its first stage was visited
     std::shared_ptr<const relay_table> table;
     agent_set unresponsive; ///< visited after the live agents
     std::vector<search_stage> stages;
+    /// By stage; none if not visited, or asked again since.
+    std::vector<std::optional<time_point>> visited_at;
   };
 
   struct search_state
@@ -243,6 +251,10 @@
     /// Agents that answered that they do not hold the flow, and when. An open
     /// flow does not move to another upstream, so they are asked last.
     std::map<endpoint, time_point> denials;
+    /// Agents that got the packet since they could not tell, and when.
+    std::map<endpoint, time_point> visited_undecided;
+    /// Agents on the way of the packet through the first stage of a plan.
+    std::map<endpoint, time_point> sent_packet;
     stage_walk walk;           ///< through the stages of the plan
     bool inconclusive = false; ///< misses do not prove that the flow is gone
     bool found = false;        ///< an agent reported that it holds the flow
@@ -278,20 +290,36 @@
                       time_point now);
   entry_action restart_walk(const flow_packet& packet, search_state& state,
                             time_point now);
-  visit_agent make_visit(const search_state& state, std::size_t stage) const;
+  visit_agent make_visit(search_state& state, std::size_t stage,
+                         time_point now) const;
   entry_action visit_next_stages(const flow_packet& packet, search_state& state,
                                  time_point now);
   entry_action search_with_probes(search_state& state,
                                   const std::vector<std::size_t>& unanswered,
                                   time_point now);
+  std::optional<visit_agent> pass_by(search_state& state,
+                                     const std::vector<std::size_t>& unanswered,
+                                     time_point now);
+  void ask_again(search_state& state, time_point now);
+  static void divide(search_state& state, std::size_t stage,
+                     const agent_set& silent);
+  static void leave_out(search_state& state, std::size_t stage,
+                        const agent_set& silent);
+  entry_action continue_late(const relay_header& header,
+                             const flow_packet& packet, search_state& state,
+                             time_point now);
   void add_probes(const search_stage& stage, std::uint8_t plan, time_point now,
                   visit_all& out);
   entry_action continue_search(const relay_header& header,
                                const flow_packet& packet, const route& from,
                                time_point now);
-  void add_undecided_stage(const relay_header& header, search_state& state);
-  entry_action probe_by_packet(const relay_header& header,
-                               const endpoint& agent) const;
+  visit_stops take_undecided(const relay_header& header, search_state& state,
+                             time_point now) const;
+  void add_undecided_stage(const relay_header& header, search_state& state,
+                           time_point now);
+  std::optional<visit_agent> visit_undecided(const relay_header& header,
+                                             const flow_key& flow,
+                                             time_point now);
   entry_action on_missing_route(const flow_packet& packet, time_point now);
   entry_action on_search_exhausted(const flow_packet& packet, bool inconclusive,
                                    time_point now);
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -272,7 +272,7 @@
                                    time_point now)
 {
   ++counters_.missed;
-  monitor_.on_message(agent);
+  monitor_.on_answer(agent, now);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   // An answer without a packet may come after the packet was given up.
   if (!packet)
@@ -289,8 +289,11 @@
   if (header.reason == miss_reason::unknown_flow && !packet.opens)
     record_denials(header, packet.from_caller(), now);
   if (header.probe && !header.remembered)
-    return header.undecided != 0 ? probe_by_packet(header, agent)
-                                 : entry_action{entry_drop::probe_missed};
+  {
+    const auto visit = visit_undecided(header, packet.from_caller(), now);
+    return visit ? entry_action{*visit}
+                 : entry_action{entry_drop::probe_missed};
+  }
   // Another agent admitted another copy, and the caller uses the flow.
   if (packet.opens && memory_.has_data(packet.from_caller()))
     return entry_drop::stale_answer;
@@ -323,7 +326,7 @@
                           const flow_key& flow, time_point now)
 {
   ++counters_.found;
-  monitor_.on_message(agent);
+  monitor_.on_answer(agent, now);
   newest_seen_ = std::max(newest_seen_, header.configuration);
   avoided_until_.erase(key_of(agent));
   // The search may still go on: the report is wrong if the agent's upstream
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -15,6 +15,14 @@
 /// Questions without a packet that count as one probe with it, by their size.
 constexpr std::size_t questions_per_probe = 4;
 
+/// Messages in the place of one that was lost.
+constexpr std::size_t lost_stage_parts = 4;
+
+/// A message counts as lost after this many retry intervals at least. A
+/// balancer that has not measured any answer time yet would ask again after 80
+/// ms, which makes 80% more messages when answers take 700 ms.
+constexpr int min_lost_intervals = 4;
+
 /// Limits the time between two attempts to eight times the first one.
 constexpr std::uint32_t max_retry_doublings = 3;
 
@@ -28,6 +36,15 @@
                     });
 }
 
+visit_stops without(const visit_stops& stops, const agent_set& agents)
+{
+  visit_stops rest;
+  for (std::size_t i = 0; i < stops.size; ++i)
+    if (agents.count(stops.agents[i]) == 0)
+      rest.add(stops.agents[i]);
+  return rest;
+}
+
 } // namespace
 
 entry_action entry_core::search(const flow_packet& packet, const route& from,
@@ -50,10 +67,13 @@
   state.started = state.last = now;
   ++state.attempts;
   const auto unanswered = state.walk.abandon_round();
-  const bool use_probes = is_searching && !unanswered.empty() &&
-                          probes_sent_ < options_.max_probes_per_tick;
-  if (use_probes)
-    return search_with_probes(state, unanswered, now);
+  if (is_searching && !unanswered.empty())
+  {
+    if (probes_sent_ < options_.max_probes_per_tick)
+      return search_with_probes(state, unanswered, now);
+    if (const auto next = pass_by(state, unanswered, now))
+      return *next;
+  }
   make_plan(packet, from, state, now);
   return visit_next_stages(packet, state, now);
 }
@@ -65,15 +85,21 @@
   // 0 means that an agent did not return the number.
   last_plan_ = last_plan_ + 1 == plan_number_count ? 1 : last_plan_ + 1;
   plan.number = last_plan_;
+  plan.made = now;
+  plan.visited_at.clear();
   plan.table = table_;
   state.plan_numbers.set(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
   plan.stages = open_stages(packet, from, state, now);
   state.walk = stage_walk(plan.stages);
   state.inconclusive = false;
+  if (!plan.stages.empty())
+    for (std::size_t i = 0; i < plan.stages[0].stops.size; ++i)
+      state.sent_packet[plan.stages[0].stops.agents[i]] = now;
 }
 
-/// The stages by the present table; agents that have denied the flow come last.
+/// The stages by the present table; agents that have denied the flow come last,
+/// and so do those on the way of an earlier packet while there are others.
 /// A denial counts for as long as the state of a search, since the caller may
 /// use the address and port of an ended flow again.
 std::vector<search_stage> entry_core::open_stages(const flow_packet& packet,
@@ -85,8 +111,22 @@
   for (const auto& [agent, at] : state.denials)
     if (now - at <= options_.search_timeout)
       denied.insert(agent);
-  return search_stages(*table_, from, flow_hash(packet.from_caller()),
-                       state.plan.unresponsive, options_.placement, denied);
+  auto visited = denied;
+  for (const auto* const times : {&state.sent_packet, &state.visited_undecided})
+    for (const auto& [agent, at] : *times)
+      if (now - at <= options_.search_timeout)
+        visited.insert(agent);
+  const auto stages_with_last = [&](const agent_set& last)
+  {
+    return search_stages(*table_, from, flow_hash(packet.from_caller()),
+                         state.plan.unresponsive, options_.placement, last);
+  };
+  auto stages = stages_with_last(visited);
+  // A live agent that may have got the packet comes before a dead one.
+  const bool others_are_live = !stages.empty() &&
+                               stages[0].health == holder_health::live &&
+                               visited.count(stages[0].stops.agents[0]) == 0;
+  return others_are_live ? stages : stages_with_last(denied);
 }
 
 void entry_core::record_denials(const relay_header& header,
@@ -144,9 +184,11 @@
   return visit_next_stages(packet, state, now);
 }
 
-visit_agent entry_core::make_visit(const search_state& state,
-                                   std::size_t stage) const
+visit_agent entry_core::make_visit(search_state& state, std::size_t stage,
+                                   time_point now) const
 {
+  state.plan.visited_at.resize(state.plan.stages.size());
+  state.plan.visited_at[stage] = now;
   const auto& [service, stops, health, by_packet] = state.plan.stages[stage];
   auto header = make_header(*service);
   header.stops = stops;
@@ -161,7 +203,7 @@
 {
   visit_all round;
   for (const auto stage : state.walk.start_round())
-    round.visits.push_back(make_visit(state, stage));
+    round.visits.push_back(make_visit(state, stage, now));
   if (round.visits.size() == 1)
     return round.visits.front();
   if (!round.visits.empty())
@@ -193,11 +235,88 @@
   for (const auto next : state.walk.start_round())
   {
     ++probes_sent_;
-    out.visits.push_back(make_visit(state, next));
+    out.visits.push_back(make_visit(state, next, now));
   }
   return out;
 }
 
+/// The search goes on with the next stage that has not been visited: starting
+/// anew would send the packet to the same wrong agents with each attempt. None
+/// if all have been visited.
+std::optional<visit_agent>
+entry_core::pass_by(search_state& state,
+                    const std::vector<std::size_t>& unanswered, time_point now)
+{
+  for (const auto stage : unanswered)
+    state.walk.skip(stage);
+  ask_again(state, now);
+  const auto silent = monitor_.silent(now);
+  for (std::size_t stage = 0; stage < state.plan.stages.size(); ++stage)
+    if (state.walk.is_open(stage))
+      leave_out(state, stage, silent);
+  const auto next = state.walk.start_one();
+  if (next.empty())
+    return std::nullopt;
+  state.inconclusive = true;
+  return make_visit(state, next.front(), now);
+}
+
+/// Adds questions for the skipped stages whose answers are missing.
+void entry_core::ask_again(search_state& state, time_point now)
+{
+  const auto silent = monitor_.silent(now);
+  const auto wait = std::max(monitor_.answer_timeout(),
+                             min_lost_intervals * options_.retry_interval);
+  auto& visited_at = state.plan.visited_at;
+  for (std::size_t stage = 0; stage < visited_at.size(); ++stage)
+    if (state.walk.is_skipped(stage) && visited_at[stage] &&
+        now - *visited_at[stage] > wait)
+    {
+      visited_at[stage].reset();
+      divide(state, stage, silent);
+    }
+}
+
+/// An agent that is down loses the message to all agents after it and the
+/// answer of those before it, so each question goes to a quarter of the stage,
+/// and to a silent agent alone.
+void entry_core::divide(search_state& state, std::size_t stage,
+                        const agent_set& silent)
+{
+  auto& stages = state.plan.stages;
+  const auto lost = stages[stage];
+  const std::size_t size =
+      (lost.stops.size + lost_stage_parts - 1) / lost_stage_parts;
+  bool is_full = true;
+  for (std::size_t i = 0; i < lost.stops.size; ++i)
+  {
+    const auto& agent = lost.stops.agents[i];
+    const bool is_silent = silent.count(agent) != 0;
+    if (is_full || is_silent)
+    {
+      if (stages.size() == max_search_stages)
+        return;
+      state.walk.add(lost.health);
+      stages.push_back({lost.service, {}, lost.health, false});
+    }
+    stages.back().stops.add(agent);
+    is_full = is_silent || stages.back().stops.size == size;
+  }
+}
+
+/// The agents that became silent since the plan was made are visited by
+/// the next one only.
+void entry_core::leave_out(search_state& state, std::size_t stage,
+                           const agent_set& silent)
+{
+  auto& planned = state.plan.stages[stage];
+  if (planned.health != holder_health::live)
+    return;
+  planned.stops = without(planned.stops, silent);
+  if (planned.stops.size == 0)
+    state.walk.skip(stage);
+}
+
 void entry_core::add_probes(const search_stage& stage, std::uint8_t plan,
                             time_point now, visit_all& out)
 {
@@ -226,6 +345,12 @@
   if (found == searched_.end())
     return entry_drop::stale_answer;
   auto& state = found->second;
+  const auto on_late_answer = [&]
+  {
+    const auto visit = visit_undecided(header, packet.from_caller(), now);
+    return visit ? entry_action{*visit}
+                 : entry_action{entry_drop::stale_answer};
+  };
   if (state.found && (state.inconclusive || header.inconclusive))
     return entry_drop::stale_answer;
   const auto& plan = state.plan;
@@ -234,48 +359,114 @@
       header.stage < plan.stages.size() &&
       plan.stages[header.stage].stops == header.stops;
   if (!is_of_this_plan)
-    return entry_drop::stale_answer;
+    return on_late_answer();
   if (update_plan(packet, from, state, now))
     return restart_walk(packet, state, now);
+  if (header.stage == 0 && header.plan == plan.number)
+    monitor_.on_answer_time(now - plan.made);
+  const bool was_late = state.walk.has_skipped();
   if (!state.walk.on_missed(header.stage))
-    return entry_drop::stale_answer;
+    return on_late_answer();
   state.last = now;
-  state.inconclusive |= header.inconclusive || header.plan == 0;
-  add_undecided_stage(header, state);
+  state.inconclusive |= was_late || header.inconclusive || header.plan == 0;
+  if (was_late)
+    return continue_late(header, packet, state, now);
+  add_undecided_stage(header, state, now);
   return visit_next_stages(packet, state, now);
 }
 
-entry_action entry_core::probe_by_packet(const relay_header& header,
-                                         const endpoint& agent) const
+/// An answer after stages were skipped, perhaps to one of them. The next round
+/// does not wait for those under way: their answers come late or never, and
+/// with rounds one after the other the walk takes longer than the flow may stay
+/// without its agent.
+entry_action entry_core::continue_late(const relay_header& header,
+                                       const flow_packet& packet,
+                                       search_state& state, time_point now)
 {
-  auto probe = header;
-  probe.kind = relay_kind::visit;
-  probe.stop = 0;
-  probe.stops = {};
-  probe.stops.add(agent);
-  probe.locates = false;
-  probe.undecided = 0;
-  return visit_agent{agent, probe};
+  visit_all out;
+  if (const auto visit = visit_undecided(header, packet.from_caller(), now))
+    out.visits.push_back(*visit);
+  state.walk.skip_round();
+  ask_again(state, now);
+  for (const auto stage : state.walk.start_round())
+    out.visits.push_back(make_visit(state, stage, now));
+  if (out.visits.empty())
+    return entry_drop::stale_answer;
+  return out.visits.size() == 1 ? entry_action{out.visits.front()}
+                                : entry_action{out};
+}
+
+/// The stops of the answer that could not tell without the packet and are to
+/// get it now.
+visit_stops entry_core::take_undecided(const relay_header& header,
+                                       search_state& state,
+                                       time_point now) const
+{
+  const auto is_recent =
+      [now](const auto& times, const endpoint& agent, duration limit)
+  {
+    const auto found = times.find(agent);
+    return found != times.end() && now - found->second <= limit;
+  };
+  visit_stops stops;
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+  {
+    const auto& agent = header.stops.agents[i];
+    const bool waits =
+        is_recent(state.denials, agent, options_.search_timeout) ||
+        is_recent(state.visited_undecided, agent, options_.packet_interval);
+    if ((header.undecided >> i & 1U) == 0 || waits)
+      continue;
+    state.visited_undecided[agent] = now;
+    stops.add(agent);
+  }
+  return stops;
+}
+
+/// The packet visits the agents that could not tell without it, beside the walk
+/// through the stages: their answer came to a probe, or after the next attempt
+/// had begun.
+std::optional<visit_agent>
+entry_core::visit_undecided(const relay_header& header, const flow_key& flow,
+                            time_point now)
+{
+  const auto found = searched_.find(flow);
+  if (header.undecided == 0 || found == searched_.end())
+    return std::nullopt;
+  auto& state = found->second;
+  if (state.found || !state.plan_numbers.test(header.plan))
+    return std::nullopt;
+  const auto stops = take_undecided(header, state, now);
+  if (stops.size == 0)
+    return std::nullopt;
+  auto visit = header;
+  visit.kind = relay_kind::visit;
+  visit.stop = 0;
+  visit.stops = stops;
+  visit.probe = true;
+  visit.locates = false;
+  visit.undecided = 0;
+  return visit_agent{stops.agents[0], visit};
 }
 
 /// The packet visits the agents that could not tell without it.
 void entry_core::add_undecided_stage(const relay_header& header,
-                                     search_state& state)
+                                     search_state& state, time_point now)
 {
+  if (header.undecided == 0)
+    return;
   auto& stages = state.plan.stages;
-  if (header.undecided == 0 || stages.size() >= max_search_stages)
-  {
-    state.inconclusive |= header.undecided != 0;
+  // An agent that is left out does not deny the flow to this walk.
+  const auto undecided = std::bitset<visit_stops::capacity>(header.undecided);
+  const auto stops = stages.size() < max_search_stages
+                         ? take_undecided(header, state, now)
+                         : visit_stops{};
+  state.inconclusive |= stops.size != undecided.count();
+  if (stops.size == 0)
     return;
-  }
   search_stage added = stages[header.stage];
   added.by_packet = true;
-  added.stops = {};
-  for (std::size_t i = 0; i < header.stops.size; ++i)
-    if ((header.undecided >> i & 1U) != 0)
-      added.stops.add(header.stops.agents[i]);
-  if (added.stops.size == 0)
-    return;
+  added.stops = stops;
   state.walk.add(added.health);
   stages.push_back(added);
 }
