log: test of a dropped large request answers the leader's question

Change: the test checks the question, its size, and that the request is sent again at once after the refusal. As strict: nothing may be sent before 200 ms, one small request then, the large one only when it is known to be missing. The comment of peer_links no longer tells of resends every 200 ms.

--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -19,10 +19,9 @@
 
 /// Connections to the other control instances; used on one kj thread. Messages
 /// to a slow or unreachable instance are dropped; replication resends them. A
-/// large message is dropped while another is unacknowledged: replication
-/// resends an entry every 200 ms, also while the connection still delivers it,
-/// and copies of one declaration of 300 KB filled a link of 2 Mbit/s for
-/// seconds.
+/// large message is dropped while another is unacknowledged, so that entries
+/// that are sent again, and those that follow, do not fill a slow link: one
+/// declaration of 300 KB takes more than a second at 2 Mbit/s.
 class peer_links : private kj::TaskSet::ErrorHandler
 {
 public:
--- a/src/log/replica_append_test.cpp
+++ b/src/log/replica_append_test.cpp
@@ -43,16 +43,22 @@
 
   void acknowledge(std::uint64_t index)
   {
-    replica_message reply;
-    reply.kind = message_kind::append_reply;
-    reply.from = learner_address;
-    reply.to = leader_address.id;
-    reply.term = core_.hard().term;
+    auto reply = make_reply();
     reply.granted = true;
     reply.index = index;
     core_.receive(reply, {start_time, 0});
   }
 
+  /// The learner refuses a request behind entry `previous`; its last entry is
+  /// `index`.
+  void refuse(std::uint64_t previous, std::uint64_t index)
+  {
+    auto reply = make_reply();
+    reply.position.index = previous;
+    reply.index = index;
+    core_.receive(reply, {start_time, 0});
+  }
+
   /// Performs all actions; returns the index of the first entry of each append
   /// request that they send.
   std::vector<std::uint64_t> sent()
@@ -79,6 +85,16 @@
   }
 
 private:
+  replica_message make_reply() const
+  {
+    replica_message reply;
+    reply.kind = message_kind::append_reply;
+    reply.from = learner_address;
+    reply.to = leader_address.id;
+    reply.term = core_.hard().term;
+    return reply;
+  }
+
   static replica_settings settings()
   {
     replica_settings made;
@@ -181,6 +197,10 @@
   CHECK_TRUE(leader.sent() == indices{2});
   leader.tick(std::chrono::milliseconds(100));
   CHECK_TRUE(leader.sent().empty());
+  // A request without entries asks whether entry 2 has arrived.
   leader.tick(std::chrono::milliseconds(200));
+  CHECK_TRUE(leader.sent() == indices{3});
+  CHECK_TRUE(leader.last_size() < large_message_octets);
+  leader.refuse(2, 1);
   CHECK_TRUE(leader.sent() == indices{2});
 }
