control: a connection that holds a large message is replaced after 10 s at most

Change: max_delivery_time. A test that a new connection carries large messages again guards the state that a replaced connection leaves.

--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -17,7 +17,7 @@
 
 /// Replication messages of this size or more, in octets, are large: the
 /// transport carries one of them to an instance at a time. Heartbeats and votes
-/// are smaller and must not wait for entries.
+/// are smaller and are not dropped for it.
 constexpr std::size_t large_message_octets = 4096;
 
 /// Callbacks that the replicated log makes to its state machine, and the
--- a/include/toucanmill/relay/agent_monitor.hpp
+++ b/include/toucanmill/relay/agent_monitor.hpp
@@ -20,8 +20,8 @@
 public:
   struct options
   {
-    /// Shorter than the time between two attempts to find a flow, so that the
-    /// attempt after a probe takes its result into account.
+    /// Least timeout; shorter than the time between two attempts to find a
+    /// flow, so that the attempt after a probe takes its result into account.
     duration answer_timeout = std::chrono::milliseconds(80);
     /// Limit of the timeout that follows the measured answer times: half of the
     /// time in which an open flow must reach its agent.
@@ -73,7 +73,7 @@
 
   options options_;
   time_point answered_probe_; ///< when the latest answered one was sent
-  duration answer_time_{0}; ///< highest of late; falls by an eighth per answer
+  duration answer_time_{0};   ///< recent maximum; falls by 1/8 per answer
   std::map<endpoint, unanswered_probes> unanswered_;
 };
 
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,5 +1,6 @@
 #include "peer_links.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <toucanmill/cluster/wire.hpp>
@@ -21,10 +22,14 @@
 /// the time that the octets up to its end need at the minimum rate.
 constexpr auto delivery_timeout = 2 * kj::SECONDS;
 
+/// Longest time until an instance that lost its power gets a new connection.
+constexpr auto max_delivery_time = 10 * kj::SECONDS;
+
 kj::Duration time_allowed(std::size_t octets)
 {
-  return delivery_timeout +
-         octets * kj::SECONDS / peer_links::min_delivery_rate;
+  const auto needed =
+      delivery_timeout + octets * kj::SECONDS / peer_links::min_delivery_rate;
+  return std::min<kj::Duration>(needed, max_delivery_time);
 }
 
 bool is_large(const std::string& message)
--- a/src/control/peer_links_test.cpp
+++ b/src/control/peer_links_test.cpp
@@ -199,3 +199,26 @@
   CHECK_TRUE((peer.received.decompressed_sizes == sizes{0, 400'000, 0, 0}));
   CHECK_EQUAL(400'000U, peer.received.sizes.back());
 }
+
+// Guards against an instance without power that is noticed a minute late
+// because it holds a message of several megabytes.
+TEST(peer_links, time_allowed_for_a_message_is_limited)
+{
+  slow_links peer;
+  peer.send(8'000'000);
+  peer.advance(10'100 * kj::MILLISECONDS);
+  CHECK_EQUAL(1U, peer.lost.load());
+}
+
+// Guards against an instance that gets no large message again once its
+// connection was replaced while it held one.
+TEST(peer_links, large_message_passes_on_a_new_connection)
+{
+  slow_links peer;
+  peer.send(300'000);
+  peer.advance(4'500 * kj::MILLISECONDS);
+  CHECK_EQUAL(1U, peer.lost.load());
+  peer.send(100);
+  peer.send(300'000);
+  CHECK_TRUE((peer.received.sizes == sizes{300'000, 100, 300'000}));
+}
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -279,7 +279,8 @@
                 "Octets of replication messages before compression.",
                 counters.peer_octets);
     add_counter(out, "toucanmill_peer_messages_lost_total",
-                "Replication messages dropped: peer slow or unreachable.",
+                "Replication messages dropped: peer slow or unreachable, or "
+                "another large one on its way.",
                 counters.peer_messages_lost);
     evacuations_.add_to(out);
     timings_.add_to(out);
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -223,7 +223,7 @@
     std::uint64_t next = 1;
     std::deque<sent_request> in_flight; ///< append requests
     std::uint64_t round = 0;            ///< last heartbeat round answered
-    std::uint64_t announced_commit = 0; ///< it can rely on, of those sent
+    std::uint64_t announced_commit = 0; ///< newest sent that its log covers
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
