--- a/src/log/replica_read_core.cpp
+++ b/src/log/replica_read_core.cpp
@@ -14,8 +14,8 @@
   return outcome::success();
 }
 
-/// Reads that wait for a round. Before the first commit of the leader's own term
-/// none can start: its commit index may not cover every committed entry.
+/// Reads that wait for a round. Before the first commit of the leader's own
+/// term none can start: its commit index may not cover every committed entry.
 bool replica_core::has_unassigned_reads() const
 {
   return !pending_reads_.empty() && pending_reads_.back().round == 0 &&
