relay: probes of a search are questions without the packet

Callers with a flow that had ended waited for its reset until their deadline after a loss of power: of 3,600 flows two in five needed more than one attempt, and a reset then took 3 to 8 s.

Cause: an attempt without an answer sent a copy of the packet to each of the sixteen agents of the first stage, up to 1 KB each, 200 a second. That fills a link of 2.1 Mbit/s; answers then came late or never, and searches were repeated, which kept the link full. Ruled out: processor time (the same loss with --no-cpu), upstreams that have not announced themselves (all did within 40 ms of power), tables (applied 0.24 s after it).

Change: a probe asks for the flow (12 octets in place of the packet), and each question counts. An agent that cannot tell gets the packet after its answer, as in the other stages.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -107,10 +107,9 @@
   /// a packet that follows sooner waits. Doubles with each attempt. A stage of
   /// sixteen agents takes 20 to 50 ms.
   duration retry_interval = std::chrono::milliseconds(100);
-  /// Probe packets between two ticks (one second), of which four questions
-  /// without a packet make up one; above this an attempt
-  /// passes by the stages without an answer and visits the next one.
-  /// Limits probes to a fifth of a 4 Mbit/s link.
+  /// Probes between two ticks (one second); above this an attempt passes by the
+  /// stages without an answer and visits the next one. A probe is a question
+  /// of 94 octets, so they take less than a tenth of a 2 Mbit/s link.
   std::size_t max_probes_per_tick = 200;
   /// Minimum time between two packets of one search to an agent that cannot
   /// tell without the packet. Each may reach a wrong upstream, and the answer
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Questions without a packet that count as one probe with it, by their size.
-constexpr std::size_t questions_per_probe = 4;
-
 /// Limits the time between two attempts to eight times the first one.
 constexpr std::uint32_t max_retry_doublings = 3;
 
@@ -227,13 +224,11 @@
                             time_point now, visit_all& out)
 {
   const auto& stops = stage.stops;
-  probes_sent_ += stage.by_packet ? stops.size
-                                  : (stops.size + questions_per_probe - 1) /
-                                        questions_per_probe;
+  probes_sent_ += stops.size;
   auto header = make_header(*stage.service);
   header.probe = true;
   header.plan = plan;
-  header.locates = !stage.by_packet;
+  header.locates = true;
   for (std::size_t i = 0; i < stops.size; ++i)
   {
     monitor_.on_probe(stops.agents[i], now);
