relay: a search ends once every holder has denied the flow

Callers waited for the reset of a flow that had ended although all agents had answered that they do not hold it.

Cause: a search of more than one attempt counted as inconclusive whatever was answered, so it could only end with the state of the search, 2 s after the last answer, and the next packet began anew.

Change: denials are kept by agent over all attempts, plans and tables of a search. When every holder of the present table has denied the flow since its packet came, and a quorum has confirmed the table since then, the flow is reset. Denials count only while all packets of the search acknowledge the same position, and the reset has that position, so it cannot hit a later flow of the same address and port.

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -242,8 +242,13 @@
 
   struct search_state
   {
+    time_point began;   ///< when its first packet arrived
     time_point started; ///< of the latest attempt
     time_point last;    ///< latest attempt, answer or result
+    /// Of its first packet. All denials are about the flow with this position,
+    /// and a reset there cannot hit a later one of the same address and port.
+    std::uint32_t acknowledged = 0;
+    bool one_position = true; ///< all its packets acknowledge the same
     std::uint32_t attempts = 0;
     search_plan plan;
     std::bitset<plan_number_count> plan_numbers; ///< of all its plans
@@ -287,6 +292,10 @@
                                         time_point now) const;
   void record_denials(const relay_header& header, const flow_key& flow,
                       time_point now);
+  bool is_denied_by_all(const search_state& state, const flow_packet& packet,
+                        const route& from) const;
+  std::optional<entry_action> reset_denied(const flow_packet& packet,
+                                           const route& from, time_point now);
   entry_action restart_walk(const flow_packet& packet, search_state& state,
                             time_point now);
   visit_agent make_visit(search_state& state, std::size_t stage,
--- a/src/relay/entry_core.cpp
+++ b/src/relay/entry_core.cpp
@@ -286,8 +286,14 @@
                                        const flow_packet& packet,
                                        time_point now)
 {
+  const auto* from = table_->find_route(packet.destination);
   if (header.reason == miss_reason::unknown_flow && !packet.opens)
+  {
     record_denials(header, packet.from_caller(), now);
+    if (from != nullptr)
+      if (const auto reset = reset_denied(packet, *from, now))
+        return *reset;
+  }
   if (header.probe && !header.remembered)
   {
     const auto visit = visit_undecided(header, packet.from_caller(), now);
@@ -297,7 +303,6 @@
   // Another agent admitted another copy, and the caller uses the flow.
   if (packet.opens && memory_.has_data(packet.from_caller()))
     return entry_drop::stale_answer;
-  const auto* from = table_->find_route(packet.destination);
   if (from == nullptr)
     return on_missing_route(packet, now);
   if (packet.opens && header.remembered)
--- a/src/relay/entry_search_core.cpp
+++ b/src/relay/entry_search_core.cpp
@@ -30,6 +30,8 @@
 entry_action entry_core::search(const flow_packet& packet, const route& from,
                                 time_point now)
 {
+  if (const auto reset = reset_denied(packet, from, now))
+    return *reset;
   auto& state = searched_[packet.from_caller()];
   const bool replanned = update_plan(packet, from, state, now);
   if (is_not_found(state, now))
@@ -41,7 +43,11 @@
     return replanned ? restart_walk(packet, state, now)
                      : entry_action{await_search{}};
   if (!is_searching)
+  {
     state = {};
+    state.began = now;
+    state.acknowledged = packet.acknowledged;
+  }
   ++counters_.searches;
   counters_.search_retries += is_searching ? 1 : 0;
   state.started = state.last = now;
@@ -123,6 +129,46 @@
       state.denials[header.stops.agents[i]] = now;
 }
 
+/// Whether every holder that the present table lists has denied the flow since
+/// its packet came, whatever attempts, plans and earlier tables it was asked
+/// by.
+bool entry_core::is_denied_by_all(const search_state& state,
+                                  const flow_packet& packet,
+                                  const route& from) const
+{
+  const auto& denials = state.denials;
+  const auto has_denied = [&denials](const holder& value)
+  {
+    return denials.count(value.agent) != 0;
+  };
+  const auto hash = flow_hash(packet.from_caller());
+  for (const auto* service : possible_services(*table_, from, hash))
+    if (const auto& holders = service->table.holders;
+        holders.size() > denials.size() ||
+        !std::all_of(holders.begin(), holders.end(), has_denied))
+      return false;
+  return true;
+}
+
+/// A search that was repeated proves that the flow is gone once the last holder
+/// has denied it. None if one has not, or if the packets of the search may be
+/// of two flows of the same address and port.
+std::optional<entry_action> entry_core::reset_denied(const flow_packet& packet,
+                                                     const route& from,
+                                                     time_point now)
+{
+  const auto found = searched_.find(packet.from_caller());
+  if (found == searched_.end())
+    return std::nullopt;
+  auto& state = found->second;
+  state.one_position &= packet.acknowledged == state.acknowledged;
+  if (state.attempts == 0 || state.found || !state.one_position ||
+      now - state.last > options_.search_timeout || !confirmed(now) ||
+      !is_denied_by_all(state, packet, from))
+    return std::nullopt;
+  return reset_if_current(packet, reset_reason::unknown_flow, state.began, now);
+}
+
 // A new table keeps the plan if it changes nothing for this flow; otherwise a
 // busy cluster would restart searches for as long as tables change.
 bool entry_core::update_plan(const flow_packet& packet, const route& from,
