control, relay: agents' open flows outlive their processes

Callers lost requests on flows that had ended with their upstream: after a loss of power each open flow was used once more, a non-idempotent request on it could not be repeated, and all of them had to be searched for before their reset.

Cause of both: what an agent knows about flows ended with its process.

Change: an agent sends the list of its open flows (16 octets each) to one control instance with a disk, at most once a second and when it changed, and at most 2 KB/s. A started agent asks for its list once. If the upstream is still the one that the list names, the agent reports the flows without asking the upstream; if it has started again, the agent resets them at the position that their callers had acknowledged, so that a later flow of the same address and port is not hit. An announcement that may be late proves no new start.

Ways: lists at neighbouring agents (lost with the power), entries of the replicated log (each list to all instances over links of 2 Mbit/s), files of control, which is kept.

--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -32,6 +32,11 @@
   /// folder it stays a learner.
   std::vector<endpoint> seeds;
 
+  /// Called when the lists of agents' open flows can't be read or written; any
+  /// thread.
+  std::function<void(const std::string&)> on_flow_list_failure =
+      [](const std::string&) {};
+
   /// Called when the group has removed this instance, which must then restart
   /// with a cleared data folder and a new id. Called on the RPC thread,
   /// possibly several times.
@@ -53,6 +58,7 @@
   std::uint64_t claims = 0;
   std::uint64_t not_leader = 0;         ///< calls redirected to the leader
   std::uint64_t malformed = 0;          ///< calls with invalid values
+  std::uint64_t flow_lists = 0;         ///< lists of open flows kept for agents
   std::uint64_t peer_messages = 0;      ///< replication messages sent
   std::uint64_t peer_octets = 0;        ///< of these, before compression
   std::uint64_t peer_messages_lost = 0; ///< dropped: peer slow or unreachable
--- a/include/toucanmill/control/node_client.hpp
+++ b/include/toucanmill/control/node_client.hpp
@@ -39,6 +39,15 @@
   /// Receives the latest incarnation of this node known to control. May be
   /// empty.
   std::function<void(incarnation)> on_known_life;
+
+  /// Returns the encoded flow_list to keep at control; empty: none is due.
+  /// Called after answered reports, once on_kept_flows has been called. Without
+  /// it the client keeps no flows.
+  std::function<std::string()> make_flow_list;
+
+  /// Receives the list that control has kept for this node, once after the
+  /// start; empty: none. May be empty.
+  std::function<void(std::string)> on_kept_flows;
 };
 
 struct node_client_options
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -20,6 +20,10 @@
 /// are smaller and are not dropped for it.
 constexpr std::size_t large_message_octets = 4096;
 
+/// File of control in the data folder, and the start of the name of its
+/// temporary file. It may be lost at any time.
+constexpr auto kept_flows_file = "kept_flows";
+
 /// Callbacks that the replicated log makes to its state machine, and the
 /// transport for its messages. All calls come from the log's thread.
 class log_client
--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -42,6 +42,8 @@
   flow_ended = 412,
   request_unanswered = 413,
   upstream_left = 414,
+  kept_flows_taken = 415,
+  kept_flows_unusable = 416,
   leadership_gained = 500,
   leadership_lost = 501,
   change_accepted = 502,
@@ -52,6 +54,7 @@
   replica_started = 507,
   replica_removed = 508,
   evacuation_changed = 509,
+  kept_flows_failed = 510,
 };
 
 enum class severity : std::uint8_t
--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -67,8 +67,11 @@
   /// `known` is the latest life of this node that control knows.
   virtual void on_known_life(incarnation known) = 0;
 
+  virtual void restore_flows(flow_list kept) = 0;
+
   /// Blocks until the packet thread answers.
   virtual relay_status status() = 0;
+  virtual flow_list list_flows() = 0;
 };
 
 } // namespace toucanmill
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -21,6 +21,7 @@
 #include <toucanmill/relay/returned_flows.hpp>
 #include <toucanmill/relay/upstream_core.hpp>
 #include <toucanmill/table/configuration.hpp>
+#include <toucanmill/table/flow_list.hpp>
 
 namespace toucanmill
 {
@@ -256,6 +257,14 @@
 
   relay_status status(time_point now) const;
 
+  /// The open flows of the upstream; empty while its start is not certain.
+  flow_list list_flows() const;
+
+  /// Takes over a list of an earlier process. If the upstream still runs, the
+  /// agent finds its flows without asking it; if it has started again, their
+  /// callers are reset at once and need not wait for an answer.
+  void restore_flows(const flow_list& kept, time_point now, relay_sink& sink);
+
   std::uint64_t configuration_version() const
   {
     return configuration_;
@@ -276,7 +285,10 @@
     bool open = false;     ///< the upstream sent more than the accepting packet
     bool caller_finished = false;
     bool upstream_finished = false;
-    bool ended = false;             ///< kept for late packets only
+    bool ended = false; ///< kept for late packets only
+    /// From the list of an earlier process; its upstream has not sent a packet
+    /// of it since, so it may have ended.
+    bool listed = false;
     std::uint32_t acknowledged = 0; ///< caller's latest; sequence of a reset
     time_point seen_since;
     time_point used;
@@ -439,6 +451,7 @@
                          relay_event event, time_point now, relay_sink& sink);
   relay_decision make_decision(relay_event event, const flow_key& flow,
                                const relay_header& header) const;
+  void reset_listed(time_point now, relay_sink& sink);
   /// Resets and forgets the flows that the agent saw first before this time.
   void reset_flows(time_point before, time_point now, relay_sink& sink);
   void count(relay_event event)
@@ -459,6 +472,8 @@
   /// By address and port.
   std::unordered_map<std::uint64_t, waiting_terms> routes_;
   std::unordered_map<flow_key, flow_state> flows_;
+  /// Of the listed flows, until the upstream has shown whether it is that one.
+  upstream_start listed_of_;
   std::unordered_map<flow_key, awaited_proof> awaited_proofs_;
   returned_flows returned_; ///< none of them in flows_
   std::size_t busy_ = 0;
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -8,10 +8,14 @@
 #include <toucanmill/base/address.hpp>
 #include <toucanmill/base/ids.hpp>
 #include <toucanmill/base/time.hpp>
+#include <toucanmill/table/flow_list.hpp>
 
 namespace toucanmill
 {
 
+/// Upstreams number their announcements from here.
+inline constexpr std::uint64_t first_announcement = 1;
+
 /// State that an upstream announces to the agent on its host.
 struct upstream_announcement
 {
@@ -86,6 +90,17 @@
     return current_ ? current_->slots : 0;
   }
 
+  /// The present start of the upstream.
+  upstream_start start() const;
+
+  /// Whether the upstream has announced this start to this process from its
+  /// beginning, or for half of silence_limit: late announcements may be of an
+  /// earlier start.
+  bool is_start_certain() const
+  {
+    return is_start_certain_;
+  }
+
   /// End of the upstream's warm-up.
   time_point cold_until() const
   {
@@ -115,6 +130,8 @@
   std::optional<upstream_announcement> competing_start_;
   time_point last_announced_; ///< latest announcement of the current start
   incarnation life_;
+  bool is_start_certain_ = false;
+  time_point started_announcing_; ///< the present start, to this process
   bool left_ = false;
   time_point last_heard_;
   time_point cold_until_;
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -300,6 +300,11 @@
   invite @14 (members :List(Endpoint)) -> ();
   # Answered by the leader after a quorum confirmed it.
   evacuations @15 () -> (evacuations :List(Evacuation), notLeader :NotLeader);
+  # An agent's list of open flows; replaces the node's earlier one. Any instance
+  # with a disk keeps lists.
+  keepFlows @16 (node :UInt64, list :Data) -> (kept :Bool);
+  # The latest list that this instance has kept for the node; empty: none.
+  keptFlows @17 (node :UInt64) -> (list :Data);
 }
 
 enum Standing {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -14,6 +14,7 @@
 #include "configuration_store.hpp"
 #include "control_service.hpp"
 #include "evacuation_orders.hpp"
+#include "flow_archive.hpp"
 #include "group_joiner.hpp"
 #include "peer_links.hpp"
 
@@ -103,6 +104,9 @@
     log_ = std::move(log);
     store_ = std::make_unique<detail::configuration_store>(*log_, state_);
     orders_ = std::make_unique<detail::evacuation_orders>(*log_, state_);
+    flows_ =
+        std::make_unique<detail::flow_archive>(detail::flow_archive::options{
+            options_.log.folder, options_.on_flow_list_failure});
     log_->post(
         [this]
         {
@@ -118,6 +122,7 @@
             service_counters_.claims,
             service_counters_.not_leader,
             service_counters_.malformed,
+            service_counters_.flow_lists,
             peer_messages_,
             peer_octets_,
             peer_messages_lost_};
@@ -158,6 +163,7 @@
     leave_group();
     log_->stop();
     rpc_.stop();
+    flows_.reset();
   }
 
 private:
@@ -237,7 +243,7 @@
       auto state = kj::heap<rpc_thread_state>(
           io, options_.listen.port != 0 ? options_.listen : options_.rpc,
           kj::heap<detail::control_service>(
-              *log_, state_, service_counters_,
+              *log_, state_, service_counters_, *flows_,
               [this](const std::vector<endpoint>& members)
               {
                 if (rpc_state_ != nullptr &&
@@ -342,7 +348,8 @@
   std::unique_ptr<replicated_log> log_;
   std::unique_ptr<detail::configuration_store> store_;
   std::unique_ptr<detail::evacuation_orders> orders_;
-  rpc_thread_state* rpc_state_ = nullptr; ///< used on the RPC thread only
+  std::unique_ptr<detail::flow_archive> flows_; ///< set before RPC starts
+  rpc_thread_state* rpc_state_ = nullptr;       ///< used on the RPC thread only
   rpc_loop rpc_;
 };
 
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -316,6 +316,68 @@
       }));
 }
 
+// Guards against an agent that does not get the list of flows of the process
+// before it back.
+TEST(control_server, started_node_gets_the_list_that_it_had_kept)
+{
+  const auto server = start_single(folder, rpc);
+  std::mutex mutex;
+  std::vector<std::string> received;
+  std::string list;
+  node_callbacks callbacks;
+  callbacks.make_report = []
+  {
+    return node_report{};
+  };
+  callbacks.on_update = [](const table_update&) {};
+  callbacks.on_confirmed = [](time_point) {};
+  callbacks.on_order = [](node_order) {};
+  callbacks.on_reachable = [](bool) {};
+  callbacks.make_flow_list = [&]
+  {
+    const std::lock_guard lock(mutex);
+    return list;
+  };
+  callbacks.on_kept_flows = [&](const std::string& kept)
+  {
+    const std::lock_guard lock(mutex);
+    received.push_back(kept);
+  };
+  const auto received_count = [&]
+  {
+    const std::lock_guard lock(mutex);
+    return received.size();
+  };
+  node_client_options options;
+  options.control = {rpc};
+  options.report_interval = std::chrono::milliseconds(20);
+  auto node = node_client::start(options, callbacks);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return received_count() == 1;
+      }));
+  {
+    const std::lock_guard lock(mutex);
+    list = std::string("flows\0of", 8);
+  }
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return server->counters().flow_lists > 0;
+      }));
+  node.reset();
+  node = node_client::start(options, callbacks);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return received_count() == 2;
+      }));
+  const std::lock_guard lock(mutex);
+  CHECK_TRUE(received[0].empty());
+  CHECK_TRUE(received[1] == list);
+}
+
 // Guards against reports that close each other's connections: several under way
 // at once each opened one, the newest replaced the others, and each failure
 // selected another instance, so that no report reached the leader.
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -93,8 +93,9 @@
 
 control_service::control_service(replicated_log& log, control_state& state,
                                  service_counters& counters,
+                                 flow_archive& flows,
                                  invitation_callback on_invited)
-    : log_(log), state_(state), counters_(counters),
+    : log_(log), state_(state), counters_(counters), flows_(flows),
       on_invited_(std::move(on_invited))
 {
 }
@@ -481,6 +482,24 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> control_service::keepFlows(KeepFlowsContext context)
+{
+  const auto params = context.getParams();
+  const auto list = params.getList().asChars();
+  const bool kept =
+      flows_.keep({params.getNode()}, {list.begin(), list.size()});
+  counters_.flow_lists += kept ? 1 : 0;
+  context.getResults().setKept(kept);
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> control_service::keptFlows(KeptFlowsContext context)
+{
+  const auto list = flows_.find({context.getParams().getNode()});
+  context.getResults().setList(to_data(list));
+  return kj::READY_NOW;
+}
+
 void control_service::advance_join(const join_request& joining,
                                    std::function<void(replica_standing)> done)
 {
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -11,6 +11,8 @@
 #include <toucanmill/control/group_core.hpp>
 #include <toucanmill/log/replicated_log.hpp>
 
+#include "flow_archive.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -21,6 +23,7 @@
   std::atomic<std::uint64_t> claims{0};
   std::atomic<std::uint64_t> not_leader{0};
   std::atomic<std::uint64_t> malformed{0};
+  std::atomic<std::uint64_t> flow_lists{0};
 };
 
 /// RPC interface of a control instance. Calls arrive on the kj thread; the
@@ -30,10 +33,12 @@
 public:
   using invitation_callback = std::function<void(std::vector<endpoint>)>;
 
+  /// `flows` keeps the lists of agents.
   /// `on_invited` is called on the kj thread with the group members named in an
   /// invitation.
   control_service(replicated_log& log, control_state& state,
-                  service_counters& counters, invitation_callback on_invited);
+                  service_counters& counters, flow_archive& flows,
+                  invitation_callback on_invited);
 
 protected:
   kj::Promise<void> change(ChangeContext context) override;
@@ -52,6 +57,8 @@
   kj::Promise<void> join(JoinContext context) override;
   kj::Promise<void> leave(LeaveContext context) override;
   kj::Promise<void> invite(InviteContext context) override;
+  kj::Promise<void> keepFlows(KeepFlowsContext context) override;
+  kj::Promise<void> keptFlows(KeptFlowsContext context) override;
 
 private:
   /// Reply to a call that only the leader can answer.
@@ -88,6 +95,7 @@
   replicated_log& log_;
   control_state& state_;
   service_counters& counters_;
+  flow_archive& flows_;
   invitation_callback on_invited_;
 };
 
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -9,6 +9,8 @@
 #include <toucanmill/control/control_channel.hpp>
 #include <toucanmill/control/rpc_loop.hpp>
 
+#include "flow_list_client.hpp"
+
 namespace toucanmill
 {
 
@@ -60,7 +62,8 @@
       : io_(io), timer_(io.provider->getTimer()), options_(options),
         callbacks_(callbacks), counters_(counters),
         reports_(io, options.control), claims_(io, options.control),
-        seeds_(options.control), last_answer_(monotonic_now()), tasks_(errors_)
+        flow_lists_(io, callbacks), seeds_(options.control),
+        last_answer_(monotonic_now()), tasks_(errors_)
   {
     tasks_.add(report_periodically());
   }
@@ -151,7 +154,9 @@
   kj::Promise<void> send_report(schema::Control::Client& control)
   {
     auto request = control.reportRequest();
-    wire::write(request.initReport(), callbacks_.make_report());
+    const auto report = callbacks_.make_report();
+    node_ = report.identity.id;
+    wire::write(request.initReport(), report);
     ++counters_.reports;
     counters_.octets_sent += request.totalSize().wordCount * 8;
     return request.send().then(
@@ -185,6 +190,7 @@
     if (reply.getLife() != 0 && callbacks_.on_known_life)
       callbacks_.on_known_life({reply.getLife()});
     update_members(reply.getMembers());
+    flow_lists_.on_answer();
   }
 
   void update_members(capnp::List<schema::Endpoint>::Reader from)
@@ -207,6 +213,7 @@
         all.push_back(seed);
     if (all.empty())
       return;
+    flow_lists_.set_instances(all, node_);
     reports_.set_endpoints(all);
     claims_.set_endpoints(std::move(all));
   }
@@ -269,6 +276,8 @@
   atomic_counters& counters_;
   control_channel reports_;
   control_channel claims_;
+  detail::flow_list_client flow_lists_;
+  node_id node_; ///< of the latest report
   std::vector<endpoint> seeds_;
   std::vector<endpoint> members_; ///< from the latest reply
   time_point last_answer_;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -136,6 +136,10 @@
       timings_.persist.observe(taken);
     };
     options.on_removed = std::move(on_removed);
+    options.on_flow_list_failure = [](const std::string& what)
+    {
+      log_event(event::kept_flows_failed, what);
+    };
     if (settings_.mode == "seeds")
       for (const auto& seed : seeds_)
         if (seed != settings_.rpc)
@@ -271,6 +275,8 @@
                 counters.claims);
     add_counter(out, "toucanmill_rpc_not_leader_total",
                 "Calls sent on to the leader.", counters.not_leader);
+    add_counter(out, "toucanmill_flow_lists_total",
+                "Lists of open flows kept for agents.", counters.flow_lists);
     add_counter(out, "toucanmill_rpc_malformed_total",
                 "Calls with invalid values.", counters.malformed);
     add_counter(out, "toucanmill_peer_messages_total",
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -34,6 +34,11 @@
 /// long, so that balancers learn of it before packets are lost.
 constexpr duration handover_time = std::chrono::seconds(1);
 
+/// Control keeps the list of flows of each agent that changed, at most once in
+/// this time and at most at this rate.
+constexpr duration flow_list_interval = std::chrono::seconds(1);
+constexpr std::size_t flow_list_octets_per_second = 2048;
+
 node_identity relay_identity(const instance_settings& instance,
                              const agent_settings& settings)
 {
@@ -258,6 +263,42 @@
     agent_->on_known_life(life);
   }
 
+  bool keeps_flows() const override
+  {
+    return true;
+  }
+
+  std::string make_flow_list() override
+  {
+    const auto now = monotonic_now();
+    // The last list of a stopping agent is the one that the next process gets.
+    if (now < next_flow_list_ && !stopping_)
+      return {};
+    const auto list = agent_->list_flows();
+    if (list.of == upstream_start{})
+      return {};
+    auto octets = encode(list);
+    if (octets == flow_list_)
+      return {};
+    flow_list_ = octets;
+    next_flow_list_ =
+        now +
+        flow_list_interval * (1 + octets.size() / flow_list_octets_per_second);
+    return octets;
+  }
+
+  void take_kept_flows(const std::string& octets) override
+  {
+    if (octets.empty())
+      return;
+    auto kept = decode_flow_list(octets);
+    if (!kept)
+      return log_event(event::kept_flows_unusable, kept.error().message);
+    log_event(event::kept_flows_taken,
+              std::to_string(kept.value().flows.size()) + " flows");
+    agent_->restore_flows(std::move(kept.value()));
+  }
+
   void take_table(const table_update& update) override
   {
     if (applied_ < update.base)
@@ -315,7 +356,9 @@
   instance_settings instance_;
   node_identity identity_;
   std::unique_ptr<relay_agent> agent_;
-  table_version applied_; ///< used on the client's thread only
+  table_version applied_;     ///< used on the client's thread only
+  std::string flow_list_;     ///< latest; used on the client's thread only
+  time_point next_flow_list_; ///< used on the client's thread only
   std::atomic<std::uint64_t> applied_index_{0};
   std::string announced_;           ///< used on the packet thread only
   bool announced_draining_ = false; ///< used on the packet thread only
--- a/src/daemon/table_feed.hpp
+++ b/src/daemon/table_feed.hpp
@@ -33,6 +33,21 @@
 
   /// Latest life of this node that control knows.
   virtual void known_life(incarnation) {}
+
+  /// Whether control keeps the open flows of this node.
+  virtual bool keeps_flows() const
+  {
+    return false;
+  }
+
+  /// The encoded flow_list to keep; empty: none is due.
+  virtual std::string make_flow_list()
+  {
+    return {};
+  }
+
+  /// The list of an earlier process; empty: none.
+  virtual void take_kept_flows(const std::string&) {}
 };
 
 /// Connection of a node to control: reports, and what comes back.
@@ -121,6 +136,15 @@
     {
       node.known_life(life);
     };
+    if (node.keeps_flows())
+      out.make_flow_list = [&node]
+      {
+        return node.make_flow_list();
+      };
+    out.on_kept_flows = [&node](const std::string& list)
+    {
+      node.take_kept_flows(list);
+    };
     out.on_reachable = [this](bool reachable)
     {
       reachable_ = reachable;
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -111,7 +111,8 @@
 result<bool> log_store::is_initialisation_leftover(const std::string& name)
 {
   const auto path = folder_ + "/" + name;
-  if (name == replica_id_temporary_file ||
+  if (name.rfind(kept_flows_file, 0) == 0 ||
+      name == replica_id_temporary_file ||
       name == snapshot_files::temporary_name ||
       name == snapshot_files::name_of({}))
     return true;
--- a/src/log/log_store_test.cpp
+++ b/src/log/log_store_test.cpp
@@ -156,6 +156,15 @@
   CHECK_TRUE(opened.store.error().code == error_code::invalid_argument);
 }
 
+// Guards against an instance that never starts again because the power was lost
+// while it cleared its folder, before the lists of flows were removed.
+TEST(log_store, folder_with_lists_of_flows_only_is_initialised)
+{
+  const auto disk = std::make_shared<simulated_disk>();
+  disk->files["data/kept_flows"] = std::make_shared<simulated_disk::content>();
+  CHECK_TRUE(store_on_disk(disk).store.has_value());
+}
+
 // Guards against a missing segment or snapshot that is not detected.
 TEST(log_store, missing_file_is_reported)
 {
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -112,6 +112,10 @@
        "A flow ended, or was given up, with a request that had no response."},
       {event::upstream_left, severity::info, "upstream_left",
        "The upstream beside the agent said that it ends."},
+      {event::kept_flows_taken, severity::info, "kept_flows_taken",
+       "A started agent got the list of flows of the process before it."},
+      {event::kept_flows_unusable, severity::warning, "kept_flows_unusable",
+       "The list that control kept for the agent can't be read; names why."},
       {event::leadership_gained, severity::info, "leadership_gained",
        "This control instance leads."},
       {event::leadership_lost, severity::info, "leadership_lost",
@@ -133,6 +137,8 @@
        "new id."},
       {event::evacuation_changed, severity::warning, "evacuation_changed",
        "A data centre was evacuated or restored; names all evacuated ones."},
+      {event::kept_flows_failed, severity::warning, "kept_flows_failed",
+       "The file of agents' flows can't be read or written; names why."},
   };
   return all;
 }
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -147,6 +147,24 @@
         });
   }
 
+  void restore_flows(flow_list kept) override
+  {
+    loop_.post(
+        [this, kept = std::move(kept)]
+        {
+          core_.restore_flows(kept, monotonic_now(), *this);
+        });
+  }
+
+  flow_list list_flows() override
+  {
+    return loop_.call<flow_list>(
+        [this]
+        {
+          return core_.list_flows();
+        });
+  }
+
   relay_status status() override
   {
     return loop_.call<relay_status>(
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Upstreams number their announcements from here.
-constexpr std::uint64_t first_sequence = 1;
-
 miss_reason miss_reason_of(relay_event event)
 {
   return event == relay_event::route_replaced ? miss_reason::route_replaced
@@ -101,6 +98,7 @@
                          sink);
   if (verdict == announcement_verdict::accepted)
   {
+    reset_listed(now, sink);
     warm_up_.announce(value.cold_left, now);
     meter_.set_slots(value.slots);
   }
@@ -131,7 +129,7 @@
   const bool has_age = value.born_ms != 0 && value.born_ms <= wall_clock_ms;
   const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
                                               : 0);
-  saw_start_of_upstream_ = value.sequence <= first_sequence ||
+  saw_start_of_upstream_ = value.sequence <= first_announcement ||
                            (has_age && age <= now - options_.started);
   if (restarted)
     reset_flows(has_age ? now - age : time_point::max(), now, sink);
@@ -248,7 +246,8 @@
 {
   // A caller may use the address and port of an ended flow again.
   const auto found = flows_.find(packet.from_caller());
-  const bool known = found != flows_.end() && !found->second.ended;
+  const bool known =
+      found != flows_.end() && !found->second.ended && !found->second.listed;
   if (known && upstream_.present(now))
     return admit_flow(message, packet, now, sink);
   if (options_.admission == admission_mode::objectives)
@@ -279,7 +278,8 @@
 {
   const auto key = packet.from_caller();
   const auto found = flows_.find(key);
-  const bool known = found != flows_.end() && !found->second.ended;
+  const bool known =
+      found != flows_.end() && !found->second.ended && !found->second.listed;
   upstream_.on_opening_delivered(now);
   if (!known)
   {
--- a/src/relay/relay_flows_core.cpp
+++ b/src/relay/relay_flows_core.cpp
@@ -31,7 +31,9 @@
   for (auto it = flows_.begin(); it != flows_.end();)
   {
     const auto& [flow, state] = *it;
-    if (state.seen_since >= before)
+    const bool is_of_another_start =
+        state.listed && !(listed_of_ == upstream_start{});
+    if (state.seen_since >= before || is_of_another_start)
     {
       ++it;
       continue;
@@ -98,6 +100,7 @@
   if (added)
     flow.seen_since = now;
   flow.used = now;
+  flow.listed = false;
   flow.answered = true;
   flow.open |= !packet.accepts;
   if (packet.acknowledges && !packet.accepts)
--- /dev/null
+++ b/src/relay/relay_list_core.cpp
@@ -0,0 +1,73 @@
+// The list of open flows with which a process of relay_core follows another.
+
+#include <toucanmill/relay/relay_core.hpp>
+
+namespace toucanmill
+{
+
+flow_list relay_core::list_flows() const
+{
+  flow_list list;
+  const bool listed_are_certain = listed_of_ == upstream_start{};
+  if (upstream_.ended() || !upstream_.is_start_certain() || !listed_are_certain)
+    return list;
+  list.of = upstream_.start();
+  for (const auto& [flow, state] : flows_)
+    if (state.open && !state.ended)
+      list.flows.push_back({flow, state.acknowledged});
+  return list;
+}
+
+void relay_core::restore_flows(const flow_list& kept, time_point now,
+                               relay_sink& sink)
+{
+  listed_of_ = kept.of;
+  for (const auto& [flow, acknowledged] : kept.flows)
+  {
+    if (returned_.contains(flow))
+      continue;
+    const auto [found, added] = flows_.try_emplace(flow);
+    if (!added)
+      continue;
+    auto& state = found->second;
+    state.listed = state.answered = state.open = true;
+    state.acknowledged = acknowledged;
+    state.seen_since = state.used = now;
+  }
+  reset_listed(now, sink);
+}
+
+/// The listed flows ended if the upstream has started since. An announcement of
+/// an earlier start may come late, and proves nothing.
+void relay_core::reset_listed(time_point now, relay_sink& sink)
+{
+  const auto present = upstream_.start();
+  if (listed_of_ == upstream_start{} || present == upstream_start{})
+    return;
+  const bool same = present == listed_of_;
+  const bool both_born = present.born_ms != 0 && listed_of_.born_ms != 0;
+  const bool is_newer = both_born ? present.born_ms > listed_of_.born_ms
+                                  : upstream_.is_start_certain();
+  if (!same && !is_newer)
+    return;
+  listed_of_ = {};
+  if (same)
+    return;
+  for (auto it = flows_.begin(); it != flows_.end();)
+  {
+    auto& [flow, state] = *it;
+    if (!state.listed || state.ended)
+    {
+      ++it;
+      continue;
+    }
+    count(relay_event::flow_reset);
+    sink.reset(flow, state.acknowledged);
+    record_unanswered(flow, state, relay_event::flow_reset, now, sink);
+    awaited_proofs_.erase(flow);
+    release(flow, state, now);
+    it = flows_.erase(it);
+  }
+}
+
+} // namespace toucanmill
--- a/src/relay/upstream_core.cpp
+++ b/src/relay/upstream_core.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace toucanmill
 {
 
@@ -54,6 +57,11 @@
     life_ = {std::max(life_.value + 1, born)};
     left_ = false;
   }
+  if (!same)
+    started_announcing_ = now;
+  is_start_certain_ = (same && is_start_certain_) ||
+                      value.sequence <= first_announcement ||
+                      now - started_announcing_ >= options_.silence_limit / 2;
   current_ = value;
   last_heard_ = now;
   cold_until_ = now + value.cold_left;
@@ -61,6 +69,14 @@
   return announcement_verdict::accepted;
 }
 
+upstream_start upstream_core::start() const
+{
+  if (!current_)
+    return {};
+  const auto& name = current_->instance;
+  return {XXH3_64bits(name.data(), name.size()), current_->born_ms};
+}
+
 announcement_verdict upstream_core::leave(const std::string& instance,
                                           time_point)
 {
--- /dev/null
+++ b/src/table/flow_list.cpp
@@ -0,0 +1,81 @@
+#include <toucanmill/table/flow_list.hpp>
+
+#include <algorithm>
+
+#include <boost/endian/conversion.hpp>
+
+namespace toucanmill
+{
+
+namespace
+{
+
+constexpr std::uint32_t list_format = 1;
+constexpr std::size_t header_octets = 20;
+constexpr std::size_t flow_octets = 16;
+constexpr std::size_t max_flows =
+    (max_flow_list_octets - header_octets) / flow_octets;
+
+unsigned char* octets_at(std::string& bytes, std::size_t offset)
+{
+  return reinterpret_cast<unsigned char*>(bytes.data()) + offset;
+}
+
+const unsigned char* octets_at(std::string_view bytes, std::size_t offset)
+{
+  return reinterpret_cast<const unsigned char*>(bytes.data()) + offset;
+}
+
+void store(unsigned char* to, const listed_flow& value)
+{
+  boost::endian::store_big_u32(to, value.flow.caller.address.value);
+  boost::endian::store_big_u32(to + 4, value.flow.service.address.value);
+  boost::endian::store_big_u16(to + 8, value.flow.caller.port);
+  boost::endian::store_big_u16(to + 10, value.flow.service.port);
+  boost::endian::store_big_u32(to + 12, value.acknowledged);
+}
+
+listed_flow load(const unsigned char* from)
+{
+  listed_flow value;
+  value.flow.caller.address.value = boost::endian::load_big_u32(from);
+  value.flow.service.address.value = boost::endian::load_big_u32(from + 4);
+  value.flow.caller.port = boost::endian::load_big_u16(from + 8);
+  value.flow.service.port = boost::endian::load_big_u16(from + 10);
+  value.acknowledged = boost::endian::load_big_u32(from + 12);
+  return value;
+}
+
+} // namespace
+
+std::string encode(const flow_list& list)
+{
+  const auto count = std::min(list.flows.size(), max_flows);
+  std::string bytes(header_octets + count * flow_octets, '\0');
+  boost::endian::store_big_u32(octets_at(bytes, 0), list_format);
+  boost::endian::store_big_u64(octets_at(bytes, 4), list.of.instance);
+  boost::endian::store_big_u64(octets_at(bytes, 12), list.of.born_ms);
+  for (std::size_t i = 0; i < count; ++i)
+    store(octets_at(bytes, header_octets + i * flow_octets), list.flows[i]);
+  return bytes;
+}
+
+result<flow_list> decode_flow_list(std::string_view bytes)
+{
+  if (bytes.size() < header_octets || bytes.size() > max_flow_list_octets ||
+      (bytes.size() - header_octets) % flow_octets != 0)
+    return error{error_code::corrupt_data,
+                 "a flow list of " + std::to_string(bytes.size()) + " octets"};
+  if (const auto format = boost::endian::load_big_u32(octets_at(bytes, 0));
+      format != list_format)
+    return error{error_code::corrupt_data,
+                 "a flow list of format " + std::to_string(format)};
+  flow_list list;
+  list.of.instance = boost::endian::load_big_u64(octets_at(bytes, 4));
+  list.of.born_ms = boost::endian::load_big_u64(octets_at(bytes, 12));
+  for (std::size_t at = header_octets; at < bytes.size(); at += flow_octets)
+    list.flows.push_back(load(octets_at(bytes, at)));
+  return list;
+}
+
+} // namespace toucanmill
