control: agents pause after a round of instances that keep no lists

Cause: where no control instance has a disk, or all are of an earlier build, an agent connected to the next instance after each report, twice a second.

Change: after each of them has refused or failed once, the agent asks again after 10 s.

Test: node_asks_instances_that_keep_no_lists_once_in_a_while; without the pause it counts a call for each report.

--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -378,6 +378,42 @@
   CHECK_TRUE(received[1] == list);
 }
 
+// Guards against agents that connect to one control instance after the other
+// for ever where none of them has a disk.
+TEST(control_server, node_asks_instances_that_keep_no_lists_once_in_a_while)
+{
+  rpc = free_endpoint();
+  const auto server = start(make_options("", {{{1}, rpc, true}}, 0));
+  std::atomic<int> asked{0};
+  std::atomic<int> reports{0};
+  node_callbacks callbacks;
+  callbacks.make_report = [&reports]
+  {
+    ++reports;
+    return node_report{};
+  };
+  callbacks.on_update = [](const table_update&) {};
+  callbacks.on_confirmed = [](time_point) {};
+  callbacks.on_order = [](node_order) {};
+  callbacks.on_reachable = [](bool) {};
+  callbacks.make_flow_list = [&asked]
+  {
+    ++asked;
+    return std::string("list");
+  };
+  node_client_options options;
+  options.control = {rpc};
+  options.report_interval = std::chrono::milliseconds(20);
+  const auto node = node_client::start(options, callbacks);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return reports > 50;
+      }));
+  CHECK_TRUE(asked <= 2);
+  CHECK_EQUAL(0U, server->counters().flow_lists);
+}
+
 // Guards against reports that close each other's connections: several under way
 // at once each opened one, the newest replaced the others, and each failure
 // selected another instance, so that no report reached the leader.
--- a/src/control/flow_list_client.cpp
+++ b/src/control/flow_list_client.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include <toucanmill/base/clock.hpp>
 #include <toucanmill/base/hash.hpp>
 
 namespace toucanmill::detail
@@ -12,6 +13,10 @@
 namespace
 {
 
+/// Time until the instances are asked again after none of them kept the list:
+/// they have no disk, or are of an earlier build.
+constexpr duration refused_delay = std::chrono::seconds(10);
+
 std::uint64_t score(const endpoint& instance, node_id node)
 {
   const auto address =
@@ -71,7 +76,7 @@
     tasks_.add(fetch(0));
     return;
   }
-  if (phase_ != phase::idle)
+  if (phase_ != phase::idle || monotonic_now() < next_store_)
     return;
   if (auto list = callbacks_.make_flow_list(); !list.empty())
     unstored_ = std::move(list);
@@ -131,12 +136,6 @@
 kj::Promise<void> flow_list_client::store(const std::string& list)
 {
   select(selected_ < instances_.size() ? selected_ : 0);
-  const auto select_another = [this]
-  {
-    phase_ = phase::idle;
-    if (!instances_.empty())
-      select((selected_ + 1) % instances_.size());
-  };
   return channel_
       ->with_timeout(channel_->client().then(
           [this, list](schema::Control::Client control)
@@ -151,19 +150,30 @@
                 });
           }))
       .then(
-          [this, select_another](bool kept)
+          [this](bool kept)
           {
             if (!kept)
-              return select_another();
+              return on_not_kept();
             unstored_.clear();
+            refusals_ = 0;
             phase_ = phase::idle;
           },
-          [select_another](kj::Exception&&)
+          [this](kj::Exception&&)
           {
-            select_another();
+            on_not_kept();
           });
 }
 
+void flow_list_client::on_not_kept()
+{
+  phase_ = phase::idle;
+  if (instances_.empty())
+    return;
+  if (++refusals_ % instances_.size() == 0)
+    next_store_ = monotonic_now() + refused_delay;
+  select((selected_ + 1) % instances_.size());
+}
+
 void flow_list_client::taskFailed(kj::Exception&&)
 {
   phase_ = phase::idle;
--- a/src/control/flow_list_client.hpp
+++ b/src/control/flow_list_client.hpp
@@ -47,6 +47,8 @@
   kj::Promise<void> fetch_after(std::size_t instance);
   void end_fetch(std::string list);
   kj::Promise<void> store(const std::string& list);
+  /// The selected instance has not kept the list.
+  void on_not_kept();
   void select(std::size_t instance);
   void taskFailed(kj::Exception&& failure) override;
 
@@ -56,6 +58,8 @@
   std::vector<endpoint> instances_;
   std::unique_ptr<control_channel> channel_;
   std::size_t selected_ = 0; ///< in instances_
+  std::size_t refusals_ = 0; ///< since an instance kept a list
+  time_point next_store_;
   phase phase_ = phase::starting;
   std::string unstored_; ///< a list that no instance has kept yet
   kj::TaskSet tasks_;
