--- a/src/relay/relay_admission_test.cpp
+++ b/src/relay/agent/relay_admission_test.cpp
@@ -9,7 +9,7 @@
 #include <random>
 #include <set>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 #include "relay_visit_test.hpp"
 
 using namespace toucanmill;
--- a/src/relay/relay_late_return_test.cpp
+++ b/src/relay/agent/relay_late_return_test.cpp
@@ -5,7 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 #include "relay_visit_test.hpp"
 
 using namespace toucanmill;
--- a/src/relay/relay_load_test.cpp
+++ b/src/relay/agent/relay_load_test.cpp
@@ -13,7 +13,7 @@
 #include <queue>
 #include <random>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
--- a/src/relay/relay_review_property_test.cpp
+++ b/src/relay/agent/relay_review_property_test.cpp
@@ -10,7 +10,7 @@
 #include <random>
 #include <set>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
--- a/src/relay/entry_core_test.cpp
+++ b/src/relay/entry/entry_core_test.cpp
@@ -4,7 +4,7 @@
 
 #include <set>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
--- a/src/relay/pending_searches_test.cpp
+++ b/src/relay/entry/pending_searches_test.cpp
@@ -2,7 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
--- a/src/relay/placement_fixture_test.hpp
+++ b/src/relay/entry/placement_fixture_test.hpp
@@ -1,7 +1,7 @@
 #ifndef TOUCANMILL_SRC_RELAY_PLACEMENT_FIXTURE_TEST_HPP
 #define TOUCANMILL_SRC_RELAY_PLACEMENT_FIXTURE_TEST_HPP
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 #include <toucanmill/relay/entry_core.hpp>
 
--- a/src/relay/search_run_test.hpp
+++ b/src/relay/entry/search_run_test.hpp
@@ -9,7 +9,7 @@
 #include <toucanmill/relay/entry_core.hpp>
 #include <toucanmill/table/flow_hash.hpp>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 namespace toucanmill::relay_test
 {
--- a/src/relay/relay_message_test.cpp
+++ b/src/relay/message/relay_message_test.cpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <vector>
 
-#include "relay_fixture_test.hpp"
+#include "../relay_fixture_test.hpp"
 
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
