relay: one function resets and forgets a flow

Cause: the flows of a list and those that the agent saw itself were reset by two copies of the same steps.

--- a/include/toucanmill/relay/relay_agent.hpp
+++ b/include/toucanmill/relay/relay_agent.hpp
@@ -67,10 +67,13 @@
   /// `known` is the latest life of this node that control knows.
   virtual void on_known_life(incarnation known) = 0;
 
+  /// Takes over the list of an earlier process.
   virtual void restore_flows(flow_list kept) = 0;
 
   /// Blocks until the packet thread answers.
   virtual relay_status status() = 0;
+
+  /// The open flows of the upstream; blocks likewise.
   virtual flow_list list_flows() = 0;
 };
 
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -451,6 +451,9 @@
                          relay_event event, time_point now, relay_sink& sink);
   relay_decision make_decision(relay_event event, const flow_key& flow,
                                const relay_header& header) const;
+  using flow_iterator = std::unordered_map<flow_key, flow_state>::iterator;
+  /// Resets the flow if it is open, and forgets it; returns the next one.
+  flow_iterator reset_flow(flow_iterator at, time_point now, relay_sink& sink);
   void reset_listed(time_point now, relay_sink& sink);
   /// Resets and forgets the flows that the agent saw first before this time.
   void reset_flows(time_point before, time_point now, relay_sink& sink);
--- a/src/control/flow_archive.cpp
+++ b/src/control/flow_archive.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
-#include <filesystem>
 #include <fstream>
 #include <iterator>
 
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -28,29 +28,32 @@
 void relay_core::reset_flows(time_point before, time_point now,
                              relay_sink& sink)
 {
+  const bool listed_are_unresolved = !(listed_of_ == upstream_start{});
   for (auto it = flows_.begin(); it != flows_.end();)
   {
-    const auto& [flow, state] = *it;
-    const bool is_of_another_start =
-        state.listed && !(listed_of_ == upstream_start{});
-    if (state.seen_since >= before || is_of_another_start)
-    {
-      ++it;
-      continue;
-    }
-    // Several upstreams may have accepted copies of one opening packet, so the
-    // flow may be open at another one.
-    if (state.open && !state.ended)
-    {
-      count(relay_event::flow_reset);
-      sink.reset(flow, state.acknowledged);
-      record_unanswered(flow, state, relay_event::flow_reset, now, sink);
-    }
-    awaited_proofs_.erase(flow);
-    release(flow, it->second, now);
-    ended_flows_ -= state.ended ? 1 : 0;
-    it = flows_.erase(it);
+    const auto& state = it->second;
+    const bool is_of_another_start = state.listed && listed_are_unresolved;
+    const bool stays = state.seen_since >= before || is_of_another_start;
+    it = stays ? std::next(it) : reset_flow(it, now, sink);
+  }
+}
+
+relay_core::flow_iterator
+relay_core::reset_flow(flow_iterator at, time_point now, relay_sink& sink)
+{
+  auto& [flow, state] = *at;
+  // Several upstreams may have accepted copies of one opening packet, so the
+  // flow may be open at another one.
+  if (state.open && !state.ended)
+  {
+    count(relay_event::flow_reset);
+    sink.reset(flow, state.acknowledged);
+    record_unanswered(flow, state, relay_event::flow_reset, now, sink);
   }
+  awaited_proofs_.erase(flow);
+  release(flow, state, now);
+  ended_flows_ -= state.ended ? 1 : 0;
+  return flows_.erase(at);
 }
 
 void relay_core::track_caller_packet(const flow_packet& packet, time_point now)
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -2,6 +2,8 @@
 
 #include <toucanmill/relay/relay_core.hpp>
 
+#include <iterator>
+
 namespace toucanmill
 {
 
@@ -54,20 +56,7 @@
   if (same)
     return;
   for (auto it = flows_.begin(); it != flows_.end();)
-  {
-    auto& [flow, state] = *it;
-    if (!state.listed || state.ended)
-    {
-      ++it;
-      continue;
-    }
-    count(relay_event::flow_reset);
-    sink.reset(flow, state.acknowledged);
-    record_unanswered(flow, state, relay_event::flow_reset, now, sink);
-    awaited_proofs_.erase(flow);
-    release(flow, state, now);
-    it = flows_.erase(it);
-  }
+    it = it->second.listed ? reset_flow(it, now, sink) : std::next(it);
 }
 
 } // namespace toucanmill
