relay: a packet of a listed flow is no request until the upstream answers

Cause: an agent counted the first packet of a listed flow as a request. When the upstream had closed the flow and returned the packet, the request counted as failed, and an upstream with many such failures gets fewer new flows.

Change: such packets pass uncounted, as those of unknown flows do, until the upstream sends a packet of the flow.

--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -65,6 +65,9 @@
   flow.used = now;
   if (packet.acknowledges)
     flow.acknowledged = packet.acknowledged;
+  // An upstream that does not hold the flow any more has not failed a request.
+  if (flow.listed)
+    return;
   // Only mode objectives tells data from its retransmission.
   const bool carries = options_.admission == admission_mode::objectives
                            ? is_new_data(flow, packet)
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -214,6 +214,23 @@
   CHECK_TRUE(agent.locates(2));
 }
 
+// Guards against an upstream that counts as failing, and gets fewer new flows,
+// because it returns the packets of listed flows that it had closed.
+TEST(relay_list,
+     packet_of_a_listed_flow_is_no_request_until_the_upstream_answers)
+{
+  listed_agent agent;
+  agent.announce(announcement(7));
+  agent.core.restore_flows(two_flows(), start, agent.sink);
+  agent.core.on_visit(visit(), data(1), start, agent.sink);
+  CHECK_EQUAL(0U, agent.core.status(start).busy);
+  agent.core.on_upstream_packet({}, answer(data(1)), start, agent.sink);
+  auto next = data(1);
+  next.sequence += next.payload_size;
+  agent.core.on_visit(visit(), next, start, agent.sink);
+  CHECK_EQUAL(1U, agent.core.status(start).busy);
+}
+
 // Guards against an opening packet that a draining upstream gets because an
 // earlier flow of the same address and port is listed.
 TEST(relay_list, opening_packet_of_a_listed_flow_is_decided_anew)
--- a/src/relay/agent/relay_requests_core.cpp
+++ b/src/relay/agent/relay_requests_core.cpp
@@ -65,7 +65,7 @@
     return false;
   const auto key = packet.from_caller();
   const auto found = flows_.find(key);
-  if (found == flows_.end() || found->second.ended)
+  if (found == flows_.end() || found->second.ended || found->second.listed)
     return false;
   auto& flow = found->second;
   if (queue_.requests().contains(key))
