control: one copy of the conversions of data in messages

Cause: flow_list_client had its own copy of to_string of control_service and wrote out what to_data does; a function only called another with the next number. No change of behaviour.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/cluster/wire.hpp>
 
+#include "capnp_data.hpp"
 #include "leader_hint.hpp"
 #include "message_compression.hpp"
 #include "wall_clock.hpp"
@@ -19,16 +20,6 @@
                                         __LINE__, kj::heapString(why.message)));
 }
 
-capnp::Data::Reader to_data(const std::string& bytes)
-{
-  return kj::StringPtr(bytes.c_str(), bytes.size()).asBytes();
-}
-
-std::string to_string(capnp::Data::Reader bytes)
-{
-  return std::string(bytes.asChars().begin(), bytes.size());
-}
-
 /// Holds a fulfiller that another thread completes. It is held by a shared
 /// pointer because std::function requires copyable captures.
 template <class T>
--- a/src/control/flow_list_client.cpp
+++ b/src/control/flow_list_client.cpp
@@ -7,6 +7,8 @@
 #include <toucanmill/base/clock.hpp>
 #include <toucanmill/base/hash.hpp>
 
+#include "capnp_data.hpp"
+
 namespace toucanmill::detail
 {
 
@@ -24,11 +26,6 @@
   return mix(mix(node.value) ^ mix(address));
 }
 
-std::string to_string(capnp::Data::Reader bytes)
-{
-  return std::string(bytes.asChars().begin(), bytes.size());
-}
-
 } // namespace
 
 std::vector<endpoint> order_keepers(std::vector<endpoint> instances,
@@ -110,22 +107,17 @@
           [this, instance](std::string list) -> kj::Promise<void>
           {
             if (list.empty())
-              return fetch_after(instance);
+              return fetch(instance + 1);
             end_fetch(std::move(list));
             return kj::READY_NOW;
           },
           // An instance that does not answer, or of an earlier build.
           [this, instance](kj::Exception&&)
           {
-            return fetch_after(instance);
+            return fetch(instance + 1);
           });
 }
 
-kj::Promise<void> flow_list_client::fetch_after(std::size_t instance)
-{
-  return fetch(instance + 1);
-}
-
 void flow_list_client::end_fetch(std::string list)
 {
   phase_ = phase::idle;
@@ -142,7 +134,7 @@
           {
             auto request = control.keepFlowsRequest();
             request.setNode(node_.value);
-            request.setList(kj::StringPtr(list.c_str(), list.size()).asBytes());
+            request.setList(to_data(list));
             return request.send().then(
                 [](auto&& response)
                 {
--- a/src/control/flow_list_client.hpp
+++ b/src/control/flow_list_client.hpp
@@ -44,7 +44,6 @@
 
   /// Asks the instances from this one on until one has a list.
   kj::Promise<void> fetch(std::size_t instance);
-  kj::Promise<void> fetch_after(std::size_t instance);
   void end_fetch(std::string list);
   kj::Promise<void> store(const std::string& list);
   /// The selected instance has not kept the list.
