relay: further packets of a flow whose search has not begun wait

Cause: at most 12 flows are searched for at once, so that searches leave the link free, but the limit applied to the first packet of a flow only. A further packet of a flow that waited for its turn (a retransmission, or the second packet of a request) started the search at once: a balancer whose link was full made 300 attempts and visits a second, since retransmissions come when answers are late. Answers came after the next attempt then, and agents that had restarted, which is all of them, got the packet too.

Change: such a packet waits with the first one.

--- a/src/relay/entry/entry_balancer.cpp
+++ b/src/relay/entry/entry_balancer.cpp
@@ -122,7 +122,7 @@
   /// Whether the packet's flow has to be searched for later.
   bool must_wait(const flow_packet& packet) const
   {
-    return searches_.is_full() && !searches_.is_pending(packet.from_caller()) &&
+    return searches_.must_wait(packet.from_caller()) &&
            core_.would_search(packet);
   }
 
--- a/src/relay/entry/late_answers_test.hpp
+++ b/src/relay/entry/late_answers_test.hpp
@@ -182,8 +182,7 @@
   void handle(std::uint16_t port)
   {
     const auto bytes = bytes_of(port);
-    if (searches_.is_full() && !searches_.is_pending(flow_of(port)) &&
-        core.would_search(data(port)))
+    if (searches_.must_wait(flow_of(port)) && core.would_search(data(port)))
     {
       searches_.wait(flow_of(port), {bytes.data(), bytes.size()});
       return;
--- a/src/relay/entry/pending_searches.hpp
+++ b/src/relay/entry/pending_searches.hpp
@@ -61,9 +61,12 @@
     return active_ >= options_.max_active;
   }
 
-  bool is_pending(const flow_key& flow) const
+  /// Whether a packet of the flow, which has to be searched for, waits for its
+  /// turn. While a search is under way, its further packets belong to it.
+  bool must_wait(const flow_key& flow) const
   {
-    return flows_.count(flow) != 0;
+    const auto found = flows_.find(flow);
+    return is_full() && (found == flows_.end() || !found->second.is_active);
   }
 
   /// Holds a packet that has been sent to agents. Does nothing when there is no
--- a/src/relay/entry/pending_searches_test.cpp
+++ b/src/relay/entry/pending_searches_test.cpp
@@ -34,6 +34,20 @@
   pending_searches pending{{2, 100, 3, 2}};
 };
 
+// Guards against callers' retransmissions that start searches beyond the limit
+// and keep a full link full: their flows waited for their turn.
+TEST(pending_searches, further_packet_of_a_waiting_flow_waits_too)
+{
+  pending_searches searches{{4, 100, 3, 2}};
+  searches.hold(flow(1), packet);
+  CHECK_FALSE(searches.must_wait(flow(3)));
+  searches.hold(flow(2), packet);
+  CHECK_TRUE(searches.must_wait(flow(3)));
+  CHECK_TRUE(searches.wait(flow(3), packet));
+  CHECK_TRUE(searches.must_wait(flow(3)));
+  CHECK_FALSE(searches.must_wait(flow(2)));
+}
+
 // Guards against a packet that is lost at a dead agent and not sent again until
 // the caller retransmits.
 TEST(pending_searches, overdue_packet_is_returned)
