base, log, cluster: processes state the formats they read

Cause: nobody knows which builds run, so a newer format can't be raised safely. Change: node reports and messages between replicas carry the oldest and newest format version that the build reads and its commit; none stated counts as 1. The fields lie in padding of both structs. The log's status names the formats of the members that the leader heard from.

--- a/include/toucanmill/cluster/node.hpp
+++ b/include/toucanmill/cluster/node.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <toucanmill/base/address.hpp>
+#include <toucanmill/base/format_version.hpp>
 #include <toucanmill/base/ids.hpp>
 
 namespace toucanmill
@@ -63,14 +64,16 @@
   std::vector<std::uint16_t> held_buckets; ///< agents only; ascending
   /// False for earlier builds, which read only table_update::declared.
   bool applies_route_changes = false;
+  format_support formats; ///< of the node's build
 
   bool operator==(const node_report& other) const
   {
     return std::tie(identity, applied, fresh, leaving, empty, observes, flows,
-                    busy_slots, held_buckets, applies_route_changes) ==
+                    busy_slots, held_buckets, applies_route_changes, formats) ==
            std::tie(other.identity, other.applied, other.fresh, other.leaving,
                     other.empty, other.observes, other.flows, other.busy_slots,
-                    other.held_buckets, other.applies_route_changes);
+                    other.held_buckets, other.applies_route_changes,
+                    other.formats);
   }
 };
 
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <toucanmill/base/format_version.hpp>
 #include <toucanmill/base/outcome.hpp>
 #include <toucanmill/base/time.hpp>
 #include <toucanmill/log/types.hpp>
@@ -81,6 +82,13 @@
   duration age{0};
 };
 
+/// Formats that a member stated last.
+struct replica_formats
+{
+  replica_id id;
+  format_support formats;
+};
+
 /// Replication messages and replies handed to log_client::send().
 struct sent_messages
 {
@@ -103,6 +111,9 @@
   std::vector<replica_id> removed; ///< committed; ids are not reused
   /// Of the other members; empty unless this instance is the leader.
   std::vector<replica_contact_age> contact_ages;
+  /// Of this instance and, if it is the leader, of the members that it heard
+  /// from.
+  std::vector<replica_formats> formats;
   std::uint64_t malformed_messages = 0; ///< received and dropped
   std::vector<sent_messages> sent;      ///< one of each kind
 };
--- a/schema/log.capnp
+++ b/schema/log.capnp
@@ -44,6 +44,9 @@
   data @12 :Data;
   mayVote @13 :Bool;
   pristine @14 :Bool;
+  oldestFormat @15 :UInt8;  # formats that the sender reads; 0: only the first
+  newestFormat @16 :UInt8;
+  build @17 :UInt32;        # start of the commit's hash; 0: unknown
 }
 
 struct HardState {
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -152,6 +152,9 @@
   heldBuckets @7 :List(UInt16);
   observes @8 :Bool;  # wants the table, is no node yet
   appliesRouteChanges @9 :Bool;  # false: reads only declared
+  oldestFormat @10 :UInt8;  # formats that the build reads; 0: only the first
+  newestFormat @11 :UInt8;
+  build @12 :UInt32;  # start of the commit's hash; 0: unknown
 }
 
 struct ReportReply {
--- a/src/cluster/wire_node.cpp
+++ b/src/cluster/wire_node.cpp
@@ -47,6 +47,9 @@
   to.setBusySlots(value.busy_slots);
   to.setObserves(value.observes);
   to.setAppliesRouteChanges(value.applies_route_changes);
+  to.setOldestFormat(value.formats.oldest);
+  to.setNewestFormat(value.formats.newest);
+  to.setBuild(value.formats.build);
   auto held =
       to.initHeldBuckets(static_cast<unsigned>(value.held_buckets.size()));
   for (unsigned i = 0; i < held.size(); ++i)
@@ -66,6 +69,8 @@
   value.busy_slots = from.getBusySlots();
   value.observes = from.getObserves();
   value.applies_route_changes = from.getAppliesRouteChanges();
+  value.formats = stated_support(from.getOldestFormat(), from.getNewestFormat(),
+                                 from.getBuild());
   for (const auto bucket : from.getHeldBuckets())
   {
     if (!value.held_buckets.empty() && bucket <= value.held_buckets.back())
--- a/src/cluster/wire_test.cpp
+++ b/src/cluster/wire_test.cpp
@@ -93,6 +93,7 @@
   report.busy_slots = 3;
   report.held_buckets = {0, 5, 255};
   report.applies_route_changes = true;
+  report.formats = {1, 2, 0x0a0b0c0d};
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::NodeReport>();
   wire::write(root, report);
@@ -135,3 +136,17 @@
   root.initDigest(15);
   CHECK_TRUE(wire::read(root.asReader()).has_error());
 }
+
+// Guards against reports that grow by the formats that they state, and against
+// a report of a build without them that counts as newer.
+TEST(wire, report_without_formats_is_of_the_first)
+{
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<schema::NodeReport>();
+  wire::write(root, node_report{});
+  const auto octets = root.totalSize().wordCount * 8;
+  root.setOldestFormat(0);
+  root.setNewestFormat(0);
+  CHECK_TRUE(wire::read(root.asReader()).value().formats == format_support{});
+  CHECK_EQUAL(152U, octets); // as before they were stated
+}
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -154,7 +154,8 @@
   kj::Promise<void> send_report(schema::Control::Client& control)
   {
     auto request = control.reportRequest();
-    const auto report = callbacks_.make_report();
+    auto report = callbacks_.make_report();
+    report.formats = this_build();
     node_ = report.identity.id;
     wire::write(request.initReport(), report);
     ++counters_.reports;
--- a/src/log/codec.cpp
+++ b/src/log/codec.cpp
@@ -168,6 +168,8 @@
   message.data = copy_bytes(in.getData());
   message.may_vote = in.getMayVote();
   message.pristine = in.getPristine();
+  message.formats =
+      stated_support(in.getOldestFormat(), in.getNewestFormat(), in.getBuild());
   return message;
 }
 
@@ -212,6 +214,9 @@
   out.setData(as_byte_array(message.data));
   out.setMayVote(message.may_vote);
   out.setPristine(message.pristine);
+  out.setOldestFormat(message.formats.oldest);
+  out.setNewestFormat(message.formats.newest);
+  out.setBuild(message.formats.build);
   return serialise(builder);
 }
 
--- a/src/log/codec_test.cpp
+++ b/src/log/codec_test.cpp
@@ -30,6 +30,7 @@
   message.group.removed = {replica_id{2}};
   message.data = "chunk";
   message.pristine = true;
+  message.formats = {1, 2, 0x0a0b0c0d};
   return message;
 }
 
@@ -46,6 +47,7 @@
   CHECK_TRUE(decoded.value().entries == message.entries);
   CHECK_TRUE(decoded.value().group == message.group);
   CHECK_TRUE(decoded.value().from == message.from);
+  CHECK_TRUE(decoded.value().formats == message.formats);
   CHECK_TRUE(encode(decoded.value()) == encode(message));
 }
 
@@ -65,3 +67,16 @@
     (void)decode_message(damaged);
   }
 }
+
+// Guards against messages that grow by what they state, and against a build
+// that states no formats and is taken for one that reads newer ones.
+TEST(codec, formats_take_no_octets_and_are_the_first_when_not_stated)
+{
+  replica_message silent;
+  silent.formats = {0, 0, 0};
+  const auto bytes = encode(silent);
+  CHECK_TRUE(decode_message(bytes).value().formats == format_support{});
+  replica_message stating;
+  stating.formats = {1, 2, 0xffffffff};
+  CHECK_EQUAL(bytes.size(), encode(stating).size());
+}
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -152,6 +152,7 @@
   status.group = core_->group().members;
   status.removed = core_->group_at(core_->applied_index()).removed;
   status.contact_ages = core_->contact_ages(monotonic_now());
+  status.formats = core_->formats();
   status.malformed_messages = malformed_messages_;
   status.sent = sent_;
   return status;
--- a/src/log/message.hpp
+++ b/src/log/message.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <toucanmill/base/format_version.hpp>
 #include <toucanmill/log/types.hpp>
 
 namespace toucanmill::log_detail
@@ -86,8 +87,9 @@
   std::vector<log_entry> entries;
   group_record group;
   std::string data;
-  bool may_vote = false; ///< in replies: durable hard_state::may_vote
-  bool pristine = false; ///< in vote requests: the log has only no-ops
+  bool may_vote = false;  ///< in replies: durable hard_state::may_vote
+  bool pristine = false;  ///< in vote requests: the log has only no-ops
+  format_support formats; ///< of the sender's build
 };
 
 } // namespace toucanmill::log_detail
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -237,13 +237,20 @@
   return found == peers_.end() ? nullptr : &found->second;
 }
 
+void replica_core::record_peer_contact(progress& peer,
+                                       const replica_message& message)
+{
+  peer.last_contact = now_;
+  peer.may_vote = peer.may_vote || message.may_vote;
+  peer.formats = message.formats;
+}
+
 void replica_core::on_append_reply(const replica_message& message)
 {
   auto* peer = peer_of(message);
   if (peer == nullptr)
     return;
-  peer->last_contact = now_;
-  peer->may_vote = peer->may_vote || message.may_vote;
+  record_peer_contact(*peer, message);
   if (!message.granted)
   {
     const auto rejected = message.position.index;
@@ -293,8 +300,7 @@
   auto* peer = peer_of(message);
   if (peer == nullptr)
     return;
-  peer->last_contact = now_;
-  peer->may_vote = peer->may_vote || message.may_vote;
+  record_peer_contact(*peer, message);
   peer->round = std::max(peer->round, std::min(message.round, round_));
   if (message.granted)
     return;
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -30,6 +30,7 @@
 struct replica_settings
 {
   replica_id self;
+  format_support formats; ///< of this build
   duration heartbeat_interval = std::chrono::milliseconds(100);
   duration election_timeout = std::chrono::milliseconds(600);
   /// Least time between the starts of two rounds that confirm reads. Nodes
@@ -191,6 +192,9 @@
   /// Time since each other member was last heard from; empty if not leader.
   std::vector<replica_contact_age> contact_ages(time_point now) const;
 
+  /// What this replica and the members that it heard from as leader support.
+  std::vector<replica_formats> formats() const;
+
   /// The newest group configuration in the log, committed or not.
   const group_record& group() const
   {
@@ -227,6 +231,7 @@
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
+    std::optional<format_support> formats; ///< none: not heard from yet
     bool waiting = false;     ///< probe or chunk sent, no reply yet
     time_point last_activity; ///< last send or acknowledgement
     time_point last_contact;
@@ -290,6 +295,7 @@
   void advance_commit();
   void set_commit(std::uint64_t index);
   progress* peer_of(const replica_message& message);
+  void record_peer_contact(progress& peer, const replica_message& message);
 
   // replica_snapshot_core.cpp
   void send_snapshot(progress& peer);
--- a/src/log/replica_group_core.cpp
+++ b/src/log/replica_group_core.cpp
@@ -213,6 +213,16 @@
   return found;
 }
 
+std::vector<replica_formats> replica_core::formats() const
+{
+  std::vector<replica_formats> found{{settings_.self, settings_.formats}};
+  if (role_ == replica_role::leader)
+    for (const auto& [id, peer] : peers_)
+      if (peer.formats)
+        found.push_back({id, *peer.formats});
+  return found;
+}
+
 void replica_core::step_down_if_removed()
 {
   if (commit_ < groups_.back().first || is_voter(settings_.self))
--- a/src/log/replica_snapshot_core.cpp
+++ b/src/log/replica_snapshot_core.cpp
@@ -79,6 +79,7 @@
   if (peer == nullptr)
     return;
   peer->last_contact = now_;
+  peer->formats = message.formats;
   if (peer->state != progress_state::snapshot ||
       message.position != peer->snapshot_position)
     return;
