cluster: the replicated state holds the format version in force

Cause: nothing says since when newer entries, fields and files may be written.

Nothing proposes it yet.

--- a/include/toucanmill/cluster/command.hpp
+++ b/include/toucanmill/cluster/command.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include <toucanmill/base/format_version.hpp>
 #include <toucanmill/base/ids.hpp>
 #include <toucanmill/base/outcome.hpp>
 #include <toucanmill/cluster/node.hpp>
@@ -123,6 +124,13 @@
   std::vector<std::uint16_t> idle; ///< owner reported no flows in them
 };
 
+/// Puts a format version in force; a lower one than the present changes
+/// nothing.
+struct raise_version
+{
+  format_version version = first_format_version;
+};
+
 // Claims ensure that a request with an idempotency key runs at most once: an
 // agent claims the key before it passes the request to the upstream.
 
@@ -157,7 +165,8 @@
 using command =
     std::variant<operator_request, register_node, set_node_state,
                  release_buckets, rebalance, claim_request, claim_completion,
-                 claim_release, declare_configuration, set_evacuation>;
+                 claim_release, declare_configuration, set_evacuation,
+                 raise_version>;
 
 /// Result of an operator's change, a declaration or an evacuation order.
 struct change_outcome
--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -10,6 +10,7 @@
 #include <toucanmill/cluster/load_weights.hpp>
 #include <toucanmill/cluster/node.hpp>
 #include <toucanmill/cluster/state_machine.hpp>
+#include <toucanmill/cluster/version_core.hpp>
 
 namespace toucanmill
 {
@@ -33,6 +34,7 @@
   table_version applied;
   std::uint32_t flows = 0;
   std::uint32_t busy_slots = 0;
+  format_support formats; ///< of the latest report
 };
 
 /// Tracks leases and load of the nodes in the leader's memory. Reports and
@@ -55,6 +57,13 @@
 
   std::vector<node_liveness> liveness(time_point now) const;
 
+  /// Handles a report that was refused because of its formats: the node's lease
+  /// is not extended, but the node keeps its place and does not become gone.
+  void on_refused(const node_report& report, time_point now);
+
+  /// What the nodes stated that are no nodes yet but get the table.
+  std::vector<version_member> observers(time_point now) const;
+
   /// Whether every node with a valid lease has applied at least this log index.
   bool in_force(std::uint64_t index, time_point now) const;
 
--- a/include/toucanmill/cluster/state_machine.hpp
+++ b/include/toucanmill/cluster/state_machine.hpp
@@ -77,6 +77,9 @@
   /// Position of the last applied log entry.
   table_version position() const;
 
+  /// The format version in force.
+  format_version format() const;
+
   /// Incremented by each accepted operator change and by each change of the
   /// evacuations; unrelated to the version of the declared configuration.
   std::uint64_t configuration_version() const;
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -73,6 +73,7 @@
     claimRelease @7 :ClaimRelease;
     declareConfiguration @8 :Rpc.Configuration;
     setEvacuation @9 :SetEvacuation;
+    raiseVersion @10 :UInt8;  # format version to put in force
   }
 }
 
@@ -150,4 +151,5 @@
   routeRemovalsFloor @14 :UInt64;
   evacuations @15 :List(Rpc.Evacuation);
   evacuationsIndex @16 :UInt64;  # latest change of the list; 0: none yet
+  formatVersion @17 :UInt8;  # in force; 0: the first
 }
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -63,6 +63,7 @@
 
   assignment_options options;
   table_version position;
+  format_version format = first_format_version; ///< in force
   std::uint64_t configuration_version = 0;
   std::uint64_t clock = 0; ///< seconds, latest wall clock in any command
   std::uint32_t last_service = 0;
--- a/src/cluster/codec_test.cpp
+++ b/src/cluster/codec_test.cpp
@@ -38,6 +38,7 @@
       claim_release{key, claim_id{8}},
       set_evacuation{"d", true, 99},
       set_evacuation{"d", false, 99},
+      raise_version{2},
   };
 }
 
--- a/src/cluster/command_codec.cpp
+++ b/src/cluster/command_codec.cpp
@@ -92,6 +92,10 @@
     set.setEvacuated(value.evacuated);
     set.setWallClock(value.wall_clock);
   }
+  void operator()(const raise_version& value)
+  {
+    to.setRaiseVersion(value.version);
+  }
 };
 
 result<command> read_operator_request(schema::OperatorRequest::Reader from)
@@ -187,6 +191,8 @@
     return command{set_evacuation{copy_text(set.getDataCentre()),
                                   set.getEvacuated(), set.getWallClock()}};
   }
+  case schema::Command::RAISE_VERSION:
+    return command{raise_version{from.getRaiseVersion()}};
   }
   return error{error_code::corrupt_data, "unknown command type"};
 }
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -1,6 +1,7 @@
 #include <toucanmill/cluster/membership_core.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -32,12 +33,20 @@
   table_version applied;
   std::uint32_t flows = 0;
   std::uint32_t busy_slots = 0;
+  format_support formats;
   double correction = 1;
   std::vector<std::uint16_t> held_buckets;
 };
 
 using live_nodes = std::map<node_id, live_node>;
 
+/// A sender of reports that is no node yet.
+struct observer
+{
+  version_member stated;
+  time_point lease_end;
+};
+
 bool may_be_removed(const node_record& record, const node_report& report)
 {
   if (record.identity.role == node_role::balancer)
@@ -83,6 +92,7 @@
 {
   membership_options options;
   live_nodes nodes;
+  std::map<node_id, observer> observers;
   time_point next_scan;
   time_point rebalanced_until; ///< services due before this were handled
   std::size_t next_service = 0;
@@ -125,6 +135,7 @@
 void membership_core::on_leader(const state_machine& state, time_point now)
 {
   data_->nodes.clear();
+  data_->observers.clear();
   for (const auto* const record : state.nodes())
   {
     if (record->state == node_state::gone)
@@ -143,6 +154,10 @@
                                                 time_point now)
 {
   const auto& identity = report.identity;
+  data_->observers.erase(identity.id);
+  if (report.observes)
+    data_->observers[identity.id] = {{identity.name, report.formats},
+                                     now + data_->options.lease};
   if (report.observes || check_identity(identity).has_error())
     return {};
   const auto* const record = state.find_node(identity.id);
@@ -162,6 +177,7 @@
   node.applied = report.applied;
   node.flows = report.flows;
   node.busy_slots = report.busy_slots;
+  node.formats = report.formats;
   node.held_buckets = report.held_buckets;
   if (record == nullptr && report.leaving)
     return {};
@@ -304,6 +320,9 @@
   if (data_->next_scan <= now)
   {
     data_->next_scan = now + lease_scan_interval;
+    for (auto it = data_->observers.begin(); it != data_->observers.end();)
+      it = it->second.lease_end <= now ? data_->observers.erase(it)
+                                       : std::next(it);
     commands = scan_leases(data_->nodes, state, data_->options, now);
   }
   const auto services = state.services();
@@ -356,8 +375,27 @@
   std::vector<node_liveness> found;
   found.reserve(data_->nodes.size());
   for (const auto& [id, node] : data_->nodes)
-    found.push_back(
-        {id, now < node.lease_end, node.applied, node.flows, node.busy_slots});
+    found.push_back({id, now < node.lease_end, node.applied, node.flows,
+                     node.busy_slots, node.formats});
+  return found;
+}
+
+void membership_core::on_refused(const node_report& report, time_point now)
+{
+  const auto found = data_->nodes.find(report.identity.id);
+  if (found == data_->nodes.end() || report.identity.life < found->second.life)
+    return;
+  found->second.formats = report.formats;
+  if (found->second.suspect_since)
+    found->second.suspect_since = now;
+}
+
+std::vector<version_member> membership_core::observers(time_point now) const
+{
+  std::vector<version_member> found;
+  for (const auto& [id, item] : data_->observers)
+    if (now < item.lease_end)
+      found.push_back(item.stated);
   return found;
 }
 
--- a/src/cluster/snapshot_codec.cpp
+++ b/src/cluster/snapshot_codec.cpp
@@ -1,5 +1,7 @@
 #include "cluster_state.hpp"
 
+#include <algorithm>
+
 #include <capnp/message.h>
 #include <state.capnp.h>
 
@@ -228,6 +230,7 @@
 void read_scalars(cluster_state& state, schema::Snapshot::Reader from)
 {
   state.position = wire::read(from.getPosition());
+  state.format = std::max(from.getFormatVersion(), first_format_version);
   state.configuration_version = from.getConfigurationVersion();
   state.clock = from.getClock();
   state.last_service = from.getLastService();
@@ -243,6 +246,11 @@
 {
   cluster_state state(options);
   read_scalars(state, from);
+  if (!this_build().reads(state.format))
+    return error{error_code::corrupt_data, "the snapshot has format version " +
+                                               std::to_string(state.format) +
+                                               "; this is " +
+                                               to_string(this_build())};
   read_evacuations(state, from);
   BOOST_OUTCOME_TRY(read_route_history(state, from));
   BOOST_OUTCOME_TRY(read_services(state, from));
@@ -280,6 +288,8 @@
   write_route_history(to, state);
   if (state.evacuations_index != 0)
     write_evacuations(to, state);
+  if (state.format != first_format_version)
+    to.setFormatVersion(state.format);
   return detail::serialize(message);
 }
 
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -71,6 +71,11 @@
     state.claims.complete(value);
     return no_outcome{};
   }
+  command_outcome operator()(const raise_version& value)
+  {
+    state.format = std::max(state.format, value.version);
+    return no_outcome{};
+  }
   command_outcome operator()(const claim_release& value)
   {
     state.claims.release(value);
@@ -246,6 +251,11 @@
   return state_->position;
 }
 
+format_version state_machine::format() const
+{
+  return state_->format;
+}
+
 std::uint64_t state_machine::configuration_version() const
 {
   return state_->configuration_version;
