log: halts at what it can't apply, and marks folders with their format

Change: the log's client may report a failure: the log then takes no part in the group, keeps its files and says why in its status. The replica id file gets a second line once a version above 1 is needed, which earlier builds refuse at start.

Changed tests: the recording client may fail at a chosen command; the learner of replica_append states formats, by default the first.

--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -43,6 +43,19 @@
   virtual result<void> restore(table_version position,
                                const std::string& bytes) = 0;
 
+  /// Format version that a replica must read to get entries and snapshots, and
+  /// that a build must read to open the data folder. Never falls.
+  virtual format_version required_format() const
+  {
+    return first_format_version;
+  }
+
+  /// Why the client can't apply the latest entry or snapshot; none: it did.
+  virtual std::optional<error> failure() const
+  {
+    return std::nullopt;
+  }
+
   /// Called when this instance becomes leader of the term, after all entries of
   /// earlier terms are applied, and when it stops being leader.
   virtual void on_leadership(bool leads, std::uint64_t term) = 0;
@@ -115,11 +128,15 @@
   /// from.
   std::vector<replica_formats> formats;
   std::uint64_t malformed_messages = 0; ///< received and dropped
-  std::vector<sent_messages> sent;      ///< one of each kind
+  /// Why this instance takes no part in the group any more; empty: it does. Its
+  /// files stay as they are.
+  std::string halted;
+  std::vector<sent_messages> sent; ///< one of each kind
 };
 
 /// Reads the replica id of a data folder; none if the folder is empty or its
-/// initialisation did not complete. Errors: io_failure, corrupt_data.
+/// initialisation did not complete. Errors: io_failure, corrupt_data, also if
+/// the folder needs a format version that this build does not read.
 result<std::optional<replica_id>> stored_replica_id(const std::string& folder);
 
 /// Deletes the contents of a data folder after its instance was removed from
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -1,10 +1,10 @@
 #include "log_runtime.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "codec.hpp"
+#include "folder_label.hpp"
 #include <toucanmill/base/clock.hpp>
 
 namespace toucanmill::log_detail
@@ -86,7 +86,7 @@
   post(
       [this]
       {
-        if (!closing_)
+        if (!closing_ && halted_.empty())
           core_->transfer_leadership(now_and_random());
       });
 }
@@ -96,6 +96,8 @@
 {
   if (closing_)
     return done(stopped_error());
+  if (!halted_.empty())
+    return done(halted_error());
   register_proposal(core_->propose(command), std::move(done));
 }
 
@@ -104,6 +106,8 @@
 {
   if (closing_)
     return done(stopped_error());
+  if (!halted_.empty())
+    return done(halted_error());
   register_proposal(core_->change_group(group, now_and_random()),
                     std::move(done));
 }
@@ -121,6 +125,8 @@
 {
   if (closing_)
     return done(stopped_error());
+  if (!halted_.empty())
+    return done(halted_error());
   const auto id = next_read_id_++;
   if (auto accepted = core_->read(id, now_and_random()); !accepted)
     return done(accepted.error());
@@ -129,7 +135,7 @@
 
 void log_runtime::handle_message(const std::string& message)
 {
-  if (closing_)
+  if (closing_ || !halted_.empty())
     return;
   const auto decoded = decode_message(message);
   if (decoded)
@@ -138,12 +144,19 @@
     ++malformed_messages_;
 }
 
+error log_runtime::halted_error() const
+{
+  return error{error_code::unavailable, "this instance halted: " + halted_};
+}
+
 replicated_log_status log_runtime::status() const
 {
   replicated_log_status status;
   status.self = options_.self;
-  status.leader = core_->leader();
-  status.leads = core_->role() == replica_role::leader;
+  status.halted = halted_;
+  if (halted_.empty())
+    status.leader = core_->leader();
+  status.leads = leads();
   status.term = core_->hard().term;
   status.commit_index = core_->commit_index();
   status.applied_index = core_->applied_index();
@@ -189,14 +202,8 @@
     return std::optional<replica_id>{};
   const auto path = folder + "/" + replica_id_file;
   BOOST_OUTCOME_TRY(content, files->read(path));
-  std::uint64_t value = 0;
-  const auto [end, code] =
-      std::from_chars(content.data(), content.data() + content.size(), value);
-  if (code != std::errc{} || end != content.data() + content.size() - 1 ||
-      *end != '\n')
-    return error{error_code::corrupt_data,
-                 path + ": not a decimal replica id followed by a newline"};
-  return std::optional<replica_id>{replica_id{value}};
+  BOOST_OUTCOME_TRY(label, log_detail::parse_folder_label(path, content));
+  return std::optional<replica_id>{label.replica};
 }
 
 // Removes the replica id file first, so that the files left by a crash in
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -148,6 +148,7 @@
   }
   core_ = std::make_unique<replica_core>(make_settings(options_),
                                          std::move(stored), now_and_random());
+  core_->require_format(client_.required_format());
   next_tick_ = next_client_tick_ = monotonic_now();
   return outcome::success();
 }
@@ -163,6 +164,8 @@
   if (now < core_tick_time())
     return;
   next_tick_ = now + tick_interval;
+  if (!halted_.empty())
+    return;
   core_->tick(now_and_random());
   if (now < next_client_tick_)
     return;
@@ -172,7 +175,7 @@
 
 void log_runtime::perform_actions()
 {
-  for (;;)
+  while (halted_.empty())
   {
     auto actions = core_->take_actions();
     announce_leadership_loss();
@@ -181,13 +184,18 @@
     for (auto& outgoing : actions.messages)
       send(outgoing);
     for (const auto& entry : actions.apply)
-      apply(entry);
+      if (halted_.empty())
+        apply(entry);
+    if (!halted_.empty())
+      return;
     for (const auto& read : actions.reads)
       complete_read(read);
     fail_lost_proposals();
     if (!actions.persist.empty())
       persist(actions.persist);
   }
+  if (!halted_.empty())
+    return;
   fail_lost_proposals();
   announce_leadership();
   snapshot_if_due();
@@ -228,7 +236,12 @@
   bytes_since_snapshot_ += entry.payload.size();
   std::string outcome;
   if (entry.kind == entry_kind::command)
+  {
     outcome = client_.apply(entry);
+    check_client();
+    if (!halted_.empty())
+      return;
+  }
   const auto found = proposals_.find(entry.position.index);
   if (found == proposals_.end())
     return;
@@ -241,6 +254,29 @@
                "command overwritten by a new leader before it was committed"});
 }
 
+// An entry or snapshot that the client can't apply, for example of a newer
+// build, ends the instance's part in the group, but not the process: it would
+// meet the same entry after each restart. Nothing more is written to the
+// folder, and nobody gets another message or vote.
+void log_runtime::check_client()
+{
+  if (const auto why = client_.failure())
+    return halt(*why);
+  core_->require_format(client_.required_format());
+  terminate_on_error(store_->require_format(client_.required_format()));
+}
+
+void log_runtime::halt(const error& why)
+{
+  halted_ = why.message;
+  end_pending(halted_error());
+}
+
+bool log_runtime::leads() const
+{
+  return halted_.empty() && core_->role() == replica_role::leader;
+}
+
 void log_runtime::complete_read(const read_outcome& read)
 {
   const auto found = reads_.find(read.id);
@@ -258,16 +294,19 @@
 void log_runtime::persist(const persist_request& request)
 {
   const auto start_time = monotonic_now();
+  // A snapshot that can't be restored is not kept.
+  if (request.snapshot)
+  {
+    const auto& [meta, data] = *request.snapshot;
+    if (const auto restored = client_.restore(meta.position, data); !restored)
+      return halt(restored.error());
+    check_client();
+  }
   terminate_on_error(store_->save(request));
   if (options_.on_persisted)
     options_.on_persisted(monotonic_now() - start_time);
   if (request.snapshot)
-  {
     bytes_since_snapshot_ = 0;
-    const auto& [meta, data] = *request.snapshot;
-    if (auto restored = client_.restore(meta.position, data); !restored)
-      terminate_process(restored.error());
-  }
   core_->persisted(request.sequence, now_and_random());
 }
 
@@ -326,6 +365,8 @@
 
 time_point log_runtime::core_tick_time() const
 {
+  if (!halted_.empty())
+    return next_tick_;
   return std::min(next_tick_, core_->next_round_time().value_or(next_tick_));
 }
 
@@ -333,7 +374,7 @@
 // once.
 duration log_runtime::time_to_wakeup() const
 {
-  if (store_->snapshot_in_progress())
+  if (halted_.empty() && store_->snapshot_in_progress())
     return duration{0};
   return std::max(core_tick_time() - monotonic_now(), duration{0});
 }
@@ -352,10 +393,16 @@
        tasks = queue_.pop(no_wait, tasks_per_batch))
     for (const auto& task : tasks)
       task();
+  end_pending(stopped_error());
+}
+
+// Ends what waits for the group, and the leadership.
+void log_runtime::end_pending(const error& why)
+{
   for (auto& [index, proposal] : std::exchange(proposals_, {}))
-    proposal.done(stopped_error());
+    proposal.done(why);
   for (auto& [id, done] : std::exchange(reads_, {}))
-    done(stopped_error());
+    done(why);
   if (announced_term_ != 0)
     client_.on_leadership(false, std::exchange(announced_term_, 0));
 }
--- a/src/log/log_runtime.hpp
+++ b/src/log/log_runtime.hpp
@@ -56,6 +56,11 @@
   void perform_actions();
   void send(outgoing_message& outgoing);
   void apply(const log_entry& entry);
+  void check_client();
+  void halt(const error& why);
+  void end_pending(const error& why);
+  error halted_error() const;
+  bool leads() const;
   void complete_read(const read_outcome& read);
   void persist(const persist_request& request);
   void announce_leadership();
@@ -99,6 +104,7 @@
   time_point next_tick_;
   time_point next_client_tick_;
   bool closing_ = false;
+  std::string halted_; ///< reason; empty: this instance takes part
 };
 
 /// replicated_log::open() with the given file operations, for tests.
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "folder_label.hpp"
+
 namespace toucanmill::log_detail
 {
 
@@ -73,11 +75,13 @@
 {
   const auto path = folder_ + "/" + replica_id_file;
   BOOST_OUTCOME_TRY(content, files_.read(path));
-  if (content != to_string(self_) + "\n")
+  BOOST_OUTCOME_TRY(label, parse_folder_label(path, content));
+  if (label.replica != self_)
     return error{error_code::invalid_argument,
                  path + ": the folder belongs to replica \"" +
-                     content.substr(0, content.find('\n')) +
-                     "\", not to replica " + to_string(self_)};
+                     to_string(label.replica) + "\", not to replica " +
+                     to_string(self_)};
+  format_ = label.format;
   if (contains(names, replica_id_temporary_file))
     return files_.remove(folder_ + "/" + replica_id_temporary_file);
   return outcome::success();
@@ -127,13 +131,21 @@
   const auto path = folder_ + "/" + replica_id_temporary_file;
   {
     BOOST_OUTCOME_TRY(file, files_.open(path));
-    BOOST_OUTCOME_TRY(file->append(to_string(self_) + "\n"));
+    BOOST_OUTCOME_TRY(file->append(to_text(folder_label{self_, format_})));
     BOOST_OUTCOME_TRY(file->sync());
   }
   BOOST_OUTCOME_TRY(files_.rename(path, folder_ + "/" + replica_id_file));
   return files_.sync_folder(folder_);
 }
 
+result<void> log_store::require_format(format_version version)
+{
+  if (version <= format_ || folder_.empty())
+    return outcome::success();
+  format_ = version;
+  return write_replica_id_file();
+}
+
 result<void> log_store::recover()
 {
   BOOST_OUTCOME_TRY(snapshot, snapshots_.load());
--- a/src/log/log_store.hpp
+++ b/src/log/log_store.hpp
@@ -56,6 +56,9 @@
   /// Writes the next part; returns the snapshot once it is durable.
   result<std::optional<snapshot_meta>> step_snapshot();
 
+  /// Notes in the folder that it needs a build that reads this version.
+  result<void> require_format(format_version version);
+
   /// Reads part of the newest snapshot's content.
   result<std::string> read_snapshot(std::uint64_t offset, std::size_t size)
   {
@@ -77,6 +80,7 @@
   file_system& files_;
   std::string folder_;
   replica_id self_;
+  format_version format_ = first_format_version; ///< noted in the folder
   write_ahead_log log_;
   snapshot_files snapshots_;
   stored_state stored_;
--- a/src/log/log_store_test.cpp
+++ b/src/log/log_store_test.cpp
@@ -263,3 +263,26 @@
     CHECK_TRUE(store_on_disk(disk, 1, 300).store.has_value());
   }
 }
+
+// Guards against a build that opens a folder of a newer one, or changes it, and
+// against one that can't go back to the earlier build before the raise.
+TEST(log_store, folder_of_a_newer_format_is_rejected_and_stays)
+{
+  std::vector<std::size_t> sizes;
+  const auto disk = disk_with_entries(sizes);
+  const auto path = folder + "/replica-id";
+  CHECK_TRUE(disk->files.at(path)->bytes == "1\n");
+  CHECK_TRUE(store_on_disk(disk).store.value()->require_format(2).has_value());
+  CHECK_TRUE(disk->files.at(path)->bytes == "1\nformat 2\n");
+  CHECK_TRUE(store_on_disk(disk).store.has_value());
+  for (const auto* text : {"1\nformat 3\n", "1\nformat 300\n", "1\nformat\n"})
+  {
+    disk->files.at(path)->bytes = text;
+    const auto before = copy(*disk);
+    CHECK_TRUE(store_on_disk(disk).store.error().code ==
+               error_code::corrupt_data);
+    CHECK_EQUAL(before->files.size(), disk->files.size());
+    for (const auto& [name, file] : before->files)
+      CHECK_TRUE(file->bytes == disk->files.at(name)->bytes);
+  }
+}
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -42,6 +42,8 @@
 {
   for (auto& [id, peer] : peers_)
   {
+    if (!may_receive(peer))
+      continue;
     if (peer.state != progress_state::snapshot &&
         peer.next <= log_.base().index)
     {
@@ -63,6 +65,21 @@
   }
 }
 
+// The reply to a probe shows what a replica reads that was not heard from yet.
+bool replica_core::may_receive(progress& peer)
+{
+  if (required_format_ == first_format_version)
+    return true;
+  if (peer.formats)
+    return peer.formats->reads(required_format_);
+  if (peer.state == progress_state::probe && !peer.waiting)
+  {
+    peer.waiting = true;
+    send_probe(peer);
+  }
+  return false;
+}
+
 // A second large request would be dropped by the transport and wait for its
 // retransmission; it follows the acknowledgement of the first.
 bool replica_core::may_pipeline(const progress& peer) const
--- a/src/log/replica_append_test.cpp
+++ b/src/log/replica_append_test.cpp
@@ -46,6 +46,7 @@
     auto reply = make_reply();
     reply.granted = true;
     reply.index = index;
+    reply.formats = learner_formats;
     core_.receive(reply, {start_time, 0});
   }
 
@@ -78,6 +79,13 @@
     return first;
   }
 
+  void require_format(format_version version)
+  {
+    core_.require_format(version);
+  }
+
+  format_support learner_formats;
+
   /// Encoded octets of the last append request sent.
   std::size_t last_size() const
   {
@@ -204,3 +212,16 @@
   leader.refuse(2, 1);
   CHECK_TRUE(leader.sent() == indices{2});
 }
+
+// Guards against entries that go to a replica whose build can't read them, and
+// against a replica that gets none after its build was replaced.
+TEST(replica_append, replica_gets_entries_once_it_reads_the_format)
+{
+  leader_with_learner leader;
+  leader.require_format(2);
+  leader.propose(small_command);
+  CHECK_TRUE(leader.sent().empty());
+  leader.learner_formats = {1, 2, 0};
+  leader.acknowledge(1);
+  CHECK_TRUE(leader.sent() == indices{2});
+}
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -147,6 +147,12 @@
   result<table_version> change_group(const std::vector<replica_address>& group,
                                      call_context context);
 
+  /// Entries and snapshots go only to replicas that read this version.
+  void require_format(format_version version)
+  {
+    required_format_ = version;
+  }
+
   void transfer_leadership(call_context context);
 
   /// Compacts the log after a snapshot of the applied state became durable.
@@ -278,6 +284,7 @@
 
   // replica_append_core.cpp
   void send_pending();
+  bool may_receive(progress& peer);
   bool may_pipeline(const progress& peer) const;
   bool next_is_large(const progress& peer) const;
   void send_entries(progress& peer);
@@ -332,6 +339,7 @@
   std::vector<std::pair<std::uint64_t, group_record>> groups_;
   std::uint64_t commit_ = 0;
   std::uint64_t applied_ = 0;
+  format_version required_format_ = first_format_version;
 
   replica_role role_ = replica_role::follower;
   std::optional<replica_address> leader_;
--- a/src/log/replicated_log_test.cpp
+++ b/src/log/replicated_log_test.cpp
@@ -34,6 +34,8 @@
 
   std::string apply(const log_entry& entry) override
   {
+    if (entry.payload == unreadable_)
+      failure_ = error{error_code::corrupt_data, "unknown entry"};
     state_ += entry.payload + ";";
     return state_;
   }
@@ -46,6 +48,10 @@
     state_ = bytes;
     return outcome::success();
   }
+  std::optional<error> failure() const override
+  {
+    return failure_;
+  }
   void on_leadership(bool leads, std::uint64_t) override
   {
     leads_ = leads;
@@ -55,8 +61,10 @@
 
   std::atomic<bool> leads_{false};
   std::string state_;
+  std::string unreadable_; ///< command that this client can't apply
 
 private:
+  std::optional<error> failure_;
   group_of_logs& logs_;
 };
 
@@ -202,6 +210,18 @@
       std::this_thread::sleep_for(5ms);
   }
 
+  void set_unreadable(std::uint64_t id, const std::string& command)
+  {
+    std::promise<void> done;
+    log(id)->post(
+        [&]
+        {
+          clients_[id]->unreadable_ = command;
+          done.set_value();
+        });
+    done.get_future().get();
+  }
+
   std::string folder_;
   std::vector<replica_address> members_;
 
@@ -260,6 +280,34 @@
   logs.wait_for_state(first, expected);
 }
 
+// Guards against a process that ends, guesses or leads at an entry that it
+// can't apply, and against a group that stops with it.
+TEST(replicated_log, instance_halts_at_an_entry_that_it_cannot_apply)
+{
+  group_of_logs logs(3);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    logs.start(id);
+  logs.propose("a");
+  const auto halted = logs.leader();
+  logs.set_unreadable(halted, "newer");
+  CHECK_TRUE(logs.propose_at(halted, "newer").error().code ==
+             error_code::unavailable);
+  std::string expected;
+  for (int i = 0; i < 60; ++i)
+    expected = logs.propose(std::to_string(i));
+  CHECK_TRUE(logs.leader() != halted);
+  CHECK_TRUE(expected.find(";newer;0;") != std::string::npos);
+  const auto status = logs.status(halted);
+  CHECK_TRUE(status.halted == "unknown entry");
+  CHECK_FALSE(status.leads || status.leader);
+  CHECK_TRUE(logs.propose_at(halted, "b").has_error());
+  CHECK_TRUE(logs.read_at(halted).has_error());
+  CHECK_EQUAL(0U, status.snapshot_index);
+  logs.stop(halted);
+  logs.start(halted);
+  logs.wait_for_state(halted, expected);
+}
+
 // Guards against messages that are counted as another kind or not at all, so
 // that an operator cannot see what fills a link.
 TEST(replicated_log, status_counts_sent_messages_by_kind)
