control: raises the format version and refuses builds that are too old

Cause: a leader did not know which builds run, an entry that can't be decoded ended the process, and operators saw neither builds nor versions. Change: the leader proposes the version that all members of the group, live nodes and observers read. From then on reports and joins of other builds fail with a clear error, counted and logged once (E512); a refused node stays suspect while it reports. The status RPC and toucanmill status show builds, formats, the version in force (E511, toucanmill_format_version) and who holds it back.

--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -34,7 +34,7 @@
   table_version applied;
   std::uint32_t flows = 0;
   std::uint32_t busy_slots = 0;
-  format_support formats; ///< of the latest report
+  std::optional<format_support> formats; ///< none: no report to this leader
 };
 
 /// Tracks leases and load of the nodes in the leader's memory. Reports and
--- a/include/toucanmill/cluster/wire.hpp
+++ b/include/toucanmill/cluster/wire.hpp
@@ -50,6 +50,21 @@
 void write(schema::NodeStatus::Builder to, const node_record& record,
            const node_liveness& live);
 
+/// Formats in a NodeReport, NodeStatus or ReplicaStatus.
+template <class Builder>
+void write_formats(Builder to, const format_support& value)
+{
+  to.setOldestFormat(value.oldest);
+  to.setNewestFormat(value.newest);
+  to.setBuild(value.build);
+}
+template <class Reader>
+format_support read_formats(Reader from)
+{
+  return stated_support(from.getOldestFormat(), from.getNewestFormat(),
+                        from.getBuild());
+}
+
 table_version read(schema::Version::Reader from);
 endpoint read(schema::Endpoint::Reader from);
 replica_address read(schema::ReplicaStatus::Reader from);
--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -59,6 +59,7 @@
   std::uint64_t not_leader = 0;         ///< calls redirected to the leader
   std::uint64_t malformed = 0;          ///< calls with invalid values
   std::uint64_t flow_lists = 0;         ///< lists of open flows kept for agents
+  std::uint64_t refused_builds = 0;     ///< reports and joins of old builds
   std::uint64_t peer_messages = 0;      ///< replication messages sent
   std::uint64_t peer_octets = 0;        ///< of these, before compression
   std::uint64_t peer_messages_lost = 0; ///< dropped: peer slow or unreachable
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -5,12 +5,14 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <toucanmill/cluster/membership_core.hpp>
 #include <toucanmill/cluster/state_machine.hpp>
+#include <toucanmill/cluster/version_core.hpp>
 #include <toucanmill/control/group_core.hpp>
 #include <toucanmill/log/replicated_log.hpp>
 
@@ -25,6 +27,7 @@
   service_id service;            ///< agents: 0 when the service does not exist
   incarnation life;              ///< latest known incarnation of the node
   std::vector<endpoint> members; ///< RPC endpoints of the control instances
+  std::optional<error> refusal;  ///< the node's build is too old; no reply
 };
 
 /// Event reported to the operator's log.
@@ -40,6 +43,9 @@
     node_registered,
     group_changed,
     evacuation_changed,
+    version_raised,
+    build_refused,
+    halted,
   };
 
   kind what;
@@ -54,6 +60,8 @@
   std::vector<node_liveness> liveness;
   std::uint64_t configuration_version = 0;
   std::size_t claims = 0;
+  format_version format = first_format_version; ///< in force
+  std::vector<std::string> held_back_by;        ///< empty unless this one leads
 };
 
 struct control_state_options
@@ -66,6 +74,8 @@
   std::vector<std::string> data_centres;
   group_options group;
   membership_options membership;
+  version_options versions;
+  format_support formats = this_build();
   assignment_options assignment;
   std::function<void(const replica_address&, std::string)> send;
   std::function<void(const control_notice&)> notify;
@@ -100,6 +110,14 @@
   std::string snapshot() override;
   result<void> restore(table_version position,
                        const std::string& bytes) override;
+  format_version required_format() const override
+  {
+    return machine_.format();
+  }
+  std::optional<error> failure() const override
+  {
+    return failure_;
+  }
   void on_leadership(bool leads, std::uint64_t term) override;
   void on_tick(time_point now) override;
   void send(const replica_address& to, std::string message) override;
@@ -108,6 +126,11 @@
   /// instance leads.
   report_reply on_report(const node_report& report, time_point now);
 
+  /// The error for a control instance whose build does not read the version in
+  /// force, or the one that this leader has proposed; none: it does.
+  std::optional<error> refuse_build(const std::string& name,
+                                    const format_support& formats);
+
   control_view view(time_point now) const;
 
   /// The declared configuration. Up to date only if a quorum has confirmed that
@@ -153,6 +176,9 @@
   void notify_command(const command& value, const command_outcome& outcome);
   void notify_evacuations() const;
   void check_in_force(time_point now);
+  void check_version(time_point now);
+  std::vector<version_member> version_members(time_point now) const;
+  void fail(error why);
 
   control_state_options options_;
   state_machine machine_;
@@ -165,6 +191,11 @@
   /// Log index and commit time of configurations that some live nodes have not
   /// applied yet.
   std::deque<std::pair<std::uint64_t, time_point>> pending_declarations_;
+  version_core versions_;
+  /// Proposed by this leader and perhaps not in force yet; 0: none.
+  format_version proposed_format_ = 0;
+  std::set<std::string> refused_builds_; ///< reported as notices
+  std::optional<error> failure_;         ///< nothing is applied any more
   std::optional<bool> joined_;
   time_point leader_last_known_; ///< last time a leader was known
 };
--- a/include/toucanmill/control/operator_client.hpp
+++ b/include/toucanmill/control/operator_client.hpp
@@ -51,7 +51,11 @@
   std::uint64_t snapshot_index = 0;
   std::uint64_t configuration_version = 0;
   std::uint64_t claims = 0;
+  format_version format = first_format_version; ///< in force
+  std::vector<std::string> held_back_by; ///< do not read the newest version
+  std::string halted; ///< why the instance takes no part; empty: it does
   std::vector<replica_address> group;
+  std::vector<format_support> formats; ///< of the group's members
   std::vector<node_overview> nodes;
 };
 
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -127,6 +127,7 @@
   /// Of this instance and, if it is the leader, of the members that it heard
   /// from.
   std::vector<replica_formats> formats;
+  format_version required_format = first_format_version;
   std::uint64_t malformed_messages = 0; ///< received and dropped
   /// Why this instance takes no part in the group any more; empty: it does. Its
   /// files stay as they are.
--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -55,6 +55,9 @@
   replica_removed = 508,
   evacuation_changed = 509,
   kept_flows_failed = 510,
+  version_raised = 511,
+  build_refused = 512,
+  replica_halted = 513,
 };
 
 enum class severity : std::uint8_t
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -229,12 +229,18 @@
   applied @4 :Version;
   flows @5 :UInt32;
   busySlots @6 :UInt32;
+  oldestFormat @7 :UInt8;  # as in NodeReport
+  newestFormat @8 :UInt8;
+  build @9 :UInt32;
 }
 
 struct ReplicaStatus {
   id @0 :UInt64;
   rpc @1 :Endpoint;
   voter @2 :Bool;
+  oldestFormat @3 :UInt8;  # as in NodeReport
+  newestFormat @4 :UInt8;
+  build @5 :UInt32;
 }
 
 struct Status {
@@ -249,6 +255,9 @@
   group @8 :List(ReplicaStatus);
   nodes @9 :List(NodeStatus);
   claims @10 :UInt64;
+  formatVersion @11 :UInt8;      # in force; 0: the first
+  heldBackBy @12 :List(Text);    # do not read the newest version of the leader
+  halted @13 :Text;              # why the instance takes no part in the group
 }
 
 enum ClaimVerdict {
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -58,6 +58,13 @@
   return out.str();
 }
 
+nlohmann::json to_json(const format_support& formats)
+{
+  return {{"build", build_name(formats.build)},
+          {"oldest", formats.oldest},
+          {"newest", formats.newest}};
+}
+
 nlohmann::json to_json(const node_overview& node)
 {
   const auto& identity = node.record.identity;
@@ -71,7 +78,8 @@
           {"leaseValid", node.live.lease_valid},
           {"appliedIndex", node.live.applied.index},
           {"flows", node.live.flows},
-          {"busySlots", node.live.busy_slots}};
+          {"busySlots", node.live.busy_slots},
+          {"formats", to_json(node.live.formats.value_or(format_support{}))}};
 }
 
 } // namespace
@@ -112,10 +120,11 @@
   for (const auto& node : status.nodes)
     nodes.push_back(to_json(node));
   auto group = nlohmann::json::array();
-  for (const auto& member : status.group)
-    group.push_back({{"id", member.id.value},
-                     {"rpc", to_string(member.rpc)},
-                     {"voter", member.voter}});
+  for (std::size_t i = 0; i < status.group.size(); ++i)
+    group.push_back({{"id", status.group[i].id.value},
+                     {"rpc", to_string(status.group[i].rpc)},
+                     {"voter", status.group[i].voter},
+                     {"formats", to_json(status.formats.at(i))}});
   return {{"answeredBy", status.self.value},
           {"leader", status.leader.value},
           {"term", status.term},
@@ -125,6 +134,9 @@
           {"snapshotIndex", status.snapshot_index},
           {"version", status.configuration_version},
           {"claims", status.claims},
+          {"formatVersion", status.format},
+          {"heldBackBy", status.held_back_by},
+          {"halted", status.halted},
           {"group", group},
           {"nodes", nodes}};
 }
@@ -172,14 +184,23 @@
   out << "leader " << status.leader.value << "  term " << status.term
       << "  version " << status.configuration_version << "  applied index "
       << status.applied_index << "  claims " << status.claims << "\n";
-  for (const auto& member : status.group)
-    out << "  control " << member.id.value << "  " << to_string(member.rpc)
-        << (member.voter ? "" : "  learner") << "\n";
+  out << "format version " << status.format << " in force";
+  for (std::size_t i = 0; i < status.held_back_by.size(); ++i)
+    out << (i == 0 ? ", held back by " : ", ") << status.held_back_by[i];
+  out << "\n";
+  if (!status.halted.empty())
+    out << "the answering instance halted: " << status.halted << "\n";
+  for (std::size_t i = 0; i < status.group.size(); ++i)
+    out << "  control " << status.group[i].id.value << "  "
+        << to_string(status.group[i].rpc)
+        << (status.group[i].voter ? "" : "  learner") << "  "
+        << to_string(status.formats.at(i)) << "\n";
   for (const auto& node : status.nodes)
     out << "  " << node.record.identity.name << "  "
         << name_of(node.record.state) << "  applied index "
         << node.live.applied.index << "  flows " << node.live.flows
-        << (node.live.lease_valid ? "" : "  no lease") << "\n";
+        << (node.live.lease_valid ? "" : "  no lease") << "  "
+        << to_string(node.live.formats.value_or(format_support{})) << "\n";
   return out.str();
 }
 
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -33,7 +33,7 @@
   table_version applied;
   std::uint32_t flows = 0;
   std::uint32_t busy_slots = 0;
-  format_support formats;
+  std::optional<format_support> formats;
   double correction = 1;
   std::vector<std::uint16_t> held_buckets;
 };
--- a/src/cluster/wire_node.cpp
+++ b/src/cluster/wire_node.cpp
@@ -47,9 +47,7 @@
   to.setBusySlots(value.busy_slots);
   to.setObserves(value.observes);
   to.setAppliesRouteChanges(value.applies_route_changes);
-  to.setOldestFormat(value.formats.oldest);
-  to.setNewestFormat(value.formats.newest);
-  to.setBuild(value.formats.build);
+  write_formats(to, value.formats);
   auto held =
       to.initHeldBuckets(static_cast<unsigned>(value.held_buckets.size()));
   for (unsigned i = 0; i < held.size(); ++i)
@@ -69,8 +67,7 @@
   value.busy_slots = from.getBusySlots();
   value.observes = from.getObserves();
   value.applies_route_changes = from.getAppliesRouteChanges();
-  value.formats = stated_support(from.getOldestFormat(), from.getNewestFormat(),
-                                 from.getBuild());
+  value.formats = read_formats(from);
   for (const auto bucket : from.getHeldBuckets())
   {
     if (!value.held_buckets.empty() && bucket <= value.held_buckets.back())
@@ -104,6 +101,7 @@
   write(to.initApplied(), live.applied);
   to.setFlows(live.flows);
   to.setBusySlots(live.busy_slots);
+  write_formats(to, live.formats.value_or(format_support{}));
 }
 
 } // namespace toucanmill::wire
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -123,6 +123,7 @@
             service_counters_.not_leader,
             service_counters_.malformed,
             service_counters_.flow_lists,
+            service_counters_.refused_builds,
             peer_messages_,
             peer_octets_,
             peer_messages_lost_};
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -67,7 +67,13 @@
   to.setSnapshotIndex(log.snapshot_index);
   auto group = to.initGroup(log.group.size());
   for (unsigned i = 0; i < log.group.size(); ++i)
+  {
     wire::write(group[i], log.group[i]);
+    for (const auto& [id, formats] : log.formats)
+      if (id == log.group[i].id)
+        wire::write_formats(group[i], formats);
+  }
+  to.setHalted(log.halted);
 }
 
 /// The data centre that a change evacuates or restores; null: none.
@@ -223,6 +229,11 @@
         write_nodes(status, found.first);
         status.setConfigurationVersion(found.first.configuration_version);
         status.setClaims(found.first.claims);
+        status.setFormatVersion(found.first.format);
+        const auto& names = found.first.held_back_by;
+        auto held = status.initHeldBackBy(static_cast<unsigned>(names.size()));
+        for (unsigned i = 0; i < held.size(); ++i)
+          held.set(i, names[i]);
       });
 }
 
@@ -286,6 +297,11 @@
             if (handle_failure(results, reply))
               return;
             const auto& value = reply.value.value();
+            if (value.refusal)
+            {
+              ++counters_.refused_builds;
+              fail_call(*value.refusal);
+            }
             auto to = results.initReply();
             wire::write(to.initUpdate(), value.update);
             to.setOrder(wire::to_schema(value.order));
@@ -411,13 +427,22 @@
   const auto params = context.getParams();
   const join_request joining{wire::read(params.getReplica()),
                              !params.getInMemory()};
+  const auto formats = wire::read_formats(params.getReplica());
   auto [promise, reply] = cross_thread_reply<answer<replica_standing>>::make();
   log_.confirm_read(
-      [this, joining, reply = reply](const result<table_version>& confirmed)
+      [this, joining, formats,
+       reply = reply](const result<table_version>& confirmed)
       {
         if (!confirmed)
           return reply->fulfiller->fulfill(
               answer<replica_standing>{confirmed.error(), leader_hint(log_)});
+        if (const auto refusal = state_.refuse_build(
+                "control " + to_string(joining.replica.id), formats))
+        {
+          ++counters_.refused_builds;
+          return reply->fulfiller->fulfill(
+              answer<replica_standing>{*refusal, {}});
+        }
         advance_join(
             joining,
             [reply](replica_standing standing)
--- a/src/control/control_service.hpp
+++ b/src/control/control_service.hpp
@@ -24,6 +24,7 @@
   std::atomic<std::uint64_t> not_leader{0};
   std::atomic<std::uint64_t> malformed{0};
   std::atomic<std::uint64_t> flow_lists{0};
+  std::atomic<std::uint64_t> refused_builds{0};
 };
 
 /// RPC interface of a control instance. Calls arrive on the kj thread; the
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,10 +1,10 @@
 #include <toucanmill/control/control_state.hpp>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <toucanmill/base/clock.hpp>
-#include <toucanmill/base/invariant.hpp>
 
 namespace toucanmill
 {
@@ -23,6 +23,9 @@
 /// Maximum number of declarations timed concurrently until they are in force.
 constexpr std::size_t max_pending_declarations = 64;
 
+/// Refused builds that are reported, one notice each.
+constexpr std::size_t max_refused_builds = 1024;
+
 /// Time without a leader after which an instance asks whether it is still a
 /// member; longer than two elections.
 constexpr duration leader_absence_timeout = std::chrono::seconds(3);
@@ -117,7 +120,7 @@
 
 control_state::control_state(control_state_options options)
     : options_(std::move(options)), machine_(options_.assignment),
-      membership_(options_.membership)
+      membership_(options_.membership), versions_(options_.versions)
 {
 }
 
@@ -128,10 +131,24 @@
 
 std::string control_state::apply(const log_entry& entry)
 {
-  const auto decoded = decode_command(entry.payload);
   // Skipping a committed entry that cannot be decoded would make the state of
   // this instance diverge permanently from that of the other replicas.
-  TOUCANMILL_INVARIANT(decoded.has_value(), "committed command is decodable");
+  if (failure_)
+    return {};
+  const auto decoded = decode_command(entry.payload);
+  const auto at = "entry " + std::to_string(entry.position.index);
+  if (!decoded)
+  {
+    fail({error_code::corrupt_data, at + ": " + decoded.error().message});
+    return {};
+  }
+  if (const auto* raise = std::get_if<raise_version>(&decoded.value());
+      raise != nullptr && options_.formats.newest < raise->version)
+  {
+    fail({error_code::corrupt_data, at + " raises the format version to " +
+                                        std::to_string(raise->version)});
+    return {};
+  }
   const auto outcome = machine_.apply(entry.position, decoded.value());
   notify_command(decoded.value(), outcome);
   if (leads_ && pending_declarations_.size() < max_pending_declarations &&
@@ -149,7 +166,11 @@
 {
   auto restored = state_machine::restore(bytes, options_.assignment);
   if (!restored)
+  {
+    if (log_ != nullptr)
+      fail(restored.error());
     return restored.error();
+  }
   machine_ = std::move(restored.value());
   return outcome::success();
 }
@@ -160,6 +181,8 @@
   pending_declarations_.clear();
   next_group_check_ = {};
   first_group_check_ = true;
+  proposed_format_ = 0;
+  versions_.on_leader();
   if (leads)
     membership_.on_leader(machine_, monotonic_now());
   options_.notify(
@@ -194,6 +217,7 @@
   if (log_ == nullptr || now < next_group_check_)
     return;
   next_group_check_ = now + group_check_interval;
+  check_version(now);
   if (options_.remove_silent_members)
     remove_silent_members();
   // A new leader has not heard from any member yet: after a power loss, any
@@ -204,6 +228,78 @@
                         first ? std::vector<endpoint>{} : reachable_members());
 }
 
+// An entry or snapshot of a newer build must not be guessed at.
+void control_state::fail(error why)
+{
+  why.message += "; this is " + to_string(options_.formats);
+  options_.notify({notice::kind::halted, why.message});
+  failure_ = std::move(why);
+}
+
+void control_state::check_version(time_point now)
+{
+  if (options_.formats.newest <= std::max(machine_.format(), proposed_format_))
+    return;
+  const auto version = versions_.propose(
+      machine_.format(), options_.formats.newest, version_members(now), now);
+  if (!version)
+    return;
+  proposed_format_ = *version;
+  log_->propose(encode(raise_version{*version}),
+                [this](const result<std::string>& applied)
+                {
+                  if (!applied)
+                    proposed_format_ = 0;
+                });
+}
+
+std::vector<version_member> control_state::version_members(time_point now) const
+{
+  std::vector<version_member> found;
+  const auto status = log_->status();
+  for (const auto& member : status.group)
+  {
+    version_member item{"control " + to_string(member.id), {}};
+    for (const auto& [id, formats] : status.formats)
+      if (id == member.id)
+        item.formats = formats;
+    for (const auto& [id, age] : status.contact_ages)
+      if (id == member.id && age >= member_silence_timeout)
+        item.formats.reset();
+    found.push_back(std::move(item));
+  }
+  std::map<node_id, node_liveness> live;
+  for (const auto& item : membership_.liveness(now))
+    live.emplace(item.id, item);
+  for (const auto* node : machine_.nodes())
+    if (node->state != node_state::gone)
+    {
+      const auto item = live.find(node->identity.id);
+      const bool heard = item != live.end() && item->second.lease_valid;
+      found.push_back(
+          {node->identity.name, heard ? item->second.formats : std::nullopt});
+    }
+  for (auto& item : membership_.observers(now))
+    found.push_back(std::move(item));
+  return found;
+}
+
+std::optional<error> control_state::refuse_build(const std::string& name,
+                                                 const format_support& formats)
+{
+  const auto needed = std::max(machine_.format(), proposed_format_);
+  if (formats.reads(needed))
+    return std::nullopt;
+  const error why{error_code::unavailable,
+                  name + " is refused: " + to_string(formats) +
+                      ", but format version " + std::to_string(needed) +
+                      " is in force"};
+  if (refused_builds_.size() < max_refused_builds &&
+      refused_builds_.insert(why.message).second)
+    options_.notify({notice::kind::build_refused, why.message});
+  return why;
+}
+
 std::vector<endpoint> control_state::members() const
 {
   const auto status = log_->status();
@@ -268,8 +364,14 @@
 
 report_reply control_state::on_report(const node_report& report, time_point now)
 {
-  propose(membership_.on_report(machine_, report, now));
   report_reply reply;
+  reply.refusal = refuse_build(report.identity.name, report.formats);
+  if (reply.refusal)
+  {
+    membership_.on_refused(report, now);
+    return reply;
+  }
+  propose(membership_.on_report(machine_, report, now));
   const auto since = report.fresh ? table_version{} : report.applied;
   std::optional<service_id> only;
   declaration_scope scope;
@@ -303,6 +405,10 @@
   out.liveness = membership_.liveness(now);
   out.configuration_version = machine_.configuration_version();
   out.claims = machine_.claim_count();
+  out.format = machine_.format();
+  if (leads_ && log_ != nullptr)
+    out.held_back_by =
+        held_back_by(version_members(now), options_.formats.newest);
   return out;
 }
 
@@ -370,6 +476,11 @@
   if (const auto* order = std::get_if<set_evacuation>(&value))
     options_.notify(order_notice(*order, std::get<change_outcome>(outcome)));
   notify_evacuations();
+  if (std::holds_alternative<raise_version>(value))
+    options_.notify({notice::kind::version_raised,
+                     "format version " + std::to_string(machine_.format()) +
+                         " is in force since index " +
+                         std::to_string(machine_.position().index)});
   if (const auto* added = std::get_if<register_node>(&value))
     options_.notify({notice::kind::node_registered, added->identity.name});
   if (const auto* set = std::get_if<set_node_state>(&value))
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -73,6 +73,7 @@
           {
             auto request = control.joinRequest();
             wire::write(request.initReplica(), self_.replica);
+            wire::write_formats(request.getReplica(), this_build());
             request.setInMemory(!self_.persists_log);
             return request.send().then(
                 [this](auto&& response)
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -18,8 +18,9 @@
   BOOST_OUTCOME_TRY(state, wire::read(from.getState()));
   BOOST_OUTCOME_TRY(order, wire::read(from.getOrder()));
   node_overview out;
-  out.live = {identity.id, from.getLeaseValid(), wire::read(from.getApplied()),
-              from.getFlows(), from.getBusySlots()};
+  out.live = {
+      identity.id,     from.getLeaseValid(), wire::read(from.getApplied()),
+      from.getFlows(), from.getBusySlots(),  wire::read_formats(from)};
   out.record = {std::move(identity), state, order, {}};
   return out;
 }
@@ -37,7 +38,14 @@
   out.configuration_version = from.getConfigurationVersion();
   out.claims = from.getClaims();
   for (const auto member : from.getGroup())
+  {
     out.group.push_back(wire::read(member));
+    out.formats.push_back(wire::read_formats(member));
+  }
+  out.format = std::max(from.getFormatVersion(), first_format_version);
+  out.halted = from.getHalted().cStr();
+  for (const auto name : from.getHeldBackBy())
+    out.held_back_by.emplace_back(name.cStr());
   for (const auto node : from.getNodes())
   {
     BOOST_OUTCOME_TRY(overview, read_node(node));
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -43,6 +43,12 @@
     return log_event(event::group_changed, notice.detail);
   case kind::evacuation_changed:
     return log_event(event::evacuation_changed, notice.detail);
+  case kind::version_raised:
+    return log_event(event::version_raised, notice.detail);
+  case kind::build_refused:
+    return log_event(event::build_refused, notice.detail);
+  case kind::halted:
+    return log_event(event::replica_halted, notice.detail);
   }
 }
 
@@ -277,6 +283,9 @@
                 "Calls sent on to the leader.", counters.not_leader);
     add_counter(out, "toucanmill_flow_lists_total",
                 "Lists of open flows kept for agents.", counters.flow_lists);
+    add_counter(out, "toucanmill_rpc_refused_builds_total",
+                "Reports and joins of builds that are too old.",
+                counters.refused_builds);
     add_counter(out, "toucanmill_rpc_malformed_total",
                 "Calls with invalid values.", counters.malformed);
     add_counter(out, "toucanmill_peer_messages_total",
@@ -300,7 +309,10 @@
     const auto current = server();
     if (stopping_ || current == nullptr)
       return {false, "stopping"};
-    if (!current->status().leader)
+    const auto status = current->status();
+    if (!status.halted.empty())
+      return {false, "halted: " + status.halted};
+    if (!status.leader)
       return {false, "no leader known"};
     return {};
   }
@@ -380,6 +392,11 @@
               status.applied_index);
     add_gauge(out, "toucanmill_log_leads", "1 on the leader.",
               status.leads ? 1 : 0);
+    add_gauge(out, "toucanmill_log_halted",
+              "1 if the instance met an entry that it can't apply.",
+              status.halted.empty() ? 0 : 1);
+    add_gauge(out, "toucanmill_format_version", "Format version in force.",
+              status.required_format);
     for (const auto& sent : status.sent)
     {
       out.push_back({"toucanmill_replication_messages_total",
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -166,6 +166,7 @@
   status.removed = core_->group_at(core_->applied_index()).removed;
   status.contact_ages = core_->contact_ages(monotonic_now());
   status.formats = core_->formats();
+  status.required_format = client_.required_format();
   status.malformed_messages = malformed_messages_;
   status.sent = sent_;
   return status;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -139,6 +139,12 @@
        "A data centre was evacuated or restored; names all evacuated ones."},
       {event::kept_flows_failed, severity::warning, "kept_flows_failed",
        "The file of agents' flows can't be read or written; names why."},
+      {event::version_raised, severity::info, "version_raised",
+       "A format version came into force; earlier builds are refused."},
+      {event::build_refused, severity::warning, "build_refused",
+       "A node or control instance does not read the version in force."},
+      {event::replica_halted, severity::error, "replica_halted",
+       "An entry or snapshot can't be applied; the instance takes no part."},
   };
   return all;
 }
