--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -184,7 +184,7 @@
   out << "leader " << status.leader.value << "  term " << status.term
       << "  version " << status.configuration_version << "  applied index "
       << status.applied_index << "  claims " << status.claims << "\n";
-  out << "format version " << status.format << " in force";
+  out << "format version " << std::to_string(status.format) << " in force";
   for (std::size_t i = 0; i < status.held_back_by.size(); ++i)
     out << (i == 0 ? ", held back by " : ", ") << status.held_back_by[i];
   out << "\n";
