control: notices of changes and the status message stand in files of their own

Change: moves only; the names are kept. Result: build/control_test -g upgrade, -g control_state, -n survive_restart pass.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -6,6 +6,7 @@
 #include "capnp_data.hpp"
 #include "leader_hint.hpp"
 #include "message_compression.hpp"
+#include "status_message.hpp"
 #include "wall_clock.hpp"
 
 namespace toucanmill::detail
@@ -36,46 +37,6 @@
   }
 };
 
-const node_liveness* find_liveness(const control_view& view, node_id id)
-{
-  for (const auto& live : view.liveness)
-    if (live.id == id)
-      return &live;
-  return nullptr;
-}
-
-void write_nodes(schema::Status::Builder to, const control_view& view)
-{
-  auto list = to.initNodes(view.nodes.size());
-  for (unsigned i = 0; i < view.nodes.size(); ++i)
-  {
-    const auto& record = view.nodes[i];
-    const auto* live = find_liveness(view, record.identity.id);
-    wire::write(list[i], record, live != nullptr ? *live : node_liveness{});
-  }
-}
-
-void write_log_status(schema::Status::Builder to,
-                      const replicated_log_status& log)
-{
-  to.setSelf(log.self.value);
-  to.setLeader(log.leader ? log.leader->id.value : 0);
-  to.setTerm(log.term);
-  to.setCommitIndex(log.commit_index);
-  to.setAppliedIndex(log.applied_index);
-  to.setLastIndex(log.last_index);
-  to.setSnapshotIndex(log.snapshot_index);
-  auto group = to.initGroup(log.group.size());
-  for (unsigned i = 0; i < log.group.size(); ++i)
-  {
-    wire::write(group[i], log.group[i]);
-    for (const auto& [id, formats] : log.formats)
-      if (id == log.group[i].id)
-        wire::write_formats(group[i], formats);
-  }
-  to.setHalted(log.halted);
-}
-
 /// The data centre that a change evacuates or restores; null: none.
 const std::string* ordered_data_centre(const operator_change& change)
 {
@@ -224,16 +185,8 @@
   return promise.then(
       [context](const view_and_log& found) mutable
       {
-        auto status = context.getResults().initStatus();
-        write_log_status(status, found.second);
-        write_nodes(status, found.first);
-        status.setConfigurationVersion(found.first.configuration_version);
-        status.setClaims(found.first.claims);
-        status.setFormatVersion(found.first.format);
-        const auto& names = found.first.held_back_by;
-        auto held = status.initHeldBackBy(static_cast<unsigned>(names.size()));
-        for (unsigned i = 0; i < held.size(); ++i)
-          held.set(i, names[i]);
+        write_status(context.getResults().initStatus(), found.first,
+                     found.second);
       });
 }
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -6,6 +6,8 @@
 
 #include <toucanmill/base/clock.hpp>
 
+#include "change_notice.hpp"
+
 namespace toucanmill
 {
 
@@ -46,76 +48,6 @@
   return "gone";
 }
 
-struct describe_change
-{
-  std::string operator()(const create_service& change) const
-  {
-    return "create service " + change.name + " at " + to_string(change.address);
-  }
-  std::string operator()(const change_service& change) const
-  {
-    return "change service " + change.name + " to " + to_string(change.address);
-  }
-  std::string operator()(const delete_service& change) const
-  {
-    return "delete service " + change.name;
-  }
-  std::string operator()(const drain_node& change) const
-  {
-    return "drain " + change.node;
-  }
-  std::string operator()(const restore_node& change) const
-  {
-    return "restore " + change.node;
-  }
-  std::string operator()(const retire_node& change) const
-  {
-    return "retire " + change.node;
-  }
-  std::string operator()(const evacuate_data_centre& change) const
-  {
-    return "evacuate data centre " + change.data_centre;
-  }
-  std::string operator()(const restore_data_centre& change) const
-  {
-    return "restore data centre " + change.data_centre;
-  }
-};
-
-control_notice declaration_notice(const configuration& value,
-                                  const change_outcome& outcome)
-{
-  const auto what = "configuration version " + std::to_string(value.version) +
-                    " with " + std::to_string(value.routes.size()) + " routes";
-  if (outcome.accepted)
-    return {notice::kind::change_accepted,
-            what + ", declared version: " + std::to_string(outcome.version)};
-  return {notice::kind::change_refused, what + ": " + outcome.message};
-}
-
-control_notice change_notice(const operator_request& request,
-                             const change_outcome& outcome)
-{
-  const auto what = "request " + request.request_id + ": " +
-                    std::visit(describe_change{}, request.change);
-  if (outcome.accepted)
-    return {notice::kind::change_accepted,
-            what + ", version " + std::to_string(outcome.version)};
-  return {notice::kind::change_refused, what + ": " + outcome.message};
-}
-
-control_notice order_notice(const set_evacuation& order,
-                            const change_outcome& outcome)
-{
-  const auto what =
-      (order.evacuated ? "evacuate data centre " : "restore data centre ") +
-      order.data_centre;
-  if (outcome.accepted)
-    return {notice::kind::change_accepted,
-            what + ", version " + std::to_string(outcome.version)};
-  return {notice::kind::change_refused, what + ": " + outcome.message};
-}
-
 } // namespace
 
 control_state::control_state(control_state_options options)
@@ -469,12 +401,14 @@
   if (!leads_)
     return;
   if (const auto* request = std::get_if<operator_request>(&value))
-    options_.notify(change_notice(*request, std::get<change_outcome>(outcome)));
-  if (const auto* declared = std::get_if<declare_configuration>(&value))
     options_.notify(
-        declaration_notice(declared->value, std::get<change_outcome>(outcome)));
+        detail::change_notice(*request, std::get<change_outcome>(outcome)));
+  if (const auto* declared = std::get_if<declare_configuration>(&value))
+    options_.notify(detail::declaration_notice(
+        declared->value, std::get<change_outcome>(outcome)));
   if (const auto* order = std::get_if<set_evacuation>(&value))
-    options_.notify(order_notice(*order, std::get<change_outcome>(outcome)));
+    options_.notify(
+        detail::order_notice(*order, std::get<change_outcome>(outcome)));
   notify_evacuations();
   if (std::holds_alternative<raise_version>(value))
     options_.notify({notice::kind::version_raised,
