--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -152,6 +152,9 @@
   heldBuckets @7 :List(UInt16);
   observes @8 :Bool;  # wants the table, is no node yet
   appliesRouteChanges @9 :Bool;  # false: reads only declared
+  oldestFormat @10 :UInt8;  # formats that the build reads; 0: only the first
+  newestFormat @11 :UInt8;
+  build @12 :UInt32;  # start of the commit's hash; 0: unknown
 }
 
 struct ReportReply {
@@ -226,12 +229,18 @@
   applied @4 :Version;
   flows @5 :UInt32;
   busySlots @6 :UInt32;
+  oldestFormat @7 :UInt8;  # as in NodeReport
+  newestFormat @8 :UInt8;
+  build @9 :UInt32;
 }
 
 struct ReplicaStatus {
   id @0 :UInt64;
   rpc @1 :Endpoint;
   voter @2 :Bool;
+  oldestFormat @3 :UInt8;  # as in NodeReport
+  newestFormat @4 :UInt8;
+  build @5 :UInt32;
 }
 
 struct Status {
@@ -246,6 +255,9 @@
   group @8 :List(ReplicaStatus);
   nodes @9 :List(NodeStatus);
   claims @10 :UInt64;
+  formatVersion @11 :UInt8;      # in force; 0: the first
+  heldBackBy @12 :List(Text);    # do not read the newest version of the leader
+  halted @13 :Text;              # why the instance takes no part in the group
 }
 
 enum ClaimVerdict {
--- a/src/cluster/wire_node.cpp
+++ b/src/cluster/wire_node.cpp
@@ -47,6 +47,7 @@
   to.setBusySlots(value.busy_slots);
   to.setObserves(value.observes);
   to.setAppliesRouteChanges(value.applies_route_changes);
+  write_formats(to, value.formats);
   auto held =
       to.initHeldBuckets(static_cast<unsigned>(value.held_buckets.size()));
   for (unsigned i = 0; i < held.size(); ++i)
@@ -66,6 +67,7 @@
   value.busy_slots = from.getBusySlots();
   value.observes = from.getObserves();
   value.applies_route_changes = from.getAppliesRouteChanges();
+  value.formats = read_formats(from);
   for (const auto bucket : from.getHeldBuckets())
   {
     if (!value.held_buckets.empty() && bucket <= value.held_buckets.back())
@@ -99,6 +101,7 @@
   write(to.initApplied(), live.applied);
   to.setFlows(live.flows);
   to.setBusySlots(live.busy_slots);
+  write_formats(to, live.formats.value_or(format_support{}));
 }
 
 } // namespace toucanmill::wire
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -6,6 +6,7 @@
 #include "capnp_data.hpp"
 #include "leader_hint.hpp"
 #include "message_compression.hpp"
+#include "status_message.hpp"
 #include "wall_clock.hpp"
 
 namespace toucanmill::detail
@@ -36,40 +37,6 @@
   }
 };
 
-const node_liveness* find_liveness(const control_view& view, node_id id)
-{
-  for (const auto& live : view.liveness)
-    if (live.id == id)
-      return &live;
-  return nullptr;
-}
-
-void write_nodes(schema::Status::Builder to, const control_view& view)
-{
-  auto list = to.initNodes(view.nodes.size());
-  for (unsigned i = 0; i < view.nodes.size(); ++i)
-  {
-    const auto& record = view.nodes[i];
-    const auto* live = find_liveness(view, record.identity.id);
-    wire::write(list[i], record, live != nullptr ? *live : node_liveness{});
-  }
-}
-
-void write_log_status(schema::Status::Builder to,
-                      const replicated_log_status& log)
-{
-  to.setSelf(log.self.value);
-  to.setLeader(log.leader ? log.leader->id.value : 0);
-  to.setTerm(log.term);
-  to.setCommitIndex(log.commit_index);
-  to.setAppliedIndex(log.applied_index);
-  to.setLastIndex(log.last_index);
-  to.setSnapshotIndex(log.snapshot_index);
-  auto group = to.initGroup(log.group.size());
-  for (unsigned i = 0; i < log.group.size(); ++i)
-    wire::write(group[i], log.group[i]);
-}
-
 /// The data centre that a change evacuates or restores; null: none.
 const std::string* ordered_data_centre(const operator_change& change)
 {
@@ -218,11 +185,8 @@
   return promise.then(
       [context](const view_and_log& found) mutable
       {
-        auto status = context.getResults().initStatus();
-        write_log_status(status, found.second);
-        write_nodes(status, found.first);
-        status.setConfigurationVersion(found.first.configuration_version);
-        status.setClaims(found.first.claims);
+        write_status(context.getResults().initStatus(), found.first,
+                     found.second);
       });
 }
 
@@ -286,6 +250,11 @@
             if (handle_failure(results, reply))
               return;
             const auto& value = reply.value.value();
+            if (value.refusal)
+            {
+              ++counters_.refused_builds;
+              fail_call(*value.refusal);
+            }
             auto to = results.initReply();
             wire::write(to.initUpdate(), value.update);
             to.setOrder(wire::to_schema(value.order));
@@ -411,13 +380,22 @@
   const auto params = context.getParams();
   const join_request joining{wire::read(params.getReplica()),
                              !params.getInMemory()};
+  const auto formats = wire::read_formats(params.getReplica());
   auto [promise, reply] = cross_thread_reply<answer<replica_standing>>::make();
   log_.confirm_read(
-      [this, joining, reply = reply](const result<table_version>& confirmed)
+      [this, joining, formats,
+       reply = reply](const result<table_version>& confirmed)
       {
         if (!confirmed)
           return reply->fulfiller->fulfill(
               answer<replica_standing>{confirmed.error(), leader_hint(log_)});
+        if (const auto refusal = state_.refuse_build(
+                "control " + to_string(joining.replica.id), formats))
+        {
+          ++counters_.refused_builds;
+          return reply->fulfiller->fulfill(
+              answer<replica_standing>{*refusal, {}});
+        }
         advance_join(
             joining,
             [reply](replica_standing standing)
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -42,6 +42,8 @@
 {
   for (auto& [id, peer] : peers_)
   {
+    if (!may_receive(peer))
+      continue;
     if (peer.state != progress_state::snapshot &&
         peer.next <= log_.base().index)
     {
@@ -63,6 +65,21 @@
   }
 }
 
+// The reply to a probe shows what a replica reads that was not heard from yet.
+bool replica_core::may_receive(progress& peer)
+{
+  if (required_format_ == first_format_version)
+    return true;
+  if (peer.formats)
+    return peer.formats->reads(required_format_);
+  if (peer.state == progress_state::probe && !peer.waiting)
+  {
+    peer.waiting = true;
+    send_probe(peer);
+  }
+  return false;
+}
+
 // A second large request would be dropped by the transport and wait for its
 // retransmission; it follows the acknowledgement of the first.
 bool replica_core::may_pipeline(const progress& peer) const
@@ -237,13 +254,20 @@
   return found == peers_.end() ? nullptr : &found->second;
 }
 
+void replica_core::record_peer_contact(progress& peer,
+                                       const replica_message& message)
+{
+  peer.last_contact = now_;
+  peer.may_vote = peer.may_vote || message.may_vote;
+  peer.formats = message.formats;
+}
+
 void replica_core::on_append_reply(const replica_message& message)
 {
   auto* peer = peer_of(message);
   if (peer == nullptr)
     return;
-  peer->last_contact = now_;
-  peer->may_vote = peer->may_vote || message.may_vote;
+  record_peer_contact(*peer, message);
   if (!message.granted)
   {
     const auto rejected = message.position.index;
@@ -293,8 +317,7 @@
   auto* peer = peer_of(message);
   if (peer == nullptr)
     return;
-  peer->last_contact = now_;
-  peer->may_vote = peer->may_vote || message.may_vote;
+  record_peer_contact(*peer, message);
   peer->round = std::max(peer->round, std::min(message.round, round_));
   if (message.granted)
     return;
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -30,6 +30,7 @@
 struct replica_settings
 {
   replica_id self;
+  format_support formats; ///< of this build
   duration heartbeat_interval = std::chrono::milliseconds(100);
   duration election_timeout = std::chrono::milliseconds(600);
   /// Least time between the starts of two rounds that confirm reads. Nodes
@@ -146,6 +147,12 @@
   result<table_version> change_group(const std::vector<replica_address>& group,
                                      call_context context);
 
+  /// Entries and snapshots go only to replicas that read this version.
+  void require_format(format_version version)
+  {
+    required_format_ = version;
+  }
+
   void transfer_leadership(call_context context);
 
   /// Compacts the log after a snapshot of the applied state became durable.
@@ -191,6 +198,9 @@
   /// Time since each other member was last heard from; empty if not leader.
   std::vector<replica_contact_age> contact_ages(time_point now) const;
 
+  /// What this replica and the members that it heard from as leader support.
+  std::vector<replica_formats> formats() const;
+
   /// The newest group configuration in the log, committed or not.
   const group_record& group() const
   {
@@ -227,6 +237,7 @@
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
+    std::optional<format_support> formats; ///< none: not heard from yet
     bool waiting = false;     ///< probe or chunk sent, no reply yet
     time_point last_activity; ///< last send or acknowledgement
     time_point last_contact;
@@ -273,6 +284,7 @@
 
   // replica_append_core.cpp
   void send_pending();
+  bool may_receive(progress& peer);
   bool may_pipeline(const progress& peer) const;
   bool next_is_large(const progress& peer) const;
   void send_entries(progress& peer);
@@ -290,6 +302,7 @@
   void advance_commit();
   void set_commit(std::uint64_t index);
   progress* peer_of(const replica_message& message);
+  void record_peer_contact(progress& peer, const replica_message& message);
 
   // replica_snapshot_core.cpp
   void send_snapshot(progress& peer);
@@ -326,6 +339,7 @@
   std::vector<std::pair<std::uint64_t, group_record>> groups_;
   std::uint64_t commit_ = 0;
   std::uint64_t applied_ = 0;
+  format_version required_format_ = first_format_version;
 
   replica_role role_ = replica_role::follower;
   std::optional<replica_address> leader_;
