scripts: the fault soak upgrades the system from an earlier build

Cause: no run ever had processes of two builds side by side. Reserving instances is one function for orders and upgrades.

--- a/scripts/relay_system.py
+++ b/scripts/relay_system.py
@@ -171,6 +171,8 @@
         self.started = set()
         self.data_centres = list(data_centres)
         self.extra = {}           # role: further lines of its section
+        self.builds = {}          # address: build, where it is another one
+        self.ended_alone = []     # (address, exit code)
 
     def data_centre(self, address):
         return self.data_centres[(int(address.split(".")[3]) - 1) %
@@ -180,6 +182,11 @@
         return {"10": "control", "11": "balancer",
                 "12": "agent"}[address.split(".")[2]]
 
+    def alike(self, address):
+        """The instances of its role."""
+        return {"control": self.control, "balancer": self.balancers,
+                "agent": self.agents}[self.role(address)]
+
     def data_folder(self, address):
         return os.path.join(self.folder, "data-" + address)
 
@@ -219,8 +226,8 @@
         self.started.add(address)
         with open(os.path.join(self.folder, address + ".log"), "ab") as log:
             self.running[address] = subprocess.Popen(
-                [os.path.join(self.build, "toucanmilld"), path], stdout=log,
-                stderr=log)
+                [os.path.join(self.builds.get(address, self.build),
+                              "toucanmilld"), path], stdout=log, stderr=log)
 
     def tool(self, *arguments):
         """Exit code and output of the command-line tool."""
@@ -236,16 +243,24 @@
             self.start(address)
 
     def end(self, address, how):
+        self.note_ended(address)
         process = self.running.pop(address)
         process.send_signal(how)
         process.wait(timeout=20)
         return process.returncode
 
+    def note_ended(self, address):
+        """Records a process that ended without a signal."""
+        code = self.running[address].poll()
+        if code is not None:
+            self.ended_alone.append((address, code))
+
     def signal(self, address, how):
         self.running[address].send_signal(how)
 
     def end_all(self):
-        for process in self.running.values():
+        for address, process in self.running.items():
+            self.note_ended(address)
             process.send_signal(signal.SIGCONT)
             process.kill()
             process.wait()
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -77,32 +77,50 @@
         self.later(self.random.uniform(0.0, 1.0), self.system.start, address)
         return 2.0
 
-    def kill_all_control(self, _):
-        for address in self.system.control:
-            if address in self.busy:
-                return 0.0
+    def kill_all_control(self):
+        if not (self.busy | self.reserved) & set(self.system.control):
+            self.busy.update(self.system.control)
+            self.end_all_control()
+
+    def end_all_control(self):
         for address in self.system.control:
-            self.busy.add(address)
             self.system.end(address, signal.SIGKILL)
         self.later(0.5, self.start_all_control)
-        return 0.0
 
-    def kill_control_when_idle(self):
-        """Keeps new faults off the control instances until they have none;
-        false at the end of the run."""
-        self.control_reserved = True
+    def reserve(self, addresses):
+        """Keeps new faults off the instances and marks them busy once they
+        have none; false at the end of the run."""
+        self.reserved.update(addresses)
         while not self.over.wait(0.05):
             with self.fault_lock:
-                if not self.busy & set(self.system.control):
-                    self.control_reserved = False
-                    self.note("kill_all_control")
-                    self.kill_all_control(None)
+                if self.is_free(addresses):
+                    self.reserved.difference_update(addresses)
+                    self.busy.update(addresses)
                     return True
         return False
 
+    def is_free(self, addresses):
+        """They have no fault; one alone also needs others of its role."""
+        return not self.busy & set(addresses) and \
+            (len(addresses) > 1 or self.has_room(addresses[0]))
+
+    def has_room(self, address):
+        """Two instances of the role stay undisturbed if it has a fault."""
+        alike = self.system.alike(address)
+        return len(self.busy & set(alike)) < len(alike) - 2
+
+    def kill_control_when_idle(self):
+        """All control instances; false at the end of the run."""
+        if not self.reserve(self.system.control):
+            return False
+        with self.fault_lock:
+            self.note("kill_all_control")
+            self.end_all_control()
+        return True
+
     def kill_if_idle(self, address):
         with self.fault_lock:
-            if address in self.busy:
+            if address in self.busy | self.reserved:
                 return
             self.busy.add(address)
             self.note(f"kill {address}")
@@ -191,12 +209,10 @@
                  (system.agents, (self.kill, self.stop, self.pause, self.reload,
                                   self.crash_upstream, self.drain_upstream))]
         if self.random.random() < 0.05:
-            return self.kill_all_control(None)
+            return self.kill_all_control()
         addresses, faults = self.random.choice(table)
         address, fault = self.random.choice(addresses), self.random.choice(faults)
-        if address in self.busy or len(self.busy & set(addresses)) >= \
-                len(addresses) - 2 or \
-                addresses is system.control and self.control_reserved:
+        if address in self.busy | self.reserved or not self.has_room(address):
             return None
         self.busy.add(address)
         self.note(f"{fault.__name__} {address}")
