scripts: the soak waits for its own restarts

Cause: with an upgrade beside the other faults three faults of the soak itself showed. Change: SIGTERM is sent once the process ignores SIGPIPE, which it does after it has blocked the stop signals; an instance stays busy until it has a process; no process starts after the end; a failed graceful stop names the exit code.

--- a/scripts/relay_system.py
+++ b/scripts/relay_system.py
@@ -173,6 +173,7 @@
         self.extra = {}           # role: further lines of its section
         self.builds = {}          # address: build, where it is another one
         self.ended_alone = []     # (address, exit code)
+        self.start_lock, self.over = threading.Lock(), False
 
     def data_centre(self, address):
         return self.data_centres[(int(address.split(".")[3]) - 1) %
@@ -222,6 +223,11 @@
         return path
 
     def start(self, address):
+        with self.start_lock:
+            if not self.over:
+                self.start_process(address)
+
+    def start_process(self, address):
         path = self.write_settings(address)
         self.started.add(address)
         with open(os.path.join(self.folder, address + ".log"), "ab") as log:
@@ -242,7 +248,22 @@
         for address in self.control + self.balancers + self.agents:
             self.start(address)
 
+    def wait_for_handlers(self, address):
+        """Until a process handles SIGTERM, it serves nothing and is ended by the
+        signal itself. It ignores SIGPIPE from then on."""
+        process = self.running[address]
+
+        def handles_stop():
+            with open(f"/proc/{process.pid}/status", encoding="ascii") as lines:
+                masks = [line.split()[1] for line in lines
+                         if line.startswith("SigIgn:")]
+            return process.poll() is not None or \
+                int(masks[0], 16) >> (signal.SIGPIPE - 1) & 1
+        wait_until(f"signal handlers of {address}", handles_stop)
+
     def end(self, address, how):
+        if how == signal.SIGTERM:
+            self.wait_for_handlers(address)
         self.note_ended(address)
         process = self.running.pop(address)
         process.send_signal(how)
@@ -259,6 +280,8 @@
         self.running[address].send_signal(how)
 
     def end_all(self):
+        with self.start_lock:  # a restart that is under way starts no more
+            self.over = True
         for address, process in self.running.items():
             self.note_ended(address)
             process.send_signal(signal.SIGCONT)
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -18,10 +18,9 @@
     def restart(self, address, how, pause):
         if address in self.system.balancers:
             self.out.add(address)
-        if how == signal.SIGTERM and self.system.end(address, how) != 0:
-            self.record.problem(f"{address}: a graceful stop failed")
-        elif how == signal.SIGKILL:
-            self.system.end(address, how)
+        code = self.system.end(address, how)
+        if how == signal.SIGTERM and code != 0:
+            self.record.problem(f"{address}: a graceful stop failed: {code}")
         time.sleep(pause)
         self.system.start(address)
         self.out.discard(address)
@@ -99,6 +98,13 @@
                     return True
         return False
 
+    def release(self, address):
+        """Ends a fault; an instance without a process stays busy."""
+        if address in self.system.running:
+            self.busy.discard(address)
+        else:
+            self.later(0.2, self.release, address)
+
     def is_free(self, addresses):
         """They have no fault; one alone also needs others of its role."""
         return not self.busy & set(addresses) and \
@@ -124,7 +130,7 @@
                 return
             self.busy.add(address)
             self.note(f"kill {address}")
-            self.later(self.kill(address), self.busy.discard, address)
+            self.later(self.kill(address), self.release, address)
 
     def start_all_control(self):
         for address in self.system.control:
@@ -217,4 +223,4 @@
         self.busy.add(address)
         self.note(f"{fault.__name__} {address}")
         seconds = fault(address)
-        return self.later(seconds, self.busy.discard, address)
+        return self.later(seconds, self.release, address)
--- a/scripts/soak_upgrade.py
+++ b/scripts/soak_upgrade.py
@@ -147,7 +147,7 @@
             self.soak.disturb(address, 1.0)
         self.soak.restart(address, how, 0.1 if how == signal.SIGTERM else pause)
         self.moves += 1
-        self.soak.later(1.0, self.soak.busy.discard, address)
+        self.soak.later(1.0, self.soak.release, address)
 
     def pause_with_kills(self):
         self.soak.note("upgrade: pause")
@@ -180,6 +180,6 @@
         seconds = 0.0
         while not seconds and self.soak.reserve([address]):
             seconds = self.soak.lose_disk(address)  # 0: another lost its own
-            self.soak.later(seconds, self.soak.busy.discard, address)
+            self.soak.later(seconds, self.soak.release, address)
             self.soak.over.wait(0.2)
         self.soak.note(f"upgrade: {address} lost its disk")
