cluster, log: builds that read the first format alone state nothing

Cause: a report and a message between replicas with the default formats had other octets than those of the earlier build, and the compatibility tests, which were written beside the statement of formats, failed on both. Change: the fields are written only when they say something. Result: cluster_compatibility and log_compatibility pass, before two failures.

--- a/include/toucanmill/base/format_version.hpp
+++ b/include/toucanmill/base/format_version.hpp
@@ -32,6 +32,10 @@
     return std::tie(oldest, newest, build) ==
            std::tie(other.oldest, other.newest, other.build);
   }
+  bool operator!=(const format_support& other) const
+  {
+    return !(*this == other);
+  }
 };
 
 /// What a process stated; builds that state nothing read the first version.
--- a/include/toucanmill/cluster/wire.hpp
+++ b/include/toucanmill/cluster/wire.hpp
@@ -50,10 +50,13 @@
 void write(schema::NodeStatus::Builder to, const node_record& record,
            const node_liveness& live);
 
-/// Formats in a NodeReport, NodeStatus or ReplicaStatus.
+/// Formats in a NodeReport, NodeStatus or ReplicaStatus. Builds that read the
+/// first format alone state nothing, as earlier ones do.
 template <class Builder>
 void write_formats(Builder to, const format_support& value)
 {
+  if (value == format_support{})
+    return;
   to.setOldestFormat(value.oldest);
   to.setNewestFormat(value.newest);
   to.setBuild(value.build);
--- a/src/log/codec.cpp
+++ b/src/log/codec.cpp
@@ -214,9 +214,13 @@
   out.setData(as_byte_array(message.data));
   out.setMayVote(message.may_vote);
   out.setPristine(message.pristine);
-  out.setOldestFormat(message.formats.oldest);
-  out.setNewestFormat(message.formats.newest);
-  out.setBuild(message.formats.build);
+  // A build that reads the first format alone states nothing, as earlier ones.
+  if (message.formats != format_support{})
+  {
+    out.setOldestFormat(message.formats.oldest);
+    out.setNewestFormat(message.formats.newest);
+    out.setBuild(message.formats.build);
+  }
   return serialise(builder);
 }
 
