relay: late answers do not delay a search beyond the flow window

What callers saw: packets of an open flow reach wrong upstreams only for more than 2 s when answers come after 300 or 700 ms.

Change: when nothing sent at the same time or later has been answered, or answers take longer on average, an attempt asks all other stages at once and probes with a quarter of the budget. A question counts as lost after the mean answer time and a margin; it is repeated to each agent alone, or to four together without enough probes, on its own timer. Agents that stay silent are asked again, and get the packet when an answer would come after the window. A new plan waits for answers to packets under way, and denials count for as long as the search. The answer time is measured for questions to known stages, as an answer to an earlier question looked like a fast one. Links with fast answers keep the former way.

Open: an agent that is down for a second while answers take less than 100 ms.

--- a/include/toucanmill/relay/agent_monitor.hpp
+++ b/include/toucanmill/relay/agent_monitor.hpp
@@ -2,6 +2,7 @@
 #define TOUCANMILL_RELAY_AGENT_MONITOR_HPP
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include <toucanmill/base/address.hpp>
@@ -43,14 +44,23 @@
   /// The agent answered; measures the time since its probe.
   void on_answer(const endpoint& agent, time_point now);
 
-  /// An answer took this long. All answers are late when the balancer's own
-  /// link is full, which shows nothing about a single agent.
-  void on_answer_time(duration taken);
+  /// A question that was sent then is answered. All answers are late when the
+  /// balancer's own link is full, which shows nothing about a single agent.
+  void on_question_answered(time_point sent, time_point now);
 
   /// Time after which an answer counts as missing: one and a half times the
   /// recent answer times, within the limits of the options.
   duration answer_timeout() const;
 
+  /// Time after which a question counts as lost: the mean answer time and a
+  /// margin, within the limits of the options. A single late answer changes it
+  /// little.
+  duration loss_timeout() const;
+
+  /// Whether an answer to a question of that time or later has come. If not,
+  /// all answers are late, which shows nothing about a single agent.
+  bool has_answered_since(time_point at) const;
+
   /// Agents with a probe that is unanswered for longer than answer_timeout().
   agent_set unresponsive(time_point now) const;
 
@@ -69,11 +79,15 @@
     time_point latest;
   };
 
+  void on_answer_time(duration taken);
   bool is_overdue(const unanswered_probes& probes, time_point now) const;
 
   options options_;
-  time_point answered_probe_; ///< when the latest answered one was sent
-  duration answer_time_{0};   ///< recent maximum; falls by 1/8 per answer
+  time_point answered_probe_;    ///< when the latest answered one was sent
+  duration answer_time_{0};      ///< recent maximum; falls by 1/8 per answer
+  duration mean_answer_time_{0}; ///< moving mean, 1/8 of each answer time
+  /// When the latest question with an answer was sent.
+  std::optional<time_point> answered_question_;
   std::map<endpoint, unanswered_probes> unanswered_;
 };
 
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -15,6 +15,7 @@
 #include <toucanmill/packet/flow_packet.hpp>
 #include <toucanmill/relay/agent_monitor.hpp>
 #include <toucanmill/relay/flow_memory.hpp>
+#include <toucanmill/relay/probe_budget.hpp>
 #include <toucanmill/relay/relay_table.hpp>
 #include <toucanmill/relay/stage_walk.hpp>
 
@@ -107,9 +108,10 @@
   /// a packet that follows sooner waits. Doubles with each attempt. A stage of
   /// sixteen agents takes 20 to 50 ms.
   duration retry_interval = std::chrono::milliseconds(100);
-  /// Probes between two ticks (one second); above this an attempt passes by the
-  /// stages without an answer and visits the next one. A probe is a question
-  /// of 94 octets, so they take less than a tenth of a 2 Mbit/s link.
+  /// Probes between two ticks (one second), regained evenly; above this an
+  /// attempt passes by the stages without an answer and visits the next one. A
+  /// probe is a question of 94 octets, so they take less than a tenth of a 2
+  /// Mbit/s link.
   std::size_t max_probes_per_tick = 200;
   /// Minimum time between two packets of one search to an agent that cannot
   /// tell without the packet. Each may reach a wrong upstream, and the answer
@@ -125,6 +127,7 @@
 {
   ended,   ///< the flow was found or reset, or the search expired
   waiting, ///< an answer may still come
+  repeats, ///< questions seem lost and are repeated within this attempt
   overdue, ///< a stop of the latest attempt seems to have lost the packet
 };
 
@@ -180,7 +183,7 @@
   /// Progress of the search for the flow.
   search_progress progress(const flow_key& flow, time_point now) const;
 
-  /// Evicts idle flows and restores the probe budget; call once a second.
+  /// Evicts idle flows and old probes; call once a second.
   void on_tick(time_point now);
 
   const relay_table& table() const
@@ -257,6 +260,9 @@
     std::map<endpoint, time_point> denials;
     /// Agents that got the packet since they could not tell, and when.
     std::map<endpoint, time_point> visited_undecided;
+    /// Agents that were asked alone since an answer was missing, and when,
+    /// until they answer.
+    std::map<endpoint, time_point> asked_alone;
     /// Agents on the way of the packet through the first stage of a plan.
     std::map<endpoint, time_point> sent_packet;
     stage_walk walk;           ///< through the stages of the plan
@@ -309,6 +315,34 @@
   visit_next_unvisited(search_state& state,
                        const std::vector<std::size_t>& unanswered,
                        time_point now);
+  void measure_answer(const relay_header& header, const search_state& state,
+                      time_point now);
+  entry_action search_late(search_state& state,
+                           const std::vector<std::size_t>& unanswered,
+                           time_point now);
+  static time_point first_visit(const search_state& state,
+                                const std::vector<std::size_t>& stages,
+                                time_point now);
+  bool are_answers_late(const search_state& state,
+                        const std::vector<std::size_t>& unanswered,
+                        time_point now) const;
+  duration repeat_delay() const;
+  bool is_lost(time_point asked, time_point now) const;
+  bool is_lost(const search_state& state, std::size_t stage,
+               time_point now) const;
+  bool answers_are_slow() const;
+  bool has_lost(const search_state& state, time_point now) const;
+  bool has_packets_under_way(const search_state& state, time_point now) const;
+  bool has_outstanding(const search_state& state, time_point now) const;
+  visit_all repeat_lost(search_state& state, time_point now);
+  void repeat_stage(search_state& state, std::size_t stage, time_point now,
+                    visit_all& out);
+  void ask_alone(search_state& state, const search_stage& stage, time_point now,
+                 visit_all& out);
+  bool comes_too_late(const search_state& state, time_point now) const;
+  void visit_alone(search_state& state, const endpoint& agent, bool by_packet,
+                   time_point now, visit_all& out);
+  void repeat_alone(search_state& state, time_point now, visit_all& out);
   void ask_again(search_state& state, time_point now);
   static void split_stage(search_state& state, std::size_t stage,
                           const agent_set& silent);
@@ -317,6 +351,8 @@
   entry_action continue_late(const relay_header& header,
                              const flow_packet& packet, search_state& state,
                              time_point now);
+  void probe_stage(search_state& state, std::size_t stage, time_point now,
+                   visit_all& out);
   void add_probes(const search_stage& stage, std::uint8_t plan, time_point now,
                   visit_all& out);
   entry_action continue_search(const relay_header& header,
@@ -352,7 +388,7 @@
   std::unordered_map<flow_key, search_state> searched_;
   std::unordered_map<std::uint64_t, time_point> avoided_until_;
   agent_monitor monitor_;
-  std::size_t probes_sent_ = 0; ///< since the last tick
+  probe_budget probes_;
   std::uint8_t last_plan_ = 0;
   entry_counters counters_;
 };
--- a/include/toucanmill/relay/stage_walk.hpp
+++ b/include/toucanmill/relay/stage_walk.hpp
@@ -25,6 +25,9 @@
   /// after all others.
   std::vector<std::size_t> start_round();
 
+  /// All open stages of the same health as the first of them.
+  std::vector<std::size_t> start_all();
+
   /// The next stage alone; the round after it is as wide as without it.
   std::vector<std::size_t> start_one();
 
--- a/src/relay/entry/agent_monitor_test.cpp
+++ b/src/relay/entry/agent_monitor_test.cpp
@@ -58,3 +58,21 @@
   monitor.on_probe(agent, start + 13s);
   CHECK_FALSE(is_unresponsive(agent, start + 13s));
 }
+
+// Guards against questions that count as lost while all answers come late, and
+// against one late answer that delays those that are lost on a sound link.
+TEST(agent_monitor, question_is_lost_only_when_later_ones_are_answered)
+{
+  CHECK_FALSE(monitor.has_answered_since(start));
+  for (int i = 0; i < 20; ++i)
+    monitor.on_question_answered(start, start + 30ms);
+  CHECK_TRUE(monitor.has_answered_since(start));
+  CHECK_FALSE(monitor.has_answered_since(start + 1ms));
+  const auto before = monitor.loss_timeout();
+  CHECK_TRUE(before <= 100ms);
+  monitor.on_question_answered(start, start + 800ms);
+  CHECK_TRUE(monitor.loss_timeout() < 200ms);
+  for (int i = 0; i < 40; ++i)
+    monitor.on_question_answered(start, start + 700ms);
+  CHECK_TRUE(monitor.loss_timeout() > 700ms);
+}
--- a/src/relay/entry/entry_core.cpp
+++ b/src/relay/entry/entry_core.cpp
@@ -50,7 +50,8 @@
 }
 
 entry_core::entry_core(entry_options options)
-    : options_(options), memory_(options.memory), monitor_(options.monitor)
+    : options_(options), memory_(options.memory), monitor_(options.monitor),
+      probes_(options.max_probes_per_tick)
 {
 }
 
@@ -338,6 +339,8 @@
   // then returns the packet.
   if (const auto search = searched_.find(flow); search != searched_.end())
   {
+    if (!header.probe)
+      measure_answer(header, search->second, now);
     search->second.found = true;
     search->second.not_found.reset();
   }
@@ -346,7 +349,6 @@
 
 void entry_core::on_tick(time_point now)
 {
-  probes_sent_ = 0;
   monitor_.on_tick(now);
   memory_.on_tick(now);
   for (auto it = searched_.begin(); it != searched_.end();)
--- a/src/relay/entry/entry_late_search_core.cpp
+++ b/src/relay/entry/entry_late_search_core.cpp
@@ -29,6 +29,19 @@
   return rest;
 }
 
+bool contains(const visit_stops& stops, const endpoint& agent)
+{
+  const auto* const end = stops.agents.data() + stops.size;
+  return std::find(stops.agents.data(), end, agent) != end;
+}
+
+bool is_recent(const std::map<endpoint, time_point>& times,
+               const endpoint& agent, duration limit, time_point now)
+{
+  const auto found = times.find(agent);
+  return found != times.end() && now - found->second <= limit;
+}
+
 } // namespace
 
 /// The search goes on with the next stage that has not been visited: starting
@@ -53,22 +66,255 @@
   return make_visit(state, next.front(), now);
 }
 
+/// When the first of the stages was visited.
+time_point entry_core::first_visit(const search_state& state,
+                                   const std::vector<std::size_t>& stages,
+                                   time_point now)
+{
+  for (const auto stage : stages)
+    if (const auto& at = state.plan.visited_at[stage])
+      now = std::min(now, *at);
+  return now;
+}
+
+/// Whether the stages have no answer because none has come yet, or because
+/// answers take longer on average.
+bool entry_core::are_answers_late(const search_state& state,
+                                  const std::vector<std::size_t>& unanswered,
+                                  time_point now) const
+{
+  const auto since = first_visit(state, unanswered, now);
+  return !monitor_.has_answered_since(since) ||
+         now - since <= monitor_.loss_timeout();
+}
+
+void entry_core::measure_answer(const relay_header& header,
+                                const search_state& state, time_point now)
+{
+  const auto& [number, made, table, unresponsive, stages, visited_at] =
+      state.plan;
+  if (header.plan == number && header.stage < visited_at.size() &&
+      visited_at[header.stage])
+    monitor_.on_question_answered(*visited_at[header.stage], now);
+}
+
+/// With late answers all other stages are asked at once: one after the other,
+/// the last is asked after the flow must have reached its agent. Most
+/// probes stay for questions that prove to be lost.
+entry_action entry_core::search_late(search_state& state,
+                                     const std::vector<std::size_t>& unanswered,
+                                     time_point now)
+{
+  visit_all out;
+  const bool is_silent =
+      !monitor_.has_answered_since(first_visit(state, unanswered, now));
+  for (const auto stage : unanswered)
+  {
+    if (is_silent && probes_.left(now) > options_.max_probes_per_tick * 3 / 4)
+    {
+      probe_stage(state, stage, now, out);
+    }
+    state.walk.skip(stage);
+  }
+  state.inconclusive = true;
+  for (const auto next : state.walk.start_all())
+  {
+    probes_.use(1, now);
+    out.visits.push_back(make_visit(state, next, now));
+  }
+  if (out.visits.empty())
+    return await_search{};
+  if (out.visits.size() == 1 && !out.visits.front().header.probe)
+    return out.visits.front();
+  return out;
+}
+
+duration entry_core::repeat_delay() const
+{
+  return std::max(monitor_.loss_timeout(),
+                  min_lost_intervals * options_.retry_interval);
+}
+
 /// Adds questions for the skipped stages whose answers are missing.
 void entry_core::ask_again(search_state& state, time_point now)
 {
-  const auto silent = monitor_.silent(now);
-  const auto wait = std::max(monitor_.answer_timeout(),
-                             min_lost_intervals * options_.retry_interval);
-  auto& visited_at = state.plan.visited_at;
-  for (std::size_t stage = 0; stage < visited_at.size(); ++stage)
-    if (state.walk.is_skipped(stage) && visited_at[stage] &&
-        now - *visited_at[stage] > wait)
+  const auto stages = state.plan.visited_at.size();
+  for (std::size_t stage = 0; stage < stages; ++stage)
+    if (is_lost(state, stage, now))
     {
-      visited_at[stage].reset();
-      split_stage(state, stage, silent);
+      state.plan.visited_at[stage].reset();
+      split_stage(state, stage, monitor_.silent(now));
     }
 }
 
+/// Whether a question of that time stays without an answer while answers to
+/// others come, or for longer than any answer takes.
+bool entry_core::is_lost(time_point asked, time_point now) const
+{
+  return now - asked > (monitor_.has_answered_since(asked)
+                            ? repeat_delay()
+                            : options_.monitor.max_answer_timeout);
+}
+
+bool entry_core::is_lost(const search_state& state, std::size_t stage,
+                         time_point now) const
+{
+  const auto& at = state.plan.visited_at[stage];
+  return state.walk.is_skipped(stage) && at && is_lost(*at, now);
+}
+
+/// On other links a further attempt by a new plan, which leaves out the agents
+/// that left probes unanswered, comes sooner than a repeated question.
+bool entry_core::answers_are_slow() const
+{
+  return monitor_.loss_timeout() > options_.retry_interval;
+}
+
+bool entry_core::has_lost(const search_state& state, time_point now) const
+{
+  if (now - state.began > options_.search_timeout || !answers_are_slow())
+    return false;
+  for (std::size_t stage = 0; stage < state.plan.visited_at.size(); ++stage)
+    if (is_lost(state, stage, now))
+      return true;
+  return std::any_of(state.asked_alone.begin(), state.asked_alone.end(),
+                     [&](const auto& asked)
+                     {
+                       return is_lost(asked.second, now);
+                     });
+}
+
+/// Whether answers to packets that visit undecided agents are under way. A new
+/// plan before they come would send the agents another packet.
+bool entry_core::has_packets_under_way(const search_state& state,
+                                       time_point now) const
+{
+  const auto& visited = state.visited_undecided;
+  return answers_are_slow() &&
+         std::any_of(visited.begin(), visited.end(),
+                     [&](const auto& visit)
+                     {
+                       return state.denials.count(visit.first) == 0 &&
+                              now - visit.second <= monitor_.loss_timeout();
+                     });
+}
+
+/// Whether all stages were visited and questions without an answer remain,
+/// which are repeated one by one.
+bool entry_core::has_outstanding(const search_state& state,
+                                 time_point now) const
+{
+  if (has_packets_under_way(state, now))
+    return true;
+  if (now - state.began > options_.search_timeout || !state.walk.finished() ||
+      (!answers_are_slow() && monitor_.has_answered_since(state.plan.made)))
+    return false;
+  const auto may_come = [&](time_point asked)
+  {
+    return probes_.left(now) > 0 || now - asked <= monitor_.loss_timeout();
+  };
+  for (std::size_t stage = 0; stage < state.plan.visited_at.size(); ++stage)
+    if (const auto& at = state.plan.visited_at[stage];
+        state.walk.is_skipped(stage) && at && may_come(*at))
+      return true;
+  return answers_are_slow() &&
+         std::any_of(state.asked_alone.begin(), state.asked_alone.end(),
+                     [&](const auto& asked)
+                     {
+                       return may_come(asked.second);
+                     });
+}
+
+/// Questions in the place of those that seem lost.
+visit_all entry_core::repeat_lost(search_state& state, time_point now)
+{
+  visit_all out;
+  if (now - state.began > options_.search_timeout)
+    return out;
+  repeat_alone(state, now, out);
+  const auto stages = state.plan.visited_at.size();
+  for (std::size_t stage = 0; stage < stages; ++stage)
+    if (is_lost(state, stage, now))
+      repeat_stage(state, stage, now, out);
+  return out;
+}
+
+/// Each agent is asked alone, or a few together if that takes too many probes.
+void entry_core::repeat_stage(search_state& state, std::size_t stage,
+                              time_point now, visit_all& out)
+{
+  const auto lost = state.plan.stages[stage];
+  if (probes_.left(now) <
+      std::min<std::size_t>(lost.stops.size, lost_stage_parts))
+    return;
+  state.plan.visited_at[stage].reset();
+  if (probes_.left(now) >= lost.stops.size)
+    return ask_alone(state, lost, now, out);
+  const auto first = state.plan.stages.size();
+  split_stage(state, stage, monitor_.silent(now));
+  for (auto part = first; part < state.plan.stages.size(); ++part)
+  {
+    probes_.use(1, now);
+    out.visits.push_back(make_visit(state, part, now));
+    state.walk.skip(part);
+  }
+}
+
+void entry_core::ask_alone(search_state& state, const search_stage& stage,
+                           time_point now, visit_all& out)
+{
+  const bool by_packet =
+      stage.stops.size <= lost_stage_parts && comes_too_late(state, now);
+  for (std::size_t i = 0; i < stage.stops.size; ++i)
+  {
+    const auto& agent = stage.stops.agents[i];
+    if (state.denials.count(agent) == 0 &&
+        state.asked_alone.try_emplace(agent, now).second)
+      visit_alone(state, agent, by_packet, now, out);
+  }
+}
+
+/// Agents that stay silent may have been down.
+void entry_core::repeat_alone(search_state& state, time_point now,
+                              visit_all& out)
+{
+  const bool by_packet = comes_too_late(state, now);
+  for (auto& [agent, at] : state.asked_alone)
+    if (is_lost(at, now) && probes_.left(now) > 0)
+    {
+      at = now;
+      visit_alone(state, agent, by_packet, now, out);
+    }
+}
+
+/// Whether the answer to a question would come after the time in which the
+/// flow must reach its agent.
+bool entry_core::comes_too_late(const search_state& state, time_point now) const
+{
+  return now + monitor_.loss_timeout() >= state.began + options_.search_timeout;
+}
+
+void entry_core::visit_alone(search_state& state, const endpoint& agent,
+                             bool by_packet, time_point now, visit_all& out)
+{
+  const auto& stages = state.plan.stages;
+  const auto of_agent = std::find_if(stages.begin(), stages.end(),
+                                     [&agent](const search_stage& stage)
+                                     {
+                                       return contains(stage.stops, agent);
+                                     });
+  if (of_agent == stages.end())
+    return;
+  search_stage alone{of_agent->service, {}};
+  alone.stops.add(agent);
+  add_probes(alone, state.plan.number, now, out);
+  if (!by_packet ||
+      is_recent(state.visited_undecided, agent, options_.packet_interval, now))
+    return;
+  out.visits.back().header.locates = false;
+  state.visited_undecided[agent] = now;
+}
+
 /// An agent that is down loses the message to all agents after it and the
 /// answer of those before it, so each question goes to a quarter of the stage,
 /// and to a silent agent alone.
@@ -121,7 +367,9 @@
   if (const auto visit = visit_undecided(header, packet.from_caller(), now))
     out.visits.push_back(*visit);
   state.walk.skip_round();
-  ask_again(state, now);
+  const auto repeated = repeat_lost(state, now);
+  out.visits.insert(out.visits.end(), repeated.visits.begin(),
+                    repeated.visits.end());
   for (const auto stage : state.walk.start_round())
     out.visits.push_back(make_visit(state, stage, now));
   if (out.visits.empty())
@@ -136,19 +384,14 @@
                                        search_state& state,
                                        time_point now) const
 {
-  const auto is_recent =
-      [now](const auto& times, const endpoint& agent, duration limit)
-  {
-    const auto found = times.find(agent);
-    return found != times.end() && now - found->second <= limit;
-  };
   visit_stops stops;
   for (std::size_t i = 0; i < header.stops.size; ++i)
   {
     const auto& agent = header.stops.agents[i];
     const bool waits =
-        is_recent(state.denials, agent, options_.search_timeout) ||
-        is_recent(state.visited_undecided, agent, options_.packet_interval);
+        is_recent(state.denials, agent, options_.search_timeout, now) ||
+        is_recent(state.visited_undecided, agent, options_.packet_interval,
+                  now);
     if ((header.undecided >> i & 1U) == 0 || waits)
       continue;
     state.visited_undecided[agent] = now;
--- a/src/relay/entry/entry_search_core.cpp
+++ b/src/relay/entry/entry_search_core.cpp
@@ -39,7 +39,14 @@
   const bool is_searching = !state.not_found && !state.found &&
                             state.attempts > 0 &&
                             now - state.last <= options_.search_timeout;
-  if (is_searching && now - state.last < retry_delay(state))
+  if (is_searching && !replanned && has_lost(state, now))
+    if (auto out = repeat_lost(state, now); !out.visits.empty())
+    {
+      state.last = now;
+      return out;
+    }
+  if (is_searching && (now - state.last < retry_delay(state) ||
+                       (!replanned && has_outstanding(state, now))))
     return replanned ? restart_walk(packet, state, now)
                      : entry_action{await_search{}};
   if (!is_searching)
@@ -55,8 +62,10 @@
   const auto unanswered = state.walk.abandon_round();
   if (is_searching && !unanswered.empty())
   {
-    if (probes_sent_ < options_.max_probes_per_tick)
-      return search_with_probes(state, unanswered, now);
+    if (probes_.left(now) > 0)
+      return are_answers_late(state, unanswered, now)
+                 ? search_late(state, unanswered, now)
+                 : search_with_probes(state, unanswered, now);
     if (const auto next = visit_next_unvisited(state, unanswered, now))
       return *next;
   }
@@ -73,6 +82,7 @@
   plan.number = last_plan_;
   plan.made = now;
   plan.visited_at.clear();
+  state.asked_alone.clear();
   plan.table = table_;
   state.plan_numbers.set(plan.number);
   plan.unresponsive = monitor_.unresponsive(now);
@@ -95,8 +105,7 @@
 {
   agent_set denied;
   for (const auto& [agent, at] : state.denials)
-    if (now - at <= options_.search_timeout)
-      denied.insert(agent);
+    denied.insert(agent);
   auto visited = denied;
   for (const auto* const times : {&state.sent_packet, &state.visited_undecided})
     for (const auto& [agent, at] : *times)
@@ -124,6 +133,8 @@
   auto& state = found->second;
   if (!state.plan_numbers.test(header.plan))
     return;
+  for (std::size_t i = 0; i < header.stops.size; ++i)
+    state.asked_alone.erase(header.stops.agents[i]);
   for (std::size_t i = 0; i < header.stops.size; ++i)
     if ((header.undecided >> i & 1U) == 0)
       state.denials[header.stops.agents[i]] = now;
@@ -251,26 +262,36 @@
   ++counters_.probe_searches;
   visit_all out;
   for (const auto stage : unanswered)
-    if (probes_sent_ < options_.max_probes_per_tick)
+    if (probes_.left(now) > 0)
     {
-      add_probes(state.plan.stages[stage], state.plan.number, now, out);
+      probe_stage(state, stage, now, out);
       state.walk.skip(stage);
     }
   // A probed agent that does not answer may hold the flow.
   state.inconclusive = true;
   for (const auto next : state.walk.start_round())
   {
-    ++probes_sent_;
+    probes_.use(1, now);
     out.visits.push_back(make_visit(state, next, now));
   }
   return out;
 }
 
+void entry_core::probe_stage(search_state& state, std::size_t stage,
+                             time_point now, visit_all& out)
+{
+  const auto& probed = state.plan.stages[stage];
+  add_probes(probed, state.plan.number, now, out);
+  state.plan.visited_at[stage].reset();
+  for (std::size_t i = 0; i < probed.stops.size; ++i)
+    state.asked_alone.try_emplace(probed.stops.agents[i], now);
+}
+
 void entry_core::add_probes(const search_stage& stage, std::uint8_t plan,
                             time_point now, visit_all& out)
 {
   const auto& stops = stage.stops;
-  probes_sent_ += stops.size;
+  probes_.use(stops.size, now);
   auto header = make_header(*stage.service);
   header.probe = true;
   header.plan = plan;
@@ -309,8 +330,7 @@
     return on_late_answer();
   if (update_plan(packet, from, state, now))
     return restart_walk(packet, state, now);
-  if (header.stage == 0 && header.plan == plan.number)
-    monitor_.on_answer_time(now - plan.made);
+  measure_answer(header, state, now);
   const bool was_late = state.walk.has_skipped();
   if (!state.walk.on_missed(header.stage))
     return on_late_answer();
@@ -382,7 +402,10 @@
   if (found == searched_.end() || found->second.not_found ||
       found->second.found || now - found->second.last > options_.search_timeout)
     return search_progress::ended;
-  return now - found->second.last < retry_delay(found->second)
+  const auto& state = found->second;
+  if (probes_.left(now) > 0 && has_lost(state, now))
+    return search_progress::repeats;
+  return now - state.last < retry_delay(state) || has_outstanding(state, now)
              ? search_progress::waiting
              : search_progress::overdue;
 }
--- a/src/relay/entry/pending_searches.hpp
+++ b/src/relay/entry/pending_searches.hpp
@@ -177,13 +177,14 @@
     auto& flow = at->second;
     if (progress == search_progress::waiting)
       return;
+    const bool repeats = progress == search_progress::repeats;
     if (progress == search_progress::ended ||
-        flow.retries == options_.max_retries)
+        (!repeats && flow.retries == options_.max_retries))
     {
       erase(at);
       return;
     }
-    ++flow.retries;
+    flow.retries += repeats ? 0 : 1;
     flow.packets.push_back(std::move(flow.packets.front()));
     flow.packets.pop_front();
     due.push_back(flow.packets.front());
--- a/src/relay/entry/pending_searches_test.cpp
+++ b/src/relay/entry/pending_searches_test.cpp
@@ -60,6 +60,16 @@
   CHECK_EQUAL(0U, pending.octets());
 }
 
+// Guards against a search that is given up because many of its questions were
+// lost and repeated.
+TEST(pending_searches, repeated_questions_are_no_retries)
+{
+  pending.hold(flow(1), packet);
+  for (int i = 0; i < 10; ++i)
+    CHECK_EQUAL(1U, pending.take_due(all(search_progress::repeats)).size());
+  CHECK_EQUAL(1U, pending.take_due(all(search_progress::overdue)).size());
+}
+
 // Guards against unbounded memory when a balancer restarts and searches for all
 // of its flows.
 TEST(pending_searches, number_of_flows_is_bounded)
--- a/src/relay/entry/stage_walk.cpp
+++ b/src/relay/entry/stage_walk.cpp
@@ -36,6 +36,11 @@
   return round;
 }
 
+std::vector<std::size_t> stage_walk::start_all()
+{
+  return start(states_.size());
+}
+
 std::vector<std::size_t> stage_walk::start_one()
 {
   return start(1);
