relay: lost questions are repeated on links with fast answers too

Cause: with answers after 30 ms a search gave up its packet after three attempts, at 0.7 s, so an agent that came back after a second was not asked again. Change: questions without an answer for 0.4 s are repeated on all links, within the budget of probes.

--- a/src/relay/entry/entry_late_search_core.cpp
+++ b/src/relay/entry/entry_late_search_core.cpp
@@ -163,8 +163,8 @@
   return state.walk.is_skipped(stage) && at && is_lost(*at, now);
 }
 
-/// On other links a further attempt by a new plan, which leaves out the agents
-/// that left probes unanswered, comes sooner than a repeated question.
+/// On other links the next attempt need not wait: a new plan leaves out the
+/// agents that left probes unanswered.
 bool entry_core::answers_are_slow() const
 {
   return monitor_.loss_timeout() > options_.retry_interval;
@@ -172,7 +172,7 @@
 
 bool entry_core::has_lost(const search_state& state, time_point now) const
 {
-  if (now - state.began > options_.search_timeout || !answers_are_slow())
+  if (now - state.began > options_.search_timeout)
     return false;
   for (std::size_t stage = 0; stage < state.plan.visited_at.size(); ++stage)
     if (is_lost(state, stage, now))
