relay: a late announcement of any earlier start ends no flow

A start also lost the flows that it had opened before its first announcement was heard, and a list named them under the start before, so that a later process reset them. Change: a start replaces a known one with its first announcement, or with a repeated one while the present start is silent for half of silence_limit; the latest 16 ended starts never come back otherwise. Flows seen after the latest announcement of the earlier start are neither reset nor listed. Its checks are the same.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -336,10 +336,12 @@
     relay_header header;
   };
 
-  /// `restarted`: the agent knew an earlier start of this upstream.
+  /// `restarted`: the agent knew an earlier start of this upstream;
+  /// `known_until`: its latest announcement, time_point::min() if it is not
+  /// certain that it was the present one.
   void on_start_of_upstream(const upstream_announcement& value, bool restarted,
-                            std::uint64_t wall_clock_ms, time_point now,
-                            relay_sink& sink);
+                            time_point known_until, std::uint64_t wall_clock_ms,
+                            time_point now, relay_sink& sink);
   bool knows_all_flows(time_point now) const;
   std::vector<std::uint16_t> held_buckets(time_point now) const;
   bool opens_flows(const std::vector<route_target>& targets) const;
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -1,7 +1,9 @@
 #ifndef TOUCANMILL_RELAY_UPSTREAM_CORE_HPP
 #define TOUCANMILL_RELAY_UPSTREAM_CORE_HPP
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -101,6 +103,12 @@
     return is_start_certain_;
   }
 
+  /// Time of the latest accepted announcement.
+  time_point last_announced() const
+  {
+    return last_announced_;
+  }
+
   /// End of the upstream's warm-up.
   time_point cold_until() const
   {
@@ -119,12 +127,18 @@
 
 private:
   bool replaces_current(const upstream_announcement& value) const;
+  /// Remembers the current start as ended.
+  void end_current();
   bool supersedes_silent_start(const upstream_announcement& value,
                                time_point now);
 
+  /// Announcements of an older start would have to be later than this many
+  /// starts.
+  static constexpr std::size_t max_ended_starts = 16;
+
   options options_;
   std::optional<upstream_announcement> current_;
-  std::string previous_instance_;
+  std::deque<upstream_start> ended_starts_; ///< the latest; oldest first
 
   /// Latest announcement of a start that appears older than the current one.
   std::optional<upstream_announcement> competing_start_;
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -92,9 +92,13 @@
                                           time_point now, relay_sink& sink)
 {
   const auto before = upstream_.life();
+  const bool restarted = before != incarnation{};
+  const auto known_until = upstream_.is_start_certain()
+                               ? upstream_.last_announced() + duration(1)
+                               : time_point::min();
   const auto verdict = upstream_.announce(value, wall_clock_ms, now);
   if (before != upstream_.life())
-    on_start_of_upstream(value, before != incarnation{}, wall_clock_ms, now,
+    on_start_of_upstream(value, restarted, known_until, wall_clock_ms, now,
                          sink);
   if (verdict == announcement_verdict::accepted)
   {
@@ -121,7 +125,7 @@
 /// upstream, or if it got the first announcement: agents admit no flow before
 /// that.
 void relay_core::on_start_of_upstream(const upstream_announcement& value,
-                                      bool restarted,
+                                      bool restarted, time_point known_until,
                                       std::uint64_t wall_clock_ms,
                                       time_point now, relay_sink& sink)
 {
@@ -129,10 +133,15 @@
   const bool has_age = value.born_ms != 0 && value.born_ms <= wall_clock_ms;
   const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
                                               : 0);
-  saw_start_of_upstream_ = value.sequence <= first_announcement ||
-                           (has_age && age <= now - options_.started);
+  const bool is_first = value.sequence <= first_announcement;
+  saw_start_of_upstream_ =
+      is_first || (has_age && age <= now - options_.started);
+  // It may have opened flows since the earlier start was heard from last. Its
+  // age is exact in its first announcement only: clocks are set back.
+  const auto began = has_age ? now - age : time_point::max();
   if (restarted)
-    reset_flows(has_age ? now - age : time_point::max(), now, sink);
+    reset_flows(is_first && has_age ? began : std::min(began, known_until), now,
+                sink);
   returned_.clear();
   deliveries_before_start_ = deliveries_;
   meter_.reset();
--- a/src/relay/agent/relay_denial_test.cpp
+++ b/src/relay/agent/relay_denial_test.cpp
@@ -86,6 +86,7 @@
   /// A start whose age is not known, and whose first announcement was lost.
   void start_upstream_again()
   {
+    core.leave("i-1", start, sink);
     core.announce(announcement(2, "i-2", 0), 6000, start, sink);
   }
 
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -14,8 +14,10 @@
   if (upstream_.ended() || !upstream_.is_start_certain() || !listed_are_certain)
     return list;
   list.of = upstream_.start();
+  // A later flow may be of a start that has not announced itself yet.
   for (const auto& [flow, state] : flows_)
-    if (state.open && !state.ended)
+    if (state.open && !state.ended &&
+        state.seen_since <= upstream_.last_announced())
       list.flows.push_back({flow, state.acknowledged});
   return list;
 }
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -244,6 +244,49 @@
   CHECK_EQUAL(0U, agent.sink.delivered.size());
 }
 
+// Guards against the same where upstreams announce no birth and the late one is
+// of a start before the last, or of one that this agent never knew.
+TEST(relay_list, late_announcement_of_any_earlier_start_resets_no_flow)
+{
+  listed_agent agent;
+  for (const auto* instance : {"i-1", "i-2", "i-3"})
+    agent.announce(unborn(1, instance));
+  agent.open(1);
+  for (const auto* instance : {"i-1", "i-2", "i-0"})
+    agent.announce(unborn(9, instance), 1s);
+  CHECK_EQUAL(0U, agent.sink.resets.size());
+  CHECK_TRUE(agent.locates(1));
+}
+
+// Guards against a reset of flows that a start opened before the agent knew it.
+TEST(relay_list, flow_opened_before_its_start_is_announced_is_not_reset)
+{
+  for (const bool first_is_lost : {false, true})
+  {
+    listed_agent agent;
+    agent.announce(unborn(1));
+    agent.open(1, 500ms);
+    agent.announce(unborn(2), 1s);
+    agent.open(2, 1500ms); // at i-2
+    if (!first_is_lost)
+      agent.announce(unborn(1, "i-2"), 2s);
+    agent.announce(unborn(2, "i-2"), 2500ms);
+    agent.announce(unborn(3, "i-2"), 3500ms);
+    CHECK_TRUE(agent.reset_ports() == std::set<std::uint16_t>{1});
+  }
+}
+
+// Guards against a list that names the flow under the start before its own.
+TEST(relay_list, flow_is_listed_once_its_start_has_announced_itself_again)
+{
+  listed_agent agent;
+  agent.announce(unborn(1));
+  agent.open(1, 500ms);
+  CHECK_EQUAL(0U, agent.core.list_flows().flows.size());
+  agent.announce(unborn(2), 1s);
+  CHECK_EQUAL(1U, agent.core.list_flows().flows.size());
+}
+
 namespace
 {
 
--- a/src/relay/agent/upstream_core.cpp
+++ b/src/relay/agent/upstream_core.cpp
@@ -11,20 +11,47 @@
 
 upstream_core::upstream_core(options chosen) : options_(std::move(chosen)) {}
 
+namespace
+{
+
+upstream_start start_of(const upstream_announcement& value)
+{
+  const auto& name = value.instance;
+  return {XXH3_64bits(name.data(), name.size()), value.born_ms};
+}
+
+} // namespace
+
 bool upstream_core::replaces_current(const upstream_announcement& value) const
 {
   if (!current_)
     return true;
-  if (value.born_ms != 0 && current_->born_ms != 0 &&
-      value.born_ms != current_->born_ms)
+  const auto other = start_of(value);
+  if (std::find(ended_starts_.begin(), ended_starts_.end(), other) !=
+      ended_starts_.end())
+    return false;
+  // Any later one may be late, of a start that this process never knew.
+  if (!left_ && value.sequence > first_announcement)
+    return false;
+  const bool both_born = value.born_ms != 0 && current_->born_ms != 0;
+  if (both_born && value.born_ms != current_->born_ms)
     return value.born_ms > current_->born_ms;
-  return value.instance != current_->instance &&
-         value.instance != previous_instance_;
+  return value.instance != current_->instance;
+}
+
+void upstream_core::end_current()
+{
+  if (!current_)
+    return;
+  if (ended_starts_.size() == max_ended_starts)
+    ended_starts_.pop_front();
+  ended_starts_.push_back(start_of(*current_));
 }
 
-// After the clock was set back, a new start appears older than the current one.
-// Unlike a delayed announcement, it repeats with increasing sequence numbers
-// while the current start is silent.
+// After the clock was set back, a new start appears older than the current one,
+// and the first announcement of one without a birth may be lost. Unlike a
+// delayed announcement, it repeats with increasing sequence numbers while the
+// current start is silent.
 bool upstream_core::supersedes_silent_start(const upstream_announcement& value,
                                             time_point now)
 {
@@ -33,6 +60,8 @@
                         competing_start_->born_ms == value.born_ms &&
                         competing_start_->sequence < value.sequence;
   competing_start_ = value;
+  if (!is_start_certain_)
+    started_announcing_ = now;
   return repeated && now - last_announced_ >= options_.silence_limit / 2;
 }
 
@@ -48,11 +77,9 @@
            : !replaces_current(value) && !supersedes_silent_start(value, now))
     return announcement_verdict::late;
   competing_start_.reset();
-  last_announced_ = now;
   if (!same)
   {
-    if (current_ && current_->instance != value.instance)
-      previous_instance_ = current_->instance;
+    end_current();
     const auto born = value.born_ms != 0 ? value.born_ms : wall_clock_ms;
     life_ = {std::max(life_.value + 1, born)};
     left_ = false;
@@ -63,6 +90,7 @@
                       value.sequence <= first_announcement ||
                       now - started_announcing_ >= options_.silence_limit / 2;
   current_ = value;
+  last_announced_ = now;
   last_heard_ = now;
   cold_until_ = now + value.cold_left;
   unanswered_since_.reset();
@@ -71,10 +99,7 @@
 
 upstream_start upstream_core::start() const
 {
-  if (!current_)
-    return {};
-  const auto& name = current_->instance;
-  return {XXH3_64bits(name.data(), name.size()), current_->born_ms};
+  return current_ ? start_of(*current_) : upstream_start{};
 }
 
 announcement_verdict upstream_core::leave(const std::string& instance,
