relay: a reset has the position of the flow of its own upstream

Cause: a caller's packet moved the position of its reset although the caller had opened another flow from the same port at another upstream. When the upstream of the old flow was down and started again, the agent reset the other flow, which was open. Change: a position of the caller counts within 65,536 octets of the last one; the upstream's own packets correct it. A flow that the upstream accepts at another position is a new one. Result: build/relay_test -g relay_list -n reset_has_the_position: fails on the code before (position 1,048,576), passes.

--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -11,6 +11,23 @@
 namespace toucanmill
 {
 
+namespace
+{
+
+/// Octets of a response that its caller has not acknowledged yet: at most 16
+/// packets of 1,200, and those of a lost acknowledgement.
+constexpr std::uint32_t max_unacknowledged = 65'536;
+
+/// Whether two positions of upstreams may be of the same flow. Flows start at
+/// random positions.
+bool may_be_of_one_flow(std::uint32_t left, std::uint32_t right)
+{
+  return left - right <= max_unacknowledged ||
+         right - left <= max_unacknowledged;
+}
+
+} // namespace
+
 bool relay_core::knows_all_flows(time_point now) const
 {
   return saw_start_of_upstream_ ||
@@ -63,7 +80,9 @@
     return;
   auto& flow = found->second;
   flow.used = now;
-  if (packet.acknowledges)
+  // Another flow of the same address and port may be open at another upstream.
+  if (packet.acknowledges &&
+      may_be_of_one_flow(packet.acknowledged, flow.acknowledged))
     flow.acknowledged = packet.acknowledged;
   // An upstream that does not hold the flow any more has not failed a request.
   if (flow.listed)
@@ -108,6 +127,14 @@
   flow.used = now;
   flow.listed = false;
   flow.answered = true;
+  if (!may_be_of_one_flow(packet.sequence, flow.acknowledged))
+  {
+    flow.acknowledged = packet.sequence;
+    // The caller has opened another flow from the same port.
+    if (packet.accepts)
+      flow.seen_since = now;
+    flow.open &= !packet.accepts;
+  }
   flow.open |= !packet.accepts;
   if (packet.acknowledges && !packet.accepts)
     note_received(flow, packet.acknowledged);
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -287,6 +287,27 @@
   CHECK_EQUAL(1U, agent.core.list_flows().flows.size());
 }
 
+// Guards against a reset at the position of another flow of the same address
+// and port, which is open at another upstream.
+TEST(relay_list, reset_has_the_position_of_the_flow_of_this_upstream)
+{
+  for (const bool is_listed : {false, true})
+  {
+    listed_agent agent;
+    agent.announce(unborn(1));
+    if (is_listed)
+      agent.core.restore_flows(two_flows(unborn(1)), start, agent.sink);
+    agent.open(1);
+    auto other = data(1);
+    other.acknowledged = 1U << 20;
+    agent.core.on_visit(visit(), other, start, agent.sink);
+    agent.announce(unborn(1, "i-2"), 1s);
+    CHECK_FALSE(agent.sink.resets.empty());
+    for (const auto& [flow, acknowledged] : agent.sink.resets)
+      CHECK_EQUAL(data(1).acknowledged, acknowledged);
+  }
+}
+
 namespace
 {
 
