relay: a list brings back no flow that the upstream has returned

Cause: an agent forgot the flows that its upstream had returned when it heard the upstream for the first time, or when the upstream answered with a reset; the list, which came later, made it report them again. So did a list at an agent that knows all flows of its upstream without it. Change: the returned flows are forgotten at a further start only, and not for a reset; an agent that knows all flows takes none from a list. Result: build/relay_test -g relay_list: flow_returned_before_the_list_came and agent_that_knows_all_flows fail on the code before and pass.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -457,6 +457,8 @@
   /// Resets the flow if it is open, and forgets it; returns the next one.
   flow_iterator reset_flow(flow_iterator at, time_point now, relay_sink& sink);
   void reset_listed(time_point now, relay_sink& sink);
+  /// Forgets the listed flows of which the upstream has not sent a packet.
+  void forget_listed(time_point now);
   /// Resets and forgets the flows that the agent saw first before this time.
   void reset_flows(time_point before, time_point now, relay_sink& sink);
   void count(relay_event event)
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -140,9 +140,11 @@
   // age is exact in its first announcement only: clocks are set back.
   const auto began = has_age ? now - age : time_point::max();
   if (restarted)
+  {
     reset_flows(is_first && has_age ? began : std::min(began, known_until), now,
                 sink);
-  returned_.clear();
+    returned_.clear();
+  }
   deliveries_before_start_ = deliveries_;
   meter_.reset();
 }
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -113,9 +113,9 @@
                                        time_point now, relay_sink& sink)
 {
   const auto key = packet.from_upstream();
-  returned_.erase(key);
   if (packet.resets)
     return end(key, now, sink);
+  returned_.erase(key);
   // A bare acknowledgement may follow the end of a flow, so it creates no
   // entry.
   if (packet.payload_size == 0 && !packet.accepts && flows_.count(key) == 0)
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -39,6 +39,18 @@
     state.seen_since = state.used = now;
   }
   reset_listed(now, sink);
+  if (knows_all_flows(now))
+    forget_listed(now);
+}
+
+void relay_core::forget_listed(time_point now)
+{
+  for (auto it = flows_.begin(); it != flows_.end();)
+  {
+    if (it->second.listed)
+      release(it->first, it->second, now);
+    it = it->second.listed ? flows_.erase(it) : std::next(it);
+  }
 }
 
 /// The listed flows ended if the upstream has started since. An announcement of
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -308,6 +308,33 @@
   }
 }
 
+// Guards against a list that brings back a flow that the upstream has returned.
+TEST(relay_list, flow_returned_before_the_list_came_is_not_taken_from_it)
+{
+  listed_agent agent;
+  agent.core.on_visit(visit(), data(1), start, agent.sink);
+  agent.core.on_upstream_packet({}, bounced(data(1), agent.sink.delivered[0]),
+                                start, agent.sink);
+  agent.announce(announcement(7));
+  auto reset = answer(data(1));
+  reset.resets = true;
+  agent.core.on_upstream_packet({}, reset, start, agent.sink);
+  agent.core.restore_flows(two_flows(), start, agent.sink);
+  CHECK_FALSE(agent.locates(1));
+  CHECK_TRUE(agent.locates(2));
+}
+
+// Guards against flows of another start that an agent reports although it has
+// seen the present one from its first announcement on.
+TEST(relay_list, agent_that_knows_all_flows_reports_none_from_a_list)
+{
+  listed_agent agent;
+  agent.announce(announcement(1, "i-2", 500)); // the clock was set back
+  agent.core.restore_flows(two_flows(), start, agent.sink);
+  CHECK_FALSE(agent.locates(1));
+  CHECK_EQUAL(0U, agent.sink.resets.size());
+}
+
 namespace
 {
 
