--- a/src/control/flow_archive.cpp
+++ b/src/control/flow_archive.cpp
@@ -13,6 +13,7 @@
 #include <boost/crc.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <toucanmill/base/octets.hpp>
 #include <toucanmill/log/replicated_log.hpp>
 #include <toucanmill/table/flow_list.hpp>
 
@@ -28,16 +29,6 @@
 constexpr std::size_t file_header = 8;
 constexpr std::size_t list_header = 12;
 
-unsigned char* octets_of(std::string& bytes, std::size_t at)
-{
-  return reinterpret_cast<unsigned char*>(bytes.data()) + at;
-}
-
-const unsigned char* octets_of(const std::string& bytes, std::size_t at)
-{
-  return reinterpret_cast<const unsigned char*>(bytes.data()) + at;
-}
-
 std::uint32_t checksum_of(const std::string& file)
 {
   boost::crc_32_type sum;
@@ -48,8 +39,8 @@
 bool is_intact(const std::string& file)
 {
   return file.size() >= file_header &&
-         boost::endian::load_big_u32(octets_of(file, 0)) == file_format &&
-         boost::endian::load_big_u32(octets_of(file, 4)) == checksum_of(file);
+         boost::endian::load_big_u32(octets_at(file, 0)) == file_format &&
+         boost::endian::load_big_u32(octets_at(file, 4)) == checksum_of(file);
 }
 
 class descriptor
@@ -186,8 +177,8 @@
     return options_.on_failure(path() + " is damaged; starting without lists");
   for (auto at = file_header; at + list_header <= file.size();)
   {
-    const auto node = boost::endian::load_big_u64(octets_of(file, at));
-    const auto size = boost::endian::load_big_u32(octets_of(file, at + 8));
+    const auto node = boost::endian::load_big_u64(octets_at(file, at));
+    const auto size = boost::endian::load_big_u32(octets_at(file, at + 8));
     at += list_header;
     lists_[node] = {++order_, file.substr(at, size)};
     octets_ += lists_[node].octets.size();
@@ -203,14 +194,14 @@
   {
     const auto at = file.size();
     file.resize(at + list_header);
-    boost::endian::store_big_u64(octets_of(file, at), node);
+    boost::endian::store_big_u64(octets_at(file, at), node);
     boost::endian::store_big_u32(
-        octets_of(file, at + 8),
+        octets_at(file, at + 8),
         static_cast<std::uint32_t>(kept.octets.size()));
     file += kept.octets;
   }
-  boost::endian::store_big_u32(octets_of(file, 0), file_format);
-  boost::endian::store_big_u32(octets_of(file, 4), checksum_of(file));
+  boost::endian::store_big_u32(octets_at(file, 0), file_format);
+  boost::endian::store_big_u32(octets_at(file, 4), checksum_of(file));
   return file;
 }
 
--- a/src/table/flow_list.cpp
+++ b/src/table/flow_list.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/endian/conversion.hpp>
 
+#include <toucanmill/base/octets.hpp>
+
 namespace toucanmill
 {
 
@@ -16,16 +18,6 @@
 constexpr std::size_t max_flows =
     (max_flow_list_octets - header_octets) / flow_octets;
 
-unsigned char* octets_at(std::string& bytes, std::size_t offset)
-{
-  return reinterpret_cast<unsigned char*>(bytes.data()) + offset;
-}
-
-const unsigned char* octets_at(std::string_view bytes, std::size_t offset)
-{
-  return reinterpret_cast<const unsigned char*>(bytes.data()) + offset;
-}
-
 void store(unsigned char* to, const listed_flow& value)
 {
   boost::endian::store_big_u32(to, value.flow.caller.address.value);
