--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -244,6 +244,97 @@
   CHECK_EQUAL(0U, agent.sink.delivered.size());
 }
 
+// Guards against the same where upstreams announce no birth and the late one is
+// of a start before the last, or of one that this agent never knew.
+TEST(relay_list, late_announcement_of_any_earlier_start_resets_no_flow)
+{
+  listed_agent agent;
+  for (const auto* instance : {"i-1", "i-2", "i-3"})
+    agent.announce(unborn(1, instance));
+  agent.open(1);
+  for (const auto* instance : {"i-1", "i-2", "i-0"})
+    agent.announce(unborn(9, instance), 1s);
+  CHECK_EQUAL(0U, agent.sink.resets.size());
+  CHECK_TRUE(agent.locates(1));
+}
+
+// Guards against a reset of flows that a start opened before the agent knew it.
+TEST(relay_list, flow_opened_before_its_start_is_announced_is_not_reset)
+{
+  for (const bool first_is_lost : {false, true})
+  {
+    listed_agent agent;
+    agent.announce(unborn(1));
+    agent.open(1, 500ms);
+    agent.announce(unborn(2), 1s);
+    agent.open(2, 1500ms); // at i-2
+    if (!first_is_lost)
+      agent.announce(unborn(1, "i-2"), 2s);
+    agent.announce(unborn(2, "i-2"), 2500ms);
+    agent.announce(unborn(3, "i-2"), 3500ms);
+    CHECK_TRUE(agent.reset_ports() == std::set<std::uint16_t>{1});
+  }
+}
+
+// Guards against a list that names the flow under the start before its own.
+TEST(relay_list, flow_is_listed_once_its_start_has_announced_itself_again)
+{
+  listed_agent agent;
+  agent.announce(unborn(1));
+  agent.open(1, 500ms);
+  CHECK_EQUAL(0U, agent.core.list_flows().flows.size());
+  agent.announce(unborn(2), 1s);
+  CHECK_EQUAL(1U, agent.core.list_flows().flows.size());
+}
+
+// Guards against a reset at the position of another flow of the same address
+// and port, which is open at another upstream.
+TEST(relay_list, reset_has_the_position_of_the_flow_of_this_upstream)
+{
+  for (const bool is_listed : {false, true})
+  {
+    listed_agent agent;
+    agent.announce(unborn(1));
+    if (is_listed)
+      agent.core.restore_flows(two_flows(unborn(1)), start, agent.sink);
+    agent.open(1);
+    auto other = data(1);
+    other.acknowledged = 1U << 20;
+    agent.core.on_visit(visit(), other, start, agent.sink);
+    agent.announce(unborn(1, "i-2"), 1s);
+    CHECK_FALSE(agent.sink.resets.empty());
+    for (const auto& [flow, acknowledged] : agent.sink.resets)
+      CHECK_EQUAL(data(1).acknowledged, acknowledged);
+  }
+}
+
+// Guards against a list that brings back a flow that the upstream has returned.
+TEST(relay_list, flow_returned_before_the_list_came_is_not_taken_from_it)
+{
+  listed_agent agent;
+  agent.core.on_visit(visit(), data(1), start, agent.sink);
+  agent.core.on_upstream_packet({}, bounced(data(1), agent.sink.delivered[0]),
+                                start, agent.sink);
+  agent.announce(announcement(7));
+  auto reset = answer(data(1));
+  reset.resets = true;
+  agent.core.on_upstream_packet({}, reset, start, agent.sink);
+  agent.core.restore_flows(two_flows(), start, agent.sink);
+  CHECK_FALSE(agent.locates(1));
+  CHECK_TRUE(agent.locates(2));
+}
+
+// Guards against flows of another start that an agent reports although it has
+// seen the present one from its first announcement on.
+TEST(relay_list, agent_that_knows_all_flows_reports_none_from_a_list)
+{
+  listed_agent agent;
+  agent.announce(announcement(1, "i-2", 500)); // the clock was set back
+  agent.core.restore_flows(two_flows(), start, agent.sink);
+  CHECK_FALSE(agent.locates(1));
+  CHECK_EQUAL(0U, agent.sink.resets.size());
+}
+
 namespace
 {
 
