daemon: no thread but the main one takes stop signals

Cause: the log library's thread started before the stop signals were blocked. While the main thread did not wait for a signal (start, reload, begin of a stop), SIGTERM went to that thread and ended the process at once. Change: main blocks the signals before any thread starts.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -185,10 +185,6 @@
 
 int run(const settings& checked, const std::string& file)
 {
-  const auto signals = stop_signals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-
   set_log_context(log_fields()
                       .add("role", checked.instance.role)
                       .add("node", checked.instance.name));
@@ -210,6 +206,12 @@
 
 int main(int argc, char** argv)
 {
+  // Threads inherit the mask. A thread that does not block a stop signal would
+  // end the process by it while the main thread does not wait for one.
+  const auto signals = stop_signals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
   CLI::App app("Runs one role of a toucanmill load balancer.", "toucanmilld");
   options chosen;
   app.add_option("settings", chosen.file, "TOML settings file")->required();
