scripts: the soak sends a stop to earlier builds only when they wait for it

Change: a process that does not run the build under test gets SIGTERM once its main thread waits. The build under test gets it at any time.

--- a/scripts/relay_system.py
+++ b/scripts/relay_system.py
@@ -172,6 +172,7 @@
         self.data_centres = list(data_centres)
         self.extra = {}           # role: further lines of its section
         self.builds = {}          # address: build, where it is another one
+        self.running_builds = {}  # address: build of its process
         self.ended_alone = []     # (address, exit code)
         self.start_lock, self.over = threading.Lock(), False
 
@@ -229,11 +230,13 @@
 
     def start_process(self, address):
         path = self.write_settings(address)
+        build = self.builds.get(address, self.build)
         self.started.add(address)
+        self.running_builds[address] = build
         with open(os.path.join(self.folder, address + ".log"), "ab") as log:
             self.running[address] = subprocess.Popen(
-                [os.path.join(self.builds.get(address, self.build),
-                              "toucanmilld"), path], stdout=log, stderr=log)
+                [os.path.join(build, "toucanmilld"), path], stdout=log,
+                stderr=log)
 
     def tool(self, *arguments):
         """Exit code and output of the command-line tool."""
@@ -251,16 +254,25 @@
     def wait_for_handlers(self, address):
         """Until a process handles SIGTERM, it serves nothing and is ended by the
         signal itself. It ignores SIGPIPE from then on."""
-        process = self.running[address]
-
         def handles_stop():
-            with open(f"/proc/{process.pid}/status", encoding="ascii") as lines:
-                masks = [line.split()[1] for line in lines
-                         if line.startswith("SigIgn:")]
-            return process.poll() is not None or \
-                int(masks[0], 16) >> (signal.SIGPIPE - 1) & 1
+            return self.running[address].poll() is not None or \
+                self.has_signal(address, "SigIgn", signal.SIGPIPE) and \
+                not self.loses_stop(address)
         wait_until(f"signal handlers of {address}", handles_stop)
 
+    def loses_stop(self, address):
+        """Earlier builds end at once if the main thread is not waiting for the
+        signal, which it takes out of its mask while it waits."""
+        return self.running_builds[address] != self.build and \
+            self.has_signal(address, "SigBlk", signal.SIGTERM)
+
+    def has_signal(self, address, mask, number):
+        """Whether a mask of the main thread has the signal."""
+        status = f"/proc/{self.running[address].pid}/status"
+        with open(status, encoding="ascii") as lines:
+            masks = dict(line.split(":", 1) for line in lines)
+        return bool(int(masks[mask], 16) >> (number - 1) & 1)
+
     def end(self, address, how):
         if how == signal.SIGTERM:
             self.wait_for_handlers(address)
