control: an archive of flow lists that only read does not write

Cause: the writer of an archive wrote once when it stopped, also without a change. A second archive on the folder, as in the tests, put an older content over a newer one, and flow_archive tests failed when the disk was slow. A change just before the stop was not written. Change: the writer ends without a change, and writes one that is waiting first. All of control_test was not run again.

--- a/src/control/flow_archive.cpp
+++ b/src/control/flow_archive.cpp
@@ -209,13 +209,15 @@
 {
   std::unique_lock lock(mutex_);
   bool failed = false;
-  while (!stopping_)
+  while (true)
   {
     changed_.wait(lock,
                   [this]
                   {
                     return unwritten_ || stopping_;
                   });
+    if (!unwritten_)
+      return;
     unwritten_ = false;
     const auto file = content();
     lock.unlock();
