--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -338,7 +338,7 @@
   out.configuration_version = machine_.configuration_version();
   out.claims = machine_.claim_count();
   out.format = machine_.format();
-  if (leads_ && log_ != nullptr)
+  if (leads_ && log_ != nullptr && out.format < options_.formats.newest)
     out.held_back_by =
         held_back_by(version_members(now), options_.formats.newest);
   return out;
--- a/src/control/upgrade_test.cpp
+++ b/src/control/upgrade_test.cpp
@@ -119,6 +119,8 @@
   run(15s, report_of(this_build()));
   CHECK_EQUAL(2, state->required_format());
   CHECK_EQUAL(1U, count(control_notice::kind::version_raised));
+  run(1s, report_of(old_build));
+  CHECK_TRUE(state->view(now).held_back_by.empty());
 }
 
 // Guards against an observer of the earlier build that is overlooked.
