control, settings: the format version is raised once an operator allows it

Cause: 60 s after the last process was upgraded the way back to the earlier build was closed, without anybody having accepted the upgrade; version 2 carries nothing yet that would need it. Change: raise_format_after_ms of the control instances, 0 by default: the version stays.

--- a/include/toucanmill/cluster/version_core.hpp
+++ b/include/toucanmill/cluster/version_core.hpp
@@ -26,6 +26,8 @@
   /// removed from the group and joins again.
   duration stable_time = std::chrono::seconds(60);
   bool wait_for_all = true; ///< false only to test the effect of waiting
+  bool raises =
+      true; ///< false: the version stays, and each process can go back
 };
 
 /// Names of the members that do not state that they read this version.
--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -20,6 +20,7 @@
   endpoint listen; ///< endpoint to bind; port 0: bind `rpc`
   replicated_log_options log;
   membership_options membership;
+  version_options versions;
   group_options group;
   std::function<void(const control_notice&)> notify;
   std::vector<std::string> data_centres; ///< see control_state_options
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -101,6 +101,9 @@
   std::chrono::milliseconds election_timeout{600};
   std::chrono::milliseconds ramp{10000}; ///< until a new upstream has its share
   std::chrono::milliseconds rebalance_interval{1000};
+  /// All processes must have read a newer format version for this time before
+  /// it is put in force; 0: it never is, so that each can go back.
+  std::chrono::milliseconds raise_format_after{0};
   std::uint32_t entries_per_snapshot = 10000;
   std::uint32_t mb_per_snapshot = 64; ///< growth of the log, 10^6 octets
 };
--- a/src/cluster/version_core.cpp
+++ b/src/cluster/version_core.cpp
@@ -57,7 +57,7 @@
       std::includes(known_.begin(), known_.end(), before.begin(), before.end());
   const bool held_back =
       options_.wait_for_all && !held_back_by(members, target).empty();
-  if (target <= in_force || held_back)
+  if (!options_.raises || target <= in_force || held_back)
   {
     since_.reset();
     return {};
--- a/src/cluster/version_core_test.cpp
+++ b/src/cluster/version_core_test.cpp
@@ -116,6 +116,16 @@
              std::vector<std::string>{"c"});
 }
 
+// Guards against an upgrade that nobody has accepted and that closes the way
+// back.
+TEST(version_core, version_stays_until_raising_is_allowed)
+{
+  version_core core({0s, true, false});
+  const std::vector<version_member> all{{"a", format_support{1, 2, 0}}};
+  for (const auto at : {0s, 60s, 600s})
+    CHECK_FALSE(core.propose(1, 2, all, time_point{at}).has_value());
+}
+
 // Guards against a refused node that loses its place while it still reports.
 TEST(version_core, refused_node_stays_suspect)
 {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -202,6 +202,7 @@
   {
     control_state_options out;
     out.membership = options_.membership;
+    out.versions = options_.versions;
     out.remove_silent_members = !options_.seeds.empty();
     out.persists_log = persists_log();
     out.group = options_.group;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -131,6 +131,8 @@
     options.membership.lease = settings_.lease;
     options.membership.ramp = settings_.ramp;
     options.membership.rebalance_interval = settings_.rebalance_interval;
+    options.versions.raises = settings_.raise_format_after != duration{0};
+    options.versions.stable_time = settings_.raise_format_after;
     options.notify = log_notice;
     options.data_centres = settings_.data_centres;
     options.on_in_force = [this](duration taken)
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -45,6 +45,12 @@
   CHECK_EQUAL(2000U, agent.connections);
 }
 
+// Guards against a default that closes the way back to the earlier build.
+TEST(settings, format_version_is_not_raised_by_default)
+{
+  CHECK_TRUE(control_settings{}.raise_format_after.count() == 0);
+}
+
 // Guards against a default stop limit that cuts the sessions of a night: the
 // rehearsal lost 18 feeds of drained agents to a limit of 60 s.
 TEST(settings, default_stop_limit_outlasts_a_night)
