relay: the limit of searches holds for flows that a balancer remembers too

A packet that the remembered agent returned, and one of a flow whose remembered agent did not answer, started its search beyond the limit. After agents have restarted these are most packets. Found by the review, by reading. Change: both wait for their turn like a first packet; on_missed() is told whether a search may start, would_search() knows of unanswered verifications. late_answers_test.hpp passes the time to would_search().

--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -168,17 +168,18 @@
   entry_action on_packet(const std::optional<flow_packet>& packet,
                          time_point now);
 
-  /// `agent` returned `packet`, which no stop of the visit could use.
+  /// `agent` returned `packet`, which no stop of the visit could use. Without
+  /// `may_search`, a search that would start now has to wait (await_search).
   entry_action on_missed(const relay_header& header, const endpoint& agent,
                          const std::optional<flow_packet>& packet,
-                         time_point now);
+                         time_point now, bool may_search = true);
 
   /// `agent` reported that it holds the flow.
   void on_found(const relay_header& header, const endpoint& agent,
                 const flow_key& flow, time_point now);
 
   /// Whether the packet starts a search or belongs to one.
-  bool would_search(const flow_packet& packet) const;
+  bool would_search(const flow_packet& packet, time_point now) const;
 
   /// Progress of the search for the flow.
   search_progress progress(const flow_key& flow, time_point now) const;
@@ -372,7 +373,8 @@
   entry_action reset_if_current(const flow_packet& packet, reset_reason reason,
                                 time_point since, time_point now);
   entry_action decide_missed(const relay_header& header, const endpoint& agent,
-                             const flow_packet& packet, time_point now);
+                             const flow_packet& packet, time_point now,
+                             bool may_search);
   agent_set avoided_of(const visit_stops& stops, time_point now) const;
   relay_header make_header(const relay_service& service) const;
   duration retry_delay(const search_state& state) const;
--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -69,6 +69,11 @@
   recall_advice advise(const flow_key& flow, const flow_packet& packet,
                        time_point now, duration answer_timeout = duration{0});
 
+  /// Whether advise() would return `search` for the packet of a remembered
+  /// flow.
+  bool is_lost(const flow_key& flow, const flow_packet& packet, time_point now,
+               duration answer_timeout) const;
+
   /// Remembers or replaces the agent of a flow; also the agent's answer to
   /// `verify`. Does nothing for a further flow when the memory is full.
   void put(const flow_key& flow, const remembered_agent& value, time_point now);
@@ -96,7 +101,11 @@
     std::optional<time_point> verification_sent; ///< not answered yet
   };
 
-  bool repeats(state& flow, const flow_packet& packet, time_point now) const;
+  bool repeats(const state& flow, const flow_packet& packet,
+               time_point now) const;
+  static void note_data(state& flow, const flow_packet& packet, time_point now);
+  bool is_unanswered(const state& flow, time_point now,
+                     duration answer_timeout) const;
 
   options options_;
   std::unordered_map<flow_key, state> flows_;
--- a/src/relay/entry/entry_balancer.cpp
+++ b/src/relay/entry/entry_balancer.cpp
@@ -112,7 +112,7 @@
   void handle(byte_view datagram, time_point now)
   {
     const auto packet = options_.codec->parse(datagram);
-    if (packet && must_wait(*packet))
+    if (packet && must_wait(*packet, now))
       return wait_for_search(packet->from_caller(), datagram);
     const auto action = decide(packet, datagram, now);
     if (packet)
@@ -120,10 +120,10 @@
   }
 
   /// Whether the packet's flow has to be searched for later.
-  bool must_wait(const flow_packet& packet) const
+  bool must_wait(const flow_packet& packet, time_point now) const
   {
     return searches_.must_wait(packet.from_caller()) &&
-           core_.would_search(packet);
+           core_.would_search(packet, now);
   }
 
   void wait_for_search(const flow_key& flow, byte_view datagram)
@@ -228,7 +228,9 @@
                  const endpoint& agent, time_point now)
   {
     const auto parsed = options_.codec->parse(packet);
-    const auto action = core_.on_missed(header, agent, parsed, now);
+    const bool may_search =
+        !parsed || !searches_.must_wait(parsed->from_caller());
+    const auto action = core_.on_missed(header, agent, parsed, now, may_search);
     execute(action, parsed, packet);
     if (parsed && header.remembered)
       keep_for_search(action, *parsed, packet);
--- a/src/relay/entry/entry_core.cpp
+++ b/src/relay/entry/entry_core.cpp
@@ -271,7 +271,7 @@
 entry_action entry_core::on_missed(const relay_header& header,
                                    const endpoint& agent,
                                    const std::optional<flow_packet>& packet,
-                                   time_point now)
+                                   time_point now, bool may_search)
 {
   ++counters_.missed;
   monitor_.on_answer(agent, now);
@@ -280,13 +280,13 @@
   if (!packet)
     return count(header.locates ? entry_drop::stale_answer
                                 : entry_drop::malformed);
-  return count(decide_missed(header, agent, *packet, now));
+  return count(decide_missed(header, agent, *packet, now, may_search));
 }
 
 entry_action entry_core::decide_missed(const relay_header& header,
                                        const endpoint& agent,
                                        const flow_packet& packet,
-                                       time_point now)
+                                       time_point now, bool may_search)
 {
   const auto* from = table_->find_route(packet.destination);
   if (header.reason == miss_reason::unknown_flow && !packet.opens)
@@ -326,7 +326,7 @@
   memory_.erase(packet.from_caller(), agent);
   if (packet.resets)
     return entry_drop::unknown_reset;
-  return search(packet, *from, now);
+  return may_search ? search(packet, *from, now) : await_search{};
 }
 
 void entry_core::on_found(const relay_header& header, const endpoint& agent,
--- a/src/relay/entry/entry_search_core.cpp
+++ b/src/relay/entry/entry_search_core.cpp
@@ -381,10 +381,12 @@
       found != searched_.end() ? found->second.started : now, now);
 }
 
-bool entry_core::would_search(const flow_packet& packet) const
+bool entry_core::would_search(const flow_packet& packet, time_point now) const
 {
+  const auto flow = packet.from_caller();
   return !packet.opens && !packet.resets && !packet.bounced &&
-         !memory_.contains(packet.from_caller()) &&
+         (!memory_.contains(flow) ||
+          memory_.is_lost(flow, packet, now, monitor_.answer_timeout())) &&
          table_->find_route(packet.destination) != nullptr;
 }
 
--- a/src/relay/entry/flow_memory.cpp
+++ b/src/relay/entry/flow_memory.cpp
@@ -22,17 +22,30 @@
   return found != flows_.end() && found->second.data_end;
 }
 
-bool flow_memory::repeats(state& flow, const flow_packet& packet,
+/// Whether the packet has data that arrived before and was not answered.
+bool flow_memory::repeats(const state& flow, const flow_packet& packet,
                           time_point now) const
 {
-  if (packet.payload_size == 0)
-    return false;
   const auto end = packet.sequence + packet.payload_size;
-  if (flow.data_end && !is_after(end, *flow.data_end))
-    return now - flow.data_sent >= options_.repetition_time;
-  flow.data_end = end;
-  flow.data_sent = now;
-  return false;
+  return packet.payload_size != 0 && flow.data_end &&
+         !is_after(end, *flow.data_end) &&
+         now - flow.data_sent >= options_.repetition_time;
+}
+
+bool flow_memory::is_unanswered(const state& flow, time_point now,
+                                duration answer_timeout) const
+{
+  return flow.verification_sent &&
+         now - *flow.verification_sent >=
+             std::max(options_.answer_timeout, answer_timeout);
+}
+
+bool flow_memory::is_lost(const flow_key& flow, const flow_packet& packet,
+                          time_point now, duration answer_timeout) const
+{
+  const auto found = flows_.find(flow);
+  return found != flows_.end() && repeats(found->second, packet, now) &&
+         is_unanswered(found->second, now, answer_timeout);
 }
 
 recall_advice flow_memory::advise(const flow_key& flow,
@@ -44,15 +57,28 @@
     return recall_advice::search;
   auto& state = found->second;
   if (!repeats(state, packet, now))
+  {
+    note_data(state, packet, now);
     return recall_advice::send;
+  }
   if (!state.verification_sent)
   {
     state.verification_sent = now;
     return recall_advice::verify;
   }
-  const auto timeout = std::max(options_.answer_timeout, answer_timeout);
-  return now - *state.verification_sent < timeout ? recall_advice::send
-                                                  : recall_advice::search;
+  return is_unanswered(state, now, answer_timeout) ? recall_advice::search
+                                                   : recall_advice::send;
+}
+
+void flow_memory::note_data(state& flow, const flow_packet& packet,
+                            time_point now)
+{
+  const auto end = packet.sequence + packet.payload_size;
+  if (packet.payload_size == 0 ||
+      (flow.data_end && !is_after(end, *flow.data_end)))
+    return;
+  flow.data_end = end;
+  flow.data_sent = now;
 }
 
 void flow_memory::put(const flow_key& flow, const remembered_agent& value,
--- a/src/relay/entry/late_answers_test.cpp
+++ b/src/relay/entry/late_answers_test.cpp
@@ -232,6 +232,37 @@
   CHECK_EQUAL(1U, core.counters().searches);
 }
 
+// Guards against searches beyond the limit, which keep a full link full: an
+// agent has restarted and returns the packets of all flows remembered there.
+TEST(late_answers, search_for_a_returned_flow_waits_for_its_turn)
+{
+  search_run run(5);
+  auto& core = run.core;
+  core.on_packet(opening(port), start);
+  const auto visit =
+      std::get<visit_agent>(core.on_packet(data(port), start + 10ms));
+  CHECK_TRUE(visit.header.remembered);
+  auto header = visit.header;
+  header.kind = relay_kind::missed;
+  CHECK_TRUE(std::holds_alternative<await_search>(
+      core.on_missed(header, visit.agent, data(port), start + 20ms, false)));
+  CHECK_EQUAL(0U, core.counters().searches);
+  CHECK_TRUE(core.would_search(data(port), start + 20ms));
+}
+
+// Guards against the same for a flow whose remembered agent is silent.
+TEST(late_answers, search_for_a_flow_of_a_silent_agent_waits_for_its_turn)
+{
+  search_run run(5);
+  auto& core = run.core;
+  core.on_packet(opening(port), start);
+  for (const auto at : {10ms, 210ms})
+    core.on_packet(data(port), start + at);
+  CHECK_FALSE(core.would_search(data(port), start + 250ms));
+  CHECK_TRUE(core.would_search(data(port), start + 610ms));
+  CHECK_EQUAL(0U, core.counters().searches);
+}
+
 // Guards against an open flow of which only wrong upstreams get packets: the
 // agent has restarted and is not in the first stage.
 TEST(late_answers, flow_of_a_restarted_agent_of_a_later_stage_reaches_it)
--- a/src/relay/entry/late_answers_test.hpp
+++ b/src/relay/entry/late_answers_test.hpp
@@ -182,7 +182,8 @@
   void handle(std::uint16_t port)
   {
     const auto bytes = bytes_of(port);
-    if (searches_.must_wait(flow_of(port)) && core.would_search(data(port)))
+    if (searches_.must_wait(flow_of(port)) &&
+        core.would_search(data(port), now()))
     {
       searches_.wait(flow_of(port), {bytes.data(), bytes.size()});
       return;
