--- a/src/relay/agent/relay_list_property_test.cpp
+++ b/src/relay/agent/relay_list_property_test.cpp
@@ -49,3 +49,11 @@
   CHECK_TRUE(play(list_flaw::callers_take_any_position, 100).cut > 0);
   CHECK_TRUE(play(list_flaw::returned_packets_are_lost, 100).astray > 0);
 }
+
+// Guards against a flow that is led astray again after a pause of its caller.
+TEST(relay_list_property, no_flow_is_led_astray_in_seed_496)
+{
+  list_model run(496, list_flaw::none);
+  run.run(600);
+  CHECK_EQUAL(0U, run.seen.astray);
+}
