control, relay: no work for a raise that is off, one test for new data

The leader collected the formats of all members every 0.5 s though raising is off by default; the silent agents were computed for each lost stage; whether a packet has new data stood in two places of flow_memory. Change: the check of the setting comes first, the set is computed once, and has_new_data() serves both. No change of behaviour.

--- a/include/toucanmill/relay/flow_memory.hpp
+++ b/include/toucanmill/relay/flow_memory.hpp
@@ -101,6 +101,7 @@
     std::optional<time_point> verification_sent; ///< not answered yet
   };
 
+  static bool has_new_data(const state& flow, const flow_packet& packet);
   bool repeats(const state& flow, const flow_packet& packet,
                time_point now) const;
   static void note_data(state& flow, const flow_packet& packet, time_point now);
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -170,7 +170,8 @@
 
 void control_state::check_version(time_point now)
 {
-  if (options_.formats.newest <= std::max(machine_.format(), proposed_format_))
+  if (!options_.versions.raises ||
+      options_.formats.newest <= std::max(machine_.format(), proposed_format_))
     return;
   const auto version = versions_.propose(
       machine_.format(), options_.formats.newest, version_members(now), now);
--- a/src/relay/entry/entry_late_search_core.cpp
+++ b/src/relay/entry/entry_late_search_core.cpp
@@ -138,12 +138,13 @@
 /// Adds questions for the skipped stages whose answers are missing.
 void entry_core::ask_again(search_state& state, time_point now)
 {
+  const auto silent = monitor_.silent(now);
   const auto stages = state.plan.visited_at.size();
   for (std::size_t stage = 0; stage < stages; ++stage)
     if (is_lost(state, stage, now))
     {
       state.plan.visited_at[stage].reset();
-      split_stage(state, stage, monitor_.silent(now));
+      split_stage(state, stage, silent);
     }
 }
 
--- a/src/relay/entry/flow_memory.cpp
+++ b/src/relay/entry/flow_memory.cpp
@@ -22,13 +22,18 @@
   return found != flows_.end() && found->second.data_end;
 }
 
+bool flow_memory::has_new_data(const state& flow, const flow_packet& packet)
+{
+  return packet.payload_size != 0 &&
+         (!flow.data_end ||
+          is_after(packet.sequence + packet.payload_size, *flow.data_end));
+}
+
 /// Whether the packet has data that arrived before and was not answered.
 bool flow_memory::repeats(const state& flow, const flow_packet& packet,
                           time_point now) const
 {
-  const auto end = packet.sequence + packet.payload_size;
-  return packet.payload_size != 0 && flow.data_end &&
-         !is_after(end, *flow.data_end) &&
+  return packet.payload_size != 0 && !has_new_data(flow, packet) &&
          now - flow.data_sent >= options_.repetition_time;
 }
 
@@ -73,11 +78,9 @@
 void flow_memory::note_data(state& flow, const flow_packet& packet,
                             time_point now)
 {
-  const auto end = packet.sequence + packet.payload_size;
-  if (packet.payload_size == 0 ||
-      (flow.data_end && !is_after(end, *flow.data_end)))
+  if (!has_new_data(flow, packet))
     return;
-  flow.data_end = end;
+  flow.data_end = packet.sequence + packet.payload_size;
   flow.data_sent = now;
 }
 
