--- a/review/common/system.py
+++ b/review/common/system.py
@@ -20,6 +20,7 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+RECORD = "record.txt"      # in the folder of the case
 LONGEST_RUN_S = 117
 
 # Values of the small deployments (SYSTEM.md, DEPLOY.md).
@@ -175,8 +176,8 @@
         self.net = free_net(self.rpc_port)
         self.began, self.machines, self.bootstrap = time.monotonic(), [], True
         self.seeds = []
-        path = os.path.join(ROOT, "review", case, "record.txt")
-        self.out = open(path, "w", buffering=1)
+        self.out = open(os.path.join(ROOT, "review", case, RECORD), "w",
+                        buffering=1)
         self.record(f"TROUBLE={'1' if TROUBLE else '0'}")
 
     def record(self, text):
