log: each removed segment is durable before the next is removed

A loss of power may keep or lose each removal on its own, so an older segment could come back without a newer one; the folder was then refused at each start as one with a missing segment. Change: segments are removed oldest first, each with a sync. Conclusion: at most a prefix of the segments is gone at any moment.

--- a/src/log/write_ahead_log.cpp
+++ b/src/log/write_ahead_log.cpp
@@ -106,20 +106,17 @@
   return outcome::success();
 }
 
+// Each removal is durable before the next, oldest first: a loss of power that
+// brought back an older segment without a newer one would leave a gap.
 result<void> write_ahead_log::remove_up_to(std::uint64_t index)
 {
-  std::size_t count = 0;
-  while (count + 1 < segments_.size() && segments_[count].last_index <= index)
-    ++count;
-  if (count == 0)
-    return outcome::success();
-  for (std::size_t i = 0; i < count; ++i)
+  while (segments_.size() > 1 && segments_.front().last_index <= index)
   {
-    BOOST_OUTCOME_TRY(files_.remove(path_of(segments_[i].number)));
+    BOOST_OUTCOME_TRY(files_.remove(path_of(segments_.front().number)));
+    segments_.erase(segments_.begin());
+    BOOST_OUTCOME_TRY(files_.sync_folder(folder_));
   }
-  segments_.erase(segments_.begin(),
-                  segments_.begin() + static_cast<std::ptrdiff_t>(count));
-  return files_.sync_folder(folder_);
+  return outcome::success();
 }
 
 result<recovered_log> write_ahead_log::recover()
