log: a folder that was being cleared opens after a crash

An instance that its group removed clears its folder to join anew, and removed the file replica-id first. Change: a marker file is made durable before the first file is removed, and stays until the folder is initialised for the next replica. A folder with the marker is cleared again and never lends its id, also when the settings still say that the system starts for the first time.

Conclusion: a folder without replica-id and without the marker is still refused if it holds data: then something else removed the file.

--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -135,13 +135,23 @@
   std::vector<sent_messages> sent; ///< one of each kind
 };
 
-/// Reads the replica id of a data folder; none if the folder is empty or its
-/// initialisation did not complete. Errors: io_failure, corrupt_data, also if
-/// the folder needs a format version that this build does not read.
-result<std::optional<replica_id>> stored_replica_id(const std::string& folder);
+/// What a data folder tells about the replica that used it.
+struct stored_identity
+{
+  /// None if the folder is empty, its initialisation did not complete, or it is
+  /// being cleared.
+  std::optional<replica_id> id;
+  /// The group removed the replica that used the folder.
+  bool cleared = false;
+};
+
+/// Errors: io_failure, corrupt_data, also if the folder needs a format version
+/// that this build does not read.
+result<stored_identity> read_stored_identity(const std::string& folder);
 
-/// Deletes the contents of a data folder after its instance was removed from
-/// the group, so that it can rejoin under a new id. Errors: io_failure.
+/// Gives up the contents of a data folder after its instance was removed from
+/// the group, so that it can rejoin under a new id. A crash at any step leaves
+/// a folder whose clearing the next start completes. Errors: io_failure.
 result<void> clear_data_folder(const std::string& folder);
 
 /// Raft log that runs on its own thread, which owns the data folder. Functions
--- a/src/control/replica_identity.cpp
+++ b/src/control/replica_identity.cpp
@@ -50,9 +50,11 @@
   }
   if (!settings.folder.empty())
   {
-    BOOST_OUTCOME_TRY(stored, stored_replica_id(settings.folder));
-    if (stored)
-      return replica_identity{*stored, {}, "data folder"};
+    BOOST_OUTCOME_TRY(stored, read_stored_identity(settings.folder));
+    if (stored.id)
+      return replica_identity{*stored.id, {}, "data folder"};
+    if (stored.cleared)
+      start = replica_start::after_removal;
   }
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), settings.rpc) != seeds.end();
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "codec.hpp"
-#include "folder_label.hpp"
 #include <toucanmill/base/clock.hpp>
 
 namespace toucanmill::log_detail
@@ -187,41 +186,16 @@
 namespace toucanmill
 {
 
-namespace
+result<stored_identity> read_stored_identity(const std::string& folder)
 {
-
-const char replica_id_file[] = "replica-id";
-
-} // namespace
-
-result<std::optional<replica_id>> stored_replica_id(const std::string& folder)
-{
-  const auto files = log_detail::make_posix_file_system();
-  BOOST_OUTCOME_TRY(files->create_folder(folder));
-  BOOST_OUTCOME_TRY(names, files->list(folder));
-  if (std::count(names.begin(), names.end(), replica_id_file) == 0)
-    return std::optional<replica_id>{};
-  const auto path = folder + "/" + replica_id_file;
-  BOOST_OUTCOME_TRY(content, files->read(path));
-  BOOST_OUTCOME_TRY(label, log_detail::parse_folder_label(path, content));
-  return std::optional<replica_id>{label.replica};
+  return log_detail::read_stored_identity(*log_detail::make_posix_file_system(),
+                                          folder);
 }
 
-// Removes the replica id file first, so that the files left by a crash in
-// between are not taken for a valid data folder.
 result<void> clear_data_folder(const std::string& folder)
 {
-  const auto files = log_detail::make_posix_file_system();
-  BOOST_OUTCOME_TRY(names, files->list(folder));
-  const auto id_file = std::find(names.begin(), names.end(), replica_id_file);
-  if (id_file != names.end())
-    std::iter_swap(names.begin(), id_file);
-  for (const auto& name : names)
-  {
-    BOOST_OUTCOME_TRY(files->remove(folder + "/" + name));
-    BOOST_OUTCOME_TRY(files->sync_folder(folder));
-  }
-  return outcome::success();
+  return log_detail::clear_folder(*log_detail::make_posix_file_system(),
+                                  folder);
 }
 
 result<std::unique_ptr<replicated_log>>
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-const std::string replica_id_file = "replica-id";
 const std::string replica_id_temporary_file = "replica-id.tmp";
 
 bool contains(const std::vector<std::string>& names, const std::string& name)
@@ -19,6 +18,19 @@
   return std::count(names.begin(), names.end(), name) != 0;
 }
 
+// Removes all files but the marker, which stays until the folder is initialised
+// again.
+result<void> remove_content(file_system& files, const std::string& folder)
+{
+  BOOST_OUTCOME_TRY(names, files.list(folder));
+  for (const auto& name : names)
+    if (name != clearing_marker_file)
+    {
+      BOOST_OUTCOME_TRY(files.remove(folder + "/" + name));
+    }
+  return files.sync_folder(folder);
+}
+
 // Discards the entries that the snapshot covers and keeps the later ones. If
 // the entry at the snapshot's index has another term, all later entries
 // conflict with the snapshot too and are discarded.
@@ -41,6 +53,31 @@
 
 } // namespace
 
+result<void> clear_folder(file_system& files, const std::string& folder)
+{
+  {
+    BOOST_OUTCOME_TRY(marker, files.open(folder + "/" + clearing_marker_file));
+    BOOST_OUTCOME_TRY(marker->sync());
+  }
+  BOOST_OUTCOME_TRY(files.sync_folder(folder));
+  return remove_content(files, folder);
+}
+
+result<stored_identity> read_stored_identity(file_system& files,
+                                             const std::string& folder)
+{
+  BOOST_OUTCOME_TRY(files.create_folder(folder));
+  BOOST_OUTCOME_TRY(names, files.list(folder));
+  if (contains(names, clearing_marker_file))
+    return stored_identity{{}, true};
+  if (!contains(names, replica_id_file))
+    return stored_identity{};
+  const auto path = folder + "/" + replica_id_file;
+  BOOST_OUTCOME_TRY(content, files.read(path));
+  BOOST_OUTCOME_TRY(label, parse_folder_label(path, content));
+  return stored_identity{label.replica, false};
+}
+
 log_store::log_store(file_system& files, const std::string& folder,
                      replica_id self, std::uint64_t segment_bytes)
     : files_(files), folder_(folder), self_(self),
@@ -64,12 +101,25 @@
 {
   BOOST_OUTCOME_TRY(files_.create_folder(folder_));
   BOOST_OUTCOME_TRY(names, files_.list(folder_));
+  if (contains(names, clearing_marker_file))
+    return initialise_cleared(initial_group);
   if (!contains(names, replica_id_file))
     return initialise(names, initial_group);
   BOOST_OUTCOME_TRY(check_replica_id_file(names));
   return recover();
 }
 
+// A crash may have interrupted the clearing, or an initialisation after it. No
+// replica acts under an id that stands beside the marker, so all files go.
+result<void>
+log_store::initialise_cleared(const std::vector<replica_address>& initial_group)
+{
+  BOOST_OUTCOME_TRY(remove_content(files_, folder_));
+  BOOST_OUTCOME_TRY(initialise({}, initial_group));
+  BOOST_OUTCOME_TRY(files_.remove(folder_ + "/" + clearing_marker_file));
+  return files_.sync_folder(folder_);
+}
+
 result<void>
 log_store::check_replica_id_file(const std::vector<std::string>& names)
 {
--- a/src/log/log_store.hpp
+++ b/src/log/log_store.hpp
@@ -13,15 +13,33 @@
 namespace toucanmill::log_detail
 {
 
+/// File that names the folder's replica; without it, or beside the marker, no
+/// replica acts on the folder's content.
+constexpr auto replica_id_file = "replica-id";
+
+/// Marks a folder whose replica the group removed. Made durable before the
+/// first file is removed, and kept until the folder is initialised for the next
+/// replica, so that a crash at any step leaves a folder that can be opened.
+constexpr auto clearing_marker_file = "clearing";
+
+/// Gives up the content of a data folder; log_store::open() then initialises it
+/// for another replica. Errors: io_failure; the call can be repeated.
+result<void> clear_folder(file_system& files, const std::string& folder);
+
+/// See toucanmill::read_stored_identity().
+result<stored_identity> read_stored_identity(file_system& files,
+                                             const std::string& folder);
+
 /// Data folder of one replica: replica id file, write-ahead log and snapshot.
 /// After an error the state on disk is unknown and the object must not be used
 /// again.
 class log_store
 {
 public:
-  /// Opens the folder; initialises an empty one with `initial_group`. Errors:
-  /// corrupt_data with file and offset; invalid_argument when the folder
-  /// belongs to another replica or is not a data folder; io_failure.
+  /// Opens the folder; initialises an empty or cleared one with
+  /// `initial_group`. Errors: corrupt_data with file and offset;
+  /// invalid_argument when the folder belongs to another replica or is not a
+  /// data folder; io_failure.
   static result<std::unique_ptr<log_store>>
   open(file_system& files, const std::string& folder, replica_id self,
        const std::vector<replica_address>& initial_group,
@@ -70,6 +88,8 @@
             std::uint64_t segment_bytes);
 
   result<void> open_folder(const std::vector<replica_address>& initial_group);
+  result<void>
+  initialise_cleared(const std::vector<replica_address>& initial_group);
   result<void> check_replica_id_file(const std::vector<std::string>& names);
   result<void> initialise(const std::vector<std::string>& names,
                           const std::vector<replica_address>& initial_group);
--- a/src/log/simulated_files_test.hpp
+++ b/src/log/simulated_files_test.hpp
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "file_system.hpp"
@@ -41,6 +43,28 @@
     }
     operations_left = 1ULL << 60;
   }
+
+  /// Like crash(), but each name that was created, renamed or removed since the
+  /// last sync_folder() is kept or lost on its own, and each file keeps a part
+  /// of its unsynced content on its own.
+  void lose_power(std::mt19937& random)
+  {
+    const auto before = std::exchange(files, durable);
+    for (const auto& [name, file] : before)
+      if (random() % 2 == 0)
+        files[name] = file;
+    for (const auto& [name, file] : durable)
+      if (before.count(name) == 0 && random() % 2 == 0)
+        files.erase(name);
+    for (auto& [name, file] : files)
+    {
+      const auto unsynced = file->bytes.size() - file->synced;
+      file->bytes.resize(file->synced + random() % (unsynced + 1));
+      file->synced = file->bytes.size();
+    }
+    durable = files;
+    operations_left = 1ULL << 60;
+  }
 };
 
 class simulated_file_system : public file_system
