log: what it keeps is limited in octets

The log kept the last 1,000 entries whatever their size, and each holds a whole configuration; a member without a disk got all of them at each start, and kept segments of 16 MB in memory besides.

--- a/src/log/log_buffer.hpp
+++ b/src/log/log_buffer.hpp
@@ -40,6 +40,15 @@
                          "log index out of range");
     return entries_[index - base_.index - 1];
   }
+  /// Payload octets of the entries after an index.
+  std::uint64_t octets_after(std::uint64_t index) const
+  {
+    std::uint64_t octets = 0;
+    for (auto it = entries_.rbegin();
+         it != entries_.rend() && it->position.index > index; ++it)
+      octets += it->payload.size();
+    return octets;
+  }
   void append(log_entry entry)
   {
     TOUCANMILL_INVARIANT(entry.position.index == last().index + 1,
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -22,9 +22,10 @@
 // Rejects the operation if the queue is full. The rejection is queued beyond
 // the capacity because callbacks must run on the log's thread.
 template <class Callback>
-void log_runtime::submit(task_queue::task work, const Callback& done)
+void log_runtime::submit(task_queue::task work, const Callback& done,
+                         std::size_t octets)
 {
-  if (queue_.push(work))
+  if (queue_.push(work, octets))
     return;
   task_queue::task rejection = [done]
   {
@@ -37,12 +38,13 @@
 
 void log_runtime::propose(std::string command, outcome_callback done)
 {
+  const auto octets = command.size();
   submit(
       [this, command = std::move(command), done]
       {
         start_proposal(command, done);
       },
-      done);
+      done, octets);
 }
 
 void log_runtime::confirm_read(read_callback done)
@@ -73,11 +75,12 @@
 
 void log_runtime::receive(std::string message)
 {
+  const auto octets = message.size();
   task_queue::task work = [this, message = std::move(message)]
   {
     handle_message(message);
   };
-  queue_.push(work);
+  queue_.push(work, octets);
 }
 
 void log_runtime::transfer_leadership()
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -25,8 +25,15 @@
 constexpr duration tick_interval = std::chrono::milliseconds(10);
 constexpr duration client_tick_interval = std::chrono::milliseconds(50);
 
+/// Maximum size of the commands and messages in these tasks.
+constexpr std::size_t queue_octets = std::size_t{32} * 1024 * 1024;
+
 constexpr std::uint64_t max_retained_entries = 1000;
 
+/// Segments of an instance that keeps its files in memory are this much smaller
+/// than a snapshot interval, since they are freed as a whole.
+constexpr std::uint64_t memory_segments_per_snapshot = 8;
+
 constexpr int storage_failure_exit_code = 70;
 
 // After a failed write or sync the content of the data folder is unknown. Only
@@ -53,9 +60,20 @@
   settings.election_timeout = options.election_timeout;
   settings.retained_entries =
       std::min(max_retained_entries, options.entries_per_snapshot);
+  settings.retained_octets = options.octets_per_snapshot;
   return settings;
 }
 
+/// Segments are removed as a whole once a snapshot covers them, so that the
+/// files of the log hold little more than the entries since two snapshots.
+std::uint64_t segment_bytes(const replicated_log_options& options)
+{
+  const auto octets = options.folder.empty() ? options.octets_per_snapshot /
+                                                   memory_segments_per_snapshot
+                                             : options.octets_per_snapshot;
+  return std::min(write_ahead_log::default_segment_bytes, octets);
+}
+
 std::uint64_t make_seed(const replicated_log_options& options)
 {
   const auto seed = options.random_seed != 0
@@ -93,7 +111,7 @@
 log_runtime::log_runtime(replicated_log_options options, log_client& client,
                          std::unique_ptr<file_system> files)
     : options_(std::move(options)), client_(client), files_(std::move(files)),
-      queue_(queue_capacity), random_(make_seed(options_))
+      queue_(queue_capacity, queue_octets), random_(make_seed(options_))
 {
 }
 
@@ -136,9 +154,9 @@
 
 result<void> log_runtime::recover()
 {
-  BOOST_OUTCOME_TRY(store,
-                    log_store::open(*files_, options_.folder, options_.self,
-                                    options_.initial_group));
+  BOOST_OUTCOME_TRY(
+      store, log_store::open(*files_, options_.folder, options_.self,
+                             options_.initial_group, segment_bytes(options_)));
   store_ = std::move(store);
   auto stored = store_->take_stored();
   const auto position = stored.snapshot.position;
--- a/src/log/log_runtime.hpp
+++ b/src/log/log_runtime.hpp
@@ -79,7 +79,8 @@
                          outcome_callback done);
   void handle_message(const std::string& message);
   template <class Callback>
-  void submit(task_queue::task work, const Callback& done);
+  void submit(task_queue::task work, const Callback& done,
+              std::size_t octets = 0);
   call_context now_and_random();
   table_version applied_position() const;
 
--- a/src/log/replica_core.cpp
+++ b/src/log/replica_core.cpp
@@ -205,6 +205,13 @@
                  "command of " + std::to_string(command.size()) +
                      " bytes exceeds the limit of " +
                      std::to_string(max_command_bytes)};
+  const auto uncommitted = log_.octets_after(commit_);
+  if (uncommitted != 0 &&
+      uncommitted + command.size() > settings_.max_uncommitted_octets)
+    return error{error_code::limit_reached,
+                 "commands of " + std::to_string(uncommitted) +
+                     " bytes are not committed yet; the limit is " +
+                     std::to_string(settings_.max_uncommitted_octets)};
   const table_version position{hard_.term, log_.last().index + 1};
   append_entry({position, entry_kind::command, std::move(command)});
   return position;
@@ -242,12 +249,27 @@
   if (snapshot.position.index <= snapshot_.position.index)
     return;
   snapshot_ = snapshot;
-  if (snapshot.position.index > settings_.retained_entries)
-    log_.compact_to(snapshot.position.index - settings_.retained_entries);
+  log_.compact_to(first_retained(snapshot.position.index) - 1);
   while (groups_.size() > 1 && groups_[1].first <= log_.base().index)
     groups_.erase(groups_.begin());
 }
 
+// Index of the first entry to keep, at most one after the snapshot.
+std::uint64_t replica_core::first_retained(std::uint64_t snapshot_index) const
+{
+  auto first = snapshot_index + 1;
+  std::uint64_t octets = 0;
+  while (first - 1 > log_.base().index &&
+         snapshot_index + 1 - first < settings_.retained_entries)
+  {
+    octets += log_.at(first - 1).payload.size();
+    if (octets > settings_.retained_octets)
+      break;
+    --first;
+  }
+  return first;
+}
+
 const group_record& replica_core::group_at(std::uint64_t index) const
 {
   auto found = groups_.begin();
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -45,6 +45,12 @@
   /// Entries covered by a snapshot that stay in the log, so that a replica that
   /// lags by fewer entries does not need the snapshot.
   std::uint64_t retained_entries = 1000;
+  /// Limit for the payloads of these entries. An entry may hold a whole
+  /// configuration, so their number does not bound the memory.
+  std::uint64_t retained_octets = std::uint64_t{8} * 1024 * 1024;
+  /// Limit for the payloads of entries that are not committed yet; one entry is
+  /// accepted whatever its size.
+  std::uint64_t max_uncommitted_octets = std::uint64_t{16} * 1024 * 1024;
 };
 
 /// State that a replica reads from its data folder when it starts.
@@ -130,7 +136,7 @@
 
   /// Appends a command to the log; returns its position. Errors: not_leader;
   /// unavailable before accepts_commands() or during a leadership transfer;
-  /// limit_reached for a command over 8 MiB.
+  /// limit_reached for a command over 8 MiB, or if too much is uncommitted.
   result<table_version> propose(std::string command);
 
   /// Starts a linearizable read; its outcome appears in the actions. Shares a
@@ -263,6 +269,7 @@
   void mark_unpersisted(std::uint64_t from);
   void append_entry(log_entry entry);
   void truncate_from(std::uint64_t index);
+  std::uint64_t first_retained(std::uint64_t snapshot_index) const;
 
   // replica_election_core.cpp
   void reset_election_deadline();
--- a/src/log/task_queue.hpp
+++ b/src/log/task_queue.hpp
@@ -19,20 +19,35 @@
 public:
   using task = std::function<void()>;
 
-  explicit task_queue(std::size_t capacity) : capacity_(capacity) {}
+  /// `max_octets`: limit for the data that push() adds up.
+  task_queue(std::size_t capacity, std::size_t max_octets)
+      : capacity_(capacity), max_octets_(max_octets)
+  {
+  }
 
   /// Returns false, without moving from the task, if the queue is full or
-  /// closed.
-  bool push(task& work)
+  /// closed. `octets`: data that the task holds; an empty queue accepts one
+  /// task whatever its size.
+  bool push(task& work, std::size_t octets = 0)
   {
-    return push_with_limit(work, capacity_);
+    const std::lock_guard lock(mutex_);
+    const bool fits =
+        octets_ == 0 || octets == 0 || octets_ + octets <= max_octets_;
+    if (closed_ || tasks_.size() >= capacity_ || !fits)
+      return false;
+    add(work, octets);
+    return true;
   }
 
-  /// Like push(), but ignores the capacity. For tasks whose number the caller
+  /// Like push(), but ignores the limits. For tasks whose number the caller
   /// limits.
   bool push_unbounded(task& work)
   {
-    return push_with_limit(work, static_cast<std::size_t>(-1));
+    const std::lock_guard lock(mutex_);
+    if (closed_)
+      return false;
+    add(work, 0);
+    return true;
   }
 
   /// Waits up to `wait` for tasks; returns at most `limit` of them.
@@ -47,7 +62,8 @@
     std::vector<task> batch;
     while (!tasks_.empty() && batch.size() < limit)
     {
-      batch.push_back(std::move(tasks_.front()));
+      octets_ -= tasks_.front().octets;
+      batch.push_back(std::move(tasks_.front().work));
       tasks_.pop_front();
     }
     return batch;
@@ -68,20 +84,25 @@
   }
 
 private:
-  bool push_with_limit(task& work, std::size_t limit)
+  struct queued_task
   {
-    const std::lock_guard lock(mutex_);
-    if (closed_ || tasks_.size() >= limit)
-      return false;
-    tasks_.push_back(std::move(work));
+    task work;
+    std::size_t octets = 0;
+  };
+
+  void add(task& work, std::size_t octets)
+  {
+    tasks_.push_back({std::move(work), octets});
+    octets_ += octets;
     ready_.notify_one();
-    return true;
   }
 
   const std::size_t capacity_;
+  const std::size_t max_octets_;
   mutable std::mutex mutex_;
   std::condition_variable ready_;
-  std::deque<task> tasks_;
+  std::deque<queued_task> tasks_;
+  std::size_t octets_ = 0;
   bool closed_ = false;
 };
 
