control: a running instance uses changed seeds

New seeds without a disk were killed together and never found the group again: the leader invited only the seeds of its own start, since a reload was kept for the next start of the control server. An agent that was restarted with these seeds found nobody either, and was dropped after 30 s. Change: a reload hands the seeds to the running server, whose leader invites them and whose joiner asks them. The leader also invites members that it does not hear: one without a disk may have forgotten the group and may be no seed.

--- a/include/toucanmill/control/control_server.hpp
+++ b/include/toucanmill/control/control_server.hpp
@@ -99,6 +99,10 @@
   /// Errors: not_leader, unavailable.
   virtual void read_configuration(configuration_callback done) = 0;
 
+  /// Replaces the seeds of an instance that was started with seeds; `seeds`
+  /// does not contain this instance.
+  virtual void use_seeds(std::vector<endpoint> seeds) = 0;
+
   /// Transfers leadership, leaves the group and stops the threads.
   virtual void stop() = 0;
 };
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include <capnp/rpc-twoparty.h>
@@ -89,7 +90,8 @@
 {
 public:
   explicit control_server_threads(control_server_options options)
-      : options_(std::move(options)), state_(state_options())
+      : options_(std::move(options)), seeds_(options_.seeds),
+        state_(state_options())
   {
   }
 
@@ -156,6 +158,23 @@
     store_->read(std::move(done));
   }
 
+  void use_seeds(std::vector<endpoint> seeds) override
+  {
+    if (options_.seeds.empty())
+      return;
+    log_->post(
+        [this, seeds]
+        {
+          seeds_ = seeds;
+        });
+    rpc_.post(
+        [this, seeds = std::move(seeds)](kj::AsyncIoContext&)
+        {
+          if (rpc_state_ != nullptr && rpc_state_->joiner.get() != nullptr)
+            rpc_state_->joiner->use_seeds(seeds);
+        });
+  }
+
   void stop() override
   {
     if (log_ == nullptr || stopped_.exchange(true))
@@ -212,7 +231,7 @@
     out.on_members = [this](const std::vector<endpoint>& members,
                             const std::vector<endpoint>& reachable)
     {
-      invite_seeds(members, reachable);
+      invite_missing(members, reachable);
     };
     out.on_joined = [this](bool joined)
     {
@@ -281,17 +300,17 @@
         });
   }
 
-  /// Invites unreachable seeds, which may have no other way to find the group:
-  /// a seed without a disk forgets its group on restart, and the settings of
-  /// all other instances may name only such seeds.
-  void invite_seeds(const std::vector<endpoint>& members,
-                    const std::vector<endpoint>& reachable)
+  /// Invites unreachable seeds and members, which may have no other way to find
+  /// the group: an instance without a disk forgets its group on restart, and
+  /// the settings of all instances may name only such seeds.
+  void invite_missing(const std::vector<endpoint>& members,
+                      const std::vector<endpoint>& reachable)
   {
-    std::vector<endpoint> missing;
-    for (const auto& seed : options_.seeds)
-      if (std::find(reachable.begin(), reachable.end(), seed) ==
-          reachable.end())
-        missing.push_back(seed);
+    std::set<endpoint> missing(members.begin(), members.end());
+    missing.insert(seeds_.begin(), seeds_.end());
+    missing.erase(options_.rpc);
+    for (const auto& item : reachable)
+      missing.erase(item);
     if (missing.empty())
       return;
     // An invited instance contacts the first member, so the leader goes first.
@@ -340,7 +359,8 @@
       ++peer_messages_lost_;
   }
 
-  control_server_options options_;
+  const control_server_options options_;
+  std::vector<endpoint> seeds_; ///< used on the log's thread only
   control_state state_;
   detail::service_counters service_counters_;
   std::atomic<bool> stopped_{false};
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -732,3 +732,53 @@
   learner = start(seed_options);
   CHECK_TRUE(eventually(joined));
 }
+
+// Guards against seeds that were exchanged while the leader ran, keep their log
+// in memory, and never find the group after a restart.
+TEST(control_server, leader_invites_the_seeds_of_changed_settings)
+{
+  rpc = free_endpoint();
+  const endpoint seed = free_endpoint();
+  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
+  options.seeds = {free_endpoint()};
+  const auto member = start(options);
+  member->use_seeds({seed});
+  control_server_options seed_options = options;
+  seed_options.rpc = seed;
+  seed_options.log.self = {2};
+  seed_options.log.folder.clear();
+  seed_options.log.initial_group.clear();
+  const auto learner = start(seed_options);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return learner->status().leader.has_value();
+      }));
+}
+
+// Guards against a member without a disk that is no seed and whose seeds don't
+// know the group: it forgets the group when it restarts.
+TEST(control_server, leader_invites_a_member_that_forgot_the_group)
+{
+  rpc = free_endpoint();
+  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
+  options.seeds = {free_endpoint()};
+  const auto member = start(options);
+  control_server_options other_options = options;
+  other_options.rpc = free_endpoint();
+  other_options.seeds = {rpc};
+  other_options.log.self = {2};
+  other_options.log.folder.clear();
+  other_options.log.initial_group.clear();
+  auto learner = start(other_options);
+  const auto knows_leader = [&]
+  {
+    return learner->status().leader.has_value();
+  };
+  CHECK_TRUE(eventually(knows_leader));
+  learner.reset();
+  other_options.seeds = {free_endpoint()};
+  other_options.log.self = {3};
+  learner = start(other_options);
+  CHECK_TRUE(eventually(knows_leader));
+}
--- a/src/control/group_joiner.cpp
+++ b/src/control/group_joiner.cpp
@@ -33,11 +33,8 @@
 
 void group_joiner::add_members(const std::vector<endpoint>& members)
 {
-  auto all = members;
-  for (const auto& seed : seeds_)
-    if (std::find(all.begin(), all.end(), seed) == all.end())
-      all.push_back(seed);
-  channel_.set_endpoints(std::move(all));
+  members_ = members;
+  update_instances();
   if (enabled_ && !members.empty())
   {
     channel_.redirect(members.front());
@@ -45,6 +42,22 @@
   }
 }
 
+void group_joiner::use_seeds(std::vector<endpoint> seeds)
+{
+  seeds_ = std::move(seeds);
+  update_instances();
+}
+
+void group_joiner::update_instances()
+{
+  auto all = members_;
+  for (const auto& seed : seeds_)
+    if (std::find(all.begin(), all.end(), seed) == all.end())
+      all.push_back(seed);
+  if (!all.empty())
+    channel_.set_endpoints(std::move(all));
+}
+
 void group_joiner::set_enabled(bool enabled)
 {
   enabled_ = enabled;
--- a/src/control/group_joiner.hpp
+++ b/src/control/group_joiner.hpp
@@ -29,6 +29,9 @@
   /// join request to the first one at once.
   void add_members(const std::vector<endpoint>& members);
 
+  /// Replaces the seeds; `seeds` may be empty.
+  void use_seeds(std::vector<endpoint> seeds);
+
   /// Enables or disables the periodic join requests.
   void set_enabled(bool enabled);
 
@@ -37,6 +40,7 @@
   void leave(std::function<void()> done);
 
 private:
+  void update_instances();
   kj::Promise<void> request_join_periodically();
   kj::Promise<void> request_join();
   kj::Promise<void> request_leave(int attempts_left);
@@ -45,6 +49,7 @@
   kj::Timer& timer_;
   control_channel channel_;
   std::vector<endpoint> seeds_;
+  std::vector<endpoint> members_; ///< of the last invitation
   join_request self_;
   standing_callback on_standing_;
   bool enabled_ = false;
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -149,9 +149,7 @@
       log_event(event::kept_flows_failed, what);
     };
     if (settings_.mode == "seeds")
-      for (const auto& seed : seeds_)
-        if (seed != settings_.rpc)
-          options.seeds.push_back(seed);
+      options.seeds = other_seeds();
     return control_server::start(std::move(options));
   }
 
@@ -167,6 +165,16 @@
     seeds_ = control_endpoints(instance);
   }
 
+  /// The seeds without this instance.
+  std::vector<endpoint> other_seeds() const
+  {
+    std::vector<endpoint> others;
+    for (const auto& seed : seeds_)
+      if (seed != settings_.rpc)
+        others.push_back(seed);
+    return others;
+  }
+
 private:
   static constexpr std::uint64_t octets_per_mb = 1'000'000;
 
@@ -261,6 +269,8 @@
   void reload(const settings& changed) override
   {
     starter_.use_seeds(changed.instance);
+    if (const auto current = server())
+      current->use_seeds(starter_.other_seeds());
   }
 
   std::string unfinished_work() override
