cluster: an agent that control does not hear stays listed for five minutes

Control dropped an agent as gone after 30 s without a report, though its upstream served and only control could not be reached. Balancers ask the agents in their table for a flow that they don't remember, and take the denials of all as a proof that the flow is gone: without the only one that knew it, they reset open flows. Change: a silent agent stays suspect for five minutes; it gets no new flows and keeps no buckets meanwhile. One that is suspect for more than 30 s no longer counts towards the share of upstreams that may be suspect at once, so that a lost machine does not protect the next one that fails. Conclusion: a caller of a flow whose upstream is lost for good gets its reset from a search later than before.

--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -19,6 +19,9 @@
 {
   duration lease = std::chrono::seconds(3);
   duration suspect_timeout = std::chrono::seconds(30); ///< suspect to gone
+  /// The same for agents. One that only control can't reach still serves its
+  /// flows, which balancers find only while it is listed.
+  duration agent_suspect_timeout = std::chrono::minutes(5);
   duration ramp = std::chrono::seconds(10); ///< slow start of an upstream
   duration rebalance_interval = std::chrono::seconds(1);
   /// Share of a service's upstreams that may be suspect at once; at least one.
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -198,27 +198,47 @@
     std::map<std::string,
              std::vector<std::pair<time_point, const node_record*>>>;
 
-std::size_t count_suspects(const std::vector<const node_record*>& upstreams)
+/// Upstreams of a service that the removal limit is applied to.
+struct limited_upstreams
 {
-  return static_cast<std::size_t>(
-      std::count_if(upstreams.begin(), upstreams.end(),
-                    [](const node_record* record)
-                    {
-                      return record->state == node_state::suspect;
-                    }));
+  std::size_t total = 0;
+  std::size_t suspect = 0;
+};
+
+/// An agent that is suspect for longer than suspect_timeout counts as gone: it
+/// must not keep others from becoming suspect.
+limited_upstreams count_upstreams(const state_machine& state,
+                                  const std::string& service,
+                                  const live_nodes& nodes,
+                                  const membership_options& options,
+                                  time_point now)
+{
+  limited_upstreams out;
+  for (const auto* record : state.upstreams(service))
+  {
+    const bool suspect = record->state == node_state::suspect;
+    const auto found = nodes.find(record->identity.id);
+    if (suspect && found != nodes.end() && found->second.suspect_since &&
+        now - *found->second.suspect_since >= options.suspect_timeout)
+      continue;
+    ++out.total;
+    out.suspect += suspect ? 1 : 0;
+  }
+  return out;
 }
 
 void add_suspects(std::vector<command>& commands, const state_machine& state,
-                  expired_nodes& expired, double share)
+                  expired_nodes& expired, const live_nodes& nodes,
+                  const membership_options& options, time_point now)
 {
   for (auto& [service, records] : expired)
   {
     auto allowed = records.size();
     if (!service.empty())
     {
-      const auto upstreams = state.upstreams(service);
-      allowed = allowed_removals(upstreams.size(), count_suspects(upstreams),
-                                 records.size(), share);
+      const auto limited = count_upstreams(state, service, nodes, options, now);
+      allowed = allowed_removals(limited.total, limited.suspect, records.size(),
+                                 options.max_removed_share);
     }
     std::sort(records.begin(), records.end(),
               [](const auto& left, const auto& right)
@@ -233,8 +253,8 @@
   }
 }
 
-/// Marks nodes with expired leases as suspect, and suspects as gone after the
-/// suspect timeout.
+/// Marks nodes with expired leases as suspect, and suspects as gone after their
+/// timeout.
 std::vector<command> scan_leases(live_nodes& nodes, const state_machine& state,
                                  const membership_options& options,
                                  time_point now)
@@ -263,11 +283,14 @@
     }
     if (!node.suspect_since)
       node.suspect_since = now;
-    if (now - *node.suspect_since >= options.suspect_timeout)
+    const auto timeout = record->identity.role == node_role::agent
+                             ? options.agent_suspect_timeout
+                             : options.suspect_timeout;
+    if (now - *node.suspect_since >= timeout)
       commands.push_back(
           set_node_state{id, record->identity.life, node_state::gone});
   }
-  add_suspects(commands, state, expired, options.max_removed_share);
+  add_suspects(commands, state, expired, nodes, options, now);
   return commands;
 }
 
