control: a failed write of agents' lists is tried again

Cause: the report on full disks asks for errors that are never tried again. The file of agents' open flows was one: a write that met a full disk was repeated only when the next list came. Change: a failed write leaves the lists marked as unwritten, so that the next interval tries again; the failure is still reported once. Conclusion: no other state of control was found whose write is given up: a failed write of the log ended the process.

--- a/src/control/flow_archive.cpp
+++ b/src/control/flow_archive.cpp
@@ -227,6 +227,8 @@
                           "; the lists stay in memory");
     failed = !written;
     lock.lock();
+    // The next write may find room, also if no other list comes.
+    unwritten_ = unwritten_ || (failed && !stopping_);
     changed_.wait_for(lock, options_.write_interval,
                       [this]
                       {
--- a/src/control/flow_archive_test.cpp
+++ b/src/control/flow_archive_test.cpp
@@ -148,6 +148,28 @@
   STRCMP_EQUAL("list", archive.find({1}).c_str());
 }
 
+// Guards against lists that are never written because the disk was full when
+// they came, and no other list came after.
+TEST(flow_archive, failed_write_is_tried_again)
+{
+  const auto obstacle = file() + ".new";
+  std::filesystem::create_directory(obstacle);
+  flow_archive archive(options());
+  CHECK_TRUE(archive.keep({1}, "list"));
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return failure_count() == 1;
+      }));
+  std::filesystem::remove(obstacle);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return flow_archive(options()).find({1}) == "list";
+      }));
+  CHECK_EQUAL(1U, failure_count());
+}
+
 // Guards against an agent that looks for its list where it has not put it, and
 // against one instance that keeps the lists of all.
 TEST(flow_archive, each_node_has_its_own_order_of_keepers)
