log: a full disk no longer blocks the log's thread

At the start it blocked the start for ever, or ended it. Change: file operations report a full disk as an error that can be repeated; the log store goes on where it was interrupted, on each 50 ms. Meanwhile the replica goes on in memory: it hands over its leadership, does not campaign, answers a command at once, and what needs a durable write waits for it. An instance whose disk is full at its start opens its folder later. Events 514 and 515, the readiness and toucanmill_log_storage_full name the state. Conclusion: a disk that stalls still blocks the thread.

--- a/include/toucanmill/base/outcome.hpp
+++ b/include/toucanmill/base/outcome.hpp
@@ -22,6 +22,7 @@
   limit_reached,
   corrupt_data,
   io_failure,
+  storage_full, ///< local only: can be repeated once there is room
 };
 
 /// An error with a message that names the offending value and its place.
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -46,6 +46,8 @@
     version_raised,
     build_refused,
     halted,
+    storage_full,
+    storage_writable,
   };
 
   kind what;
@@ -119,6 +121,7 @@
     return failure_;
   }
   void on_leadership(bool leads, std::uint64_t term) override;
+  void on_storage_full(const std::optional<error>& why) override;
   void on_tick(time_point now) override;
   void send(const replica_address& to, std::string message) override;
 
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -60,6 +60,10 @@
   /// earlier terms are applied, and when it stops being leader.
   virtual void on_leadership(bool leads, std::uint64_t term) = 0;
 
+  /// Called when a write meets a full disk, with the reason, and without one
+  /// when there is room again.
+  virtual void on_storage_full(const std::optional<error>&) {}
+
   /// Called about every 50 ms.
   virtual void on_tick(time_point now) = 0;
 
@@ -132,6 +136,8 @@
   /// Why this instance takes no part in the group any more; empty: it does. Its
   /// files stay as they are.
   std::string halted;
+  /// Why writes wait for room on the disk; empty: they don't.
+  std::string storage_full;
   std::vector<sent_messages> sent; ///< one of each kind
 };
 
@@ -156,7 +162,9 @@
 
 /// Raft log that runs on its own thread, which owns the data folder. Functions
 /// may be called from any thread unless stated otherwise; callbacks run on the
-/// log's thread. A failed write or fsync ends the process with exit code 70.
+/// log's thread. A failed write or fsync ends the process with exit code 70. A
+/// full disk does not: the instance hands over its leadership, refuses commands
+/// and writes what waits once there is room.
 class replicated_log
 {
 public:
@@ -164,7 +172,8 @@
   using read_callback = std::function<void(result<table_version>)>;
 
   /// Opens the data folder and recovers the state. Errors: corrupt_data with
-  /// file and offset; io_failure. The client must outlive the log.
+  /// file and offset; io_failure; storage_full, after which the call can be
+  /// repeated. The client must outlive the log.
   static result<std::unique_ptr<replicated_log>>
   open(replicated_log_options options, log_client& client);
 
@@ -172,8 +181,9 @@
 
   /// Appends a command; `done` is called once it is committed and applied.
   /// Errors: not_leader; unavailable before on_leadership() or if leadership is
-  /// lost meanwhile (the command may or may not commit); limit_reached if too
-  /// many operations are queued or the command exceeds 8 MiB.
+  /// lost meanwhile (the command may or may not commit); storage_full while the
+  /// disk is full (the command does not commit); limit_reached if too many
+  /// operations are queued or the command exceeds 8 MiB.
   virtual void propose(std::string command, outcome_callback done) = 0;
 
   /// Linearizable read: confirms with a quorum that this instance is leader,
--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -58,6 +58,8 @@
   version_raised = 511,
   build_refused = 512,
   replica_halted = 513,
+  storage_full = 514,
+  storage_writable = 515,
 };
 
 enum class severity : std::uint8_t
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -122,6 +122,14 @@
        "term " + std::to_string(term)});
 }
 
+void control_state::on_storage_full(const std::optional<error>& why)
+{
+  if (why)
+    options_.notify({notice::kind::storage_full, why->message});
+  else
+    options_.notify({notice::kind::storage_writable, "writes go on"});
+}
+
 void control_state::on_tick(time_point now)
 {
   if (leads_)
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -49,6 +49,10 @@
     return log_event(event::build_refused, notice.detail);
   case kind::halted:
     return log_event(event::replica_halted, notice.detail);
+  case kind::storage_full:
+    return log_event(event::storage_full, notice.detail);
+  case kind::storage_writable:
+    return log_event(event::storage_writable, notice.detail);
   }
 }
 
@@ -198,6 +202,19 @@
       stopper_.join();
   }
 
+  /// An instance whose disk is full starts without a server and opens it when
+  /// there is room.
+  result<void> open_at_process_start()
+  {
+    auto opened = open(replica_start::at_process_start);
+    waits_for_room_ =
+        !opened && opened.error().code == error_code::storage_full;
+    if (!waits_for_room_)
+      return opened;
+    log_event(event::storage_full, opened.error().message);
+    return outcome::success();
+  }
+
   result<void> open(replica_start why)
   {
     BOOST_OUTCOME_TRY(server, starter_.start(why,
@@ -224,6 +241,8 @@
 
   bool stopped() override
   {
+    if (waits_for_room_ && !stopping_)
+      retry_open();
     if (removed_ && !stopping_)
       restart();
     return stopped_;
@@ -324,6 +343,8 @@
     const auto status = current->status();
     if (!status.halted.empty())
       return {false, "halted: " + status.halted};
+    if (!status.storage_full.empty())
+      return {false, "disk full: " + status.storage_full};
     if (!status.leader)
       return {false, "no leader known"};
     return {};
@@ -370,6 +391,16 @@
     return server_;
   }
 
+  void retry_open()
+  {
+    const auto opened = open(replica_start::at_process_start);
+    waits_for_room_ = !opened; // tries again at the next look
+    if (opened)
+      log_event(event::storage_writable, "the data folder is open");
+    else if (opened.error().code != error_code::storage_full)
+      log_event(event::start_failed, opened.error().message);
+  }
+
   /// Joins the group anew after it removed this instance.
   void restart()
   {
@@ -407,6 +438,9 @@
     add_gauge(out, "toucanmill_log_halted",
               "1 if the instance met an entry that it can't apply.",
               status.halted.empty() ? 0 : 1);
+    add_gauge(out, "toucanmill_log_storage_full",
+              "1 while writes wait for room on the disk.",
+              status.storage_full.empty() ? 0 : 1);
     add_gauge(out, "toucanmill_format_version", "Format version in force.",
               status.required_format);
     for (const auto& sent : status.sent)
@@ -431,6 +465,7 @@
   mutable std::mutex mutex_;
   std::shared_ptr<control_server> server_;
   std::thread stopper_;
+  bool waits_for_room_ = false; ///< used on the main thread only
   std::atomic<bool> removed_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<bool> stopped_{false};
@@ -442,7 +477,7 @@
                           const control_settings& settings)
 {
   auto started = std::make_unique<control_role>(instance, settings);
-  BOOST_OUTCOME_TRYV(started->open(replica_start::at_process_start));
+  BOOST_OUTCOME_TRYV(started->open_at_process_start());
   return std::unique_ptr<role>(std::move(started));
 }
 
--- a/src/log/file_system.hpp
+++ b/src/log/file_system.hpp
@@ -17,12 +17,15 @@
 {
 public:
   virtual ~append_file() = default;
-  virtual result<void> append(std::string_view bytes) = 0;
+
+  /// Removes from `bytes` what was written, also if the call fails. Errors
+  /// besides: storage_full, after which the rest can be appended later.
+  virtual result<void> append(std::string_view& bytes) = 0;
   virtual result<void> sync() = 0;
 };
 
 /// File operations of the log; tests substitute their own. Errors: io_failure
-/// with the path.
+/// with the path; storage_full if the call can be repeated once there is room.
 class file_system
 {
 public:
@@ -52,6 +55,15 @@
 
 std::unique_ptr<file_system> make_posix_file_system();
 
+/// Appends the octets and removes those that were written, also if it fails.
+inline result<void> append_from(append_file& file, std::string& bytes)
+{
+  std::string_view rest = bytes;
+  const auto appended = file.append(rest);
+  bytes.erase(0, bytes.size() - rest.size());
+  return appended;
+}
+
 /// Keeps files in memory, for an instance without persistent storage.
 std::unique_ptr<file_system> make_memory_file_system();
 
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -100,6 +100,8 @@
     return done(stopped_error());
   if (!halted_.empty())
     return done(halted_error());
+  if (leads() && !storage_full_.empty())
+    return done(storage_error());
   register_proposal(core_->propose(command), std::move(done));
 }
 
@@ -110,6 +112,8 @@
     return done(stopped_error());
   if (!halted_.empty())
     return done(halted_error());
+  if (leads() && !storage_full_.empty())
+    return done(storage_error());
   register_proposal(core_->change_group(group, now_and_random()),
                     std::move(done));
 }
@@ -151,11 +155,18 @@
   return error{error_code::unavailable, "this instance halted: " + halted_};
 }
 
+error log_runtime::storage_error() const
+{
+  return error{error_code::storage_full,
+               "this instance's disk is full: " + storage_full_};
+}
+
 replicated_log_status log_runtime::status() const
 {
   replicated_log_status status;
   status.self = options_.self;
   status.halted = halted_;
+  status.storage_full = storage_full_;
   if (halted_.empty())
     status.leader = core_->leader();
   status.leads = leads();
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -34,6 +34,8 @@
 /// than a snapshot interval, since they are freed as a whole.
 constexpr std::uint64_t memory_segments_per_snapshot = 8;
 
+constexpr duration storage_retry_interval = std::chrono::milliseconds(50);
+
 constexpr int storage_failure_exit_code = 70;
 
 // After a failed write or sync the content of the data folder is unknown. Only
@@ -45,12 +47,6 @@
   std::_Exit(storage_failure_exit_code);
 }
 
-void terminate_on_error(const result<void>& outcome)
-{
-  if (!outcome)
-    terminate_process(outcome.error());
-}
-
 replica_settings make_settings(const replicated_log_options& options)
 {
   replica_settings settings;
@@ -147,6 +143,7 @@
     for (const auto& task : queue_.pop(time_to_wakeup(), tasks_per_batch))
       task();
     tick_if_due();
+    retry_storage_if_due();
     perform_actions();
   }
   close();
@@ -210,7 +207,7 @@
       complete_read(read);
     fail_lost_proposals();
     if (!actions.persist.empty())
-      persist(actions.persist);
+      persist(std::move(actions.persist));
   }
   if (!halted_.empty())
     return;
@@ -281,7 +278,9 @@
   if (const auto why = client_.failure())
     return halt(*why);
   core_->require_format(client_.required_format());
-  terminate_on_error(store_->require_format(client_.required_format()));
+  const auto noted = store_->require_format(client_.required_format());
+  if (!noted)
+    check_storage(noted);
 }
 
 void log_runtime::halt(const error& why)
@@ -309,9 +308,8 @@
                "leadership was lost before a quorum confirmed the read"});
 }
 
-void log_runtime::persist(const persist_request& request)
+void log_runtime::persist(persist_request request)
 {
-  const auto start_time = monotonic_now();
   // A snapshot that can't be restored is not kept.
   if (request.snapshot)
   {
@@ -319,13 +317,66 @@
     if (const auto restored = client_.restore(meta.position, data); !restored)
       return halt(restored.error());
     check_client();
-  }
-  terminate_on_error(store_->save(request));
-  if (options_.on_persisted)
-    options_.on_persisted(monotonic_now() - start_time);
-  if (request.snapshot)
     bytes_since_snapshot_ = 0;
-  core_->persisted(request.sequence, now_and_random());
+  }
+  unsaved_.push_back(std::move(request));
+  if (storage_full_.empty())
+    write_unsaved();
+}
+
+// Stops at a full disk. The core goes on meanwhile: what depends on the writes
+// waits for persisted().
+void log_runtime::write_unsaved()
+{
+  while (!unsaved_.empty())
+  {
+    const auto request = std::move(unsaved_.front());
+    unsaved_.pop_front();
+    saving_ = request.sequence;
+    const auto start_time = monotonic_now();
+    if (!check_storage(store_->save(request)))
+      return;
+    if (options_.on_persisted)
+      options_.on_persisted(monotonic_now() - start_time);
+    core_->persisted(std::exchange(saving_, 0), now_and_random());
+  }
+}
+
+// Returns false if the disk is full; any other failure ends the process.
+bool log_runtime::check_storage(const result<void>& written)
+{
+  if (!written && written.error().code != error_code::storage_full)
+    terminate_process(written.error());
+  const bool was_full = !storage_full_.empty();
+  storage_full_ = written ? std::string{} : written.error().message;
+  if (written.has_value() != was_full)
+    return written.has_value();
+  core_->set_storage_usable(written.has_value());
+  client_.on_storage_full(written ? std::optional<error>{}
+                                  : std::make_optional(written.error()));
+  return written.has_value();
+}
+
+result<void> log_runtime::resume_storage()
+{
+  BOOST_OUTCOME_TRY(store_->complete());
+  if (store_->snapshot_in_progress())
+    return continue_snapshot();
+  return outcome::success();
+}
+
+// A leader that can't write would answer nobody until there is room.
+void log_runtime::retry_storage_if_due()
+{
+  if (storage_full_.empty() || !halted_.empty() ||
+      monotonic_now() < next_storage_retry_)
+    return;
+  next_storage_retry_ = monotonic_now() + storage_retry_interval;
+  if (!check_storage(resume_storage()))
+    return core_->transfer_leadership(now_and_random());
+  if (saving_ != 0)
+    core_->persisted(std::exchange(saving_, 0), now_and_random());
+  write_unsaved();
 }
 
 void log_runtime::announce_leadership_loss()
@@ -356,8 +407,13 @@
 
 void log_runtime::snapshot_if_due()
 {
+  if (!storage_full_.empty())
+    return;
   if (store_->snapshot_in_progress())
-    return continue_snapshot();
+  {
+    check_storage(continue_snapshot());
+    return;
+  }
   const auto& last = core_->snapshot();
   const auto entries = core_->applied_index() - last.position.index;
   const auto max_bytes = std::max(options_.octets_per_snapshot, last.size);
@@ -372,13 +428,12 @@
   bytes_since_snapshot_ = 0;
 }
 
-void log_runtime::continue_snapshot()
+result<void> log_runtime::continue_snapshot()
 {
-  const auto written = store_->step_snapshot();
-  if (!written)
-    terminate_process(written.error());
-  if (written.value())
-    core_->compact(*written.value());
+  BOOST_OUTCOME_TRY(written, store_->step_snapshot());
+  if (written)
+    core_->compact(*written);
+  return outcome::success();
 }
 
 time_point log_runtime::core_tick_time() const
@@ -392,7 +447,8 @@
 // once.
 duration log_runtime::time_to_wakeup() const
 {
-  if (halted_.empty() && store_->snapshot_in_progress())
+  if (halted_.empty() && storage_full_.empty() &&
+      store_->snapshot_in_progress())
     return duration{0};
   return std::max(core_tick_time() - monotonic_now(), duration{0});
 }
--- a/src/log/log_runtime.hpp
+++ b/src/log/log_runtime.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <future>
 #include <map>
 #include <memory>
@@ -62,12 +63,17 @@
   error halted_error() const;
   bool leads() const;
   void complete_read(const read_outcome& read);
-  void persist(const persist_request& request);
+  void persist(persist_request request);
+  void write_unsaved();
+  bool check_storage(const result<void>& written);
+  void retry_storage_if_due();
+  result<void> resume_storage();
+  error storage_error() const;
   void announce_leadership();
   void announce_leadership_loss();
   void fail_lost_proposals();
   void snapshot_if_due();
-  void continue_snapshot();
+  result<void> continue_snapshot();
   time_point core_tick_time() const;
   duration time_to_wakeup() const;
   void close();
@@ -104,6 +110,11 @@
       {"vote"}, {"append"}, {"heartbeat"}, {"snapshot"}};
   time_point next_tick_;
   time_point next_client_tick_;
+  std::deque<persist_request> unsaved_; ///< wait for room on the disk
+  /// Sequence of the request that the store has got and not completed; 0: none.
+  std::uint64_t saving_ = 0;
+  std::string storage_full_; ///< reason; empty: writes do not wait for room
+  time_point next_storage_retry_;
   bool closing_ = false;
   std::string halted_; ///< reason; empty: this instance takes part
 };
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -180,8 +180,10 @@
 {
   const auto path = folder_ + "/" + replica_id_temporary_file;
   {
+    BOOST_OUTCOME_TRY(files_.remove(path));
     BOOST_OUTCOME_TRY(file, files_.open(path));
-    BOOST_OUTCOME_TRY(file->append(to_text(folder_label{self_, format_})));
+    auto text = to_text(folder_label{self_, format_});
+    BOOST_OUTCOME_TRY(append_from(*file, text));
     BOOST_OUTCOME_TRY(file->sync());
   }
   BOOST_OUTCOME_TRY(files_.rename(path, folder_ + "/" + replica_id_file));
@@ -193,7 +195,8 @@
   if (version <= format_ || folder_.empty())
     return outcome::success();
   format_ = version;
-  return write_replica_id_file();
+  label_outdated_ = true;
+  return complete();
 }
 
 result<void> log_store::recover()
@@ -232,16 +235,34 @@
   if (request.snapshot)
   {
     const auto& [meta, data] = *request.snapshot;
-    BOOST_OUTCOME_TRY(snapshots_.write(meta, data));
+    snapshots_.begin(meta, data);
+    installing_ = meta.position.index;
     log_.append(log_reset{meta.position});
   }
   if (request.hard)
     log_.append(*request.hard);
   for (const auto& entry : request.entries)
     log_.append(entry);
+  return complete();
+}
+
+result<void> log_store::complete()
+{
+  if (label_outdated_)
+  {
+    BOOST_OUTCOME_TRY(write_replica_id_file());
+  }
+  label_outdated_ = false;
+  while (installing_ && snapshots_.in_progress())
+  {
+    BOOST_OUTCOME_TRY(snapshots_.step());
+  }
   BOOST_OUTCOME_TRY(log_.sync());
-  if (request.snapshot)
-    return log_.remove_up_to(request.snapshot->meta.position.index);
+  if (installing_)
+  {
+    BOOST_OUTCOME_TRY(log_.remove_up_to(*installing_));
+  }
+  installing_.reset();
   return outcome::success();
 }
 
@@ -255,10 +276,12 @@
 result<std::optional<snapshot_meta>> log_store::step_snapshot()
 {
   BOOST_OUTCOME_TRY(written, snapshots_.step());
-  if (written)
-  {
-    BOOST_OUTCOME_TRY(log_.remove_up_to(written->position.index));
-  }
+  if (!written)
+    return written;
+  // The snapshot is durable; segments that are left go with the next one.
+  const auto removed = log_.remove_up_to(written->position.index);
+  if (!removed && removed.error().code != error_code::storage_full)
+    return removed.error();
   return written;
 }
 
--- a/src/log/log_store.hpp
+++ b/src/log/log_store.hpp
@@ -31,8 +31,8 @@
                                              const std::string& folder);
 
 /// Data folder of one replica: replica id file, write-ahead log and snapshot.
-/// After an error the state on disk is unknown and the object must not be used
-/// again.
+/// After an error other than storage_full the state on disk is unknown and the
+/// object must not be used again.
 class log_store
 {
 public:
@@ -55,9 +55,13 @@
     return std::move(snapshot_data_);
   }
 
-  /// Writes the records; they are durable when it returns.
+  /// Writes the records; they are durable when it returns. After the error
+  /// storage_full, complete() continues; nothing else may be saved before.
   result<void> save(const persist_request& request);
 
+  /// Repeats what a full disk has interrupted.
+  result<void> complete();
+
   /// Writes a durable snapshot, then removes log segments that it covers.
   result<void> save_snapshot(const snapshot_meta& meta, std::string data);
 
@@ -74,7 +78,8 @@
   /// Writes the next part; returns the snapshot once it is durable.
   result<std::optional<snapshot_meta>> step_snapshot();
 
-  /// Notes in the folder that it needs a build that reads this version.
+  /// Notes in the folder that it needs a build that reads this version. After
+  /// the error storage_full, complete() continues.
   result<void> require_format(format_version version);
 
   /// Reads part of the newest snapshot's content.
@@ -103,6 +108,8 @@
   format_version format_ = first_format_version; ///< noted in the folder
   write_ahead_log log_;
   snapshot_files snapshots_;
+  bool label_outdated_ = false; ///< format_ is not noted in the folder yet
+  std::optional<std::uint64_t> installing_; ///< index of a snapshot to save
   stored_state stored_;
   std::string snapshot_data_;
 };
--- a/src/log/memory_file_system.cpp
+++ b/src/log/memory_file_system.cpp
@@ -17,9 +17,9 @@
 public:
   explicit memory_append_file(shared_bytes bytes) : bytes_(std::move(bytes)) {}
 
-  result<void> append(std::string_view bytes) override
+  result<void> append(std::string_view& bytes) override
   {
-    bytes_->append(bytes);
+    bytes_->append(std::exchange(bytes, {}));
     return outcome::success();
   }
   result<void> sync() override
--- a/src/log/posix_file_system.cpp
+++ b/src/log/posix_file_system.cpp
@@ -5,10 +5,8 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <chrono>
 #include <cstring>
 #include <filesystem>
-#include <thread>
 #include <utility>
 
 namespace toucanmill::log_detail
@@ -17,14 +15,21 @@
 namespace
 {
 
-constexpr auto full_disk_retry_interval = std::chrono::milliseconds(50);
-
 error io_error(const std::string& operation, const std::string& path, int code)
 {
-  return error{error_code::io_failure,
+  const bool full = code == ENOSPC || code == EDQUOT;
+  return error{full ? error_code::storage_full : error_code::io_failure,
                operation + " " + path + ": " + std::strerror(code)};
 }
 
+// After a failed sync it is unknown what is durable, whatever the reason.
+error sync_error(const std::string& operation, const std::string& path)
+{
+  auto failure = io_error(operation, path, errno);
+  failure.code = error_code::io_failure;
+  return failure;
+}
+
 class file_descriptor
 {
 public:
@@ -53,20 +58,13 @@
   {
   }
 
-  result<void> append(std::string_view bytes) override
+  result<void> append(std::string_view& bytes) override
   {
     while (!bytes.empty())
     {
       const auto written = write(file_.get(), bytes.data(), bytes.size());
       if (written < 0 && errno == EINTR)
         continue;
-      // Retries until there is space. Meanwhile the log's thread is blocked,
-      // as on a stalled disk, and another replica can take over as leader.
-      if (written < 0 && errno == ENOSPC)
-      {
-        std::this_thread::sleep_for(full_disk_retry_interval);
-        continue;
-      }
       if (written <= 0)
         return io_error("write", path_, written < 0 ? errno : EIO);
       bytes.remove_prefix(static_cast<std::size_t>(written));
@@ -77,7 +75,7 @@
   result<void> sync() override
   {
     if (fdatasync(file_.get()) != 0)
-      return io_error("fdatasync", path_, errno);
+      return sync_error("fdatasync", path_);
     return outcome::success();
   }
 
@@ -179,7 +177,7 @@
     const file_descriptor folder(
         ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (folder.get() < 0 || fsync(folder.get()) != 0)
-      return io_error("fsync", path, errno);
+      return sync_error("fsync", path);
     return outcome::success();
   }
 
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -161,6 +161,13 @@
 
   void transfer_leadership(call_context context);
 
+  /// Whether writes can become durable soon. While they can't, this replica
+  /// does not campaign.
+  void set_storage_usable(bool usable)
+  {
+    storage_usable_ = usable;
+  }
+
   /// Compacts the log after a snapshot of the applied state became durable.
   void compact(const snapshot_meta& snapshot);
 
@@ -355,6 +362,7 @@
   time_point leader_last_contact_;
   time_point election_deadline_;
   unsigned pre_campaigns_ = 0; ///< since the process started
+  bool storage_usable_ = true;
   time_point heartbeat_due_;
   std::set<replica_id> votes_;
   std::map<replica_id, progress> peers_;
--- a/src/log/replica_election_core.cpp
+++ b/src/log/replica_election_core.cpp
@@ -53,7 +53,7 @@
 // new group, where no log has a command that could be lost.
 bool replica_core::may_campaign() const
 {
-  return may_lead() && (hard_.may_vote || is_pristine());
+  return storage_usable_ && may_lead() && (hard_.may_vote || is_pristine());
 }
 
 // A replica may still lead until the entry that removes it is committed: it may
--- a/src/log/simulated_files_test.hpp
+++ b/src/log/simulated_files_test.hpp
@@ -2,6 +2,7 @@
 #define TOUCANMILL_SRC_LOG_SIMULATED_FILES_TEST_HPP
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -30,6 +31,9 @@
   names durable;
   std::uint64_t capacity = 1ULL << 40;        ///< octets in all files
   std::uint64_t operations_left = 1ULL << 60; ///< 0: operations fail
+  /// Shared by the copies of a disk; can be set from any thread.
+  std::shared_ptr<std::atomic<bool>> full =
+      std::make_shared<std::atomic<bool>>(false);
 
   /// Keeps the synced content and up to `unsynced_bytes` octets after it.
   void crash(std::size_t unsynced_bytes)
@@ -101,6 +105,7 @@
   result<std::unique_ptr<append_file>> open(const std::string& path) override
   {
     BOOST_OUTCOME_TRY(consume_operation());
+    BOOST_OUTCOME_TRY(require_room());
     auto& file = disk_->files[path];
     if (!file)
       file = std::make_shared<simulated_disk::content>();
@@ -118,6 +123,7 @@
   result<void> rename(const std::string& from, const std::string& to) override
   {
     BOOST_OUTCOME_TRY(consume_operation());
+    BOOST_OUTCOME_TRY(require_room());
     BOOST_OUTCOME_TRY(file, find(from));
     disk_->files.erase(from);
     disk_->files[to] = file;
@@ -145,15 +151,17 @@
         : files_(files), file_(std::move(file))
     {
     }
-    result<void> append(std::string_view bytes) override
+    result<void> append(std::string_view& bytes) override
     {
       BOOST_OUTCOME_TRY(files_.consume_operation());
-      const auto free_bytes = files_.free_bytes();
-      file_->bytes += bytes.substr(0, free_bytes);
-      if (bytes.size() > free_bytes)
-        return error{error_code::io_failure,
-                     "no space left on the simulated disk"};
-      return outcome::success();
+      // A disk that fills up takes the start of a write.
+      const auto written =
+          files_.disk_->full->load()
+              ? bytes.size() / 2
+              : std::min<std::uint64_t>(bytes.size(), files_.free_bytes());
+      file_->bytes += bytes.substr(0, written);
+      bytes.remove_prefix(written);
+      return bytes.empty() ? result<void>(outcome::success()) : no_room();
     }
     result<void> sync() override
     {
@@ -181,6 +189,16 @@
     --disk_->operations_left;
     return outcome::success();
   }
+  static error no_room()
+  {
+    return {error_code::storage_full, "no space left on the simulated disk"};
+  }
+  result<void> require_room() const
+  {
+    if (disk_->full->load())
+      return no_room();
+    return outcome::success();
+  }
   std::uint64_t free_bytes() const
   {
     std::uint64_t used = 0;
--- a/src/log/snapshot_files.cpp
+++ b/src/log/snapshot_files.cpp
@@ -75,10 +75,13 @@
   {
     BOOST_OUTCOME_TRY(open_temporary());
   }
+  BOOST_OUTCOME_TRY(append_from(*pending.file, pending.unwritten_header));
   const auto part = data.substr(pending.written_bytes, part_bytes);
-  BOOST_OUTCOME_TRY(pending.file->append(part));
+  auto unwritten = part;
+  const auto appended = pending.file->append(unwritten);
+  pending.written_bytes += part.size() - unwritten.size();
+  BOOST_OUTCOME_TRY(appended);
   BOOST_OUTCOME_TRY(pending.file->sync());
-  pending.written_bytes += part.size();
   if (pending.written_bytes < data.size())
     return std::optional<snapshot_meta>{};
   BOOST_OUTCOME_TRY(finish());
@@ -96,10 +99,9 @@
     BOOST_OUTCOME_TRY(files_.remove(path_of(temporary_file)));
   }
   BOOST_OUTCOME_TRY(file, files_.open(path_of(temporary_file)));
-  const auto header = make_frame(
+  pending.unwritten_header = make_frame(
       encode(snapshot_header{pending.meta, pending.checksum.value()}));
-  header_bytes_ = header.size();
-  BOOST_OUTCOME_TRY(file->append(header));
+  header_bytes_ = pending.unwritten_header.size();
   pending.file = std::move(file);
   return outcome::success();
 }
@@ -107,7 +109,11 @@
 result<void> snapshot_files::finish()
 {
   const auto name = name_of(pending_->meta.position);
-  BOOST_OUTCOME_TRY(files_.rename(path_of(temporary_file), path_of(name)));
+  if (!pending_->renamed)
+  {
+    BOOST_OUTCOME_TRY(files_.rename(path_of(temporary_file), path_of(name)));
+    pending_->renamed = true;
+  }
   BOOST_OUTCOME_TRY(files_.sync_folder(folder_));
   newest_name_ = name;
   content_offset_ = header_bytes_;
--- a/src/log/snapshot_files.hpp
+++ b/src/log/snapshot_files.hpp
@@ -38,7 +38,8 @@
     return pending_.has_value();
   }
 
-  /// Processes the next part; returns the snapshot once it is durable.
+  /// Processes the next part; returns the snapshot once it is durable. Can be
+  /// repeated after the error storage_full.
   result<std::optional<snapshot_meta>> step();
 
   /// Reads the newest snapshot; removes older and incomplete ones. Errors:
@@ -66,6 +67,8 @@
     std::size_t checksummed_bytes = 0;
     std::size_t written_bytes = 0;
     std::unique_ptr<append_file> file; ///< null until the checksum is known
+    std::string unwritten_header;
+    bool renamed = false; ///< has its final name
   };
 
   std::string path_of(const std::string& name) const;
--- a/src/log/write_ahead_log.cpp
+++ b/src/log/write_ahead_log.cpp
@@ -53,7 +53,8 @@
 result<void> write_ahead_log::create(const hard_state& hard)
 {
   hard_ = hard;
-  return start_segment(1);
+  BOOST_OUTCOME_TRY(start_segment(1));
+  return write_batch();
 }
 
 std::size_t write_ahead_log::initial_bytes(const hard_state& hard) const
@@ -67,13 +68,10 @@
   BOOST_OUTCOME_TRY(file, files_.open(path_of(number)));
   file_ = std::move(file);
   segments_.push_back({number, 0, 0});
+  folder_unsynced_ = true;
   append(segment_start{self_});
   append(hard_);
-  const auto batch = std::exchange(batch_, {});
-  segments_.back().size = batch.size();
-  BOOST_OUTCOME_TRY(file_->append(batch));
-  BOOST_OUTCOME_TRY(file_->sync());
-  return files_.sync_folder(folder_);
+  return outcome::success();
 }
 
 void write_ahead_log::track(const wal_record& record)
@@ -94,15 +92,30 @@
 }
 
 result<void> write_ahead_log::sync()
+{
+  BOOST_OUTCOME_TRY(write_batch());
+  if (segments_.back().size < segment_bytes_)
+    return outcome::success();
+  BOOST_OUTCOME_TRY(start_segment(segments_.back().number + 1));
+  return write_batch();
+}
+
+// The batch is empty when a segment is started, so a segment that is not the
+// newest is complete and durable.
+result<void> write_ahead_log::write_batch()
 {
   if (batch_.empty())
     return outcome::success();
-  BOOST_OUTCOME_TRY(file_->append(batch_));
+  const auto size = batch_.size();
+  const auto appended = append_from(*file_, batch_);
+  segments_.back().size += size - batch_.size();
+  BOOST_OUTCOME_TRY(appended);
   BOOST_OUTCOME_TRY(file_->sync());
-  segments_.back().size += batch_.size();
-  batch_.clear();
-  if (segments_.back().size >= segment_bytes_)
-    return start_segment(segments_.back().number + 1);
+  if (folder_unsynced_)
+  {
+    BOOST_OUTCOME_TRY(files_.sync_folder(folder_));
+  }
+  folder_unsynced_ = false;
   return outcome::success();
 }
 
--- a/src/log/write_ahead_log.hpp
+++ b/src/log/write_ahead_log.hpp
@@ -46,6 +46,7 @@
   void append(const wal_record& record);
 
   /// Writes and syncs the batch, then starts a new segment if this one is full.
+  /// Can be repeated after the error storage_full, also with a longer batch.
   result<void> sync();
 
   /// Removes segments that contain only entries up to the index.
@@ -63,6 +64,7 @@
   };
 
   result<void> start_segment(std::uint64_t number);
+  result<void> write_batch();
   result<void> read_segment(std::uint64_t number, bool newest,
                             recovered_log& log);
   result<void> replay(const wal_record& record, recovered_log& log,
@@ -77,7 +79,8 @@
   std::uint64_t segment_bytes_;
   std::vector<segment> segments_; ///< oldest first
   std::unique_ptr<append_file> file_;
-  std::string batch_;
+  std::string batch_;            ///< not written yet
+  bool folder_unsynced_ = false; ///< the newest segment's name is not durable
   hard_state hard_;
   std::uint64_t next_expected_index_ = 0; ///< during recovery; 0: any
 };
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -145,6 +145,11 @@
        "A node or control instance does not read the version in force."},
       {event::replica_halted, severity::error, "replica_halted",
        "An entry or snapshot can't be applied; the instance takes no part."},
+      {event::storage_full, severity::warning, "storage_full",
+       "The disk is full; the instance hands over its leadership and refuses "
+       "changes."},
+      {event::storage_writable, severity::info, "storage_writable",
+       "The disk has room again; the instance wrote what waited."},
   };
   return all;
 }
