control: a lost voter stays a member until its successor votes

Change: the new id becomes a learner beside the old one, then a voter, and the old id is removed when another voter answers at its endpoint. It is removed first only if enough live voters remain, or if it was a learner. The leader sends no entries to an id whose endpoint another one answers at.

--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -58,15 +58,18 @@
 group_options make_group_options(std::size_t tolerated_losses);
 
 /// Plans the next step of a join; the group changes by one instance at a time.
-/// An earlier id at the same endpoint is removed first, since its disk is lost;
-/// then the instance becomes a learner, then a voter. An instance without a
+/// The instance becomes a learner, then a voter. An earlier id at its endpoint,
+/// whose disk is lost, is removed first only if enough live voters remain;
+/// otherwise plan_removal() removes it once the new one is a voter, so that the
+/// group has fewer voters at no time. An instance without a
 /// disk stays a learner; if it was a voter of the initial group, it is removed
 /// once there are enough other voters.
 join_step plan_join(const replicated_log_status& status,
                     const join_request& joining,
                     const group_options& options = {});
 
-/// Returns the group without one unresponsive member, if one should be removed.
+/// Returns the group without one member that is unresponsive, or whose endpoint
+/// has passed to a voter, if one should be removed.
 std::optional<std::vector<replica_address>>
 plan_removal(const replicated_log_status& status,
              const group_options& options = {});
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -17,26 +17,17 @@
 }
 
 std::size_t count_live_voters(const replicated_log_status& status,
-                              const group_options& options)
+                              const group_options& options,
+                              replica_id excluded = {})
 {
   std::size_t live = 0;
   for (const auto& member : status.group)
-    if (member.voter &&
+    if (member.voter && !(member.id == excluded) &&
         contact_age_of(status, member.id) < options.voter_silence_timeout)
       ++live;
   return live;
 }
 
-std::size_t count_voters(const std::vector<replica_address>& group)
-{
-  return static_cast<std::size_t>(
-      std::count_if(group.begin(), group.end(),
-                    [](const replica_address& member)
-                    {
-                      return member.voter;
-                    }));
-}
-
 std::vector<replica_address> without(const std::vector<replica_address>& group,
                                      replica_id id)
 {
@@ -50,6 +41,44 @@
   return next;
 }
 
+/// Voters but those whose endpoint has passed to `replica`.
+std::size_t count_other_voters(const std::vector<replica_address>& group,
+                               const replica_address& replica)
+{
+  return static_cast<std::size_t>(
+      std::count_if(group.begin(), group.end(),
+                    [&](const replica_address& member)
+                    {
+                      return member.voter && member.rpc != replica.rpc;
+                    }));
+}
+
+/// The learner, or else the voter, that used the endpoint before.
+const replica_address*
+find_predecessor(const std::vector<replica_address>& group,
+                 const replica_address& replica)
+{
+  const replica_address* found = nullptr;
+  for (const auto& member : group)
+    if (member.rpc == replica.rpc && !(member.id == replica.id) &&
+        (found == nullptr || found->voter))
+      found = &member;
+  return found;
+}
+
+/// Whether another voter has taken over the member's endpoint.
+bool is_replaced(const replicated_log_status& status,
+                 const replica_address& member)
+{
+  return std::any_of(status.group.begin(), status.group.end(),
+                     [&](const replica_address& other)
+                     {
+                       return other.voter && other.rpc == member.rpc &&
+                              contact_age_of(status, other.id) <
+                                  contact_age_of(status, member.id);
+                     });
+}
+
 } // namespace
 
 group_options make_group_options(std::size_t tolerated_losses)
@@ -79,18 +108,19 @@
       return {replica_standing::waiting, without(next, self.id)};
     if (same_id->voter)
       return {replica_standing::voter, {}};
-    if (!joining.persists_log || count_voters(next) >= options.max_voters)
+    if (!joining.persists_log ||
+        count_other_voters(next, self) >= options.max_voters)
       return {replica_standing::learner, {}};
     same_id->voter = true;
     return {replica_standing::learner, std::move(next)};
   }
-  const auto same_endpoint = std::find_if(next.begin(), next.end(),
-                                          [&](const replica_address& member)
-                                          {
-                                            return member.rpc == self.rpc;
-                                          });
-  if (same_endpoint != next.end())
-    next.erase(same_endpoint);
+  const auto* const predecessor = find_predecessor(next, self);
+  const bool may_go = predecessor != nullptr &&
+                      (!predecessor->voter ||
+                       count_live_voters(status, options, predecessor->id) >=
+                           options.min_voters);
+  if (may_go)
+    next = without(next, predecessor->id);
   else
     next.push_back({self.id, self.rpc, false});
   return {replica_standing::waiting, std::move(next)};
@@ -103,11 +133,11 @@
   for (const auto& member : status.group)
   {
     const auto contact_age = contact_age_of(status, member.id);
-    const bool leaves = member.voter
+    const bool silent = member.voter
                             ? contact_age >= options.voter_silence_timeout &&
                                   live >= options.min_voters
                             : contact_age >= options.learner_silence_timeout;
-    if (leaves)
+    if (silent || is_replaced(status, member))
       return without(status.group, member.id);
   }
   return std::nullopt;
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -68,6 +68,8 @@
 // The reply to a probe shows what a replica reads that was not heard from yet.
 bool replica_core::may_receive(progress& peer)
 {
+  if (is_replaced(peer))
+    return false;
   if (required_format_ == first_format_version)
     return true;
   if (peer.formats)
@@ -80,6 +82,21 @@
   return false;
 }
 
+// Whether another replica answers at the peer's endpoint. Entries for the lost
+// one would delay those that its successor needs to catch up.
+bool replica_core::is_replaced(const progress& peer) const
+{
+  const auto& rpc = peer.address.rpc;
+  return rpc.port != 0 &&
+         now_ - peer.last_contact >= settings_.election_timeout &&
+         std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& item)
+                     {
+                       return item.second.address.rpc == rpc &&
+                              item.second.last_contact > peer.last_contact;
+                     });
+}
+
 // A second large request would be dropped by the transport and wait for its
 // retransmission; it follows the acknowledgement of the first.
 bool replica_core::may_pipeline(const progress& peer) const
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -299,6 +299,7 @@
   // replica_append_core.cpp
   void send_pending();
   bool may_receive(progress& peer);
+  bool is_replaced(const progress& peer) const;
   bool may_pipeline(const progress& peer) const;
   bool next_is_large(const progress& peer) const;
   void send_entries(progress& peer);
