control: no acknowledgement rests on memory while disks are there

Instances with a disk became voters only 1 to 2 s later. Change: replication messages state whether the sender keeps its log in memory (a new field; earlier builds state nothing). While the group has voters that do, its leader refuses commands until instances with a disk have taken their place: for 2 s at least, and for up to 10 s while one is about to become a voter. The refusal says that nothing was run. A group with fewer disks than it needs goes on after these times. Conclusion: where the seeds have disks nothing changes.

--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -120,6 +120,8 @@
   {
     return failure_;
   }
+  std::optional<error>
+  refusal(const replicated_log_status& status) const override;
   void on_leadership(bool leads, std::uint64_t term) override;
   void on_storage_full(const std::optional<error>& why) override;
   void on_tick(time_point now) override;
@@ -190,6 +192,7 @@
   bool first_group_check_ = true; ///< since becoming leader
   replicated_log* log_ = nullptr;
   bool leads_ = false;
+  time_point leads_since_;
 
   /// Log index and commit time of configurations that some live nodes have not
   /// applied yet.
--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -51,6 +51,10 @@
   /// An unresponsive learner is removed after this time; longer than for voters
   /// because learners do not delay commits.
   duration learner_silence_timeout = std::chrono::seconds(15);
+  /// Time in which instances with a disk are expected to ask to join.
+  duration disk_join_time = std::chrono::seconds(2);
+  /// Time in which they are expected to be voters.
+  duration disk_vote_time = std::chrono::seconds(10);
 };
 
 /// Options for a group that keeps its quorum and all acknowledged entries when
@@ -74,6 +78,13 @@
 plan_removal(const replicated_log_status& status,
              const group_options& options = {});
 
+/// Whether the leader must not acknowledge a change yet, since voters that lose
+/// their log when their process ends are about to be replaced by instances with
+/// a disk. `led`: how long this instance has led. A group that has fewer
+/// instances with a disk than it needs acknowledges after a short time.
+bool awaits_disks(const replicated_log_status& status, duration led,
+                  const group_options& options = {});
+
 /// Returns the group without the stopping voter, if enough live voters remain.
 std::optional<std::vector<replica_address>>
 plan_leave(const replicated_log_status& status, replica_id leaving,
--- a/include/toucanmill/log/replicated_log.hpp
+++ b/include/toucanmill/log/replicated_log.hpp
@@ -25,6 +25,8 @@
 /// temporary file. It may be lost at any time.
 constexpr auto kept_flows_file = "kept_flows";
 
+struct replicated_log_status;
+
 /// Callbacks that the replicated log makes to its state machine, and the
 /// transport for its messages. All calls come from the log's thread.
 class log_client
@@ -56,6 +58,13 @@
     return std::nullopt;
   }
 
+  /// Why the leader takes no commands now, which is asked before each; none: it
+  /// does.
+  virtual std::optional<error> refusal(const replicated_log_status&) const
+  {
+    return std::nullopt;
+  }
+
   /// Called when this instance becomes leader of the term, after all entries of
   /// earlier terms are applied, and when it stops being leader.
   virtual void on_leadership(bool leads, std::uint64_t term) = 0;
@@ -132,6 +141,9 @@
   /// from.
   std::vector<replica_formats> formats;
   format_version required_format = first_format_version;
+  /// Members that lose their log when their process ends; on other instances
+  /// than the leader only this one.
+  std::vector<replica_id> in_memory;
   std::uint64_t malformed_messages = 0; ///< received and dropped
   /// Why this instance takes no part in the group any more; empty: it does. Its
   /// files stay as they are.
--- a/schema/log.capnp
+++ b/schema/log.capnp
@@ -47,6 +47,7 @@
   oldestFormat @15 :UInt8;  # formats that the sender reads; 0: only the first
   newestFormat @16 :UInt8;
   build @17 :UInt32;        # start of the commit's hash; 0: unknown
+  inMemory @18 :Bool;       # the sender keeps its log in memory only
 }
 
 struct HardState {
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -107,9 +107,20 @@
   return outcome::success();
 }
 
+std::optional<error>
+control_state::refusal(const replicated_log_status& status) const
+{
+  if (!options_.remove_silent_members ||
+      !awaits_disks(status, monotonic_now() - leads_since_, options_.group))
+    return std::nullopt;
+  return error{error_code::unavailable,
+               "not run: the group waits for instances with a disk"};
+}
+
 void control_state::on_leadership(bool leads, std::uint64_t term)
 {
   leads_ = leads;
+  leads_since_ = monotonic_now();
   pending_declarations_.clear();
   next_group_check_ = {};
   first_group_check_ = true;
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -143,6 +143,29 @@
   return std::nullopt;
 }
 
+bool awaits_disks(const replicated_log_status& status, duration led,
+                  const group_options& options)
+{
+  const auto in_memory = [&status](const replica_address& member)
+  {
+    return std::count(status.in_memory.begin(), status.in_memory.end(),
+                      member.id) != 0;
+  };
+  std::size_t voters = 0;
+  bool forgetful_voter = false;
+  bool learner_with_disk = false;
+  for (const auto& member : status.group)
+  {
+    voters += member.voter ? 1 : 0;
+    forgetful_voter |= member.voter && in_memory(member);
+    learner_with_disk |= !member.voter && !in_memory(member);
+  }
+  if (!forgetful_voter || led >= options.disk_vote_time)
+    return false;
+  return led < options.disk_join_time || learner_with_disk ||
+         voters > options.min_voters;
+}
+
 std::optional<std::vector<replica_address>>
 plan_leave(const replicated_log_status& status, replica_id leaving,
            const group_options& options)
--- a/src/control/group_core_test.cpp
+++ b/src/control/group_core_test.cpp
@@ -187,3 +187,37 @@
   CHECK_TRUE(step.standing == replica_standing::learner);
   CHECK_FALSE(step.next.has_value());
 }
+
+// Guards against an acknowledgement that rests on memory alone while instances
+// with a disk are about to become voters: the loss of two seeds loses it.
+TEST(group_core, change_waits_until_voters_have_disks)
+{
+  constexpr auto soon = std::chrono::milliseconds(100);
+  constexpr auto later = std::chrono::seconds(3);
+  auto status = status_of(three, {});
+  CHECK_FALSE(awaits_disks(status, soon));
+  status.in_memory = {{1}, {2}, {3}};
+  CHECK_TRUE(awaits_disks(status, soon));
+  status.group.push_back(replica(4, 4, false));
+  CHECK_TRUE(awaits_disks(status, later));
+  status.group.back().voter = true;
+  CHECK_TRUE(awaits_disks(status, later));
+  status.group = {replica(4, 4), replica(5, 5), replica(6, 6),
+                  replica(1, 1, false)};
+  CHECK_FALSE(awaits_disks(status, soon));
+}
+
+// Guards against a group that never takes a change because it has fewer
+// instances with a disk than it needs, or one that can't become a voter.
+TEST(group_core, change_does_not_wait_for_disks_that_are_missing)
+{
+  const group_options options;
+  auto status = status_of(three, {});
+  status.in_memory = {{1}, {2}, {3}};
+  CHECK_FALSE(awaits_disks(status, options.disk_join_time));
+  status.in_memory = {{3}};
+  CHECK_FALSE(awaits_disks(status, options.disk_join_time));
+  status.group.push_back(replica(4, 4, false));
+  CHECK_TRUE(awaits_disks(status, options.disk_join_time));
+  CHECK_FALSE(awaits_disks(status, options.disk_vote_time));
+}
--- a/src/log/codec.cpp
+++ b/src/log/codec.cpp
@@ -168,6 +168,7 @@
   message.data = copy_bytes(in.getData());
   message.may_vote = in.getMayVote();
   message.pristine = in.getPristine();
+  message.in_memory = in.getInMemory();
   message.formats =
       stated_support(in.getOldestFormat(), in.getNewestFormat(), in.getBuild());
   return message;
@@ -214,6 +215,7 @@
   out.setData(as_byte_array(message.data));
   out.setMayVote(message.may_vote);
   out.setPristine(message.pristine);
+  out.setInMemory(message.in_memory);
   // A build that reads the first format alone states nothing, as earlier ones.
   if (message.formats != format_support{})
   {
--- a/src/log/log_operations.cpp
+++ b/src/log/log_operations.cpp
@@ -102,6 +102,9 @@
     return done(halted_error());
   if (leads() && !storage_full_.empty())
     return done(storage_error());
+  if (leads() && !core_->members_in_memory().empty())
+    if (const auto why = client_.refusal(status()))
+      return done(*why);
   register_proposal(core_->propose(command), std::move(done));
 }
 
@@ -179,6 +182,7 @@
   status.removed = core_->group_at(core_->applied_index()).removed;
   status.contact_ages = core_->contact_ages(monotonic_now());
   status.formats = core_->formats();
+  status.in_memory = core_->members_in_memory();
   status.required_format = client_.required_format();
   status.malformed_messages = malformed_messages_;
   status.sent = sent_;
--- a/src/log/log_runtime.cpp
+++ b/src/log/log_runtime.cpp
@@ -52,6 +52,7 @@
   replica_settings settings;
   settings.self = options.self;
   settings.formats = this_build();
+  settings.in_memory = options.folder.empty();
   settings.heartbeat_interval = options.heartbeat_interval;
   settings.election_timeout = options.election_timeout;
   settings.retained_entries =
--- a/src/log/message.hpp
+++ b/src/log/message.hpp
@@ -89,6 +89,7 @@
   std::string data;
   bool may_vote = false;  ///< in replies: durable hard_state::may_vote
   bool pristine = false;  ///< in vote requests: the log has only no-ops
+  bool in_memory = false; ///< the sender has no disk
   format_support formats; ///< of the sender's build
 };
 
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -276,6 +276,7 @@
 {
   peer.last_contact = now_;
   peer.may_vote = peer.may_vote || message.may_vote;
+  peer.in_memory = message.in_memory;
   peer.formats = message.formats;
 }
 
--- a/src/log/replica_append_test.cpp
+++ b/src/log/replica_append_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 #include "codec.hpp"
 
 using namespace toucanmill;
@@ -47,6 +49,7 @@
     reply.granted = true;
     reply.index = index;
     reply.formats = learner_formats;
+    reply.in_memory = learner_in_memory;
     core_.receive(reply, {start_time, 0});
   }
 
@@ -85,6 +88,12 @@
   }
 
   format_support learner_formats;
+  bool learner_in_memory = false;
+
+  std::vector<replica_id> members_in_memory() const
+  {
+    return core_.members_in_memory();
+  }
 
   /// Encoded octets of the last append request sent.
   std::size_t last_size() const
@@ -225,3 +234,66 @@
   leader.acknowledge(1);
   CHECK_TRUE(leader.sent() == indices{2});
 }
+
+// Guards against a leader that takes a member without a disk for one whose copy
+// survives the end of its process.
+TEST(replica_append, member_states_that_its_log_is_in_memory)
+{
+  leader_with_learner leader;
+  CHECK_TRUE(leader.members_in_memory().empty());
+  leader.propose(small_command);
+  leader.sent();
+  leader.learner_in_memory = true;
+  leader.acknowledge(2);
+  CHECK_TRUE(leader.members_in_memory() ==
+             std::vector<replica_id>{learner_address.id});
+}
+
+// Guards against entries for a lost replica that take the link of the one that
+// answers at its endpoint now.
+TEST(replica_append, replaced_replica_gets_no_entries)
+{
+  const endpoint shared{{1}, 7720};
+  replica_settings settings;
+  settings.self = leader_address.id;
+  stored_state stored;
+  stored.hard = {1, {}, true};
+  stored.snapshot.group.members = {leader_address,
+                                   {replica_id{2}, shared, false},
+                                   {replica_id{3}, shared, false}};
+  replica_core core(settings, stored, {});
+  const auto run = [&core](time_point now)
+  {
+    std::set<replica_id> receivers;
+    for (auto actions = core.take_actions(); !actions.empty();
+         actions = core.take_actions())
+    {
+      for (const auto& [to, message] : actions.messages)
+        if (!message.entries.empty())
+          receivers.insert(message.to);
+      core.persisted(actions.persist.sequence, {now, 0});
+    }
+    return receivers;
+  };
+  core.tick({start_time, 0});
+  CHECK_EQUAL(2U, run(start_time).size());
+  const auto acknowledge = [&core, &shared](std::uint64_t id, time_point now)
+  {
+    replica_message reply;
+    reply.kind = message_kind::append_reply;
+    reply.from = {replica_id{id}, shared, false};
+    reply.to = leader_address.id;
+    reply.term = core.hard().term;
+    reply.granted = true;
+    reply.index = 1;
+    core.receive(reply, {now, 0});
+  };
+  acknowledge(2, start_time);
+  acknowledge(3, start_time);
+  run(start_time);
+  const auto later = start_time + settings.election_timeout;
+  acknowledge(3, later);
+  CHECK_TRUE(core.propose(small_command).has_value());
+  core.tick({later, 0});
+  CHECK_TRUE(run(later) == std::set<replica_id>{replica_id{3}});
+}
--- a/src/log/replica_core.cpp
+++ b/src/log/replica_core.cpp
@@ -133,6 +133,7 @@
   message.term = hard_.term;
   message.may_vote = hard_.may_vote;
   message.pristine = is_pristine();
+  message.in_memory = settings_.in_memory;
   message.formats = settings_.formats;
   return message;
 }
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -31,6 +31,7 @@
 {
   replica_id self;
   format_support formats; ///< of this build
+  bool in_memory = false; ///< the log is lost when the process ends
   duration heartbeat_interval = std::chrono::milliseconds(100);
   duration election_timeout = std::chrono::milliseconds(600);
   /// Least time between the starts of two rounds that confirm reads. Nodes
@@ -214,6 +215,10 @@
   /// What this replica and the members that it heard from as leader support.
   std::vector<replica_formats> formats() const;
 
+  /// Members that lose their log when their process ends, as far as this
+  /// replica has heard as leader.
+  std::vector<replica_id> members_in_memory() const;
+
   /// The newest group configuration in the log, committed or not.
   const group_record& group() const
   {
@@ -250,6 +255,7 @@
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
     bool may_vote = false;
+    bool in_memory = false;
     std::optional<format_support> formats; ///< none: not heard from yet
     bool waiting = false;     ///< probe or chunk sent, no reply yet
     time_point last_activity; ///< last send or acknowledgement
--- a/src/log/replica_group_core.cpp
+++ b/src/log/replica_group_core.cpp
@@ -223,6 +223,17 @@
   return found;
 }
 
+std::vector<replica_id> replica_core::members_in_memory() const
+{
+  std::vector<replica_id> found;
+  if (settings_.in_memory)
+    found.push_back(settings_.self);
+  for (const auto& [id, peer] : peers_)
+    if (peer.in_memory)
+      found.push_back(id);
+  return found;
+}
+
 void replica_core::step_down_if_removed()
 {
   if (commit_ < groups_.back().first || is_voter(settings_.self))
--- a/src/log/replica_snapshot_core.cpp
+++ b/src/log/replica_snapshot_core.cpp
@@ -78,8 +78,7 @@
   auto* peer = peer_of(message);
   if (peer == nullptr)
     return;
-  peer->last_contact = now_;
-  peer->formats = message.formats;
+  record_peer_contact(*peer, message);
   if (peer->state != progress_state::snapshot ||
       message.position != peer->snapshot_position)
     return;
