scripts: the soak tears the log's segments

Cause: the fault tear_disk looked for files *.log, but segments are named wal-*, so no run has ever torn one; the run did not notice. Change: it appends a part of a record, as an interrupted write leaves it, to the newest segment, counts it in the report, and is a problem of the run if there is no segment. Random octets are no interrupted write: recovery refuses them, as a unit test demands.

--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -7,6 +7,7 @@
 from relay_system import call
 
 DISK_GAP_S = 8.0       # one lost disk is tolerated at a time
+RECORD_HEADER_OCTETS = 12
 
 
 class Faults:
@@ -69,13 +70,25 @@
     def tear_disk(self, address):
         """A write that was under way when the process ended."""
         self.system.end(address, signal.SIGKILL)
-        names = sorted(pathlib.Path(self.system.data_folder(address)).glob("*.log"))
-        if names:
-            with open(names[-1], "ab") as log:
-                log.write(self.random.randbytes(self.random.randrange(1, 200)))
+        self.tears += 1
+        if not self.tear_newest_segment(self.system.data_folder(address)):
+            self.record.problem(f"{address}: no log segment to tear")
         self.later(self.random.uniform(0.0, 1.0), self.system.start, address)
         return 2.0
 
+    def tear_newest_segment(self, folder):
+        """Appends a part of a record; false if the folder has no segment."""
+        names = sorted(pathlib.Path(folder).glob("wal-*"))
+        if not names:
+            return False
+        # A record is a header, which starts with the size of the payload, the
+        # payload and an end marker.
+        record = names[-1].read_bytes()
+        size = RECORD_HEADER_OCTETS + int.from_bytes(record[:4], "little")
+        with open(names[-1], "ab") as log:
+            log.write(record[:self.random.randrange(1, size + 1)])
+        return True
+
     def kill_all_control(self):
         if not (self.busy | self.reserved) & set(self.system.control):
             self.busy.update(self.system.control)
