control: the wait for disks begins anew with each change of the group

The rule has a gap that explains it: 2 s after the election, when one voter with a disk had replaced one without and the next one had not asked yet, the group of three counted as settled, though two of its voters keep their log in memory. Change: the 2 s count from the last change of the group; the limit of 10 s from the election stays.

--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -173,6 +173,7 @@
 private:
   void propose(std::vector<command> commands);
   void check_joined(time_point now);
+  void note_group(time_point now);
   void check_group(time_point now);
   std::vector<endpoint> members() const;
   std::vector<endpoint> reachable_members() const;
@@ -193,6 +194,8 @@
   replicated_log* log_ = nullptr;
   bool leads_ = false;
   time_point leads_since_;
+  std::vector<replica_address> group_; ///< as of the last tick
+  time_point group_changed_;           ///< or the leadership began
 
   /// Log index and commit time of configurations that some live nodes have not
   /// applied yet.
--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -51,7 +51,7 @@
   /// An unresponsive learner is removed after this time; longer than for voters
   /// because learners do not delay commits.
   duration learner_silence_timeout = std::chrono::seconds(15);
-  /// Time in which instances with a disk are expected to ask to join.
+  /// Time in which the next instance with a disk is expected to ask to join.
   duration disk_join_time = std::chrono::seconds(2);
   /// Time in which they are expected to be voters.
   duration disk_vote_time = std::chrono::seconds(10);
@@ -80,10 +80,11 @@
 
 /// Whether the leader must not acknowledge a change yet, since voters that lose
 /// their log when their process ends are about to be replaced by instances with
-/// a disk. `led`: how long this instance has led. A group that has fewer
-/// instances with a disk than it needs acknowledges after a short time.
+/// a disk. `led`: how long this instance has led; `unchanged`: how long the
+/// group was the same meanwhile. A group that has fewer instances with a disk
+/// than it needs acknowledges once it stays the same for a short time.
 bool awaits_disks(const replicated_log_status& status, duration led,
-                  const group_options& options = {});
+                  duration unchanged, const group_options& options = {});
 
 /// Returns the group without the stopping voter, if enough live voters remain.
 std::optional<std::vector<replica_address>>
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -111,7 +111,8 @@
 control_state::refusal(const replicated_log_status& status) const
 {
   if (!options_.remove_silent_members ||
-      !awaits_disks(status, monotonic_now() - leads_since_, options_.group))
+      !awaits_disks(status, monotonic_now() - leads_since_,
+                    monotonic_now() - group_changed_, options_.group))
     return std::nullopt;
   return error{error_code::unavailable,
                "not run: the group waits for instances with a disk"};
@@ -120,7 +121,7 @@
 void control_state::on_leadership(bool leads, std::uint64_t term)
 {
   leads_ = leads;
-  leads_since_ = monotonic_now();
+  leads_since_ = group_changed_ = monotonic_now();
   pending_declarations_.clear();
   next_group_check_ = {};
   first_group_check_ = true;
@@ -145,6 +146,7 @@
 {
   if (leads_)
   {
+    note_group(now);
     propose(membership_.on_tick(machine_, now));
     check_group(now);
     check_in_force(now);
@@ -152,6 +154,17 @@
   check_joined(now);
 }
 
+void control_state::note_group(time_point now)
+{
+  if (log_ == nullptr)
+    return;
+  if (auto group = log_->status().group; group != group_)
+  {
+    group_ = std::move(group);
+    group_changed_ = now;
+  }
+}
+
 void control_state::check_in_force(time_point now)
 {
   while (!pending_declarations_.empty() &&
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -144,7 +144,7 @@
 }
 
 bool awaits_disks(const replicated_log_status& status, duration led,
-                  const group_options& options)
+                  duration unchanged, const group_options& options)
 {
   const auto in_memory = [&status](const replica_address& member)
   {
@@ -162,7 +162,7 @@
   }
   if (!forgetful_voter || led >= options.disk_vote_time)
     return false;
-  return led < options.disk_join_time || learner_with_disk ||
+  return unchanged < options.disk_join_time || learner_with_disk ||
          voters > options.min_voters;
 }
 
--- a/src/control/group_core_test.cpp
+++ b/src/control/group_core_test.cpp
@@ -195,16 +195,19 @@
   constexpr auto soon = std::chrono::milliseconds(100);
   constexpr auto later = std::chrono::seconds(3);
   auto status = status_of(three, {});
-  CHECK_FALSE(awaits_disks(status, soon));
+  CHECK_FALSE(awaits_disks(status, soon, soon));
   status.in_memory = {{1}, {2}, {3}};
-  CHECK_TRUE(awaits_disks(status, soon));
+  CHECK_TRUE(awaits_disks(status, soon, soon));
   status.group.push_back(replica(4, 4, false));
-  CHECK_TRUE(awaits_disks(status, later));
+  CHECK_TRUE(awaits_disks(status, later, later));
   status.group.back().voter = true;
-  CHECK_TRUE(awaits_disks(status, later));
+  CHECK_TRUE(awaits_disks(status, later, later));
+  // One voter with a disk has replaced one without; the next has not asked yet.
+  status.group = {replica(2, 2), replica(3, 3), replica(4, 4)};
+  CHECK_TRUE(awaits_disks(status, later, soon));
   status.group = {replica(4, 4), replica(5, 5), replica(6, 6),
                   replica(1, 1, false)};
-  CHECK_FALSE(awaits_disks(status, soon));
+  CHECK_FALSE(awaits_disks(status, soon, soon));
 }
 
 // Guards against a group that never takes a change because it has fewer
@@ -214,10 +217,11 @@
   const group_options options;
   auto status = status_of(three, {});
   status.in_memory = {{1}, {2}, {3}};
-  CHECK_FALSE(awaits_disks(status, options.disk_join_time));
+  const auto quiet = options.disk_join_time;
+  CHECK_FALSE(awaits_disks(status, quiet, quiet));
   status.in_memory = {{3}};
-  CHECK_FALSE(awaits_disks(status, options.disk_join_time));
+  CHECK_FALSE(awaits_disks(status, quiet, quiet));
   status.group.push_back(replica(4, 4, false));
-  CHECK_TRUE(awaits_disks(status, options.disk_join_time));
-  CHECK_FALSE(awaits_disks(status, options.disk_vote_time));
+  CHECK_TRUE(awaits_disks(status, quiet, quiet));
+  CHECK_FALSE(awaits_disks(status, options.disk_vote_time, duration{0}));
 }
