log: a successor takes the place of a lost voter in one change

Seen: a control instance loses its disk and comes back, and before it is a full member again its machine is lost once more. From then on nothing is committed, elected or read, though two of three machines run.

Cause: the successor became a voter beside the lost id, which was removed up to half a second later. With four voters of which one is lost for good, the quorum of three needs the successor: its loss, or that of any other disk, is final.

Change: promoting the learner and removing the lost voter at the same endpoint are one change of the group. Quorums before and after it need not overlap for an odd number of voters, so it needs more than the endpoint: the leader was not reached by the lost id since the successor appeared, and every other voter has answered a heartbeat round that began after that. No candidate of a later term can then have, or get, the lost id's vote. If another voter is silent, the two steps of before remain. The entry in the log is a group as before, so that earlier builds read it.

--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -61,13 +61,14 @@
 /// up to `tolerated_losses` instances fail at the same time.
 group_options make_group_options(std::size_t tolerated_losses);
 
-/// Plans the next step of a join; the group changes by one instance at a time.
-/// The instance becomes a learner, then a voter. An earlier id at its endpoint,
-/// whose disk is lost, is removed first only if enough live voters remain;
-/// otherwise plan_removal() removes it once the new one is a voter, so that the
-/// group has fewer voters at no time. An instance without a
-/// disk stays a learner; if it was a voter of the initial group, it is removed
-/// once there are enough other voters.
+/// Plans the next step of a join. The instance becomes a learner, then a voter.
+/// An earlier id at its endpoint, whose disk is lost, is removed first only if
+/// enough live voters remain. Otherwise the instance takes its place as a voter
+/// in one change: with both as voters, the loss of any disk, or of the new one
+/// again, would be final. If another voter is silent as well, it becomes a
+/// voter beside the lost id, which plan_removal() removes then. An instance
+/// without a disk stays a learner; if it was a voter of the initial group, it
+/// is removed once there are enough other voters.
 join_step plan_join(const replicated_log_status& status,
                     const join_request& joining,
                     const group_options& options = {});
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -66,6 +66,21 @@
   return found;
 }
 
+/// The voter that used the endpoint before, if the replica can take its place
+/// in one change, which all other voters must have confirmed.
+std::optional<replica_id>
+find_replaceable_voter(const replicated_log_status& status,
+                       const replica_address& replica,
+                       const group_options& options)
+{
+  const auto* const lost = find_predecessor(status.group, replica);
+  if (lost == nullptr || !lost->voter ||
+      count_live_voters(status, options, lost->id) !=
+          count_other_voters(status.group, replica))
+    return std::nullopt;
+  return lost->id;
+}
+
 /// Whether another voter has taken over the member's endpoint.
 bool is_replaced(const replicated_log_status& status,
                  const replica_address& member)
@@ -112,6 +127,8 @@
         count_other_voters(next, self) >= options.max_voters)
       return {replica_standing::learner, {}};
     same_id->voter = true;
+    if (const auto lost = find_replaceable_voter(status, self, options))
+      next = without(next, *lost);
     return {replica_standing::learner, std::move(next)};
   }
   const auto* const predecessor = find_predecessor(next, self);
--- a/src/control/group_core_test.cpp
+++ b/src/control/group_core_test.cpp
@@ -36,8 +36,8 @@
 
 // Guards against an instance with a wiped disk that does not become a voter
 // again without an operator, or that votes under its old id, and against a
-// group of two voters while it catches up: the next lost disk would end the
-// group.
+// group of two voters, or of four with the lost one, in between: the next lost
+// disk would end the group.
 TEST(group_core, wiped_instance_becomes_a_voter_step_by_step)
 {
   const auto wiped = replica(9, 3);
@@ -50,15 +50,27 @@
   CHECK_FALSE(plan_removal(status_of(expected, ages)).has_value());
   step = plan_join(status_of(expected, ages), {wiped});
   CHECK_TRUE(step.standing == replica_standing::learner);
-  expected.back().voter = true;
+  expected = {replica(1, 1), replica(2, 2), replica(9, 3)};
   CHECK_TRUE(*step.next == expected);
-  step = plan_join(status_of(expected, ages), {wiped});
+  step = plan_join(status_of(expected, {}), {wiped});
   CHECK_TRUE(step.standing == replica_standing::voter);
   CHECK_FALSE(step.next.has_value());
-  const auto without_lost = plan_removal(status_of(expected, ages));
-  CHECK_TRUE((*without_lost == std::vector<replica_address>{replica(1, 1),
-                                                            replica(2, 2),
-                                                            replica(9, 3)}));
+}
+
+// Guards against a lost disk that is never replaced while another voter is
+// silent: it can't confirm that the lost id is gone.
+TEST(group_core, wiped_instance_votes_beside_its_old_id_if_another_is_silent)
+{
+  const auto options = make_group_options(2);
+  std::vector<replica_address> five = three;
+  five.push_back(replica(4, 4));
+  five.push_back(replica(5, 5));
+  auto group = five;
+  group.push_back(replica(9, 3, false));
+  const std::vector<replica_contact_age> ages = {{{3}, dead}, {{5}, dead}};
+  const auto step = plan_join(status_of(group, ages), {replica(9, 3)}, options);
+  group.back().voter = true;
+  CHECK_TRUE(*step.next == group);
 }
 
 // Guards against a lost id that stays a voter until it was silent for long
--- a/src/log/group_driver_test.hpp
+++ b/src/log/group_driver_test.hpp
@@ -94,7 +94,8 @@
   bool tolerates_loss(const std::vector<replica_address>& group,
                       replica_id lost) const;
   void wipe(node& replica);
-  void add_learner(node& leader_node);
+  bool replace_wiped(node& leader_node);
+  void add_learner(node& leader_node, endpoint rpc);
   void recover();
   bool converged();
 
--- a/src/log/group_faults_test.cpp
+++ b/src/log/group_faults_test.cpp
@@ -90,10 +90,45 @@
   }
 }
 
-// Does one step of an operator's repair: removes a wiped replica, adds a new
-// learner in its place, or promotes it. Sometimes removes a healthy replica.
+// Replaces a wiped voter: adds a learner at its endpoint, which then takes its
+// place in one change. Returns false if a wiped replica is to be removed first.
+bool group_driver::replace_wiped(node& leader_node)
+{
+  auto group = leader_node.core->group().members;
+  const auto lost =
+      std::find_if(group.begin(), group.end(),
+                   [this](const replica_address& member)
+                   {
+                     return member.voter && nodes_.at(member.id).wiped;
+                   });
+  if (lost == group.end() || chance(0.3))
+    return false;
+  const auto successor =
+      std::find_if(group.begin(), group.end(),
+                   [lost](const replica_address& member)
+                   {
+                     return member.rpc == lost->rpc && member.id != lost->id;
+                   });
+  if (successor == group.end())
+  {
+    add_learner(leader_node, lost->rpc);
+    return true;
+  }
+  if (nodes_.at(successor->id).wiped)
+    return false;
+  successor->voter = true;
+  group.erase(lost);
+  if (leader_node.core->change_group(group, context_of(leader_node)))
+    ++counts["replace"];
+  return true;
+}
+
+// Does one step of an operator's repair: replaces or removes a wiped replica,
+// adds a new learner, or promotes it. Sometimes removes a healthy replica.
 void group_driver::repair_group(node& leader_node)
 {
+  if (replace_wiped(leader_node))
+    return;
   auto group = leader_node.core->group().members;
   const auto change = [&](const char* name)
   {
@@ -117,15 +152,15 @@
       return change("promote");
     }
   if (group.size() < size_)
-    add_learner(leader_node);
+    add_learner(leader_node,
+                {ipv4_address{1}, static_cast<std::uint16_t>(next_id_)});
 }
 
-void group_driver::add_learner(node& leader_node)
+void group_driver::add_learner(node& leader_node, endpoint rpc)
 {
   auto group = leader_node.core->group().members;
   const replica_id id{next_id_};
-  const replica_address address{
-      id, {ipv4_address{1}, static_cast<std::uint16_t>(next_id_)}, false};
+  const replica_address address{id, rpc, false};
   group.push_back(address);
   if (!leader_node.core->change_group(group, context_of(leader_node)))
     return;
--- a/src/log/replica_append_core.cpp
+++ b/src/log/replica_append_core.cpp
@@ -275,6 +275,11 @@
                                        const replica_message& message)
 {
   peer.last_contact = now_;
+  if (peer.first_round == 0)
+  {
+    peer.first_round = round_ + 1;
+    peer.first_contact = now_;
+  }
   peer.may_vote = peer.may_vote || message.may_vote;
   peer.in_memory = message.in_memory;
   peer.formats = message.formats;
--- a/src/log/replica_core.hpp
+++ b/src/log/replica_core.hpp
@@ -149,8 +149,9 @@
   /// wait for it.
   std::optional<time_point> next_round_time() const;
 
-  /// Adds, promotes, changes or removes one member. Errors: not_leader,
-  /// invalid_argument, unavailable.
+  /// Adds, promotes, changes or removes one member, or promotes one in place of
+  /// the voter at the same endpoint, whose process must have ended for good.
+  /// Errors: not_leader, invalid_argument, unavailable.
   result<table_version> change_group(const std::vector<replica_address>& group,
                                      call_context context);
 
@@ -251,6 +252,10 @@
     std::uint64_t next = 1;
     std::deque<sent_request> in_flight; ///< append requests
     std::uint64_t round = 0;            ///< last heartbeat round answered
+    /// The first heartbeat round that starts after this replica was heard from;
+    /// 0: not heard from yet.
+    std::uint64_t first_round = 0;
+    time_point first_contact;
     std::uint64_t announced_commit = 0; ///< newest sent that its log covers
     std::uint64_t snapshot_offset = 0;
     table_version snapshot_position;
@@ -339,6 +344,7 @@
   bool own_term_committed() const;
   void sync_progress();
   result<void> check_change(const std::vector<replica_address>& group) const;
+  result<void> check_replacement(replica_id lost, replica_id successor) const;
   bool may_vote_durably() const;
   bool has_voting_quorum(const std::vector<replica_address>& group) const;
   void step_down_if_removed();
--- a/src/log/replica_core_test.cpp
+++ b/src/log/replica_core_test.cpp
@@ -144,9 +144,10 @@
                .c_str());
   }
   // Every kind of event must have happened, or the run does not cover it.
-  for (const char* event : {"crash", "clock jump", "transfer", "wipe",
-                            "partition", "add", "promote", "remove", "snapshot",
-                            "install", "read", "refused read", "commit"})
+  for (const char* event :
+       {"crash", "clock jump", "transfer", "wipe", "partition", "add",
+        "promote", "replace", "remove", "snapshot", "install", "read",
+        "refused read", "commit"})
     CHECK_TRUE_TEXT(counts[event] > 0, event);
 }
 
--- a/src/log/replica_group_core.cpp
+++ b/src/log/replica_group_core.cpp
@@ -62,6 +62,29 @@
   return count;
 }
 
+/// A learner that becomes a voter in place of the voter that used its endpoint.
+struct replacement
+{
+  replica_id lost;
+  replica_id successor;
+};
+
+/// The replacement that is the whole difference between the groups, if it is.
+std::optional<replacement> find_replacement(const members& before,
+                                            const members& after)
+{
+  if (count_differences(before, after) != 2)
+    return std::nullopt;
+  for (const auto& lost : before)
+    for (const auto& member : after)
+      if (const auto* successor = find(before, member.id);
+          lost.voter && find(after, lost.id) == nullptr && member.voter &&
+          successor != nullptr && !successor->voter && lost.rpc.port != 0 &&
+          lost.rpc == successor->rpc)
+        return replacement{lost.id, successor->id};
+  return std::nullopt;
+}
+
 } // namespace
 
 bool replica_core::is_voter(replica_id id) const
@@ -122,10 +145,15 @@
 {
   BOOST_OUTCOME_TRY(check_ids(group));
   const auto& before = this->group();
-  if (const auto count = count_differences(before.members, group); count != 1)
-    return invalid(
-        "a change must add, change or remove exactly one replica, not " +
-        std::to_string(count));
+  if (const auto replaced = find_replacement(before.members, group))
+  {
+    BOOST_OUTCOME_TRY(check_replacement(replaced->lost, replaced->successor));
+  }
+  else if (const auto count = count_differences(before.members, group);
+           count != 1)
+    return invalid("a change must add, change, remove or replace exactly one "
+                   "replica, not " +
+                   std::to_string(count));
   for (const auto& member : group)
   {
     const auto* old = find(before.members, member.id);
@@ -156,6 +184,32 @@
   return outcome::success();
 }
 
+// Quorums before and after a replacement need not overlap, unlike those of a
+// change of one replica. They can't be in force side by side all the same: the
+// lost replica's process has ended, and each other voter has confirmed this
+// leader since, so that no candidate of a later term has, or can get, the lost
+// replica's vote.
+result<void> replica_core::check_replacement(replica_id lost,
+                                             replica_id successor) const
+{
+  if (lost == settings_.self)
+    return invalid("a leader cannot replace itself");
+  const auto& next = peers_.at(successor);
+  if (next.first_round == 0 ||
+      peers_.at(lost).last_contact > next.first_contact)
+    return error{error_code::unavailable, "replica " + to_string(lost) +
+                                              " may still run beside " +
+                                              to_string(successor)};
+  for (const auto& member : group().members)
+    if (member.voter && member.id != lost && member.id != settings_.self &&
+        peers_.at(member.id).round < next.first_round)
+      return error{error_code::unavailable,
+                   "replica " + to_string(member.id) +
+                       " has not confirmed the leader since replica " +
+                       to_string(successor) + " appeared"};
+  return outcome::success();
+}
+
 bool replica_core::may_vote_durably() const
 {
   return requested_hard_.may_vote && durable_sequence_ >= may_vote_sequence_;
