control: messages to a successor do not wait for the lost process

Cause: connections to other instances were kept by endpoint. The leader's connection to the lost process is silent, not closed; it was given up 2 s after the first unanswered message, later by the octets on their way at 1 Mbit/s, up to 10 s. Until then the successor, which has another id at the same endpoint, got nothing. With 500 KB on their way that is 6 s.

Change: connections are kept by endpoint and id. Those without a message for 30 s are dropped, since heartbeats go to all members.

--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,6 +1,7 @@
 #include "peer_links.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <toucanmill/cluster/wire.hpp>
@@ -18,6 +19,10 @@
 /// Delay between attempts to connect to an unreachable instance.
 constexpr auto reconnect_delay = 100 * kj::MILLISECONDS;
 
+/// Heartbeats go to every member, so that a link without messages for this time
+/// leads to an instance that has left the group.
+constexpr auto unused_link_time = 30 * kj::SECONDS;
+
 /// A connection is replaced if a message is not acknowledged in this time and
 /// the time that the octets up to its end need at the minimum rate.
 constexpr auto delivery_timeout = 2 * kj::SECONDS;
@@ -47,7 +52,8 @@
 
 void peer_links::send(const replica_address& to, const std::string& message)
 {
-  const auto peer = find_or_create_link(to.rpc);
+  const auto peer = find_or_create_link(to);
+  peer->last_use = timer_.now();
   if (peer->connection != nullptr && has_room(*peer, message))
     return deliver(peer, message);
   const bool closed = peer->connection == nullptr;
@@ -97,17 +103,27 @@
 }
 
 std::shared_ptr<peer_links::link>
-peer_links::find_or_create_link(const endpoint& to)
+peer_links::find_or_create_link(const replica_address& to)
 {
-  auto& peer = links_[to];
+  auto& peer = links_[{to.rpc, to.id}];
   if (peer == nullptr)
   {
     peer = std::make_shared<link>();
-    peer->to = to;
+    peer->to = to.rpc;
+    peer->last_use = timer_.now();
+    drop_unused_links();
   }
   return peer;
 }
 
+void peer_links::drop_unused_links()
+{
+  for (auto it = links_.begin(); it != links_.end();)
+    it = timer_.now() - it->second->last_use >= unused_link_time
+             ? links_.erase(it)
+             : std::next(it);
+}
+
 void peer_links::connect(const std::shared_ptr<link>& peer)
 {
   peer->connecting = true;
--- a/src/control/peer_links.hpp
+++ b/src/control/peer_links.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <kj/async-io.h>
@@ -50,6 +51,7 @@
   struct link
   {
     endpoint to;
+    kj::TimePoint last_use = kj::origin<kj::TimePoint>();
     bool connecting = false;
     std::size_t in_flight = 0;
     std::size_t octets_in_flight = 0;
@@ -68,7 +70,8 @@
     bool compressed = false;
   };
 
-  std::shared_ptr<link> find_or_create_link(const endpoint& to);
+  std::shared_ptr<link> find_or_create_link(const replica_address& to);
+  void drop_unused_links();
   void connect(const std::shared_ptr<link>& peer);
   static bool has_room(const link& peer, const std::string& message);
   void deliver_queued(const std::shared_ptr<link>& peer);
@@ -83,7 +86,9 @@
   kj::AsyncIoContext& io_;
   kj::Timer& timer_;
   std::atomic<std::uint64_t>& lost_;
-  std::map<endpoint, std::shared_ptr<link>> links_;
+  /// An instance that lost its disk comes back under a new id. Its messages
+  /// must not wait until the connection to the lost process times out.
+  std::map<std::pair<endpoint, replica_id>, std::shared_ptr<link>> links_;
   kj::TaskSet tasks_;
 };
 
--- a/src/control/peer_links_test.cpp
+++ b/src/control/peer_links_test.cpp
@@ -222,3 +222,16 @@
   peer.send(300'000);
   CHECK_TRUE((peer.received.sizes == sizes{300'000, 100, 300'000}));
 }
+
+// Guards against an instance that lost its disk and gets nothing for seconds
+// after its return, because the connection to its lost process is silent.
+TEST(peer_links, successor_does_not_wait_for_the_lost_process)
+{
+  slow_links peer;
+  peer.to.id = {1};
+  peer.send(300'000);
+  peer.to.id = {2};
+  peer.send(300'000);
+  CHECK_TRUE((peer.received.sizes == sizes{300'000, 300'000}));
+  CHECK_EQUAL(0U, peer.lost.load());
+}
