control: the log names each change of the group and what it tolerates

The leader now reports each change with the voters, those that are silent, and how many more may be lost.

--- a/src/control/change_notice.cpp
+++ b/src/control/change_notice.cpp
@@ -1,5 +1,7 @@
 #include "change_notice.hpp"
 
+#include <algorithm>
+
 #include <variant>
 
 namespace toucanmill::detail
@@ -80,4 +82,34 @@
   return {control_notice::kind::change_refused, what + ": " + outcome.message};
 }
 
+control_notice group_notice(const replicated_log_status& status,
+                            duration silence)
+{
+  std::string voters;
+  std::size_t voter_count = 0;
+  std::size_t live = 0;
+  for (const auto& member : status.group)
+  {
+    if (!member.voter)
+      continue;
+    ++voter_count;
+    const bool silent =
+        std::any_of(status.contact_ages.begin(), status.contact_ages.end(),
+                    [&](const replica_contact_age& item)
+                    {
+                      return item.id == member.id && item.age >= silence;
+                    });
+    live += silent ? 0 : 1;
+    voters += (voters.empty() ? "" : ", ") + to_string(member.id) +
+              (silent ? " (silent)" : "");
+  }
+  const auto quorum = voter_count / 2 + 1;
+  const auto spare = live > quorum ? live - quorum : 0;
+  return {control_notice::kind::group_changed,
+          "voters " + voters + "; " +
+              std::to_string(status.group.size() - voter_count) +
+              " learners; tolerates the loss of " + std::to_string(spare) +
+              " more"};
+}
+
 } // namespace toucanmill::detail
--- a/src/control/change_notice.hpp
+++ b/src/control/change_notice.hpp
@@ -15,6 +15,11 @@
 control_notice order_notice(const set_evacuation& order,
                             const change_outcome& outcome);
 
+/// Notice of the group's members and of how many more voters may be lost before
+/// it can't commit; voters that were silent for the time are lost already.
+control_notice group_notice(const replicated_log_status& status,
+                            duration silence);
+
 } // namespace toucanmill::detail
 
 #endif
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -158,11 +158,13 @@
 {
   if (log_ == nullptr)
     return;
-  if (auto group = log_->status().group; group != group_)
-  {
-    group_ = std::move(group);
-    group_changed_ = now;
-  }
+  const auto status = log_->status();
+  if (status.group == group_)
+    return;
+  group_ = status.group;
+  group_changed_ = now;
+  next_group_check_ = now;
+  options_.notify(detail::group_notice(status, member_silence_timeout));
 }
 
 void control_state::check_in_force(time_point now)
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -129,7 +129,8 @@
       {event::node_registered, severity::info, "node_registered",
        "A node announced itself, or a new life of a known node."},
       {event::group_changed, severity::info, "group_changed",
-       "The group of control instances changed by one."},
+       "The group of control instances changed, or the leader saw it first; "
+       "names the voters and how many more of them may be lost."},
       {event::replica_started, severity::info, "replica_started",
        "The control instance runs under this replica id; says how it got it."},
       {event::replica_removed, severity::warning, "replica_removed",
