--- a/scripts/fault_proxy.py
+++ b/scripts/fault_proxy.py
@@ -11,6 +11,7 @@
     def __init__(self, writer):
         self.writers = [writer]
         self.silent = False
+        self.powerless = False
 
     def abort(self):
         for writer in self.writers:
@@ -26,6 +27,7 @@
         self.refusing = False  # new connections are reset
         self.dropped = set()   # "in", "out": octets in that direction are lost
         self.connections = []
+        self.powerless = []    # kept open, so that their callers see no end
 
     async def accept(self, reader, writer):
         connection = Connection(writer)
@@ -53,8 +55,10 @@
                 writer.write(octets)
                 await writer.drain()
         except OSError:
-            connection.abort()
-        writer.close()
+            if not connection.powerless:
+                connection.abort()
+        if not connection.powerless:
+            writer.close()
 
     def reset_all(self):
         for connection in list(self.connections):
@@ -65,6 +69,13 @@
         for connection in self.connections:
             connection.silent = True
 
+    def lose_power(self):
+        """Like silence_all(), and callers don't see that the target ends."""
+        self.silence_all()
+        for connection in self.connections:
+            connection.powerless = True
+        self.powerless += self.connections
+
     def heal(self):
         self.delay_s, self.refusing, self.dropped = 0.0, False, set()
 
@@ -91,3 +102,14 @@
     def do(self, task, *arguments):
         """Runs a function of a proxy on the loop's thread."""
         self.loop.call_soon_threadsafe(task, *arguments)
+
+    def finish(self, task, *arguments):
+        """Like do(), and returns once it has run."""
+        done = threading.Event()
+
+        def run():
+            task(*arguments)
+            done.set()
+
+        self.do(run)
+        done.wait()
