log: one more loss is played at every step of a join and of the first start

The replacement test also loses each replica at every message while a fourth one joins, and while the first leader is elected.

--- a/src/log/replacement_test.cpp
+++ b/src/log/replacement_test.cpp
@@ -27,15 +27,16 @@
   return {id, rpc, true};
 }
 
-/// How a voter whose disk is lost is replaced.
+/// How the group of three changes.
 enum class way
 {
-  one_change,        ///< the successor takes its place
-  promote_and_remove ///< four voters in between
+  one_change,         ///< the successor of a lost voter takes its place
+  promote_and_remove, ///< the same with four voters in between
+  join                ///< a fourth replica becomes a voter; none is lost
 };
 
-/// Three replicas of which one is lost for good and replaced. A second replica
-/// is lost after a number of delivered messages.
+/// Three replicas of which one is lost for good and replaced, or which another
+/// one joins. A second replica is lost after a number of delivered messages.
 class replacement_run
 {
 public:
@@ -48,8 +49,8 @@
       start(member.id);
   }
 
-  /// Elects the first leader, loses a replica and replaces it; returns whether
-  /// the replacement was committed.
+  /// Elects the first leader and changes the group; returns whether the change
+  /// was committed.
   bool replace()
   {
     if (!run_until(
@@ -67,7 +68,8 @@
                      leader()->leader()->id != lost;
             }))
       return false;
-    cores_.erase(lost);
+    if (how_ != way::join)
+      cores_.erase(lost);
     start(successor);
     delivered_ = 0;
     return run_until(
@@ -78,6 +80,13 @@
         });
   }
 
+  /// Elects the first leader while the second replica is lost.
+  bool starts()
+  {
+    delivered_ = 0;
+    return commits();
+  }
+
   /// Whether the replicas that are left commit a command.
   bool commits()
   {
@@ -139,11 +148,18 @@
     return found;
   }
 
+  replica_address new_voter() const
+  {
+    const endpoint other{ipv4_address{1}, 4};
+    return voter(successor, how_ == way::join ? other : lost_endpoint);
+  }
+
   bool replaced()
   {
     auto* core = leader();
-    const members expected = {initial_[0], initial_[1],
-                              voter(successor, lost_endpoint)};
+    members expected = {initial_[0], initial_[1], new_voter()};
+    if (how_ == way::join)
+      expected.insert(expected.begin() + 2, initial_[2]);
     return core != nullptr && core->group().members == expected &&
            core->commit_index() >= core->log().last().index;
   }
@@ -156,14 +172,14 @@
     std::ignore = core->read(++reads_, context());
     auto group = core->group().members;
     if (group.size() == 3 && group.back().id == lost)
-      group.push_back({successor, lost_endpoint, false});
+      group.push_back({successor, new_voter().rpc, false});
     else if (!group.back().voter)
     {
       group.back().voter = true;
       if (how_ == way::one_change)
         group.erase(group.begin() + 2);
     }
-    else if (group.size() == 4)
+    else if (group.size() == 4 && how_ == way::promote_and_remove)
       group.erase(group.begin() + 2);
     else
       return;
@@ -244,14 +260,14 @@
   return run.delivered();
 }
 
-/// Steps of the replacement at which the loss of the successor is final.
-std::uint64_t final_losses_of_successor(way how)
+/// Messages of the change at which the loss of the replica is final.
+std::uint64_t final_losses(way how, replica_id second)
 {
   std::uint64_t found = 0;
   const auto messages = count_messages(how);
   for (std::uint64_t at = 0; at <= messages; ++at)
   {
-    replacement_run run(how, successor, at);
+    replacement_run run(how, second, at);
     run.replace();
     found += run.commits() ? 0 : 1;
   }
@@ -266,14 +282,14 @@
 // before its replacement is complete, though only one machine is lost.
 TEST(replacement, successor_may_be_lost_at_every_step)
 {
-  CHECK_EQUAL(0U, final_losses_of_successor(way::one_change));
+  CHECK_EQUAL(0U, final_losses(way::one_change, successor));
 }
 
 // Guards against a test that can't fail: with four voters of which one is lost
 // for good, the loss of the successor leaves no quorum.
 TEST(replacement, promotion_before_removal_does_not_bear_it)
 {
-  CHECK_TRUE(final_losses_of_successor(way::promote_and_remove) > 0);
+  CHECK_TRUE(final_losses(way::promote_and_remove, successor) > 0);
 }
 
 // Guards against a replaced voter that still counts once its successor votes:
@@ -288,3 +304,20 @@
     CHECK_TRUE(run.commits());
   }
 }
+
+// Guards against a group that needs a joining replica before it has joined, or
+// that can't lose one of the others while it does.
+TEST(replacement, any_replica_may_be_lost_at_every_step_of_a_join)
+{
+  for (std::uint64_t id = 1; id <= 4; ++id)
+    CHECK_EQUAL(0U, final_losses(way::join, replica_id{id}));
+}
+
+// Guards against a first group that can't start without one of its members.
+TEST(replacement, any_replica_may_be_lost_at_every_step_of_the_first_start)
+{
+  constexpr std::uint64_t first_messages = 40;
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    for (std::uint64_t at = 0; at <= first_messages; ++at)
+      CHECK_TRUE(replacement_run(way::join, replica_id{id}, at).starts());
+}
