--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -1,14 +1,10 @@
-#include <toucanmill/control/control_server.hpp>
-
-#include <CppUTest/TestHarness.h>
+#include "control_server_fixture_test.hpp"
 
 #include <algorithm>
 #include <atomic>
-#include <filesystem>
 #include <future>
 #include <mutex>
 #include <random>
-#include <thread>
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -19,78 +15,16 @@
 #include <toucanmill/control/rpc_connection.hpp>
 
 using namespace toucanmill;
+using namespace toucanmill::control_test;
 
 namespace
 {
 
-constexpr auto test_timeout = std::chrono::seconds(20);
-
-std::string make_folder()
-{
-  char name[] = "/tmp/toucanmill-control-test-XXXXXX";
-  return mkdtemp(name);
-}
-
-control_server_options make_options(const std::string& folder,
-                                    std::vector<replica_address> group,
-                                    std::size_t self)
-{
-  control_server_options options;
-  options.rpc = group[self].rpc;
-  options.log.self = group[self].id;
-  options.log.folder = folder;
-  options.log.initial_group = std::move(group);
-  options.log.random_seed = self;
-  options.notify = [](const control_notice&) {};
-  return options;
-}
-
-bool is_free(const endpoint& candidate)
-{
-  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in raw{};
-  raw.sin_family = AF_INET;
-  raw.sin_addr.s_addr = htonl(candidate.address.value);
-  raw.sin_port = htons(candidate.port);
-  const bool free = bind(descriptor, reinterpret_cast<const sockaddr*>(&raw),
-                         sizeof raw) == 0;
-  close(descriptor);
-  return free;
-}
-
-/// Returns a different free loopback endpoint with each call. The port is below
-/// the ephemeral range, so that no outgoing connection takes it first.
-endpoint free_endpoint()
-{
-  static std::uint16_t next =
-      static_cast<std::uint16_t>(20000 + getpid() % 9000);
-  endpoint candidate{{INADDR_LOOPBACK}, next++};
-  while (!is_free(candidate))
-    candidate.port = next++;
-  return candidate;
-}
-
 int connect_socket(int descriptor, const sockaddr_in& to)
 {
   return connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to);
 }
 
-std::unique_ptr<control_server> start(const control_server_options& options)
-{
-  auto server = control_server::start(options);
-  if (!server)
-    FAIL(server.error().message.c_str());
-  return std::move(server.value());
-}
-
-/// Starts a group with a single member.
-std::unique_ptr<control_server> start_single(const std::string& folder,
-                                             endpoint& rpc)
-{
-  rpc = free_endpoint();
-  return start(make_options(folder, {{{1}, rpc, true}}, 0));
-}
-
 /// Accepts connections, and answers nothing.
 int listen_without_answers(const endpoint& at)
 {
@@ -105,114 +39,9 @@
   return descriptor;
 }
 
-template <class Condition>
-bool eventually(Condition condition)
-{
-  const auto until = std::chrono::steady_clock::now() + test_timeout;
-  while (!condition())
-  {
-    if (std::chrono::steady_clock::now() > until)
-      return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
-  return true;
-}
-
-operator_request create(const std::string& id, std::uint64_t version,
-                        const std::string& name, std::uint16_t port)
-{
-  return {id, version,
-          create_service{name, {{0xCB00710A}, port}, service_kind::http, 64},
-          0};
-}
-
-struct order_result
-{
-  result<change_outcome> outcome = error{error_code::unavailable, "no answer"};
-  endpoint leader;
-};
-
-/// Gives an evacuation order to an instance and waits for the answer.
-order_result order(control_server& server, const std::string& data_centre,
-                   bool evacuated)
-{
-  auto answered = std::make_shared<std::promise<order_result>>();
-  auto answer = answered->get_future();
-  server.set_evacuation(
-      data_centre, evacuated,
-      [answered](result<change_outcome> outcome, endpoint leader)
-      {
-        answered->set_value({std::move(outcome), leader});
-      });
-  if (answer.wait_for(test_timeout) != std::future_status::ready)
-    return {};
-  return answer.get();
-}
-
-bool accepts(control_server& server, const std::string& data_centre,
-             bool evacuated)
-{
-  const auto answer = order(server, data_centre, evacuated);
-  return answer.outcome && answer.outcome.value().accepted;
-}
-
-/// Repeats the order until it is accepted: a leader that was just elected is
-/// not ready for commands yet.
-bool eventually_accepts(control_server& server, const std::string& data_centre,
-                        bool evacuated)
-{
-  return eventually(
-      [&]
-      {
-        return accepts(server, data_centre, evacuated);
-      });
-}
-
-/// Three instances, in the order of their ids from 1.
-struct server_group
-{
-  std::vector<replica_address> members;
-  std::vector<std::unique_ptr<control_server>> servers;
-  std::unique_ptr<operator_client> client;
-
-  server_group(const std::string& folder,
-               const std::vector<std::string>& data_centres)
-  {
-    for (std::uint64_t id = 1; id <= 3; ++id)
-      members.push_back({{id}, free_endpoint(), true});
-    for (std::size_t i = 0; i < members.size(); ++i)
-    {
-      auto options = make_options(folder + "/" + std::to_string(i), members, i);
-      options.data_centres = data_centres;
-      servers.push_back(start(options));
-    }
-    client = operator_client::connect(
-        {members[0].rpc, members[1].rpc, members[2].rpc}, test_timeout);
-  }
-
-  std::size_t leader() const
-  {
-    return client->status().value().leader.value - 1;
-  }
-};
-
 } // namespace
 
-TEST_GROUP(control_server)
-{
-  std::string folder = make_folder();
-  endpoint rpc;
-
-  void teardown() override
-  {
-    std::filesystem::remove_all(folder);
-  }
-
-  std::unique_ptr<operator_client> connect() const
-  {
-    return operator_client::connect({rpc}, test_timeout);
-  }
-};
+TEST_GROUP_BASE(control_server, control_server_fixture){};
 
 // Guards against losing a change on restart and applying a resent request
 // twice.
@@ -526,159 +355,6 @@
   CHECK_EQUAL(2U, client->services().value().services.size());
 }
 
-// Guards against an order that is lost or carried out twice when the leader
-// ends after it appended the order and before it acknowledged it.
-TEST(control_server, order_outlives_a_leader_that_has_not_acknowledged_it)
-{
-  server_group group(folder, {"north", "south"});
-  const auto first = group.leader();
-  CHECK_TRUE(eventually_accepts(*group.servers[first], "south", true));
-  group.servers[first]->set_evacuation("north", true,
-                                       [](result<change_outcome>, endpoint) {});
-  group.servers[first].reset();
-  CHECK_TRUE(eventually(
-      [&]
-      {
-        return std::any_of(group.servers.begin(), group.servers.end(),
-                           [](const auto& server)
-                           {
-                             return server != nullptr &&
-                                    accepts(*server, "north", true);
-                           });
-      }));
-  const auto list = group.client->evacuations().value().evacuations;
-  CHECK_EQUAL(2U, list.size());
-  STRCMP_EQUAL("north", list[0].data_centre.c_str());
-  CHECK_TRUE(eventually_accepts(*group.servers[group.leader()], "north", true));
-  CHECK_TRUE(list == group.client->evacuations().value().evacuations);
-}
-
-// Guards against an order that is acknowledged without a quorum and gone with
-// the disk of one instance.
-TEST(control_server, order_without_a_quorum_is_not_acknowledged)
-{
-  server_group group(folder, {"north"});
-  const auto leader = group.leader();
-  CHECK_TRUE(eventually_accepts(*group.servers[leader], "north", true));
-  for (std::size_t i = 0; i < group.servers.size(); ++i)
-    if (i != leader)
-      group.servers[i].reset();
-  const auto answer = order(*group.servers[leader], "north", false);
-  CHECK_TRUE(answer.outcome.has_error());
-  CHECK_TRUE(answer.outcome.error().code == error_code::unavailable ||
-             answer.outcome.error().code == error_code::not_leader);
-}
-
-// Guards against an instance that acknowledges an order without the group, or
-// gives the operator no way to the leader.
-TEST(control_server, other_instances_name_the_leader_for_an_order)
-{
-  server_group group(folder, {"north"});
-  const auto leader = group.leader();
-  for (std::size_t i = 0; i < group.servers.size(); ++i)
-    if (i != leader)
-      CHECK_TRUE(eventually(
-          [&]
-          {
-            const auto answer = order(*group.servers[i], "north", true);
-            CHECK_TRUE(answer.outcome.has_error());
-            return answer.outcome.error().code == error_code::not_leader &&
-                   answer.leader == group.members[leader].rpc;
-          }));
-  CHECK_TRUE(group.client->evacuations().value().evacuations.empty());
-}
-
-// Guards against a crash of the tool when its time is up just after another
-// instance was named: the connection that is left behind was destroyed after
-// the event loop that it uses.
-TEST(control_server, client_ends_just_after_it_was_sent_to_the_leader)
-{
-  server_group group(folder, {"north"});
-  CHECK_TRUE(eventually_accepts(*group.servers[group.leader()], "north", true));
-  const auto follower = (group.leader() + 1) % group.members.size();
-  // A thread has at most one client.
-  group.client.reset();
-  for (int i = 0; i < 50; ++i)
-  {
-    const auto client =
-        operator_client::connect({group.members[follower].rpc}, duration(0));
-    CHECK_FALSE(client->evacuations().has_value());
-  }
-}
-
-// Guards against an order that is lost on restart, and against a resent request
-// that undoes the opposite order of another operator.
-TEST(control_server, orders_survive_restart_and_resent_request_is_idempotent)
-{
-  rpc = free_endpoint();
-  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
-  options.data_centres = {"north", "south"};
-  auto server = start(options);
-  const operator_request evacuate{"r1", 0, evacuate_data_centre{"north"}, 0};
-  const auto first = connect()->change(evacuate);
-  CHECK_TRUE(first.value().accepted);
-  CHECK_TRUE(eventually_accepts(*server, "south", true));
-  const auto before = connect()->evacuations().value().evacuations;
-  CHECK_EQUAL(2U, before.size());
-  CHECK_EQUAL(first.value().index, before[0].index);
-  CHECK_TRUE(before[0].since > 1'500'000'000);
-  server->stop();
-  server = start(options);
-  CHECK_TRUE(before == connect()->evacuations().value().evacuations);
-
-  CHECK_TRUE(eventually_accepts(*server, "north", false));
-  const auto again = connect()->change(evacuate);
-  CHECK_EQUAL(first.value().index, again.value().index);
-  CHECK_EQUAL(1U, connect()->evacuations().value().evacuations.size());
-}
-
-// Guards against opposite orders of two operators that both succeed from the
-// same version.
-TEST(control_server, opposite_order_from_the_same_version_is_refused)
-{
-  rpc = free_endpoint();
-  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
-  options.data_centres = {"north"};
-  const auto server = start(options);
-  CHECK_TRUE(eventually_accepts(*server, "north", true));
-  const auto client = connect();
-  const auto version = client->services().value().version;
-  CHECK_TRUE(client->change({"r1", version, restore_data_centre{"north"}, 0})
-                 .value()
-                 .accepted);
-  const auto other =
-      client->change({"r2", version, evacuate_data_centre{"north"}, 0});
-  CHECK_TRUE(other.value().reason == error_code::version_conflict);
-  CHECK_TRUE(client->evacuations().value().evacuations.empty());
-}
-
-// Guards against a misspelt name that is acknowledged and evacuates nothing.
-TEST(control_server, order_for_an_unknown_data_centre_changes_nothing)
-{
-  rpc = free_endpoint();
-  auto options = make_options(folder, {{{1}, rpc, true}}, 0);
-  options.data_centres = {"north"};
-  const auto server = start(options);
-  const auto client = connect();
-  // Waits until the instance leads.
-  CHECK_TRUE(client->evacuations().has_value());
-  for (const auto evacuated : {true, false})
-  {
-    const auto answer = order(*server, "nroth", evacuated);
-    CHECK_FALSE(answer.outcome.value().accepted);
-    CHECK_TRUE(answer.outcome.value().reason == error_code::not_found);
-  }
-  const auto request =
-      client->change({"r1", 0, evacuate_data_centre{"nroth"}, 0});
-  CHECK_FALSE(request.value().accepted);
-  CHECK_TRUE(request.value().reason == error_code::not_found);
-  CHECK_EQUAL(0U, client->services().value().version);
-  CHECK_TRUE(client->evacuations().value().evacuations.empty());
-  CHECK_TRUE(client->change({"r1", 0, evacuate_data_centre{"north"}, 0})
-                 .value()
-                 .accepted);
-}
-
 // Guards against a control instance that terminates on invalid RPC bytes.
 TEST(control_server, random_bytes_on_the_rpc_port_are_tolerated)
 {
