--- a/src/control/change_notice.cpp
+++ b/src/control/change_notice.cpp
@@ -1,7 +1,6 @@
 #include "change_notice.hpp"
 
 #include <algorithm>
-
 #include <variant>
 
 namespace toucanmill::detail
