--- a/include/toucanmill/control/group_core.hpp
+++ b/include/toucanmill/control/group_core.hpp
@@ -57,6 +57,10 @@
   duration disk_vote_time = std::chrono::seconds(10);
 };
 
+/// Whether the leader has not heard from the member for this time.
+bool is_silent(const replicated_log_status& status, replica_id member,
+               duration silence);
+
 /// Options for a group that keeps its quorum and all acknowledged entries when
 /// up to `tolerated_losses` instances fail at the same time.
 group_options make_group_options(std::size_t tolerated_losses);
--- a/src/control/change_notice.cpp
+++ b/src/control/change_notice.cpp
@@ -1,6 +1,5 @@
 #include "change_notice.hpp"
 
-#include <algorithm>
 #include <variant>
 
 namespace toucanmill::detail
@@ -92,12 +91,7 @@
     if (!member.voter)
       continue;
     ++voter_count;
-    const bool silent =
-        std::any_of(status.contact_ages.begin(), status.contact_ages.end(),
-                    [&](const replica_contact_age& item)
-                    {
-                      return item.id == member.id && item.age >= silence;
-                    });
+    const bool silent = is_silent(status, member.id, silence);
     live += silent ? 0 : 1;
     voters += (voters.empty() ? "" : ", ") + to_string(member.id) +
               (silent ? " (silent)" : "");
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -230,9 +230,8 @@
     for (const auto& [id, formats] : status.formats)
       if (id == member.id)
         item.formats = formats;
-    for (const auto& [id, age] : status.contact_ages)
-      if (id == member.id && age >= member_silence_timeout)
-        item.formats.reset();
+    if (is_silent(status, member.id, member_silence_timeout))
+      item.formats.reset();
     found.push_back(std::move(item));
   }
   std::map<node_id, node_liveness> live;
@@ -281,12 +280,7 @@
   const auto status = log_->status();
   std::vector<endpoint> found;
   for (const auto& member : status.group)
-    if (std::none_of(status.contact_ages.begin(), status.contact_ages.end(),
-                     [&](const replica_contact_age& item)
-                     {
-                       return item.id == member.id &&
-                              item.age >= member_silence_timeout;
-                     }))
+    if (!is_silent(status, member.id, member_silence_timeout))
       found.push_back(member.rpc);
   return found;
 }
--- a/src/control/group_core.cpp
+++ b/src/control/group_core.cpp
@@ -96,6 +96,12 @@
 
 } // namespace
 
+bool is_silent(const replicated_log_status& status, replica_id member,
+               duration silence)
+{
+  return contact_age_of(status, member) >= silence;
+}
+
 group_options make_group_options(std::size_t tolerated_losses)
 {
   group_options options;
