--- a/review/support/rules.py
+++ b/review/support/rules.py
@@ -9,7 +9,7 @@
 from system import CannotRun, Record, wait_for
 from target import Target
 
-PUBLIC = ("198.18.0.1", 8443)
+PUBLIC = ("127.18.0.1", 8443)  # of a route; nothing is sent there
 DEADLINE_S = 1.0  # of findings-feed
 START_S = 0.5  # in which all processes are started
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -75,9 +75,10 @@
                                   f"a reset; {flow.instance} lives and sent none")
 
 
-def run_case(folder, build, play):
-    """Exit code: 1 the rule was broken, 0 it held, 2 the case could not run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(path, build, play):
+    """Plays a case and writes its record to `path`. Exit code: 1 the rule was
+    broken, 0 it held, 2 the case could not run."""
+    record = Record(path)
     record.note(f"TROUBLE={int(TROUBLE)}")
     system = None
     try:
