--- a/include/toucanmill/observe/event.hpp
+++ b/include/toucanmill/observe/event.hpp
@@ -44,6 +44,7 @@
   upstream_left = 414,
   kept_flows_taken = 415,
   kept_flows_unusable = 416,
+  upstream_call_ignored = 417,
   leadership_gained = 500,
   leadership_lost = 501,
   change_accepted = 502,
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -24,6 +24,7 @@
   std::string instance; ///< usually new with each start; some restarts reuse it
   std::string service;
   endpoint address;
+  std::string data_centre;
   std::uint32_t slots = 0; ///< number of requests it processes at once
   bool draining = false;
   duration cold_left{0};      ///< remaining warm-up time
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -1,6 +1,7 @@
 #include "role.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <string>
 
@@ -146,6 +147,13 @@
                      true,
                      static_cast<double>(status.events[i]),
                      {{"event", to_string(static_cast<relay_event>(i))}}});
+    for (std::size_t i = 0; i < calls_.size(); ++i)
+      out.push_back({"toucanmill_upstream_calls_total",
+                     "Calls in the name of the upstream, by what became of "
+                     "them.",
+                     true,
+                     static_cast<double>(calls_[i].load()),
+                     {{"outcome", call_outcomes[i]}}});
     out.push_back(handshakes_.read());
     out.push_back(requests_.read());
     out.push_back(waits_.read());
@@ -184,10 +192,16 @@
                            {
                              if (verdict == announcement_verdict::accepted)
                                log_event(event::upstream_left, instance);
+                             note_call(verdict, "end of " + instance);
                              feed_.report_now();
                              done(verdict);
                            });
     };
+    calls.on_unreadable = [this](const std::string& why)
+    {
+      count_call(unreadable_call);
+      log_event(event::upstream_call_ignored, why);
+    };
     return platform::make_agent_pages(std::move(calls));
   }
 
@@ -197,6 +211,25 @@
   }
 
 private:
+  /// The verdicts, in their order, and calls that can't be read.
+  static constexpr std::array<const char*, 4> call_outcomes = {
+      "accepted", "late", "foreign", "unreadable"};
+  static constexpr std::size_t unreadable_call = 3;
+
+  void count_call(std::size_t outcome)
+  {
+    calls_[outcome].fetch_add(1, std::memory_order_relaxed);
+  }
+
+  void note_call(announcement_verdict verdict, const std::string& what)
+  {
+    const auto outcome = static_cast<std::size_t>(verdict);
+    count_call(outcome);
+    if (verdict != announcement_verdict::accepted)
+      log_event(event::upstream_call_ignored,
+                what + ": " + call_outcomes[outcome]);
+  }
+
   void observe(relay_timing what, duration taken)
   {
     switch (what)
@@ -215,9 +248,10 @@
   {
     const bool draining = value.draining;
     const auto instance = value.instance;
+    const auto sequence = value.sequence;
     return agent_->announce(
         std::move(value),
-        [this, draining, instance, done](announcement_verdict verdict)
+        [this, draining, instance, sequence, done](announcement_verdict verdict)
         {
           if (verdict == announcement_verdict::accepted &&
               (instance != announced_ || draining != announced_draining_))
@@ -228,6 +262,7 @@
                       instance + (draining ? " draining" : " ready"));
             feed_.report_now();
           }
+          note_call(verdict, instance + " number " + std::to_string(sequence));
           done(verdict);
         });
   }
@@ -365,6 +400,7 @@
   time_point stopping_since_;       ///< used on the main thread only
   bool reported_departure_ = false; ///< used on the client's thread only
   agent_departure departure_;       ///< used on the client's thread only
+  std::array<std::atomic<std::uint64_t>, call_outcomes.size()> calls_{};
   std::atomic<bool> departed_{false};
   std::atomic<bool> stopping_{false};
   latency_histogram handshakes_{
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -116,6 +116,8 @@
        "A started agent got the list of flows of the process before it."},
       {event::kept_flows_unusable, severity::warning, "kept_flows_unusable",
        "The list that control kept for the agent can't be read; names why."},
+      {event::upstream_call_ignored, severity::warning, "upstream_call_ignored",
+       "A call in the name of the upstream changed nothing; names why."},
       {event::leadership_gained, severity::info, "leadership_gained",
        "This control instance leads."},
       {event::leadership_lost, severity::info, "leadership_lost",
