relay: an announcement replaces a start only if it is known to be newer

Cause: an announcement with number 1 of an unknown instance replaced the current start, whatever that one went on to show.

An announcement that no later birth proves to be newer now competes with the current start. A returned packet of an open flow decides for it at once, a packet of a flow or an announcement of the current start against it; otherwise it has to repeat while the current start is silent.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -336,13 +336,16 @@
     relay_header header;
   };
 
-  /// `restarted`: the agent knew an earlier start of this upstream;
-  /// `known_until`: its latest announcement, time_point::min() if it is not
-  /// certain that it was the present one.
+  /// `restarted`: the agent knew an earlier start of this upstream.
   void on_start_of_upstream(const upstream_announcement& value, bool restarted,
-                            time_point known_until, std::uint64_t wall_clock_ms,
-                            time_point now, relay_sink& sink);
+                            std::uint64_t wall_clock_ms, time_point now,
+                            relay_sink& sink);
+  void succeed_upstream(const upstream_announcement& successor, time_point now,
+                        relay_sink& sink);
   bool knows_all_flows(time_point now) const;
+  /// Whether the flow is open, and was before the latest announcement of the
+  /// current start.
+  bool is_flow_of_current_start(const flow_key& flow) const;
   std::vector<std::uint16_t> held_buckets(time_point now) const;
   bool opens_flows(const std::vector<route_target>& targets) const;
   waiting_terms terms_of(const route_objectives& objectives,
@@ -473,6 +476,7 @@
   bool stopping_ = false;
   bool evacuated_ = false;
   bool saw_start_of_upstream_ = false;
+  bool saw_first_announcement_ = false; ///< of the current start
   std::size_t bucket_count_ = 0;
   std::uint64_t configuration_ = 0;
   std::uint64_t newest_seen_ = 0;
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -35,11 +35,16 @@
 enum class announcement_verdict : std::uint8_t
 {
   accepted,
-  late,    ///< older than the current state; ignored
-  foreign, ///< for another service or address; ignored
+  late,    ///< not known to be newer than the current state; ignored
+  foreign, ///< for another service, address or data centre; ignored
 };
 
 /// Tracks liveness, admission and the current start of the agent's upstream.
+///
+/// Calls may be delayed, lost or made by another writer, so a call that ends
+/// the current start takes effect at once only if it proves to be newer, by a
+/// later birth. Otherwise it takes effect once the current start is silent, or
+/// the upstream returns a packet of an open flow.
 class upstream_core
 {
 public:
@@ -47,9 +52,16 @@
   {
     std::string service;
     endpoint address;
+    /// Empty: upstreams of any data centre are accepted.
+    std::string data_centre;
     /// An upstream that neither announces itself nor sends a packet for this
-    /// long is considered dead.
+    /// long, four times the interval of its announcements, is considered dead.
     duration silence_limit = std::chrono::seconds(4);
+
+    duration announcement_interval() const
+    {
+      return silence_limit / 4;
+    }
     /// An upstream that leaves opening packets unanswered for this long gets no
     /// more of them until it sends a packet or an announcement.
     duration answer_limit = std::chrono::milliseconds(100);
@@ -68,6 +80,18 @@
   /// The upstream sent a packet.
   void on_packet(time_point now);
 
+  /// The upstream sent a packet of a flow that it accepted as the current
+  /// start.
+  void on_proof_of_life(time_point now);
+
+  /// The upstream returned a packet of a flow that was open at the current
+  /// start. Returns the first announcement of the start that has replaced it,
+  /// if there was one.
+  std::optional<upstream_announcement> on_flow_lost();
+
+  /// Makes the start of on_flow_lost the current one.
+  void accept_successor(time_point now);
+
   /// An opening packet was delivered to the upstream.
   void on_opening_delivered(time_point now);
 
@@ -104,10 +128,29 @@
     return is_start_certain_;
   }
 
-  /// Time of the latest accepted announcement.
-  time_point last_announced() const
+  /// Whether the current start has announced itself more than once.
+  bool is_start_repeated() const
+  {
+    return announcements_ > 1;
+  }
+
+  /// Whether the current start sent neither an announcement nor a packet of its
+  /// flows for so long that more than one announcement is missing.
+  bool is_silent(time_point now) const
+  {
+    return now - last_proof_ >= proving_silence();
+  }
+
+  /// Flows that the agent has seen first by this time are of the current start
+  /// or an earlier one. A later flow may be of a start that has not announced
+  /// itself yet, or has not replaced the current one.
+  time_point accepted_until() const;
+
+  /// Flows that the agent has seen first by this time ended with the start
+  /// before the current one; time_point::min() if that is not known.
+  time_point ended_until() const
   {
-    return last_announced_;
+    return ended_until_;
   }
 
   /// End of the upstream's warm-up.
@@ -127,23 +170,62 @@
   void on_known_life(incarnation known);
 
 private:
-  bool replaces_current(const upstream_announcement& value) const;
-  /// Remembers the current start as ended.
-  void end_current();
+  duration proving_silence() const
+  {
+    return options_.announcement_interval() * 5 / 2;
+  }
+  bool is_foreign(const upstream_announcement& value) const;
+  bool is_current(const upstream_announcement& value) const;
+  bool has_ended(const upstream_start& start) const;
+  /// Whether the announcement lacks a birth that another start states now.
+  bool lacks_birth(const upstream_announcement& value, time_point now) const;
+  /// Whether the current start may be of another writer, whose announcement
+  /// lacks the birth that this one states.
+  bool adds_birth(const upstream_announcement& value) const;
+  /// Whether a start other than the current one replaces it at once.
+  bool replaces_current(const upstream_announcement& value,
+                        time_point now) const;
+  /// Remembers the start as ended.
+  void add_ended(const upstream_start& start);
   bool supersedes_silent_start(const upstream_announcement& value,
-                               time_point now);
+                               std::uint64_t wall_clock_ms, time_point now);
+  /// `ended`: the start before is known to have ended.
+  void begin_start(const upstream_announcement& value,
+                   std::uint64_t wall_clock_ms, bool ended, time_point now);
+  void take(const upstream_announcement& value, time_point now);
 
   /// Announcements of an older start would have to be later than this many
   /// starts.
   static constexpr std::size_t max_ended_starts = 16;
+  static constexpr std::size_t max_competing_starts = 4;
 
   options options_;
   std::optional<upstream_announcement> current_;
   std::deque<upstream_start> ended_starts_; ///< the latest; oldest first
 
-  /// Latest announcement of a start that appears older than the current one.
-  std::optional<upstream_announcement> competing_start_;
+  /// A start that announces itself and is not known to be newer.
+  struct competing_start
+  {
+    upstream_announcement value;     ///< latest
+    std::uint64_t wall_clock_ms = 0; ///< when it came
+    time_point first_heard;
+    time_point last_heard;
+    /// First announcement since the latest one of the current start.
+    std::optional<time_point> uncontested_since;
+    /// By a proof of life of the current start.
+    bool contradicted = false;
+  };
+  competing_start& competing_start_of(const upstream_announcement& value,
+                                      std::uint64_t wall_clock_ms,
+                                      time_point now);
+
+  std::deque<competing_start> competing_; ///< the one heard last is the last
+  time_point ended_until_ = time_point::min();
+  std::uint64_t announcements_ = 0; ///< of the current start, accepted
   time_point last_announced_; ///< latest announcement of the current start
+  time_point last_proof_;     ///< also by packets of its flows
+  /// Since last_proof_ the upstream has returned a packet of an open flow.
+  bool flow_lost_ = false;
   incarnation life_;
   bool is_start_certain_ = false;
   time_point started_announcing_; ///< the present start, to this process
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -53,10 +53,12 @@
   return identity;
 }
 
-relay_agent_options make_options(const agent_settings& settings)
+relay_agent_options make_options(const instance_settings& instance,
+                                 const agent_settings& settings)
 {
   relay_agent_options options;
   auto& upstream = options.relay.upstream;
+  upstream.data_centre = instance.data_centre;
   upstream.service = settings.service;
   upstream.address = settings.upstream;
   upstream.silence_limit = lost_announcements * settings.announce_interval;
@@ -90,7 +92,7 @@
 
   result<void> open(const agent_settings& settings)
   {
-    auto options = make_options(settings);
+    auto options = make_options(instance_, settings);
     options.on_newer_configuration = [this]
     {
       feed_.report_now();
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -77,6 +77,14 @@
   return "unknown";
 }
 
+namespace
+{
+
+/// Announcements by which the age of an upstream is estimated at most.
+constexpr std::uint64_t max_counted = 1'000'000;
+
+} // namespace
+
 relay_core::relay_core(relay_options options)
     : options_(std::move(options)),
       service_(key_of_service(options_.upstream.service)),
@@ -93,15 +101,13 @@
 {
   const auto before = upstream_.life();
   const bool restarted = before != incarnation{};
-  const auto known_until = upstream_.is_start_certain()
-                               ? upstream_.last_announced() + duration(1)
-                               : time_point::min();
   const auto verdict = upstream_.announce(value, wall_clock_ms, now);
   if (before != upstream_.life())
-    on_start_of_upstream(value, restarted, known_until, wall_clock_ms, now,
-                         sink);
+    on_start_of_upstream(value, restarted, wall_clock_ms, now, sink);
   if (verdict == announcement_verdict::accepted)
   {
+    saw_start_of_upstream_ |=
+        saw_first_announcement_ && upstream_.is_start_repeated();
     reset_listed(now, sink);
     warm_up_.announce(value.cold_left, now);
     meter_.set_slots(value.slots);
@@ -121,11 +127,21 @@
   return verdict;
 }
 
+void relay_core::succeed_upstream(const upstream_announcement& successor,
+                                  time_point now, relay_sink& sink)
+{
+  upstream_.accept_successor(now);
+  on_start_of_upstream(successor, true, 0, now, sink);
+  warm_up_.announce(successor.cold_left, now);
+  meter_.set_slots(successor.slots);
+}
+
 /// An agent has seen all flows of its upstream if it is older than the
 /// upstream, or if it got the first announcement: agents admit no flow before
-/// that.
+/// that. Of upstreams that do not state their birth, the second one has to
+/// confirm the first: a single one may be of another writer.
 void relay_core::on_start_of_upstream(const upstream_announcement& value,
-                                      bool restarted, time_point known_until,
+                                      bool restarted,
                                       std::uint64_t wall_clock_ms,
                                       time_point now, relay_sink& sink)
 {
@@ -134,15 +150,29 @@
   const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
                                               : 0);
   const bool is_first = value.sequence <= first_announcement;
+  // The clock may have been set back since its birth.
+  const auto announced_for =
+      options_.upstream.announcement_interval() *
+      static_cast<duration::rep>(
+          std::clamp<std::uint64_t>(value.sequence, 1, max_counted) - 1);
+  const auto own_age = now - options_.started;
+  const bool is_younger =
+      has_age && age <= own_age &&
+      announced_for <= own_age + options_.upstream.announcement_interval();
+  saw_first_announcement_ = is_first;
   saw_start_of_upstream_ =
-      is_first || (has_age && age <= now - options_.started);
+      (is_first && (value.born_ms != 0 || restarted)) || is_younger;
   // It may have opened flows since the earlier start was heard from last. Its
   // age is exact in its first announcement only: clocks are set back.
   const auto began = has_age ? now - age : time_point::max();
+  const auto ended_until = upstream_.ended_until();
+  const auto ended_before = ended_until == time_point::min()
+                                ? ended_until
+                                : ended_until + duration(1);
   if (restarted)
   {
-    reset_flows(is_first && has_age ? began : std::min(began, known_until), now,
-                sink);
+    reset_flows(is_first && has_age ? began : std::min(began, ended_before),
+                now, sink);
     returned_.clear();
   }
   deliveries_before_start_ = deliveries_;
@@ -407,6 +437,8 @@
   upstream_.on_packet(now);
   if (packet->bounced)
     return on_bounced(bytes, *packet, now, sink);
+  if (is_flow_of_current_start(packet->from_upstream()))
+    upstream_.on_proof_of_life(now);
   track_upstream_packet(*packet, now, sink);
   count(relay_event::replied);
   sink.reply(packet->destination, bytes);
@@ -423,8 +455,11 @@
   if (visit.tag != packet.tag || !(visit.flow == flow))
     return count(relay_event::unknown_bounce);
   sink.record(make_decision(relay_event::bounced, flow, visit.header));
+  std::optional<upstream_announcement> successor;
   if (shows_absence(visit, packet))
   {
+    if (!packet.opens && is_flow_of_current_start(flow))
+      successor = upstream_.on_flow_lost();
     awaited_proofs_.erase(flow);
     erase(flow, now, sink);
     if (!packet.opens && !knows_all_flows(now))
@@ -433,6 +468,8 @@
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
           sink);
+  if (successor)
+    succeed_upstream(*successor, now, sink);
 }
 
 /// A packet that was delivered before the latest opening packet of its flow
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -34,6 +34,15 @@
          options_.max_flow_age <= now - options_.started;
 }
 
+/// A listed flow may have ended before this process began.
+bool relay_core::is_flow_of_current_start(const flow_key& flow) const
+{
+  const auto found = flows_.find(flow);
+  return found != flows_.end() && found->second.open && !found->second.ended &&
+         !found->second.listed &&
+         found->second.seen_since <= upstream_.accepted_until();
+}
+
 /// Saves the way to the upstream and back, which are most of the cost of a
 /// search for a flow that nobody holds.
 bool relay_core::lacks_flow(const flow_key& flow, time_point now) const
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -14,10 +14,9 @@
   if (upstream_.ended() || !upstream_.is_start_certain() || !listed_are_certain)
     return list;
   list.of = upstream_.start();
-  // A later flow may be of a start that has not announced itself yet.
   for (const auto& [flow, state] : flows_)
     if (state.open && !state.ended &&
-        state.seen_since <= upstream_.last_announced())
+        state.seen_since <= upstream_.accepted_until())
       list.flows.push_back({flow, state.acknowledged});
   return list;
 }
@@ -62,8 +61,12 @@
     return;
   const bool same = present == listed_of_;
   const bool both_born = present.born_ms != 0 && listed_of_.born_ms != 0;
-  const bool is_newer = both_born ? present.born_ms > listed_of_.born_ms
-                                  : upstream_.is_start_certain();
+  // A single announcement without a birth may be of another writer.
+  const bool may_be_foreign = listed_of_.born_ms != 0 && present.born_ms == 0 &&
+                              !upstream_.is_start_repeated();
+  const bool is_newer = both_born
+                            ? present.born_ms > listed_of_.born_ms
+                            : upstream_.is_start_certain() && !may_be_foreign;
   if (!same && !is_newer)
     return;
   listed_of_ = {};
--- a/src/relay/agent/relay_list_model_test.cpp
+++ b/src/relay/agent/relay_list_model_test.cpp
@@ -31,6 +31,8 @@
   if (flaw_ == list_flaw::late_announcements_count_as_first)
     value.sequence = first_announcement;
   const auto delay = std::chrono::milliseconds(random_() % 5'000);
+  if (flaw_ == list_flaw::late_announcements_state_a_later_birth)
+    value = announcement(first_announcement, "i-0", wall_clock_ms() + 5'000);
   due_.emplace(now_ + delay,
                [this, &at, value, process = at.process]
                {
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -301,7 +301,12 @@
     auto other = data(1);
     other.acknowledged = 1U << 20;
     agent.core.on_visit(visit(), other, start, agent.sink);
+    agent.open(3);
     agent.announce(unborn(1, "i-2"), 1s);
+    agent.core.on_visit(visit(), data(3), start + 1s, agent.sink);
+    agent.core.on_upstream_packet({},
+                                  bounced(data(3), agent.sink.delivered.back()),
+                                  start + 1s, agent.sink);
     CHECK_FALSE(agent.sink.resets.empty());
     for (const auto& [flow, acknowledged] : agent.sink.resets)
       CHECK_EQUAL(data(1).acknowledged, acknowledged);
--- a/src/relay/agent/upstream_core.cpp
+++ b/src/relay/agent/upstream_core.cpp
@@ -22,79 +22,201 @@
 
 } // namespace
 
-bool upstream_core::replaces_current(const upstream_announcement& value) const
+bool upstream_core::is_foreign(const upstream_announcement& value) const
 {
-  if (!current_)
-    return true;
-  const auto other = start_of(value);
-  if (std::find(ended_starts_.begin(), ended_starts_.end(), other) !=
-      ended_starts_.end())
+  return value.service != options_.service ||
+         value.address != options_.address ||
+         (!options_.data_centre.empty() &&
+          value.data_centre != options_.data_centre);
+}
+
+bool upstream_core::is_current(const upstream_announcement& value) const
+{
+  return value.instance == current_->instance &&
+         value.born_ms == current_->born_ms;
+}
+
+bool upstream_core::has_ended(const upstream_start& start) const
+{
+  return std::find(ended_starts_.begin(), ended_starts_.end(), start) !=
+         ended_starts_.end();
+}
+
+// Upstreams state their birth in all announcements or in none, so a single one
+// without it may be of another writer.
+bool upstream_core::adds_birth(const upstream_announcement& value) const
+{
+  return value.born_ms != 0 && current_->born_ms == 0 && !is_start_repeated() &&
+         !has_ended(start_of(value));
+}
+
+bool upstream_core::replaces_current(const upstream_announcement& value,
+                                     time_point now) const
+{
+  if (has_ended(start_of(value)))
     return false;
   // Any later one may be late, of a start that this process never knew.
   if (!left_ && value.sequence > first_announcement)
     return false;
-  const bool both_born = value.born_ms != 0 && current_->born_ms != 0;
-  if (both_born && value.born_ms != current_->born_ms)
+  if (current_->born_ms != 0)
     return value.born_ms > current_->born_ms;
-  return value.instance != current_->instance;
+  // The first announcement of an earlier start may come this late.
+  return left_ || flow_lost_ || !present(now);
 }
 
-void upstream_core::end_current()
+void upstream_core::add_ended(const upstream_start& start)
 {
-  if (!current_)
-    return;
   if (ended_starts_.size() == max_ended_starts)
     ended_starts_.pop_front();
-  ended_starts_.push_back(start_of(*current_));
+  ended_starts_.push_back(start);
+}
+
+bool upstream_core::lacks_birth(const upstream_announcement& value,
+                                time_point now) const
+{
+  return value.born_ms == 0 &&
+         std::any_of(competing_.begin(), competing_.end(),
+                     [&](const competing_start& item)
+                     {
+                       return item.value.born_ms != 0 &&
+                              !is_current(item.value) &&
+                              now - item.last_heard < proving_silence();
+                     });
+}
+
+upstream_core::competing_start&
+upstream_core::competing_start_of(const upstream_announcement& value,
+                                  std::uint64_t wall_clock_ms, time_point now)
+{
+  const auto found =
+      std::find_if(competing_.begin(), competing_.end(),
+                   [&](const competing_start& item)
+                   {
+                     return start_of(item.value) == start_of(value);
+                   });
+  competing_start known{value, wall_clock_ms, now, now, std::nullopt, false};
+  if (found != competing_.end())
+  {
+    known = std::move(*found);
+    competing_.erase(found);
+  }
+  else if (competing_.size() == max_competing_starts)
+    competing_.pop_front();
+  return competing_.emplace_back(std::move(known));
 }
 
 // After the clock was set back, a new start appears older than the current one,
-// and the first announcement of one without a birth may be lost. Unlike a
-// delayed announcement, it repeats with increasing sequence numbers while the
-// current start is silent.
+// the first announcement of one without a birth may be lost, and one that
+// reuses the instance counts from the beginning. Unlike a delayed announcement,
+// it repeats with increasing sequence numbers while the current start is
+// silent.
 bool upstream_core::supersedes_silent_start(const upstream_announcement& value,
+                                            std::uint64_t wall_clock_ms,
                                             time_point now)
 {
-  const bool repeated = competing_start_ &&
-                        competing_start_->instance == value.instance &&
-                        competing_start_->born_ms == value.born_ms &&
-                        competing_start_->sequence < value.sequence;
-  competing_start_ = value;
-  if (!is_start_certain_)
+  auto& start = competing_start_of(value, wall_clock_ms, now);
+  const bool repeated =
+      start.uncontested_since && start.value.sequence < value.sequence &&
+      now - *start.uncontested_since >= options_.announcement_interval() / 2;
+  if (!start.uncontested_since)
+    start.uncontested_since = now;
+  start.value = value;
+  start.last_heard = now;
+  start.wall_clock_ms = wall_clock_ms;
+  if (!is_start_certain_ && !is_current(value))
     started_announcing_ = now;
-  return repeated && now - last_announced_ >= options_.silence_limit / 2;
+  // A new start may answer where the one before did not.
+  if (value.sequence <= first_announcement)
+    unanswered_since_.reset();
+  if (!repeated || lacks_birth(value, now))
+    return false;
+  // Packets of flows that a new start accepted before it announced itself may
+  // count as proof of the current one.
+  if (now - last_announced_ >= options_.silence_limit)
+    return true;
+  return (left_ || !is_current(value)) && is_silent(now);
 }
 
 announcement_verdict upstream_core::announce(const upstream_announcement& value,
                                              std::uint64_t wall_clock_ms,
                                              time_point now)
 {
-  if (value.service != options_.service || value.address != options_.address)
+  if (is_foreign(value))
     return announcement_verdict::foreign;
-  const bool same = current_ && value.instance == current_->instance &&
-                    value.born_ms == current_->born_ms;
-  if (same ? left_ || value.sequence <= current_->sequence
-           : !replaces_current(value) && !supersedes_silent_start(value, now))
+  if (current_ && is_current(value) && !left_ &&
+      value.sequence > current_->sequence)
+  {
+    take(value, now);
+    return announcement_verdict::accepted;
+  }
+  const bool replaces =
+      current_ && !is_current(value) && replaces_current(value, now);
+  const bool begins = !current_ || replaces || adds_birth(value);
+  if (!begins && !supersedes_silent_start(value, wall_clock_ms, now))
     return announcement_verdict::late;
-  competing_start_.reset();
-  if (!same)
+  const bool ended =
+      replaces || (current_ && !is_current(value) && is_silent(now));
+  begin_start(value, wall_clock_ms, ended, now);
+  return announcement_verdict::accepted;
+}
+
+void upstream_core::begin_start(const upstream_announcement& value,
+                                std::uint64_t wall_clock_ms, bool ended,
+                                time_point now)
+{
+  // Announcements that do not come from the start of an upstream on, to an
+  // agent that does not know it yet, may be late.
+  ended_until_ =
+      ended && is_start_certain_ ? accepted_until() : time_point::min();
+  for (const auto& item : competing_)
+    if (const auto other = start_of(item.value); !(other == start_of(value)))
+      add_ended(other);
+  competing_.clear();
+  if (current_)
+    add_ended(start_of(*current_));
+  const auto born = value.born_ms != 0 ? value.born_ms : wall_clock_ms;
+  life_ = {std::max(life_.value + 1, born)};
+  left_ = is_start_certain_ = false;
+  announcements_ = 0;
+  started_announcing_ = now;
+  const bool is_proven = ended || !current_;
+  take(value, now);
+  is_start_certain_ &= is_proven;
+}
+
+void upstream_core::take(const upstream_announcement& value, time_point now)
+{
+  const auto silent = [&](const competing_start& item)
+  {
+    return now - item.last_heard > options_.silence_limit;
+  };
+  competing_.erase(std::remove_if(competing_.begin(), competing_.end(), silent),
+                   competing_.end());
+  for (auto& start : competing_)
   {
-    end_current();
-    const auto born = value.born_ms != 0 ? value.born_ms : wall_clock_ms;
-    life_ = {std::max(life_.value + 1, born)};
-    left_ = false;
+    start.uncontested_since.reset();
+    start.contradicted = true;
   }
-  if (!same)
-    started_announcing_ = now;
-  is_start_certain_ = (same && is_start_certain_) ||
+  is_start_certain_ = is_start_certain_ ||
                       value.sequence <= first_announcement ||
                       now - started_announcing_ >= options_.silence_limit / 2;
   current_ = value;
+  ++announcements_;
   last_announced_ = now;
+  last_proof_ = now;
+  flow_lost_ = false;
   last_heard_ = now;
   cold_until_ = now + value.cold_left;
   unanswered_since_.reset();
-  return announcement_verdict::accepted;
+}
+
+time_point upstream_core::accepted_until() const
+{
+  auto until = last_announced_;
+  for (const auto& item : competing_)
+    if (!is_current(item.value))
+      until = std::min(until, item.first_heard - duration(1));
+  return until;
 }
 
 upstream_start upstream_core::start() const
@@ -117,6 +239,35 @@
   unanswered_since_.reset();
 }
 
+void upstream_core::on_proof_of_life(time_point now)
+{
+  last_proof_ = now;
+  flow_lost_ = false;
+  for (auto& start : competing_)
+    start.contradicted = true;
+}
+
+std::optional<upstream_announcement> upstream_core::on_flow_lost()
+{
+  flow_lost_ = true;
+  if (competing_.empty())
+    return std::nullopt;
+  const auto& latest = competing_.back();
+  const bool may_be_newer = !latest.contradicted && current_->born_ms == 0 &&
+                            latest.value.sequence <= first_announcement &&
+                            !is_current(latest.value) &&
+                            !has_ended(start_of(latest.value));
+  return may_be_newer ? std::optional(latest.value) : std::nullopt;
+}
+
+void upstream_core::accept_successor(time_point now)
+{
+  const auto successor = competing_.back();
+  begin_start(successor.value, successor.wall_clock_ms, true, now);
+  // It may have ended since, and the next one may have opened flows.
+  last_announced_ = last_proof_ = successor.last_heard;
+}
+
 void upstream_core::on_opening_delivered(time_point now)
 {
   if (!unanswered_since_)
