relay: the end of an upstream takes effect once it is silent

It now takes effect at once only if the upstream drains and is known to have no open flow; otherwise once the upstream has sent nothing for two and a half announcement intervals, four without draining. Until it shows life it gets no new flows. An agent that stops waits for the decision.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -169,7 +169,8 @@
 struct relay_status
 {
   bool present = false; ///< upstream is alive and this agent is not stopping
-  bool ended = false;   ///< the upstream announced its end
+  bool ended = false;   ///< the upstream announced its end and is silent
+  bool leave_pending = false; ///< it announced its end and may still live
   bool draining = false;
   incarnation life;
   std::uint32_t slots = 0;
@@ -340,9 +341,14 @@
   void on_start_of_upstream(const upstream_announcement& value, bool restarted,
                             std::uint64_t wall_clock_ms, time_point now,
                             relay_sink& sink);
+  void settle_leave(time_point now, relay_sink& sink);
+  /// The upstream has ended, and its flows with it.
+  void end_flows(time_point now, relay_sink& sink);
   void succeed_upstream(const upstream_announcement& successor, time_point now,
                         relay_sink& sink);
   bool knows_all_flows(time_point now) const;
+  /// Whether the upstream is known to have no open flow.
+  bool holds_none(time_point now) const;
   /// Whether the flow is open, and was before the latest announcement of the
   /// current start.
   bool is_flow_of_current_start(const flow_key& flow) const;
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -74,8 +74,21 @@
   announcement_verdict announce(const upstream_announcement& value,
                                 std::uint64_t wall_clock_ms, time_point now);
 
-  /// The upstream announced that it ends.
-  announcement_verdict leave(const std::string& instance, time_point now);
+  /// The upstream announced that it ends. This takes effect at once if
+  /// `idle`, which means that it drains and has no open flows. Otherwise it
+  /// takes effect in settle_leave: the call may be of an earlier start.
+  announcement_verdict leave(const std::string& instance, bool idle,
+                             time_point now);
+
+  /// Ends the current start if it has announced its end and has been silent
+  /// since. Returns whether it ended now.
+  bool settle_leave(time_point now);
+
+  /// The upstream announced its end, and may still turn out to live.
+  bool leave_is_pending() const
+  {
+    return leave_announced_.has_value();
+  }
 
   /// The upstream sent a packet.
   void on_packet(time_point now);
@@ -98,6 +111,9 @@
   /// Announced, not left, and heard from within silence_limit.
   bool present(time_point now) const;
 
+  /// The upstream announced its end and has not shown since that it lives.
+  bool is_leaving() const;
+
   /// True while the upstream admits new flows.
   bool admits(time_point now) const;
 
@@ -230,6 +246,7 @@
   bool is_start_certain_ = false;
   time_point started_announcing_; ///< the present start, to this process
   bool left_ = false;
+  std::optional<time_point> leave_announced_; ///< not in effect yet
   time_point last_heard_;
   time_point cold_until_;
   std::optional<time_point> unanswered_since_;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -128,7 +128,8 @@
     const auto status = agent_->status();
     const bool nothing_left = status.ended || status.life == incarnation{};
     if (!nothing_left)
-      return since >= handover_time;
+      return since >= handover_time &&
+             (!status.leave_pending || since >= max_stop_time(instance_));
     return departed_ || since >= max_stop_time(instance_);
   }
 
--- a/src/relay/agent/relay_admission_core.cpp
+++ b/src/relay/agent/relay_admission_core.cpp
@@ -123,7 +123,7 @@
 bool relay_core::admits_no_more(time_point now) const
 {
   return stopping_ || evacuated_ || upstream_.draining() ||
-         !upstream_.present(now);
+         upstream_.is_leaving() || !upstream_.present(now);
 }
 
 void relay_core::serve_held(time_point now, relay_sink& sink)
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -118,15 +118,27 @@
 announcement_verdict relay_core::leave(const std::string& instance,
                                        time_point now, relay_sink& sink)
 {
-  const auto verdict = upstream_.leave(instance, now);
-  if (verdict == announcement_verdict::accepted)
-  {
-    reset_flows(time_point::max(), now, sink);
+  const auto verdict =
+      upstream_.leave(instance, upstream_.draining() && holds_none(now), now);
+  if (upstream_.ended())
+    end_flows(now, sink);
+  else
     serve_held(now, sink);
-  }
   return verdict;
 }
 
+void relay_core::settle_leave(time_point now, relay_sink& sink)
+{
+  if (upstream_.settle_leave(now))
+    end_flows(now, sink);
+}
+
+void relay_core::end_flows(time_point now, relay_sink& sink)
+{
+  reset_flows(time_point::max(), now, sink);
+  serve_held(now, sink);
+}
+
 void relay_core::succeed_upstream(const upstream_announcement& successor,
                                   time_point now, relay_sink& sink)
 {
@@ -234,6 +246,7 @@
   if (!packet || packet->bounced || header.kind != relay_kind::visit)
     return count(relay_event::malformed);
   newest_seen_ = std::max(newest_seen_, header.configuration);
+  settle_leave(now, sink);
   serve_held(now, sink);
   if (header.service != service_)
   {
@@ -510,6 +523,7 @@
   relay_status out;
   out.present = upstream_.present(now) && !stopping_;
   out.ended = upstream_.ended();
+  out.leave_pending = upstream_.leave_is_pending();
   out.draining = upstream_.draining();
   out.life = upstream_.life();
   out.slots = upstream_.slots();
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -2,6 +2,7 @@
 
 #include <toucanmill/relay/relay_core.hpp>
 
+#include <algorithm>
 #include <numeric>
 #include <set>
 #include <utility>
@@ -34,6 +35,16 @@
          options_.max_flow_age <= now - options_.started;
 }
 
+bool relay_core::holds_none(time_point now) const
+{
+  return knows_all_flows(now) && std::none_of(flows_.begin(), flows_.end(),
+                                              [](const auto& item)
+                                              {
+                                                return item.second.open &&
+                                                       !item.second.ended;
+                                              });
+}
+
 /// A listed flow may have ended before this process began.
 bool relay_core::is_flow_of_current_start(const flow_key& flow) const
 {
@@ -256,6 +267,7 @@
 void relay_core::on_tick(time_point now, relay_sink& sink)
 {
   stop_counting_overdue(now);
+  settle_leave(now, sink);
   if (knows_all_flows(now))
     returned_.clear();
   for (auto it = awaited_proofs_.begin(); it != awaited_proofs_.end();)
--- a/src/relay/agent/upstream_core.cpp
+++ b/src/relay/agent/upstream_core.cpp
@@ -61,7 +61,7 @@
   if (current_->born_ms != 0)
     return value.born_ms > current_->born_ms;
   // The first announcement of an earlier start may come this late.
-  return left_ || flow_lost_ || !present(now);
+  return left_ || leave_announced_ || flow_lost_ || !present(now);
 }
 
 void upstream_core::add_ended(const upstream_start& start)
@@ -177,6 +177,7 @@
   const auto born = value.born_ms != 0 ? value.born_ms : wall_clock_ms;
   life_ = {std::max(life_.value + 1, born)};
   left_ = is_start_certain_ = false;
+  leave_announced_.reset();
   announcements_ = 0;
   started_announcing_ = now;
   const bool is_proven = ended || !current_;
@@ -186,6 +187,10 @@
 
 void upstream_core::take(const upstream_announcement& value, time_point now)
 {
+  // One on its way when the upstream announced its end may still arrive.
+  if (leave_announced_ &&
+      now - *leave_announced_ >= options_.announcement_interval())
+    leave_announced_.reset();
   const auto silent = [&](const competing_start& item)
   {
     return now - item.last_heard > options_.silence_limit;
@@ -225,14 +230,31 @@
 }
 
 announcement_verdict upstream_core::leave(const std::string& instance,
-                                          time_point)
+                                          bool idle, time_point now)
 {
   if (!current_ || current_->instance != instance)
     return announcement_verdict::late;
-  left_ = true;
+  if (idle)
+    left_ = true;
+  else if (!left_ && !leave_announced_)
+    leave_announced_ = now;
   return announcement_verdict::accepted;
 }
 
+// An upstream announces that it drains before it ends, so an end without that
+// is less likely to be its own.
+bool upstream_core::settle_leave(time_point now)
+{
+  if (!leave_announced_)
+    return false;
+  const auto limit = draining() ? proving_silence() : options_.silence_limit;
+  if (now - std::max(*leave_announced_, last_proof_) < limit)
+    return false;
+  leave_announced_.reset();
+  left_ = true;
+  return true;
+}
+
 void upstream_core::on_packet(time_point now)
 {
   last_heard_ = now;
@@ -279,11 +301,19 @@
   return current_ && !left_ && now - last_heard_ <= options_.silence_limit;
 }
 
+// An upstream sends what it has in its queues until it exits, which is no proof
+// that it stays.
+bool upstream_core::is_leaving() const
+{
+  return leave_announced_ &&
+         last_proof_ - *leave_announced_ < options_.answer_limit;
+}
+
 bool upstream_core::admits(time_point now) const
 {
   const bool silent =
       unanswered_since_ && now - *unanswered_since_ > options_.answer_limit;
-  return present(now) && !current_->draining && !silent;
+  return present(now) && !current_->draining && !is_leaving() && !silent;
 }
 
 void upstream_core::on_known_life(incarnation known)
