--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -329,6 +329,8 @@
                         time_point now) const;
   duration repeat_delay() const;
   bool is_lost(time_point asked, time_point now) const;
+  bool is_lost_alone(const search_state& state, time_point asked,
+                     time_point now) const;
   bool is_lost(const search_state& state, std::size_t stage,
                time_point now) const;
   bool answers_are_slow() const;
--- a/include/toucanmill/relay/stage_walk.hpp
+++ b/include/toucanmill/relay/stage_walk.hpp
@@ -46,6 +46,7 @@
   void skip_round();
 
   bool is_skipped(std::size_t stage) const;
+  bool is_under_way(std::size_t stage) const;
   bool has_skipped() const;
   bool is_open(std::size_t stage) const;
 
--- a/src/relay/entry/entry_late_search_core.cpp
+++ b/src/relay/entry/entry_late_search_core.cpp
@@ -157,11 +157,27 @@
                             : options_.monitor.max_answer_timeout);
 }
 
+/// The same for an agent that is asked alone. Answers to earlier questions of
+/// the search count too: once all others have answered, only agents that are
+/// down are asked, and none of them answers until it is up.
+bool entry_core::is_lost_alone(const search_state& state, time_point asked,
+                               time_point now) const
+{
+  return is_lost(asked, now) || (monitor_.has_answered_since(state.began) &&
+                                 now - asked > repeat_delay());
+}
+
 bool entry_core::is_lost(const search_state& state, std::size_t stage,
                          time_point now) const
 {
   const auto& at = state.plan.visited_at[stage];
-  return state.walk.is_skipped(stage) && at && is_lost(*at, now);
+  if (!at)
+    return false;
+  if (answers_are_slow())
+    return state.walk.is_skipped(stage) && is_lost(*at, now);
+  const bool is_asked = state.walk.is_skipped(stage) ||
+                        (state.attempts > 1 && state.walk.is_under_way(stage));
+  return is_asked && is_lost_alone(state, *at, now);
 }
 
 /// On other links the next attempt need not wait: a new plan leaves out the
@@ -181,7 +197,7 @@
   return std::any_of(state.asked_alone.begin(), state.asked_alone.end(),
                      [&](const auto& asked)
                      {
-                       return is_lost(asked.second, now);
+                       return is_lost_alone(state, asked.second, now);
                      });
 }
 
@@ -237,6 +253,12 @@
   for (std::size_t stage = 0; stage < stages; ++stage)
     if (is_lost(state, stage, now))
       repeat_stage(state, stage, now, out);
+  if (answers_are_slow() || out.visits.empty())
+    return out;
+  // The agents after those that are down need not wait for them.
+  state.inconclusive = true;
+  for (const auto stage : state.walk.start_round())
+    out.visits.push_back(make_visit(state, stage, now));
   return out;
 }
 
@@ -249,6 +271,7 @@
       std::min<std::size_t>(lost.stops.size, lost_stage_parts))
     return;
   state.plan.visited_at[stage].reset();
+  state.walk.skip(stage);
   if (probes_.left(now) >= lost.stops.size)
     return ask_alone(state, lost, now, out);
   const auto first = state.plan.stages.size();
@@ -281,7 +304,7 @@
 {
   const bool by_packet = comes_too_late(state, now);
   for (auto& [agent, at] : state.asked_alone)
-    if (is_lost(at, now) && probes_.left(now) > 0)
+    if (is_lost_alone(state, at, now) && probes_.left(now) > 0)
     {
       at = now;
       visit_alone(state, agent, by_packet, now, out);
--- a/src/relay/entry/late_answers_test.cpp
+++ b/src/relay/entry/late_answers_test.cpp
@@ -288,3 +288,15 @@
 {
   check_runs(holder_place::later_stage_down, {30ms, 60ms, 100ms});
 }
+
+// Guards against the same in single runs beyond those above.
+TEST(late_answers, flow_of_an_agent_that_was_down_reaches_it_in_later_seeds)
+{
+  const std::vector<std::pair<duration, unsigned>> runs = {
+      {30ms, 133},  {60ms, 95},  {60ms, 133},
+      {700ms, 160}, {800ms, 80}, {800ms, 160}};
+  run_result result;
+  for (const auto& [delay, seed] : runs)
+    play(holder_place::later_stage_down, delay, seed, result);
+  CHECK_EQUAL(0U, result.unreached);
+}
--- a/src/relay/entry/stage_walk.cpp
+++ b/src/relay/entry/stage_walk.cpp
@@ -98,6 +98,11 @@
   return stage < states_.size() && states_[stage] == stage_state::skipped;
 }
 
+bool stage_walk::is_under_way(std::size_t stage) const
+{
+  return stage < states_.size() && states_[stage] == stage_state::under_way;
+}
+
 bool stage_walk::has_skipped() const
 {
   return first(stage_state::skipped) < states_.size();
