relay: one rule decides about a successor, with fewer lookups

No change of behaviour. It calls that now, and makes the successor the current start itself; accept_successor, a second step that its only caller always took, is gone. - The state of an announcement was passed on in two places (take_state). - ended_until was inclusive, so its caller turned it into a limit and had to know its value for "unknown"; ended_before is the limit itself.

Each packet of an upstream cost one more lookup in the table of flows, and each flow of a list a pass over the competing starts.

--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -344,14 +344,13 @@
   void settle_leave(time_point now, relay_sink& sink);
   /// The upstream has ended, and its flows with it.
   void end_flows(time_point now, relay_sink& sink);
-  void succeed_upstream(const upstream_announcement& successor, time_point now,
-                        relay_sink& sink);
+  void take_state(const upstream_announcement& value, time_point now);
   bool knows_all_flows(time_point now) const;
   /// Whether the upstream is known to have no open flow.
-  bool holds_none(time_point now) const;
+  bool lacks_open_flows(time_point now) const;
   /// Whether the flow is open, and was before the latest announcement of the
   /// current start.
-  bool is_flow_of_current_start(const flow_key& flow) const;
+  bool is_of_current_start(const flow_state& flow) const;
   std::vector<std::uint16_t> held_buckets(time_point now) const;
   bool opens_flows(const std::vector<route_target>& targets) const;
   waiting_terms terms_of(const route_objectives& objectives,
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -57,14 +57,14 @@
     /// An upstream that neither announces itself nor sends a packet for this
     /// long, four times the interval of its announcements, is considered dead.
     duration silence_limit = std::chrono::seconds(4);
+    /// An upstream that leaves opening packets unanswered for this long gets no
+    /// more of them until it sends a packet or an announcement.
+    duration answer_limit = std::chrono::milliseconds(100);
 
     duration announcement_interval() const
     {
       return silence_limit / 4;
     }
-    /// An upstream that leaves opening packets unanswered for this long gets no
-    /// more of them until it sends a packet or an announcement.
-    duration answer_limit = std::chrono::milliseconds(100);
   };
 
   explicit upstream_core(options chosen);
@@ -98,12 +98,9 @@
   void on_proof_of_life(time_point now);
 
   /// The upstream returned a packet of a flow that was open at the current
-  /// start. Returns the first announcement of the start that has replaced it,
-  /// if there was one.
-  std::optional<upstream_announcement> on_flow_lost();
-
-  /// Makes the start of on_flow_lost the current one.
-  void accept_successor(time_point now);
+  /// start. If another start has announced itself, it becomes the current one;
+  /// returns its announcement.
+  std::optional<upstream_announcement> on_flow_lost(time_point now);
 
   /// An opening packet was delivered to the upstream.
   void on_opening_delivered(time_point now);
@@ -150,23 +147,16 @@
     return announcements_ > 1;
   }
 
-  /// Whether the current start sent neither an announcement nor a packet of its
-  /// flows for so long that more than one announcement is missing.
-  bool is_silent(time_point now) const
-  {
-    return now - last_proof_ >= proving_silence();
-  }
-
   /// Flows that the agent has seen first by this time are of the current start
   /// or an earlier one. A later flow may be of a start that has not announced
   /// itself yet, or has not replaced the current one.
   time_point accepted_until() const;
 
-  /// Flows that the agent has seen first by this time ended with the start
-  /// before the current one; time_point::min() if that is not known.
-  time_point ended_until() const
+  /// Flows that the agent saw first before this time ended with the start
+  /// before the current one.
+  time_point ended_before() const
   {
-    return ended_until_;
+    return ended_before_;
   }
 
   /// End of the upstream's warm-up.
@@ -190,6 +180,12 @@
   {
     return options_.announcement_interval() * 5 / 2;
   }
+  /// Whether the current start sent neither an announcement nor a packet of its
+  /// flows for so long that more than one announcement is missing.
+  bool is_silent(time_point now) const
+  {
+    return now - last_proof_ >= proving_silence();
+  }
   bool is_foreign(const upstream_announcement& value) const;
   bool is_current(const upstream_announcement& value) const;
   bool has_ended(const upstream_start& start) const;
@@ -236,7 +232,7 @@
                                       time_point now);
 
   std::deque<competing_start> competing_; ///< the one heard last is the last
-  time_point ended_until_ = time_point::min();
+  time_point ended_before_ = time_point::min();
   std::uint64_t announcements_ = 0; ///< of the current start, accepted
   time_point last_announced_; ///< latest announcement of the current start
   time_point last_proof_;     ///< also by packets of its flows
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -15,6 +15,17 @@
                                               : miss_reason::refused;
 }
 
+/// Time between the first announcement of a start and this one. Unlike its age
+/// by the clock, which may have been set back since its birth, it is never much
+/// too low.
+duration announced_for(const upstream_announcement& value, duration interval)
+{
+  constexpr std::uint64_t max_counted = 1'000'000;
+  const auto count =
+      std::clamp(value.sequence, first_announcement, max_counted);
+  return interval * static_cast<duration::rep>(count - first_announcement);
+}
+
 } // namespace
 
 const char* to_string(relay_event event)
@@ -77,14 +88,6 @@
   return "unknown";
 }
 
-namespace
-{
-
-/// Announcements by which the age of an upstream is estimated at most.
-constexpr std::uint64_t max_counted = 1'000'000;
-
-} // namespace
-
 relay_core::relay_core(relay_options options)
     : options_(std::move(options)),
       service_(key_of_service(options_.upstream.service)),
@@ -109,17 +112,22 @@
     saw_start_of_upstream_ |=
         saw_first_announcement_ && upstream_.is_start_repeated();
     reset_listed(now, sink);
-    warm_up_.announce(value.cold_left, now);
-    meter_.set_slots(value.slots);
+    take_state(value, now);
   }
   return verdict;
 }
 
+void relay_core::take_state(const upstream_announcement& value, time_point now)
+{
+  warm_up_.announce(value.cold_left, now);
+  meter_.set_slots(value.slots);
+}
+
 announcement_verdict relay_core::leave(const std::string& instance,
                                        time_point now, relay_sink& sink)
 {
-  const auto verdict =
-      upstream_.leave(instance, upstream_.draining() && holds_none(now), now);
+  const auto verdict = upstream_.leave(
+      instance, upstream_.draining() && lacks_open_flows(now), now);
   if (upstream_.ended())
     end_flows(now, sink);
   else
@@ -139,15 +147,6 @@
   serve_held(now, sink);
 }
 
-void relay_core::succeed_upstream(const upstream_announcement& successor,
-                                  time_point now, relay_sink& sink)
-{
-  upstream_.accept_successor(now);
-  on_start_of_upstream(successor, true, 0, now, sink);
-  warm_up_.announce(successor.cold_left, now);
-  meter_.set_slots(successor.slots);
-}
-
 /// An agent has seen all flows of its upstream if it is older than the
 /// upstream, or if it got the first announcement: agents admit no flow before
 /// that. Of upstreams that do not state their birth, the second one has to
@@ -162,28 +161,20 @@
   const std::chrono::milliseconds age(has_age ? wall_clock_ms - value.born_ms
                                               : 0);
   const bool is_first = value.sequence <= first_announcement;
-  // The clock may have been set back since its birth.
-  const auto announced_for =
-      options_.upstream.announcement_interval() *
-      static_cast<duration::rep>(
-          std::clamp<std::uint64_t>(value.sequence, 1, max_counted) - 1);
+  const auto interval = options_.upstream.announcement_interval();
   const auto own_age = now - options_.started;
-  const bool is_younger =
-      has_age && age <= own_age &&
-      announced_for <= own_age + options_.upstream.announcement_interval();
+  const bool is_younger = has_age && age <= own_age &&
+                          announced_for(value, interval) <= own_age + interval;
   saw_first_announcement_ = is_first;
   saw_start_of_upstream_ =
       (is_first && (value.born_ms != 0 || restarted)) || is_younger;
   // It may have opened flows since the earlier start was heard from last. Its
   // age is exact in its first announcement only: clocks are set back.
   const auto began = has_age ? now - age : time_point::max();
-  const auto ended_until = upstream_.ended_until();
-  const auto ended_before = ended_until == time_point::min()
-                                ? ended_until
-                                : ended_until + duration(1);
   if (restarted)
   {
-    reset_flows(is_first && has_age ? began : std::min(began, ended_before),
+    reset_flows(is_first && has_age ? began
+                                    : std::min(began, upstream_.ended_before()),
                 now, sink);
     returned_.clear();
   }
@@ -450,8 +441,6 @@
   upstream_.on_packet(now);
   if (packet->bounced)
     return on_bounced(bytes, *packet, now, sink);
-  if (is_flow_of_current_start(packet->from_upstream()))
-    upstream_.on_proof_of_life(now);
   track_upstream_packet(*packet, now, sink);
   count(relay_event::replied);
   sink.reply(packet->destination, bytes);
@@ -471,8 +460,10 @@
   std::optional<upstream_announcement> successor;
   if (shows_absence(visit, packet))
   {
-    if (!packet.opens && is_flow_of_current_start(flow))
-      successor = upstream_.on_flow_lost();
+    const auto found = flows_.find(flow);
+    if (!packet.opens && found != flows_.end() &&
+        is_of_current_start(found->second))
+      successor = upstream_.on_flow_lost(now);
     awaited_proofs_.erase(flow);
     erase(flow, now, sink);
     if (!packet.opens && !knows_all_flows(now))
@@ -481,8 +472,10 @@
   pass_on(visit.header, bytes,
           packet.opens ? miss_reason::refused : miss_reason::unknown_flow,
           sink);
-  if (successor)
-    succeed_upstream(*successor, now, sink);
+  if (!successor)
+    return;
+  on_start_of_upstream(*successor, true, 0, now, sink);
+  take_state(*successor, now);
 }
 
 /// A packet that was delivered before the latest opening packet of its flow
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -35,7 +35,7 @@
          options_.max_flow_age <= now - options_.started;
 }
 
-bool relay_core::holds_none(time_point now) const
+bool relay_core::lacks_open_flows(time_point now) const
 {
   return knows_all_flows(now) && std::none_of(flows_.begin(), flows_.end(),
                                               [](const auto& item)
@@ -46,12 +46,10 @@
 }
 
 /// A listed flow may have ended before this process began.
-bool relay_core::is_flow_of_current_start(const flow_key& flow) const
+bool relay_core::is_of_current_start(const flow_state& flow) const
 {
-  const auto found = flows_.find(flow);
-  return found != flows_.end() && found->second.open && !found->second.ended &&
-         !found->second.listed &&
-         found->second.seen_since <= upstream_.accepted_until();
+  return flow.open && !flow.ended && !flow.listed &&
+         flow.seen_since <= upstream_.accepted_until();
 }
 
 /// Saves the way to the upstream and back, which are most of the cost of a
@@ -133,16 +131,19 @@
                                        time_point now, relay_sink& sink)
 {
   const auto key = packet.from_upstream();
+  const auto known = flows_.find(key);
+  const bool is_new = known == flows_.end();
+  if (!is_new && is_of_current_start(known->second))
+    upstream_.on_proof_of_life(now);
   if (packet.resets)
     return end(key, now, sink);
   returned_.erase(key);
   // A bare acknowledgement may follow the end of a flow, so it creates no
   // entry.
-  if (packet.payload_size == 0 && !packet.accepts && flows_.count(key) == 0)
+  if (packet.payload_size == 0 && !packet.accepts && is_new)
     return;
-  const auto [found, added] = flows_.try_emplace(key);
-  auto& flow = found->second;
-  if (added)
+  auto& flow = is_new ? flows_[key] : known->second;
+  if (is_new)
     flow.seen_since = now;
   flow.used = now;
   flow.listed = false;
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -14,9 +14,9 @@
   if (upstream_.ended() || !upstream_.is_start_certain() || !listed_are_certain)
     return list;
   list.of = upstream_.start();
+  const auto accepted_until = upstream_.accepted_until();
   for (const auto& [flow, state] : flows_)
-    if (state.open && !state.ended &&
-        state.seen_since <= upstream_.accepted_until())
+    if (state.open && !state.ended && state.seen_since <= accepted_until)
       list.flows.push_back({flow, state.acknowledged});
   return list;
 }
--- a/src/relay/agent/upstream_core.cpp
+++ b/src/relay/agent/upstream_core.cpp
@@ -166,8 +166,8 @@
 {
   // Announcements that do not come from the start of an upstream on, to an
   // agent that does not know it yet, may be late.
-  ended_until_ =
-      ended && is_start_certain_ ? accepted_until() : time_point::min();
+  ended_before_ = ended && is_start_certain_ ? accepted_until() + duration(1)
+                                             : time_point::min();
   for (const auto& item : competing_)
     if (const auto other = start_of(item.value); !(other == start_of(value)))
       add_ended(other);
@@ -269,25 +269,19 @@
     start.contradicted = true;
 }
 
-std::optional<upstream_announcement> upstream_core::on_flow_lost()
+std::optional<upstream_announcement> upstream_core::on_flow_lost(time_point now)
 {
   flow_lost_ = true;
   if (competing_.empty())
     return std::nullopt;
-  const auto& latest = competing_.back();
-  const bool may_be_newer = !latest.contradicted && current_->born_ms == 0 &&
-                            latest.value.sequence <= first_announcement &&
-                            !is_current(latest.value) &&
-                            !has_ended(start_of(latest.value));
-  return may_be_newer ? std::optional(latest.value) : std::nullopt;
-}
-
-void upstream_core::accept_successor(time_point now)
-{
-  const auto successor = competing_.back();
-  begin_start(successor.value, successor.wall_clock_ms, true, now);
+  const auto latest = competing_.back();
+  if (latest.contradicted || is_current(latest.value) ||
+      !replaces_current(latest.value, now))
+    return std::nullopt;
+  begin_start(latest.value, latest.wall_clock_ms, true, now);
   // It may have ended since, and the next one may have opened flows.
-  last_announced_ = last_proof_ = successor.last_heard;
+  last_announced_ = last_proof_ = latest.last_heard;
+  return latest.value;
 }
 
 void upstream_core::on_opening_delivered(time_point now)
