relay: tests share the agent's options and the accepting packet

The options of an agent beside the upstream "notes" stood in eleven test files, the packet by which an upstream accepts a flow in eight, the milliseconds of a clock in two models; relay_fixture_test.hpp has one of each.

upstream_end.late_end_leaves_the_flows_of_a_draining_upstream is stricter: it ticked a second after each announcement, so a silence of two intervals, one announcement lost, was never seen. It ticks just before the next one now.

--- a/src/relay/agent/relay_admission_random_test.cpp
+++ b/src/relay/agent/relay_admission_random_test.cpp
@@ -62,10 +62,7 @@
     constexpr std::uint16_t flows = 30;
     for (std::uint16_t port = 1; port <= flows; ++port)
     {
-      auto accepted = answer(data(port));
-      accepted.accepts = true;
-      accepted.payload_size = 0;
-      core.on_upstream_packet({}, accepted, start, sink);
+      core.on_upstream_packet({}, acceptance(port), start, sink);
     }
     auto now = start;
     std::size_t seen = 0;
--- a/src/relay/agent/relay_admission_test.cpp
+++ b/src/relay/agent/relay_admission_test.cpp
@@ -352,10 +352,7 @@
   const auto before = tested.sink.delivered.size();
   for (std::uint16_t port = 1; port <= 7; ++port)
   {
-    auto accepted = answer(data(port));
-    accepted.accepts = true;
-    accepted.payload_size = 0;
-    small.on_upstream_packet({}, accepted, start, tested.sink);
+    small.on_upstream_packet({}, acceptance(port), start, tested.sink);
     small.on_visit(visit(), data(port), start, tested.sink);
   }
   // Four at the upstream, two held, and the seventh beyond the bound.
--- a/src/relay/agent/relay_core_test.cpp
+++ b/src/relay/agent/relay_core_test.cpp
@@ -16,11 +16,9 @@
 
 relay_options options()
 {
-  relay_options value;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
+  // After its upstream: it does not know all flows.
+  auto value = agent_options(start);
   value.requests_per_slot = 2;
-  value.started = start; // after its upstream: it does not know all flows
   return value;
 }
 
@@ -57,10 +55,7 @@
   void open_flow(std::uint16_t port)
   {
     core.on_visit(visit(), opening(port), start, sink);
-    auto accepted = answer(data(port));
-    accepted.accepts = true;
-    accepted.payload_size = 0;
-    core.on_upstream_packet({}, accepted, start, sink);
+    core.on_upstream_packet({}, acceptance(port), start, sink);
   }
 };
 
--- a/src/relay/agent/relay_denial_test.cpp
+++ b/src/relay/agent/relay_denial_test.cpp
@@ -15,11 +15,9 @@
 
 relay_options options(admission_mode mode = admission_mode::slots)
 {
-  relay_options value;
+  // After its upstream: it does not know all flows.
+  auto value = agent_options(start);
   value.admission = mode;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start; // after its upstream: it does not know all flows
   value.max_tracked_visits = 64;
   value.max_returned_flows = 3;
   return value;
--- a/src/relay/agent/relay_late_return_test.cpp
+++ b/src/relay/agent/relay_late_return_test.cpp
@@ -11,23 +11,9 @@
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
 
-namespace
-{
-
-relay_options options()
-{
-  relay_options value;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start;
-  return value;
-}
-
-} // namespace
-
 TEST_GROUP(relay_late_return)
 {
-  relay_core core{options()};
+  relay_core core{agent_options(start)};
   recording_sink sink;
 
   void setup() override
@@ -47,10 +33,7 @@
 
   void accept()
   {
-    auto accepted = answer(data());
-    accepted.accepts = true;
-    accepted.payload_size = 0;
-    core.on_upstream_packet({}, accepted, start, sink);
+    core.on_upstream_packet({}, acceptance(), start, sink);
   }
 
   void end_flow()
--- a/src/relay/agent/relay_list_model_test.hpp
+++ b/src/relay/agent/relay_list_model_test.hpp
@@ -184,9 +184,7 @@
 
   std::uint64_t wall_clock_ms() const
   {
-    const auto time = now_.time_since_epoch() + clock_offset_;
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    return milliseconds_of(now_.time_since_epoch() + clock_offset_);
   }
 
   // Upstreams and their announcements (relay_list_model_test.cpp).
@@ -202,10 +200,7 @@
 
   void start_agent(node& at, const flow_list& list)
   {
-    relay_options options;
-    options.upstream.service = "notes";
-    options.upstream.address = upstream_address;
-    options.started = now_;
+    auto options = agent_options(now_);
     options.max_tracked_visits = 256;
     ++at.process;
     at.index = static_cast<std::size_t>(&at - nodes_.data());
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -18,7 +18,7 @@
 class listed_agent
 {
 public:
-  listed_agent() : core(options()) {}
+  listed_agent() : core(agent_options(start)) {}
 
   void announce(const upstream_announcement& value, duration at = 0ms)
   {
@@ -61,16 +61,6 @@
 
   relay_core core;
   recording_sink sink;
-
-private:
-  static relay_options options()
-  {
-    relay_options value;
-    value.upstream.service = "notes";
-    value.upstream.address = upstream_address;
-    value.started = start;
-    return value;
-  }
 };
 
 /// An announcement without a time of birth.
--- a/src/relay/agent/relay_long_flow_test.cpp
+++ b/src/relay/agent/relay_long_flow_test.cpp
@@ -39,10 +39,7 @@
     core_.announce(value, 1, start, *this);
     for (std::uint16_t port = 1; port <= flows; ++port)
     {
-      auto accepted = answer(data(port));
-      accepted.accepts = true;
-      accepted.payload_size = 0;
-      core_.on_upstream_packet({}, accepted, start, *this);
+      core_.on_upstream_packet({}, acceptance(port), start, *this);
       send_later(port);
     }
   }
--- a/src/relay/agent/relay_review_property_test.cpp
+++ b/src/relay/agent/relay_review_property_test.cpp
@@ -25,11 +25,8 @@
 
 relay_options options()
 {
-  relay_options value;
+  auto value = agent_options(start - 1s);
   value.admission = admission_mode::objectives;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start - 1s;
   value.queue.max_data = max_held_data;
   return value;
 }
--- a/src/relay/agent/relay_review_test.cpp
+++ b/src/relay/agent/relay_review_test.cpp
@@ -15,11 +15,8 @@
 
 relay_options options()
 {
-  relay_options value;
+  auto value = agent_options(start - 2s);
   value.admission = admission_mode::objectives;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start - 2s;
   return value;
 }
 
--- a/src/relay/agent/relay_warm_up_test.cpp
+++ b/src/relay/agent/relay_warm_up_test.cpp
@@ -13,15 +13,6 @@
 const endpoint balancer = endpoint_at(1, 7720);
 const endpoint next_agent = endpoint_at(2);
 
-relay_options options()
-{
-  relay_options value;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start;
-  return value;
-}
-
 relay_message visit(bool last = false)
 {
   relay_message message;
@@ -38,7 +29,7 @@
 
 TEST_GROUP(relay_warm_up)
 {
-  relay_core core{options()};
+  relay_core core{agent_options(start)};
   recording_sink sink;
 
   void announce(duration cold_left, time_point now = start,
@@ -72,12 +63,7 @@
     core.on_visit(visit(last), opening(port), now, sink);
     // The answer keeps the upstream from counting as silent.
     if (sink.delivered.size() > before)
-    {
-      auto accepted = answer(data(port));
-      accepted.accepts = true;
-      accepted.payload_size = 0;
-      core.on_upstream_packet({}, accepted, now, sink);
-    }
+      core.on_upstream_packet({}, acceptance(port), now, sink);
     return sink.delivered.size() > before;
   }
 };
--- a/src/relay/agent/upstream_calls_model_test.cpp
+++ b/src/relay/agent/upstream_calls_model_test.cpp
@@ -7,11 +7,8 @@
 
 void upstream_calls_model::start_agent()
 {
-  relay_options options;
-  options.upstream.service = "notes";
-  options.upstream.address = upstream_address;
+  auto options = agent_options(now_);
   options.upstream.silence_limit = 4 * interval;
-  options.started = now_;
   options.max_tracked_visits = 256;
   if (agent_)
     if (auto list = agent_->list_flows(); !(list == flow_list{}))
@@ -288,9 +285,7 @@
 
 std::uint64_t upstream_calls_model::wall_clock_ms() const
 {
-  const auto time = now_.time_since_epoch() + clock_offset_;
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  return milliseconds_of(now_.time_since_epoch() + clock_offset_);
 }
 
 } // namespace toucanmill::relay_test
--- a/src/relay/agent/upstream_calls_model_test.hpp
+++ b/src/relay/agent/upstream_calls_model_test.hpp
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
--- a/src/relay/agent/upstream_end_test.cpp
+++ b/src/relay/agent/upstream_end_test.cpp
@@ -8,23 +8,9 @@
 using namespace toucanmill;
 using namespace toucanmill::relay_test;
 
-namespace
-{
-
-relay_options options()
-{
-  relay_options value;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
-  value.started = start - 1s;
-  return value;
-}
-
-} // namespace
-
 TEST_GROUP(upstream_end)
 {
-  relay_core core{options()};
+  relay_core core{agent_options(start - 1s)};
   recording_sink sink;
 
   void announce(std::uint64_t sequence, time_point now, bool draining = false)
@@ -39,10 +25,7 @@
     core.set_configuration(routes_to(5, {{"notes", 1}}));
     announce(1, start);
     core.on_visit(visit(), opening(1), start, sink);
-    auto accepted = answer(opening(1));
-    accepted.accepts = true;
-    accepted.payload_size = 0;
-    core.on_upstream_packet({}, accepted, start, sink);
+    core.on_upstream_packet({}, acceptance(1), start, sink);
     core.on_upstream_packet({}, answer(data(1)), start, sink);
   }
 
@@ -78,7 +61,8 @@
   for (std::uint64_t second = 2; second < 10;
        second += 2) // every other is lost
   {
-    core.on_tick(start + second * 1s, sink);
+    // Just before the announcement, when the silence is longest.
+    core.on_tick(start + second * 1s + 899ms, sink);
     announce(1 + second, start + second * 1s + 900ms, true);
   }
   CHECK_TRUE(sink.resets.empty());
--- a/src/relay/agent/upstream_start_test.cpp
+++ b/src/relay/agent/upstream_start_test.cpp
@@ -13,11 +13,8 @@
 
 relay_options options()
 {
-  relay_options value;
-  value.upstream.service = "notes";
-  value.upstream.address = upstream_address;
+  auto value = agent_options(start - 1s);
   value.upstream.data_centre = "north";
-  value.started = start - 1s;
   return value;
 }
 
@@ -45,10 +42,7 @@
     for (const std::uint16_t port : {1, 2})
     {
       core.on_visit(visit(), opening(port), start - 400ms, sink);
-      auto accepted = answer(opening(port));
-      accepted.accepts = true;
-      accepted.payload_size = 0;
-      core.on_upstream_packet({}, accepted, start - 400ms, sink);
+      core.on_upstream_packet({}, acceptance(port), start - 400ms, sink);
       core.on_upstream_packet({}, answer(data(port)), start - 400ms, sink);
     }
     announce(2, "i-1", born, start);
--- a/src/relay/relay_fixture_test.hpp
+++ b/src/relay/relay_fixture_test.hpp
@@ -100,6 +100,32 @@
   return value;
 }
 
+/// Since the epoch, as upstreams state their birth.
+inline std::uint64_t milliseconds_of(duration value)
+{
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+/// Of an agent beside the upstream "notes".
+inline relay_options agent_options(time_point started)
+{
+  relay_options value;
+  value.upstream.service = "notes";
+  value.upstream.address = upstream_address;
+  value.started = started;
+  return value;
+}
+
+/// The packet by which the upstream accepts the flow.
+inline flow_packet acceptance(std::uint16_t port = 40001)
+{
+  auto packet = answer(data(port));
+  packet.accepts = true;
+  packet.payload_size = 0;
+  return packet;
+}
+
 /// A service whose agents have the addresses first, first + 1, ... Each agent
 /// but the first owns one bucket; the first owns all others.
 inline service_table service(const std::string& name, std::uint32_t id,
