control, relay: a reset asks every agent that may hold the flow

Cause: control listed at most four former services of a route and dropped the oldest without a sign, however young its flows were. Balancers took the denials of the agents of the listed services for proof that a flow is gone.

Change: a list from which a service was dropped is marked as incomplete, and so is the list of an address that was removed and returned. With the mark a balancer asks the agents of all relay services before a reset. Former services and marks are forgotten once all nodes have had the later table for longer than a flow lasts: the leader measures that by its steady clock and each declaration carries the log index, so all instances forget the same. Lists by earlier builds, which drop services without a mark, count as incomplete. A reset of an unknown flow logs how many agents denied it.

--- a/include/toucanmill/cluster/command.hpp
+++ b/include/toucanmill/cluster/command.hpp
@@ -80,6 +80,9 @@
 struct declare_configuration
 {
   configuration value;
+  /// Flows that agents accepted by tables before this log index have ended; 0:
+  /// not known.
+  std::uint64_t settled_index = 0;
 };
 
 /// Evacuates or restores a data centre. It has no request id: a copy that is
--- a/include/toucanmill/cluster/membership_core.hpp
+++ b/include/toucanmill/cluster/membership_core.hpp
@@ -27,6 +27,8 @@
   /// Share of a service's upstreams that may be suspect at once; at least one.
   double max_removed_share = 1.0 / 3;
   load_options load;
+  /// Greatest age of a flow, from when a balancer sends its opening packet.
+  duration flow_lifetime = std::chrono::seconds(75);
 };
 
 /// Volatile state of a node, known only to the leader.
@@ -67,6 +69,10 @@
   /// What the nodes stated that are no nodes yet but get the table.
   std::vector<version_member> observers(time_point now) const;
 
+  /// Flows that agents accepted by tables before this log index have ended.
+  /// Rises while all nodes that are not gone report; 0: not known.
+  std::uint64_t settled_index() const;
+
   /// Whether every node with a valid lease has applied at least this log index.
   bool in_force(std::uint64_t index, time_point now) const;
 
--- a/include/toucanmill/control/control_state.hpp
+++ b/include/toucanmill/control/control_state.hpp
@@ -1,6 +1,7 @@
 #ifndef TOUCANMILL_CONTROL_CONTROL_STATE_HPP
 #define TOUCANMILL_CONTROL_CONTROL_STATE_HPP
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -165,6 +166,12 @@
     return leads_;
   }
 
+  /// As membership_core::settled_index(). Any thread; 0 unless this one leads.
+  std::uint64_t settled_index() const
+  {
+    return settled_index_;
+  }
+
   const group_options& group() const
   {
     return options_.group;
@@ -200,6 +207,7 @@
   /// Log index and commit time of configurations that some live nodes have not
   /// applied yet.
   std::deque<std::pair<std::uint64_t, time_point>> pending_declarations_;
+  std::atomic<std::uint64_t> settled_index_{0};
   version_core versions_;
   /// Proposed by this leader and perhaps not in force yet; 0: none.
   format_version proposed_format_ = 0;
--- a/include/toucanmill/relay/entry_core.hpp
+++ b/include/toucanmill/relay/entry_core.hpp
@@ -54,6 +54,9 @@
   flow_key flow;
   std::uint32_t sequence = 0;
   reset_reason reason = reset_reason::no_route;
+  /// Of reset_reason::unknown_flow: all agents that may hold the flow by the
+  /// table; each of them denied it.
+  std::size_t denied_by = 0;
 };
 
 /// Hold the packet until a quorum confirms the table, then decide again: this
@@ -299,6 +302,7 @@
                                         time_point now) const;
   void record_denials(const relay_header& header, const flow_key& flow,
                       time_point now);
+  std::size_t possible_holders(const flow_packet& packet) const;
   bool is_denied_by_all(const search_state& state, const flow_packet& packet,
                         const route& from) const;
   std::optional<entry_action> reset_denied(const flow_packet& packet,
--- a/include/toucanmill/relay/relay_table.hpp
+++ b/include/toucanmill/relay/relay_table.hpp
@@ -74,6 +74,9 @@
   /// Null when the service is not known.
   const relay_service* find_service(const std::string& name) const;
 
+  /// By id, ascending.
+  std::vector<const relay_service*> services() const;
+
   /// Ascending.
   const std::vector<data_centre_key>& evacuated() const
   {
@@ -90,8 +93,8 @@
   using route_ptr = std::shared_ptr<const route>;
   using route_map = std::unordered_map<std::uint64_t, route_ptr>;
 
-  void replace_routes(const configuration& declared);
-  void change_routes(const route_changes& changes);
+  void replace_routes(const configuration& declared, bool former_marked);
+  void change_routes(const route_changes& changes, bool former_marked);
   void replace_services(const table_update& update);
   void replace_evacuated(const table_update& update);
 
@@ -140,7 +143,9 @@
 /// evacuated data centres.
 bool is_evacuated(const relay_table& table, const route& from);
 
-/// All services that may hold a flow of the route, the most likely first.
+/// All services that may hold a flow of the route, the most likely first: every
+/// relay service of the table if the route's list of former services is
+/// incomplete. A flow is gone only once all their agents have denied it.
 std::vector<const relay_service*> possible_services(const relay_table& table,
                                                     const route& from,
                                                     std::uint64_t hash);
--- a/include/toucanmill/settings/settings.hpp
+++ b/include/toucanmill/settings/settings.hpp
@@ -97,6 +97,8 @@
   /// Data centres that an operator may evacuate; empty: those of known nodes.
   std::vector<std::string> data_centres;
   std::chrono::milliseconds lease{3000};
+  /// As in agent_settings; the greatest of all agents.
+  std::chrono::milliseconds max_flow_age{60'000};
   /// Silence of the leader after which another instance may take over.
   std::chrono::milliseconds election_timeout{600};
   std::chrono::milliseconds ramp{10000}; ///< until a new upstream has its share
--- a/include/toucanmill/table/configuration.hpp
+++ b/include/toucanmill/table/configuration.hpp
@@ -42,11 +42,16 @@
   std::vector<std::string> former;
   route_objectives objectives = {};
 
+  /// Services that are not listed may hold flows of this address too. Set by
+  /// control.
+  bool former_incomplete = false;
+
   bool operator==(const route& other) const
   {
-    return std::tie(name, address, targets, timeout_ms, former, objectives) ==
+    return std::tie(name, address, targets, timeout_ms, former, objectives,
+                    former_incomplete) ==
            std::tie(other.name, other.address, other.targets, other.timeout_ms,
-                    other.former, other.objectives);
+                    other.former, other.objectives, other.former_incomplete);
   }
 };
 
@@ -91,12 +96,14 @@
   std::uint32_t timeout_ms = 0;
   std::vector<endpoint> addresses;
   route_objectives objectives = {};
+  bool former_incomplete = false; ///< as in route
 
   bool operator==(const route_group& other) const
   {
-    return std::tie(targets, former, timeout_ms, addresses, objectives) ==
+    return std::tie(targets, former, timeout_ms, addresses, objectives,
+                    former_incomplete) ==
            std::tie(other.targets, other.former, other.timeout_ms,
-                    other.addresses, other.objectives);
+                    other.addresses, other.objectives, other.former_incomplete);
   }
 };
 
@@ -120,13 +127,15 @@
 /// example "routes[3].address". The file of each finding is empty.
 findings check_configuration(const configuration& value);
 
-/// Maximum number of former services of one route.
+/// Maximum number of former services that are listed for one route: 300 octets
+/// with the longest names.
 inline constexpr std::size_t max_former_services = 4;
 
-/// Sets the former services of each route of `next`, which replaces `present`,
-/// to the targets and former services of the present route with its address,
-/// except those that are still targets.
-void keep_former_services(const configuration& present, configuration& next);
+/// Sets the former services of `next`, which replaces `present` at the same
+/// address, to the targets of `present` and, unless `is_settled`, its former
+/// services, except those that are still targets. `is_settled`: no flow is open
+/// that was accepted before the address got its present targets.
+void keep_former_services(const route& present, bool is_settled, route& next);
 
 } // namespace toucanmill
 
--- a/include/toucanmill/table/service_table.hpp
+++ b/include/toucanmill/table/service_table.hpp
@@ -109,12 +109,17 @@
   /// list changed after `base`.
   std::optional<std::vector<data_centre_key>> evacuated{};
 
+  /// Lists of former services that are not complete are marked so. Builds that
+  /// do not mark them may have dropped services from any list.
+  bool former_marked = true;
+
   bool operator==(const table_update& other) const
   {
     return version == other.version && full == other.full &&
            changed == other.changed && removed == other.removed &&
            declared == other.declared && base == other.base &&
-           routes == other.routes && evacuated == other.evacuated;
+           routes == other.routes && evacuated == other.evacuated &&
+           former_marked == other.former_marked;
   }
 };
 
--- a/schema/state.capnp
+++ b/schema/state.capnp
@@ -75,6 +75,9 @@
     setEvacuation @9 :SetEvacuation;
     raiseVersion @10 :UInt8;  # format version to put in force
   }
+  # Of declareConfiguration: flows that agents accepted by tables before this
+  # log index have ended.
+  settledIndex @11 :UInt32;
 }
 
 struct ClaimOutcome {
--- a/schema/toucanmill.capnp
+++ b/schema/toucanmill.capnp
@@ -33,6 +33,9 @@
   timeoutMillis @3 :UInt32;
   former @4 :List(Text);  # services of earlier versions, newest first
   objectives @5 :Objectives;
+  formerIncomplete @6 :Bool;  # others may hold flows of this address too
+  # In snapshots, of routes that have changed: formerIncomplete is valid.
+  formerMarked @7 :Bool;
 }
 
 enum RequestKind {
@@ -108,6 +111,7 @@
   timeoutMillis @2 :UInt32;
   addresses @3 :List(Endpoint);
   objectives @4 :Objectives;
+  formerIncomplete @5 :Bool;  # as in Route
 }
 
 # Removed addresses come first: one may return with a changed route.
@@ -164,6 +168,7 @@
   service @3 :UInt32;      # agents: id of their service, 0 when it has none
   life @4 :UInt64;         # latest life of the node that control knows
   members @5 :List(Endpoint);  # RPC endpoints of the control instances
+  formerMarked @6 :Bool;   # formerIncomplete is valid in the update
 }
 
 struct CreateService {
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -127,7 +127,7 @@
 change_outcome apply_request(cluster_state& state,
                              const operator_request& request);
 change_outcome apply_declaration(cluster_state& state,
-                                 const configuration& value);
+                                 const declare_configuration& order);
 change_outcome apply_evacuation(cluster_state& state,
                                 const set_evacuation& value);
 void apply_register(cluster_state& state, const register_node& value);
@@ -140,6 +140,13 @@
 result<bool> change_evacuation(cluster_state& state,
                                const set_evacuation& order);
 
+/// The log index of the latest removal of a route with each address. An address
+/// without a record has that of the latest removal that is no longer recorded;
+/// 0: it was never removed.
+std::map<endpoint, std::uint64_t>
+latest_removals(const cluster_state& state,
+                const std::vector<endpoint>& addresses);
+
 /// Sets the groups of the declared routes.
 void group_routes(cluster_state& state);
 
--- a/src/cluster/codec_test.cpp
+++ b/src/cluster/codec_test.cpp
@@ -39,6 +39,7 @@
       set_evacuation{"d", true, 99},
       set_evacuation{"d", false, 99},
       raise_version{2},
+      declare_configuration{{}, 77},
   };
 }
 
@@ -46,6 +47,19 @@
 
 TEST_GROUP(codec){};
 
+// Guards against a settled index that is higher than the one that was written.
+TEST(codec, settled_index_beyond_its_field_is_lowered)
+{
+  const auto read_back = [](std::uint64_t index)
+  {
+    const auto decoded =
+        decode_command(encode(declare_configuration{{}, index}));
+    return std::get<declare_configuration>(decoded.value()).settled_index;
+  };
+  CHECK_EQUAL(77U, read_back(77));
+  CHECK_EQUAL(0xFFFFFFFFU, read_back(0x1'0000'0005));
+}
+
 // Guards against a field that one instance writes to the log and another does
 // not read back.
 TEST(codec, commands_round_trip)
--- a/src/cluster/command_codec.cpp
+++ b/src/cluster/command_codec.cpp
@@ -1,5 +1,8 @@
 #include <toucanmill/cluster/command.hpp>
 
+#include <algorithm>
+#include <limits>
+
 #include <capnp/message.h>
 #include <state.capnp.h>
 
@@ -84,6 +87,10 @@
   void operator()(const declare_configuration& value)
   {
     wire::write(to.initDeclareConfiguration(), value.value);
+    // A lower index is true as well.
+    constexpr auto highest = std::numeric_limits<std::uint32_t>::max();
+    to.setSettledIndex(static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(value.settled_index, highest)));
   }
   void operator()(const set_evacuation& value)
   {
@@ -183,8 +190,8 @@
         claim_release{read_claim_key(release), claim_id{release.getClaim()}}};
   }
   case schema::Command::DECLARE_CONFIGURATION:
-    return command{
-        declare_configuration{wire::read(from.getDeclareConfiguration())}};
+    return command{declare_configuration{
+        wire::read(from.getDeclareConfiguration()), from.getSettledIndex()}};
   case schema::Command::SET_EVACUATION:
   {
     const auto set = from.getSetEvacuation();
--- a/src/cluster/declaration.cpp
+++ b/src/cluster/declaration.cpp
@@ -15,6 +15,15 @@
 /// differ by at most 6%.
 constexpr std::size_t declared_bucket_count = 256;
 
+std::map<endpoint, std::size_t>
+route_positions(const std::vector<route>& routes)
+{
+  std::map<endpoint, std::size_t> positions;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+    positions[routes[i].address] = i;
+  return positions;
+}
+
 void add_declared_service(cluster_state& state, const std::string& name)
 {
   auto& service = state.services[name];
@@ -62,6 +71,31 @@
   }
 }
 
+/// Sets the former services of the routes of `next`. An address that returns
+/// after its removal may have flows on any service.
+void keep_former_services(const cluster_state& state,
+                          std::uint64_t settled_index, configuration& next)
+{
+  const auto present = route_positions(state.declared.routes);
+  std::vector<endpoint> added;
+  for (const auto& item : next.routes)
+    if (present.count(item.address) == 0)
+      added.push_back(item.address);
+  const auto removals = latest_removals(state, added);
+  for (auto& item : next.routes)
+    if (const auto found = present.find(item.address); found != present.end())
+    {
+      const auto changed = state.route_ages[found->second].changed;
+      keep_former_services(state.declared.routes[found->second],
+                           changed <= settled_index, item);
+    }
+    else
+    {
+      item.former.clear();
+      item.former_incomplete = settled_index < removals.at(item.address);
+    }
+}
+
 void record_removal(cluster_state& state, const endpoint& address)
 {
   state.route_removals.emplace_back(state.position.index, address);
@@ -76,9 +110,7 @@
 void record_route_changes(cluster_state& state, const configuration& next)
 {
   const auto& present = state.declared.routes;
-  std::map<endpoint, std::size_t> unmatched;
-  for (std::size_t i = 0; i < present.size(); ++i)
-    unmatched[present[i].address] = i;
+  auto unmatched = route_positions(present);
   const auto index = state.position.index;
   std::vector<route_age> ages;
   ages.reserve(next.routes.size());
@@ -108,14 +140,29 @@
 
 } // namespace
 
+std::map<endpoint, std::uint64_t>
+latest_removals(const cluster_state& state,
+                const std::vector<endpoint>& addresses)
+{
+  std::map<endpoint, std::uint64_t> latest;
+  for (const auto& address : addresses)
+    latest[address] = state.route_removals_floor;
+  if (latest.empty())
+    return latest;
+  for (const auto& [index, address] : state.route_removals)
+    if (const auto found = latest.find(address); found != latest.end())
+      found->second = index;
+  return latest;
+}
+
 void group_routes(cluster_state& state)
 {
   const auto precedes = [](const route* left, const route* right)
   {
-    return std::tie(left->targets, left->former, left->timeout_ms,
-                    left->objectives) < std::tie(right->targets, right->former,
-                                                 right->timeout_ms,
-                                                 right->objectives);
+    return std::tie(left->targets, left->former, left->former_incomplete,
+                    left->timeout_ms, left->objectives) <
+           std::tie(right->targets, right->former, right->former_incomplete,
+                    right->timeout_ms, right->objectives);
   };
   std::map<const route*, std::uint32_t, decltype(precedes)> groups(precedes);
   state.route_groups.clear();
@@ -129,15 +176,16 @@
 // Validates before comparing versions: an invalid configuration is refused even
 // if a newer version is already in force.
 change_outcome apply_declaration(cluster_state& state,
-                                 const configuration& value)
+                                 const declare_configuration& order)
 {
+  const auto& value = order.value;
   if (const auto found = check_configuration(value); !found.empty())
     return {false, error_code::invalid_argument, summarize(found),
             state.declared.version, 0};
   if (value.version > state.declared.version)
   {
     auto next = value;
-    keep_former_services(state.declared, next);
+    keep_former_services(state, order.settled_index, next);
     record_route_changes(state, next);
     state.declared = std::move(next);
     group_routes(state);
--- a/src/cluster/membership_core.cpp
+++ b/src/cluster/membership_core.cpp
@@ -88,15 +88,49 @@
 
 } // namespace
 
+/// The table that all nodes have applied, and since when.
+struct applied_table
+{
+  std::uint64_t index = 0;
+  time_point since;
+};
+
+/// The lowest log index that any node applied which may lead a flow to an agent
+/// or accept one; 0 while one of them is silent.
+std::uint64_t lowest_applied(const live_nodes& nodes,
+                             const state_machine& state, time_point now)
+{
+  auto lowest = state.position().index;
+  for (const auto& [id, node] : nodes)
+    if (const auto* const record = state.find_node(id);
+        record != nullptr && record->state != node_state::gone)
+      lowest = std::min(lowest, now < node.lease_end ? node.applied.index : 0);
+  return lowest;
+}
+
 struct membership_core::state_data
 {
   membership_options options;
   live_nodes nodes;
+  std::uint64_t settled_index = 0;
+  applied_table settling; ///< its index replaces settled_index next
   std::map<node_id, observer> observers;
   time_point next_scan;
   time_point rebalanced_until; ///< services due before this were handled
   std::size_t next_service = 0;
 
+  /// Processes that start later get their first table from a quorum, so what
+  /// all nodes have applied once is never undone.
+  void settle(const state_machine& state, time_point now)
+  {
+    if (settling.index > settled_index &&
+        now - settling.since >= options.flow_lifetime)
+      settled_index = settling.index;
+    if (settling.index > settled_index)
+      return;
+    settling = {lowest_applied(nodes, state, now), now};
+  }
+
   double ramp(const live_node& node, time_point now) const
   {
     const auto elapsed_share =
@@ -136,6 +170,8 @@
 {
   data_->nodes.clear();
   data_->observers.clear();
+  data_->settled_index = 0;
+  data_->settling = {};
   for (const auto* const record : state.nodes())
   {
     if (record->state == node_state::gone)
@@ -347,6 +383,7 @@
       it = it->second.lease_end <= now ? data_->observers.erase(it)
                                        : std::next(it);
     commands = scan_leases(data_->nodes, state, data_->options, now);
+    data_->settle(state, now);
   }
   const auto services = state.services();
   for (auto due = data_->due_services(services.size(), now); due > 0; --due)
@@ -422,6 +459,11 @@
   return found;
 }
 
+std::uint64_t membership_core::settled_index() const
+{
+  return data_->settled_index;
+}
+
 bool membership_core::in_force(std::uint64_t index, time_point now) const
 {
   return std::all_of(data_->nodes.begin(), data_->nodes.end(),
--- a/src/cluster/membership_core_test.cpp
+++ b/src/cluster/membership_core_test.cpp
@@ -262,3 +262,59 @@
   report(two, seconds(1));
   CHECK_TRUE(membership.in_force(10, at(seconds(1))));
 }
+
+// Guards against former services that are forgotten while a flow may be open
+// that an earlier table led to them: one node has not applied the later one, is
+// silent, or applied it too short a time ago.
+TEST(membership, table_settles_once_all_nodes_have_had_it_for_a_flow_lifetime)
+{
+  auto one = report_of(agent(1, "charts"));
+  auto two = report_of(balancer(2));
+  const auto tick = [&](int second)
+  {
+    report(one, seconds(second));
+    report(two, seconds(second));
+    run(membership.on_tick(control.state, at(seconds(second))));
+  };
+  one.applied = two.applied = control.state.position();
+  const auto first = one.applied.index;
+  for (int second = 0; second < 75; ++second)
+    tick(second);
+  CHECK_EQUAL(0U, membership.settled_index());
+  tick(75);
+  CHECK_EQUAL(first, membership.settled_index());
+
+  control.change(create_service{"later", address_of(1001), {}, 16});
+  one.applied = control.state.position();
+  for (int second = 76; second < 300; ++second)
+    tick(second);
+  CHECK_TRUE(membership.settled_index() < one.applied.index);
+  two.applied = one.applied;
+  for (int second = 300; second < 500; ++second)
+    tick(second);
+  CHECK_EQUAL(one.applied.index, membership.settled_index());
+
+  control.change(create_service{"last", address_of(1002), {}, 16});
+  two.applied = control.state.position();
+  for (int second = 500; second < 700; ++second)
+  {
+    report(two, seconds(second));
+    run(membership.on_tick(control.state, at(seconds(second))));
+  }
+  CHECK_TRUE(membership.settled_index() < two.applied.index);
+}
+
+// Guards against a leader that counts what nodes told the one before it.
+TEST(membership, new_leader_does_not_know_what_has_settled)
+{
+  auto one = report_of(balancer(2));
+  one.applied = control.state.position();
+  for (int second = 0; second < 80; ++second)
+  {
+    report(one, seconds(second));
+    run(membership.on_tick(control.state, at(seconds(second))));
+  }
+  CHECK_TRUE(membership.settled_index() > 0);
+  membership.on_leader(control.state, at(seconds(80)));
+  CHECK_EQUAL(0U, membership.settled_index());
+}
--- a/src/cluster/route_changes_test.cpp
+++ b/src/cluster/route_changes_test.cpp
@@ -105,9 +105,13 @@
       routes.erase(address);
     for (const auto& group : changes.changed)
       for (const auto& address : group.addresses)
-        routes[address] = {
-            {},           address,         group.targets, group.timeout_ms,
-            group.former, group.objectives};
+        routes[address] = {{},
+                           address,
+                           group.targets,
+                           group.timeout_ms,
+                           group.former,
+                           group.objectives,
+                           group.former_incomplete};
   }
 };
 
--- a/src/cluster/snapshot_codec.cpp
+++ b/src/cluster/snapshot_codec.cpp
@@ -48,6 +48,34 @@
   to.setRouteRemovalsFloor(state.route_removals_floor);
 }
 
+/// Whether each declared route has replaced another one at its address. Without
+/// that its list of former services is complete, whoever wrote it.
+std::vector<bool> replaced_routes(const cluster_state& state)
+{
+  const auto& routes = state.declared.routes;
+  std::vector<endpoint> addresses;
+  for (const auto& item : routes)
+    addresses.push_back(item.address);
+  const auto removals = latest_removals(state, addresses);
+  std::vector<bool> replaced;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+  {
+    const auto& age = state.route_ages[i];
+    replaced.push_back(age.changed != age.added ||
+                       removals.at(routes[i].address) != 0);
+  }
+  return replaced;
+}
+
+void mark_former_services(schema::Snapshot::Builder to,
+                          const cluster_state& state)
+{
+  auto routes = to.getDeclared().getRoutes();
+  const auto replaced = replaced_routes(state);
+  for (unsigned i = 0; i < routes.size(); ++i)
+    routes[i].setFormerMarked(replaced[i]);
+}
+
 void write_evacuations(schema::Snapshot::Builder to, const cluster_state& state)
 {
   auto list = to.initEvacuations(list_size(state.evacuations.size()));
@@ -187,7 +215,6 @@
 result<void> read_route_history(cluster_state& state,
                                 schema::Snapshot::Reader from)
 {
-  group_routes(state);
   if (!from.hasRouteAges())
   {
     assume_route_history(state);
@@ -205,6 +232,16 @@
   return outcome::success();
 }
 
+/// Earlier builds dropped former services without a mark.
+void read_former_marks(cluster_state& state, schema::Snapshot::Reader from)
+{
+  const auto routes = from.getDeclared().getRoutes();
+  const auto replaced = replaced_routes(state);
+  for (unsigned i = 0; i < routes.size(); ++i)
+    if (replaced[i] && !routes[i].getFormerMarked())
+      state.declared.routes[i].former_incomplete = true;
+}
+
 result<void> read_nodes(cluster_state& state, schema::Snapshot::Reader from)
 {
   for (const auto item : from.getNodes())
@@ -253,6 +290,8 @@
                                                to_string(this_build())};
   read_evacuations(state, from);
   BOOST_OUTCOME_TRY(read_route_history(state, from));
+  read_former_marks(state, from);
+  group_routes(state);
   BOOST_OUTCOME_TRY(read_services(state, from));
   BOOST_OUTCOME_TRY(read_nodes(state, from));
   for (const auto item : from.getRequests())
@@ -286,6 +325,7 @@
   wire::write(to.initDeclared(), state.declared);
   to.setDeclaredIndex(state.declared_index);
   write_route_history(to, state);
+  mark_former_services(to, state);
   if (state.evacuations_index != 0)
     write_evacuations(to, state);
   if (state.format != first_format_version)
--- a/src/cluster/state_machine.cpp
+++ b/src/cluster/state_machine.cpp
@@ -34,7 +34,7 @@
   }
   command_outcome operator()(const declare_configuration& value)
   {
-    return apply_declaration(state, value.value);
+    return apply_declaration(state, value);
   }
   command_outcome operator()(const set_evacuation& value)
   {
@@ -158,7 +158,8 @@
                          routes[i].former,
                          routes[i].timeout_ms,
                          {},
-                         routes[i].objectives});
+                         routes[i].objectives,
+                         routes[i].former_incomplete});
     changed[found->second].addresses.push_back(routes[i].address);
   }
   return changed;
--- a/src/cluster/wire_configuration.cpp
+++ b/src/cluster/wire_configuration.cpp
@@ -46,6 +46,7 @@
   auto former = to.initFormer(static_cast<unsigned>(value.former.size()));
   for (unsigned i = 0; i < former.size(); ++i)
     former.set(i, value.former[i]);
+  to.setFormerIncomplete(value.former_incomplete);
   if (!(value.objectives == route_objectives{}))
     write_objectives(to.initObjectives(), value.objectives);
 }
@@ -59,6 +60,7 @@
         {copy_text(target.getService()), target.getWeight()});
   for (const auto name : from.getFormer())
     value.former.push_back(copy_text(name));
+  value.former_incomplete = from.getFormerIncomplete();
   value.objectives = read_objectives(from.getObjectives());
 }
 
--- a/src/cluster/wire_test.cpp
+++ b/src/cluster/wire_test.cpp
@@ -52,6 +52,7 @@
   declared.idle_timeout_ms = 15000;
   declared.routes = {
       {"r", {ipv4_address{9}, 443}, {{"a", 90}, {"b", 10}}, 1000, {"c"}}};
+  declared.routes[0].former_incomplete = true;
   update.declared = declared;
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::TableUpdate>();
@@ -72,6 +73,7 @@
       true,
       {{{{"a", 90}, {"b", 10}}, {"c"}, 1000, {{ipv4_address{9}, 443}}}},
       {{ipv4_address{8}, 80}}};
+  update.routes->changed[0].former_incomplete = true;
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::TableUpdate>();
   wire::write(root, update);
--- a/src/control/configuration_store.cpp
+++ b/src/control/configuration_store.cpp
@@ -9,14 +9,15 @@
 
 void configuration_store::declare(configuration value, declare_callback done)
 {
-  log_.propose(encode(declare_configuration{std::move(value)}),
-               [this, done](const result<std::string>& applied)
-               {
-                 if (applied)
-                   done(read_change_outcome(applied.value()), {});
-                 else
-                   done(applied.error(), leader_hint(log_));
-               });
+  log_.propose(
+      encode(declare_configuration{std::move(value), state_.settled_index()}),
+      [this, done](const result<std::string>& applied)
+      {
+        if (applied)
+          done(read_change_outcome(applied.value()), {});
+        else
+          done(applied.error(), leader_hint(log_));
+      });
 }
 
 void configuration_store::read(configuration_callback done)
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -257,6 +257,7 @@
             }
             auto to = results.initReply();
             wire::write(to.initUpdate(), value.update);
+            to.setFormerMarked(true);
             to.setOrder(wire::to_schema(value.order));
             to.setService(value.service.value);
             to.setLife(value.life.value);
@@ -334,8 +335,10 @@
 kj::Promise<void> control_service::declare(DeclareContext context)
 {
   ++counters_.changes;
-  return answer_change(context, declare_configuration{wire::read(
-                                    context.getParams().getConfiguration())});
+  return answer_change(
+      context,
+      declare_configuration{wire::read(context.getParams().getConfiguration()),
+                            state_.settled_index()});
 }
 
 kj::Promise<void> control_service::declared(DeclaredContext context)
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -126,6 +126,7 @@
   next_group_check_ = {};
   first_group_check_ = true;
   proposed_format_ = 0;
+  settled_index_ = 0;
   versions_.on_leader();
   if (leads)
     membership_.on_leader(machine_, monotonic_now());
@@ -148,6 +149,7 @@
   {
     note_group(now);
     propose(membership_.on_tick(machine_, now));
+    settled_index_ = membership_.settled_index();
     check_group(now);
     check_in_force(now);
   }
--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -181,8 +181,9 @@
     last_answer_ = monotonic_now();
     answered_ = true;
     set_reachable(true);
-    if (const auto update = wire::read(reply.getUpdate()))
+    if (auto update = wire::read(reply.getUpdate()))
     {
+      update.value().former_marked = reply.getFormerMarked();
       callbacks_.on_update(update.value());
       callbacks_.on_confirmed(sent_at);
     }
--- a/src/daemon/control_role.cpp
+++ b/src/daemon/control_role.cpp
@@ -56,6 +56,10 @@
   }
 }
 
+/// Time from the opening packet at a balancer until the upstream accepts the
+/// flow: both may let it wait.
+constexpr duration max_opening_time = std::chrono::seconds(15);
+
 /// What a control instance times.
 struct control_timings
 {
@@ -135,6 +139,8 @@
     options.membership.lease = settings_.lease;
     options.membership.ramp = settings_.ramp;
     options.membership.rebalance_interval = settings_.rebalance_interval;
+    options.membership.flow_lifetime =
+        settings_.max_flow_age + max_opening_time;
     options.versions.raises = settings_.raise_format_after != duration{0};
     options.versions.stable_time = settings_.raise_format_after;
     options.notify = log_notice;
--- a/src/daemon/flow_log.cpp
+++ b/src/daemon/flow_log.cpp
@@ -72,6 +72,8 @@
   void operator()(const reset_caller& reset) const
   {
     to.add("reason", to_string(reset.reason));
+    if (reset.reason == reset_reason::unknown_flow)
+      to.add("denied_by", static_cast<std::int64_t>(reset.denied_by));
   }
   void operator()(await_table) const
   {
--- a/src/relay/entry/entry_core_test.cpp
+++ b/src/relay/entry/entry_core_test.cpp
@@ -122,6 +122,34 @@
       reset_reason::unknown_flow));
 }
 
+// Guards against a reset of an open flow on a service that is not listed any
+// more (review/11), and against questions to agents that do not relay packets.
+TEST(entry_core, all_relay_services_are_searched_if_the_list_is_incomplete)
+{
+  auto declared = routes_to(5, {{"notes", 1}});
+  declared.services = {"notes", "old"};
+  auto streams = service("streams", 3, 30, 1);
+  streams.kind = service_kind::stream;
+  for (const bool incomplete : {false, true})
+  {
+    declared.routes[0].former_incomplete = incomplete;
+    install_table(table_of(
+        incomplete ? 2 : 1, declared,
+        {service("notes", 1, 10, 2), service("old", 2, 20, 1), streams}));
+    const auto first = visit_of(core.on_packet(data(), start));
+    const auto action =
+        core.on_missed(returned(first.header), endpoint_at(11), data(), start);
+    CHECK_EQUAL(!incomplete, is_reset(action, reset_reason::unknown_flow));
+    if (!incomplete)
+      continue;
+    const auto second = visit_of(action);
+    CHECK_TRUE(second.agent == endpoint_at(20));
+    CHECK_TRUE(is_reset(
+        core.on_missed(returned(second.header), endpoint_at(20), data(), start),
+        reset_reason::unknown_flow));
+  }
+}
+
 // Guards against a reset of an open flow whose upstream was never asked, when a
 // service has more upstreams than one stage has stops.
 TEST(entry_core, every_holder_is_asked_before_a_reset)
--- a/src/relay/entry/entry_search_core.cpp
+++ b/src/relay/entry/entry_search_core.cpp
@@ -140,6 +140,19 @@
       state.denials[header.stops.agents[i]] = now;
 }
 
+/// The number of agents that may hold the flow; 0 without a route.
+std::size_t entry_core::possible_holders(const flow_packet& packet) const
+{
+  const auto* const from = table_->find_route(packet.destination);
+  if (from == nullptr)
+    return 0;
+  std::size_t count = 0;
+  const auto hash = flow_hash(packet.from_caller());
+  for (const auto* service : possible_services(*table_, *from, hash))
+    count += service->table.holders.size();
+  return count;
+}
+
 /// Whether every holder that the present table lists has denied the flow since
 /// its packet came, whatever attempts, plans and earlier tables it was asked
 /// by.
@@ -362,7 +375,8 @@
   if (confirmed(now) && *confirmed_at_ >= since)
   {
     searched_.erase(flow);
-    return reset_caller{flow, packet.acknowledged, reason};
+    return reset_caller{flow, packet.acknowledged, reason,
+                        possible_holders(packet)};
   }
   state.not_found = not_found_result{table_->version(), since};
   ++counters_.awaited;
--- a/src/relay/entry/relay_table.cpp
+++ b/src/relay/entry/relay_table.cpp
@@ -173,16 +173,36 @@
   return found == services_.end() ? nullptr : found->second.get();
 }
 
-void relay_table::replace_routes(const configuration& declared)
+std::vector<const relay_service*> relay_table::services() const
+{
+  std::vector<const relay_service*> found;
+  found.reserve(services_.size());
+  for (const auto& [name, service] : services_)
+    found.push_back(service.get());
+  std::sort(found.begin(), found.end(),
+            [](const relay_service* left, const relay_service* right)
+            {
+              return left->table.id < right->table.id;
+            });
+  return found;
+}
+
+void relay_table::replace_routes(const configuration& declared,
+                                 bool former_marked)
 {
   auto next = std::make_shared<route_map>();
-  for (const auto& item : declared.routes)
-    next->emplace(key_of(item.address), std::make_shared<const route>(item));
+  for (auto item : declared.routes)
+  {
+    item.former_incomplete |= !former_marked;
+    next->emplace(key_of(item.address),
+                  std::make_shared<const route>(std::move(item)));
+  }
   routes_ = std::move(next);
   configuration_ = declared.version;
 }
 
-void relay_table::change_routes(const route_changes& changes)
+void relay_table::change_routes(const route_changes& changes,
+                                bool former_marked)
 {
   auto next = changes.whole ? std::make_shared<route_map>()
                             : std::make_shared<route_map>(*routes_);
@@ -190,13 +210,14 @@
     next->erase(key_of(address));
   for (const auto& group : changes.changed)
     for (const auto& address : group.addresses)
-      (*next)[key_of(address)] =
-          std::make_shared<const route>(route{{},
-                                              address,
-                                              group.targets,
-                                              group.timeout_ms,
-                                              group.former,
-                                              group.objectives});
+      (*next)[key_of(address)] = std::make_shared<const route>(
+          route{{},
+                address,
+                group.targets,
+                group.timeout_ms,
+                group.former,
+                group.objectives,
+                group.former_incomplete || !former_marked});
   routes_ = std::move(next);
   configuration_ = changes.version;
 }
@@ -236,9 +257,9 @@
   next.replace_evacuated(update);
   next.replace_services(update);
   if (update.declared && update.declared->version > configuration_)
-    next.replace_routes(*update.declared);
+    next.replace_routes(*update.declared, update.former_marked);
   if (update.routes && update.routes->version > configuration_)
-    next.change_routes(*update.routes);
+    next.change_routes(*update.routes, update.former_marked);
   return next;
 }
 
@@ -353,6 +374,10 @@
     add(table.find_service(target.service));
   for (const auto& name : from.former)
     add(table.find_service(name));
+  if (from.former_incomplete)
+    for (const auto* service : table.services())
+      if (service->table.kind == service_kind::relay)
+        add(service);
   return found;
 }
 
@@ -367,6 +392,8 @@
   const auto add =
       [&](const relay_service& service, holder_health health, bool wants_denied)
   {
+    if (stages.size() == max_search_stages)
+      return;
     std::size_t added = 0;
     for (const auto& agent :
          search_order(service, hash, health, unresponsive, placement))
--- a/src/relay/entry/relay_table_test.cpp
+++ b/src/relay/entry/relay_table_test.cpp
@@ -95,3 +95,23 @@
   CHECK_EQUAL(6U, next.configuration_version());
   CHECK_TRUE(next.find_route({{1}, 443}) == nullptr);
 }
+
+// Guards against trust in lists of former services by a leader whose build
+// drops services without a mark (review/11).
+TEST(relay_table, lists_of_a_build_without_marks_are_incomplete)
+{
+  auto update = difference(10, 20, {6, false, {group_at(2, 2000)}, {}});
+  CHECK_FALSE(table.apply(update).find_route({{2}, 443})->former_incomplete);
+  update.former_marked = false;
+  const auto next = table.apply(update);
+  CHECK_TRUE(next.find_route({{2}, 443})->former_incomplete);
+  CHECK_FALSE(next.find_route({{3}, 443})->former_incomplete);
+  configuration declared;
+  declared.version = 7;
+  declared.routes = {route_at(1)};
+  table_update whole;
+  whole.version = {1, 30};
+  whole.declared = declared;
+  whole.former_marked = false;
+  CHECK_TRUE(next.apply(whole).find_route({{1}, 443})->former_incomplete);
+}
--- a/src/relay/entry/search_proof_test.cpp
+++ b/src/relay/entry/search_proof_test.cpp
@@ -105,8 +105,10 @@
 TEST(search_proof, flow_that_all_agents_denied_in_two_attempts_is_reset)
 {
   repeated_search search(48);
-  CHECK_TRUE(is_reset(search.deny_all()));
+  const auto action = search.deny_all();
+  CHECK_TRUE(is_reset(action));
   CHECK_EQUAL(48U, search.denied.size());
+  CHECK_EQUAL(48U, std::get<reset_caller>(action).denied_by);
 }
 
 // Guards against a reset of an open flow whose agent has not answered.
--- a/src/table/configuration.cpp
+++ b/src/table/configuration.cpp
@@ -111,29 +111,27 @@
                                    {
                                      return target.service == name;
                                    });
-  if (!current && to.former.size() < max_former_services &&
-      std::find(to.former.begin(), to.former.end(), name) == to.former.end())
+  const auto& former = to.former;
+  if (current || std::find(former.begin(), former.end(), name) != former.end())
+    return;
+  if (former.size() < max_former_services)
     to.former.push_back(name);
+  else
+    to.former_incomplete = true;
 }
 
 } // namespace
 
-void keep_former_services(const configuration& present, configuration& next)
+void keep_former_services(const route& present, bool is_settled, route& next)
 {
-  std::map<endpoint, const route*> present_routes;
-  for (const auto& item : present.routes)
-    present_routes[item.address] = &item;
-  for (auto& item : next.routes)
-  {
-    item.former.clear();
-    const auto found = present_routes.find(item.address);
-    if (found == present_routes.end())
-      continue;
-    for (const auto& target : found->second->targets)
-      add_former_service(item, target.service);
-    for (const auto& name : found->second->former)
-      add_former_service(item, name);
-  }
+  next.former.clear();
+  next.former_incomplete = !is_settled && present.former_incomplete;
+  for (const auto& target : present.targets)
+    add_former_service(next, target.service);
+  if (is_settled)
+    return;
+  for (const auto& name : present.former)
+    add_former_service(next, name);
 }
 
 findings check_configuration(const configuration& value)
--- a/src/table/configuration_test.cpp
+++ b/src/table/configuration_test.cpp
@@ -1,5 +1,7 @@
 #include <toucanmill/table/configuration.hpp>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace toucanmill;
@@ -85,14 +87,48 @@
 // version.
 TEST(configuration, former_services_of_a_route_are_kept)
 {
-  auto first = valid_configuration();
-  auto second = valid_configuration();
-  second.routes[0].targets = {{"b", 1}};
-  keep_former_services(first, second);
-  CHECK_TRUE(second.routes[0].former == std::vector<std::string>{"a"});
-  CHECK_TRUE(second.routes[1].former.empty());
-  auto third = valid_configuration();
-  third.routes[0].targets = {{"c", 1}};
-  keep_former_services(second, third);
-  CHECK_TRUE((third.routes[0].former == std::vector<std::string>{"b", "a"}));
+  auto second = route_at(80, "b");
+  keep_former_services(route_at(80, "a"), false, second);
+  CHECK_TRUE(second.former == std::vector<std::string>{"a"});
+  auto unchanged = route_at(81, "b");
+  keep_former_services(route_at(81, "b"), false, unchanged);
+  CHECK_TRUE(unchanged.former.empty());
+  auto third = route_at(80, "c");
+  keep_former_services(second, false, third);
+  CHECK_TRUE((third.former == std::vector<std::string>{"b", "a"}));
+  CHECK_FALSE(third.former_incomplete);
+}
+
+// Guards against resets of open flows on a service that was dropped from the
+// list for want of room (review/11).
+TEST(configuration, list_without_room_for_a_former_service_is_incomplete)
+{
+  auto present = route_at(80, "s0");
+  for (std::size_t i = 1; i <= max_former_services + 1; ++i)
+  {
+    auto next = route_at(80, "s" + std::to_string(i));
+    keep_former_services(present, false, next);
+    CHECK_EQUAL(i > max_former_services, next.former_incomplete);
+    CHECK_EQUAL(std::min(i, max_former_services), next.former.size());
+    present = next;
+  }
+  // Services that become targets again make room, but not for the dropped one.
+  auto wide = route_at(80, "s2");
+  wide.targets.push_back({"s3", 1});
+  keep_former_services(present, false, wide);
+  CHECK_TRUE(wide.former.size() < max_former_services);
+  CHECK_TRUE(wide.former_incomplete);
+}
+
+// Guards against a search of every service for as long as a route exists, and
+// against a settled route that forgets the targets that it still has.
+TEST(configuration, settled_route_keeps_only_its_targets_as_former_services)
+{
+  auto present = route_at(80, "a");
+  present.former = {"b", "c"};
+  present.former_incomplete = true;
+  auto next = route_at(80, "d");
+  keep_former_services(present, true, next);
+  CHECK_TRUE(next.former == std::vector<std::string>{"a"});
+  CHECK_FALSE(next.former_incomplete);
 }
