relay: an acknowledged draining is obeyed

Cause: its announcements compete with the start before until silence decides, and are ignored meanwhile, but a late call is answered as one that took effect.

Change: while a competing start drains and the current one has not announced itself since, the agent takes no new flows. A draining that stays without effect since it lacks the birth that the upstream states is answered with 503 and counted as unproven.

Evidence: the model upstream_calls now checks that an acknowledged draining is obeyed within two and a half intervals.

--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -37,6 +37,9 @@
   accepted,
   late,    ///< not known to be newer than the current state; ignored
   foreign, ///< for another service, address or data centre; ignored
+  /// Says that an upstream drains, but is not known to come from one that may
+  /// be the current start. Ignored, so it must not be acknowledged.
+  unproven,
 };
 
 /// Tracks liveness, admission and the current start of the agent's upstream.
@@ -114,6 +117,13 @@
   /// True while the upstream admits new flows.
   bool admits(time_point now) const;
 
+  /// The upstream drains or has left, by its current start or by one that may
+  /// be newer.
+  bool takes_no_new_flows() const
+  {
+    return left_ || draining() || competing_start_drains();
+  }
+
   /// The upstream left; none of its flows exists any more.
   bool ended() const
   {
@@ -186,6 +196,9 @@
   {
     return now - last_proof_ >= proving_silence();
   }
+  /// Whether another start, which may be the one that lives, drains and the
+  /// current one has not announced itself since.
+  bool competing_start_drains() const;
   bool is_foreign(const upstream_announcement& value) const;
   bool is_current(const upstream_announcement& value) const;
   bool has_ended(const upstream_start& start) const;
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -215,9 +215,9 @@
 
 private:
   /// The verdicts, in their order, and calls that can't be read.
-  static constexpr std::array<const char*, 4> call_outcomes = {
-      "accepted", "late", "foreign", "unreadable"};
-  static constexpr std::size_t unreadable_call = 3;
+  static constexpr std::array<const char*, 5> call_outcomes = {
+      "accepted", "late", "foreign", "unproven", "unreadable"};
+  static constexpr std::size_t unreadable_call = 4;
 
   void count_call(std::size_t outcome)
   {
--- a/src/relay/agent/relay_admission_core.cpp
+++ b/src/relay/agent/relay_admission_core.cpp
@@ -122,7 +122,7 @@
 /// Held opening packets cannot be admitted later either.
 bool relay_core::admits_no_more(time_point now) const
 {
-  return stopping_ || evacuated_ || upstream_.draining() ||
+  return stopping_ || evacuated_ || upstream_.takes_no_new_flows() ||
          upstream_.is_leaving() || !upstream_.present(now);
 }
 
--- a/src/relay/agent/upstream_calls_model_test.cpp
+++ b/src/relay/agent/upstream_calls_model_test.cpp
@@ -20,7 +20,10 @@
   late_.clear();
   latest_.reset();
   if (living_)
+  {
     living_->drain_accepted = false;
+    living_->drain_acknowledged.reset();
+  }
 }
 
 void upstream_calls_model::begin_start(const std::string& id)
@@ -67,13 +70,24 @@
     late_.push_back(value);
   if (last_was_missing_)
     return;
-  const bool accepted = deliver(value) == announcement_verdict::accepted;
-  living_->drain_accepted |= accepted && living_->draining;
+  const auto verdict = deliver(value);
+  if (living_->draining)
+    note_answer_to_drain(verdict);
   latest_ = value.announced;
   if (passage == passage::twice)
     deliver(value);
 }
 
+/// A late call is acknowledged as one that is accepted.
+void upstream_calls_model::note_answer_to_drain(announcement_verdict verdict)
+{
+  living_->drain_accepted |= verdict == announcement_verdict::accepted;
+  const bool acknowledged = verdict == announcement_verdict::accepted ||
+                            verdict == announcement_verdict::late;
+  if (acknowledged && !living_->drain_acknowledged)
+    living_->drain_acknowledged = now_;
+}
+
 announcement_verdict upstream_calls_model::deliver(const call& value)
 {
   const auto verdict =
@@ -231,6 +245,9 @@
 {
   if (living_ && living_->drain_accepted && opening_reached_upstream_)
     fail("a draining upstream gets a new flow");
+  if (living_ && living_->drain_acknowledged && opening_reached_upstream_ &&
+      now_ - *living_->drain_acknowledged > drain_limit)
+    fail("an upstream gets a new flow long after an acknowledged draining");
   if (quiet_ < settled_after)
     return;
   if (!living_ && opening_reached_upstream_)
--- a/src/relay/agent/upstream_calls_model_test.hpp
+++ b/src/relay/agent/upstream_calls_model_test.hpp
@@ -91,6 +91,8 @@
 
 private:
   static constexpr duration interval = 1s;
+  /// Upstreams serve on for at least this long after an acknowledged draining.
+  static constexpr duration drain_limit = 5 * interval / 2;
   /// A start is served, and one that has left is not, after this many intervals
   /// without a disturbance: silence_limit and the interval in which it begins.
   static constexpr std::size_t settled_after = 5;
@@ -102,6 +104,8 @@
     std::uint64_t sequence = 0;
     bool draining = false;
     bool drain_accepted = false; ///< by the present process of the agent
+    /// By the present process of the agent, for the first time.
+    std::optional<time_point> drain_acknowledged;
     std::set<std::uint16_t> flows;
   };
 
@@ -114,6 +118,7 @@
   void start_agent();
   void begin_start(const std::string& id);
   void announce();
+  void note_answer_to_drain(announcement_verdict verdict);
   announcement_verdict deliver(const call& value);
   void deliver_late();
   void leave(bool is_late);
--- a/src/relay/agent/upstream_core.cpp
+++ b/src/relay/agent/upstream_core.cpp
@@ -153,7 +153,9 @@
       current_ && !is_current(value) && replaces_current(value, now);
   const bool begins = !current_ || replaces || adds_birth(value);
   if (!begins && !supersedes_silent_start(value, wall_clock_ms, now))
-    return announcement_verdict::late;
+    return value.draining && !takes_no_new_flows()
+               ? announcement_verdict::unproven
+               : announcement_verdict::late;
   const bool ended =
       replaces || (current_ && !is_current(value) && is_silent(now));
   begin_start(value, wall_clock_ms, ended, now);
@@ -303,11 +305,25 @@
          last_proof_ - *leave_announced_ < options_.answer_limit;
 }
 
+// Where births are stated, an announcement without one is of another writer,
+// who must not take the upstream out of service.
+bool upstream_core::competing_start_drains() const
+{
+  return std::any_of(competing_.begin(), competing_.end(),
+                     [this](const competing_start& item)
+                     {
+                       const bool lacks_birth =
+                           item.value.born_ms == 0 && current_->born_ms != 0;
+                       return item.value.draining && !lacks_birth &&
+                              item.uncontested_since.has_value();
+                     });
+}
+
 bool upstream_core::admits(time_point now) const
 {
   const bool silent =
       unanswered_since_ && now - *unanswered_since_ > options_.answer_limit;
-  return present(now) && !current_->draining && !is_leaving() && !silent;
+  return present(now) && !takes_no_new_flows() && !is_leaving() && !silent;
 }
 
 void upstream_core::on_known_life(incarnation known)
--- a/src/relay/agent/upstream_start_test.cpp
+++ b/src/relay/agent/upstream_start_test.cpp
@@ -48,6 +48,23 @@
     announce(2, "i-1", born, start);
   }
 
+  announcement_verdict drain(std::uint64_t sequence,
+                             const std::string& instance, std::uint64_t born,
+                             time_point now)
+  {
+    auto value = announcement(sequence, instance, born);
+    value.data_centre = "north";
+    value.draining = true;
+    return core.announce(value, 100'000, now, sink);
+  }
+
+  bool takes_new_flow(std::uint16_t port, time_point now)
+  {
+    const auto before = sink.delivered.size();
+    core.on_visit(visit(), opening(port), now, sink);
+    return sink.delivered.size() > before;
+  }
+
   void return_packet(std::uint16_t port, time_point now)
   {
     core.on_visit(visit(), data(port), now, sink);
@@ -159,3 +176,36 @@
   announce(11, "i-1", 99'500, start);
   CHECK_FALSE(core.status(start).knows_all_flows);
 }
+
+// Guards against new flows at an upstream whose draining was acknowledged: it
+// crashed, started again and drains at once (review/12).
+TEST(upstream_start, acknowledged_draining_of_a_new_start_is_obeyed)
+{
+  serve(0);
+  CHECK_TRUE(announce(1, "i-2", 0, start + 200ms) ==
+             announcement_verdict::late);
+  CHECK_TRUE(takes_new_flow(3, start + 300ms));
+  CHECK_TRUE(drain(2, "i-2", 0, start + 400ms) == announcement_verdict::late);
+  CHECK_FALSE(takes_new_flow(4, start + 500ms));
+}
+
+// Guards against an upstream that stays out of service because the draining of
+// an earlier start was held up on its way.
+TEST(upstream_start, next_announcement_overrules_a_late_draining)
+{
+  serve(0);
+  drain(1, "i-0", 0, start + 200ms);
+  CHECK_FALSE(takes_new_flow(3, start + 300ms));
+  announce(3, "i-1", 0, start + 1s);
+  CHECK_TRUE(takes_new_flow(4, start + 1s));
+}
+
+// Guards against another writer that takes the upstream out of service, and
+// against an acknowledgement of a draining that is ignored.
+TEST(upstream_start, draining_without_the_birth_is_not_acknowledged)
+{
+  serve(1000);
+  CHECK_TRUE(drain(7, "i-other", 0, start + 200ms) ==
+             announcement_verdict::unproven);
+  CHECK_TRUE(takes_new_flow(3, start + 300ms));
+}
