relay, daemon: an agent that stops as planned leaves a last list of flows

Cause: a restarted agent cannot deny flows for a minute, since flows may be missing from its list. After a series of restarts no agent can, and a balancer that does not remember a flow gives its packet to one upstream after the other, while the flow's own agent is the one that is down.

Change: once a stopping agent knows all flows and has got an announcement since the last new one, its list is marked as the last one, with the number of that announcement. The next process inherits all flows if its first announcement has the next number: no agent admits a flow before it has got an announcement, so no process can have been between that admitted one. The agent ends right after an announcement, once control keeps the list, so that the next one comes to the next process. Until then that one passes packets of unlisted flows on.

flow_list.invalid_octets_are_refused took format 2 for a later one; that is 3 now, and the truncations of format 2 are checked as well.

--- a/include/toucanmill/control/node_client.hpp
+++ b/include/toucanmill/control/node_client.hpp
@@ -45,6 +45,9 @@
   /// it the client keeps no flows.
   std::function<std::string()> make_flow_list;
 
+  /// Control keeps the list of the latest call of make_flow_list. May be empty.
+  std::function<void()> on_flow_list_kept;
+
   /// Receives the list that control has kept for this node, once after the
   /// start; empty: none. May be empty.
   std::function<void(std::string)> on_kept_flows;
--- a/include/toucanmill/relay/relay_core.hpp
+++ b/include/toucanmill/relay/relay_core.hpp
@@ -259,7 +259,7 @@
   relay_status status(time_point now) const;
 
   /// The open flows of the upstream; empty while its start is not certain.
-  flow_list list_flows() const;
+  flow_list list_flows(time_point now) const;
 
   /// Takes over a list of an earlier process. If the upstream still runs, the
   /// agent finds its flows without asking it; if it has started again, their
@@ -431,6 +431,9 @@
                   relay_sink& sink);
   void on_locate(const relay_message& message, time_point now,
                  relay_sink& sink);
+  /// The header of a visit after this agent, which cannot tell whether it holds
+  /// the flow.
+  static relay_header undecided(relay_header header);
   void pass_on(relay_header header, byte_view packet, miss_reason reason,
                relay_sink& sink);
   void return_missed(relay_header header, byte_view packet, miss_reason reason,
@@ -464,6 +467,9 @@
   using flow_iterator = std::unordered_map<flow_key, flow_state>::iterator;
   /// Resets the flow if it is open, and forgets it; returns the next one.
   flow_iterator reset_flow(flow_iterator at, time_point now, relay_sink& sink);
+  bool knows_last_flows(time_point now) const;
+  bool is_undecided_for_now(const flow_key& flow, time_point now) const;
+  void inherit_flows();
   void reset_listed(time_point now, relay_sink& sink);
   /// Forgets the listed flows of which the upstream has not sent a packet.
   void forget_listed(time_point now);
@@ -482,6 +488,22 @@
   bool evacuated_ = false;
   bool saw_start_of_upstream_ = false;
   bool saw_first_announcement_ = false; ///< of the current start
+  /// The list of an earlier process has all flows that this one has not seen.
+  bool inherits_all_flows_ = false;
+  /// An announcement, by the start that it is of and its number.
+  struct numbered_announcement
+  {
+    upstream_start of;
+    std::uint64_t number = 0;
+
+    bool operator==(const numbered_announcement& other) const
+    {
+      return of == other.of && number == other.number;
+    }
+  };
+  std::optional<numbered_announcement> first_announced_; ///< to this process
+  /// The first one to this process has to be this one for it to inherit.
+  std::optional<numbered_announcement> inheritable_;
   std::size_t bucket_count_ = 0;
   std::uint64_t configuration_ = 0;
   std::uint64_t newest_seen_ = 0;
--- a/include/toucanmill/relay/upstream_core.hpp
+++ b/include/toucanmill/relay/upstream_core.hpp
@@ -143,6 +143,12 @@
   /// The present start of the upstream.
   upstream_start start() const;
 
+  /// Number of the latest announcement of the present start.
+  std::uint64_t latest_announcement() const
+  {
+    return current_ ? current_->sequence : 0;
+  }
+
   /// Whether the upstream has announced this start to this process from its
   /// beginning, or for half of silence_limit: late announcements may be of an
   /// earlier start.
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -167,6 +167,11 @@
     const std::lock_guard lock(mutex);
     return list;
   };
+  std::atomic<int> kept_count{0};
+  callbacks.on_flow_list_kept = [&kept_count]
+  {
+    ++kept_count;
+  };
   callbacks.on_kept_flows = [&](const std::string& kept)
   {
     const std::lock_guard lock(mutex);
@@ -193,7 +198,7 @@
   CHECK_TRUE(eventually(
       [&]
       {
-        return server->counters().flow_lists > 0;
+        return server->counters().flow_lists > 0 && kept_count > 0;
       }));
   node.reset();
   node = node_client::start(options, callbacks);
--- a/src/control/flow_list_client.cpp
+++ b/src/control/flow_list_client.cpp
@@ -149,6 +149,8 @@
             unstored_.clear();
             refusals_ = 0;
             phase_ = phase::idle;
+            if (callbacks_.on_flow_list_kept)
+              callbacks_.on_flow_list_kept();
           },
           [this](kj::Exception&&)
           {
--- a/src/daemon/relay_agent_role.cpp
+++ b/src/daemon/relay_agent_role.cpp
@@ -35,6 +35,12 @@
 /// long, so that balancers learn of it before packets are lost.
 constexpr duration handover_time = std::chrono::seconds(1);
 
+/// After that it ends right after an announcement, once control keeps its last
+/// list of flows: if the next process gets the next announcement, it knows all
+/// flows. In announcement intervals.
+constexpr double max_last_list_wait = 1.5;
+constexpr double max_announcement_age = 0.25;
+
 /// Control keeps the list of flows of each agent that changed, at most once in
 /// this time and at most at this rate.
 constexpr duration flow_list_interval = std::chrono::seconds(1);
@@ -80,7 +86,8 @@
 public:
   relay_agent_role(const instance_settings& instance,
                    const agent_settings& settings)
-      : instance_(instance), identity_(relay_identity(instance, settings)),
+      : instance_(instance), announce_interval_(settings.announce_interval),
+        identity_(relay_identity(instance, settings)),
         departure_(identity_.service, identity_.id, {})
   {
   }
@@ -128,7 +135,7 @@
     const auto status = agent_->status();
     const bool nothing_left = status.ended || status.life == incarnation{};
     if (!nothing_left)
-      return since >= handover_time &&
+      return since >= handover_time && hands_flows_over(status, since) &&
              (!status.leave_pending || since >= max_stop_time(instance_));
     return departed_ || since >= max_stop_time(instance_);
   }
@@ -219,6 +226,21 @@
       "accepted", "late", "foreign", "unproven", "unreadable"};
   static constexpr std::size_t unreadable_call = 4;
 
+  /// Whether the next process can know all flows, or waiting for that is of no
+  /// use.
+  bool hands_flows_over(const relay_status& status, duration stopping_for) const
+  {
+    const auto age = monotonic_now() - time_point{duration{announced_at_}};
+    if (!status.knows_all_flows ||
+        age > announce_interval_ * max_last_list_wait)
+      return true;
+    if (last_list_kept_ && age <= announce_interval_ * max_announcement_age)
+      return true;
+    return stopping_for >=
+               handover_time + announce_interval_ * max_last_list_wait ||
+           stopping_for >= max_stop_time(instance_);
+  }
+
   void count_call(std::size_t outcome)
   {
     calls_[outcome].fetch_add(1, std::memory_order_relaxed);
@@ -246,6 +268,15 @@
     }
   }
 
+  /// A stopping agent stores its list anew after each announcement.
+  void note_announcement()
+  {
+    announced_at_ = monotonic_now().time_since_epoch().count();
+    last_list_kept_ = false;
+    if (stopping_)
+      feed_.report_now();
+  }
+
   bool announce(upstream_announcement value,
                 platform::upstream_calls::done done)
   {
@@ -256,6 +287,8 @@
         std::move(value),
         [this, draining, instance, sequence, done](announcement_verdict verdict)
         {
+          if (verdict == announcement_verdict::accepted)
+            note_announcement();
           if (verdict == announcement_verdict::accepted &&
               (instance != announced_ || draining != announced_draining_))
           {
@@ -315,6 +348,7 @@
     const auto list = agent_->list_flows();
     if (list.of == upstream_start{})
       return {};
+    made_last_list_ = list.last_announcement != 0;
     auto octets = encode(list);
     if (octets == flow_list_)
       return {};
@@ -325,6 +359,11 @@
     return octets;
   }
 
+  void flow_list_kept() override
+  {
+    last_list_kept_ = made_last_list_;
+  }
+
   void take_kept_flows(const std::string& octets) override
   {
     if (octets.empty())
@@ -333,7 +372,8 @@
     if (!kept)
       return log_event(event::kept_flows_unusable, kept.error().message);
     log_event(event::kept_flows_taken,
-              std::to_string(kept.value().flows.size()) + " flows");
+              std::to_string(kept.value().flows.size()) + " flows" +
+                  (kept.value().last_announcement != 0 ? ", last list" : ""));
     agent_->restore_flows(std::move(kept.value()));
   }
 
@@ -392,6 +432,7 @@
   }
 
   instance_settings instance_;
+  duration announce_interval_;
   node_identity identity_;
   std::unique_ptr<relay_agent> agent_;
   table_version applied_;     ///< used on the client's thread only
@@ -404,6 +445,9 @@
   bool reported_departure_ = false; ///< used on the client's thread only
   agent_departure departure_;       ///< used on the client's thread only
   std::array<std::atomic<std::uint64_t>, call_outcomes.size()> calls_{};
+  bool made_last_list_ = false; ///< used on the client's thread only
+  std::atomic<bool> last_list_kept_{false}; ///< since the latest announcement
+  std::atomic<duration::rep> announced_at_{0};
   std::atomic<bool> departed_{false};
   std::atomic<bool> stopping_{false};
   latency_histogram handshakes_{
--- a/src/daemon/table_feed.hpp
+++ b/src/daemon/table_feed.hpp
@@ -46,6 +46,9 @@
     return {};
   }
 
+  /// Control keeps the list of the latest call of make_flow_list.
+  virtual void flow_list_kept() {}
+
   /// The list of an earlier process; empty: none.
   virtual void take_kept_flows(const std::string&) {}
 };
@@ -141,6 +144,10 @@
       {
         return node.make_flow_list();
       };
+    out.on_flow_list_kept = [&node]
+    {
+      node.flow_list_kept();
+    };
     out.on_kept_flows = [&node](const std::string& list)
     {
       node.take_kept_flows(list);
--- a/src/relay/agent/relay_agent.cpp
+++ b/src/relay/agent/relay_agent.cpp
@@ -161,7 +161,7 @@
     return loop_.call<flow_list>(
         [this]
         {
-          return core_.list_flows();
+          return core_.list_flows(monotonic_now());
         });
   }
 
--- a/src/relay/agent/relay_core.cpp
+++ b/src/relay/agent/relay_core.cpp
@@ -156,6 +156,9 @@
     count(relay_event::not_held);
     return pass_on(header, message.packet, miss_reason::unknown_flow, sink);
   }
+  if (!header.remembered && is_undecided_for_now(packet->from_caller(), now))
+    return pass_on(undecided(header), message.packet, miss_reason::unknown_flow,
+                   sink);
   const bool held = hold_request(message, *packet, now, sink);
   if (!held)
     track_caller_packet(*packet, now);
@@ -170,7 +173,7 @@
 void relay_core::on_locate(const relay_message& message, time_point now,
                            relay_sink& sink)
 {
-  auto header = message.header;
+  const auto& header = message.header;
   const auto key = decode_flow(message.packet);
   if (!key)
     return count(relay_event::malformed);
@@ -183,11 +186,17 @@
   const auto found = flows_.find(*key);
   if (found != flows_.end() && found->second.answered)
     return send_found(header, *key, found->second, now, sink);
-  if (lacks_flow(*key, now))
+  const bool lacks = lacks_flow(*key, now);
+  if (lacks)
     count(relay_event::not_held);
-  else
-    header.undecided |= static_cast<std::uint16_t>(1U << header.stop);
-  pass_on(header, message.packet, miss_reason::unknown_flow, sink);
+  pass_on(lacks ? header : undecided(header), message.packet,
+          miss_reason::unknown_flow, sink);
+}
+
+relay_header relay_core::undecided(relay_header header)
+{
+  header.undecided |= static_cast<std::uint16_t>(1U << header.stop);
+  return header;
 }
 
 void relay_core::open_flow(const relay_message& message,
--- a/src/relay/agent/relay_flows_core.cpp
+++ b/src/relay/agent/relay_flows_core.cpp
@@ -31,7 +31,7 @@
 
 bool relay_core::knows_all_flows(time_point now) const
 {
-  return saw_start_of_upstream_ ||
+  return saw_start_of_upstream_ || inherits_all_flows_ ||
          options_.max_flow_age <= now - options_.started;
 }
 
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -2,29 +2,61 @@
 
 #include <toucanmill/relay/relay_core.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace toucanmill
 {
 
-flow_list relay_core::list_flows() const
+flow_list relay_core::list_flows(time_point now) const
 {
   flow_list list;
   const bool listed_are_certain = listed_of_ == upstream_start{};
   if (upstream_.ended() || !upstream_.is_start_certain() || !listed_are_certain)
     return list;
   list.of = upstream_.start();
+  const bool is_last = knows_last_flows(now);
+  if (is_last)
+    list.last_announcement = upstream_.latest_announcement();
   const auto accepted_until = upstream_.accepted_until();
   for (const auto& [flow, state] : flows_)
-    if (state.open && !state.ended && state.seen_since <= accepted_until)
+    if (is_last ||
+        (state.open && !state.ended && state.seen_since <= accepted_until))
       list.flows.push_back({flow, state.acknowledged});
   return list;
 }
 
+/// Whether the agent knows all flows that its upstream may hold, also those
+/// that are not open yet, and admits no more. A flow that it saw first after
+/// the latest announcement may be of another start.
+bool relay_core::knows_last_flows(time_point now) const
+{
+  const auto accepted_until = upstream_.accepted_until();
+  return stopping_ && knows_all_flows(now) &&
+         std::all_of(flows_.begin(), flows_.end(),
+                     [accepted_until](const auto& item)
+                     {
+                       return item.second.seen_since <= accepted_until;
+                     });
+}
+
+/// An agent admits no flow before it has got an announcement. So if none comes
+/// between the latest one that an earlier process got and the first one that
+/// this process got, no process has admitted a flow since the list was made,
+/// whatever processes there were and whichever of the lists this one is.
+void relay_core::inherit_flows()
+{
+  if (inheritable_ && first_announced_ && *inheritable_ == *first_announced_)
+    inherits_all_flows_ = true;
+}
+
 void relay_core::restore_flows(const flow_list& kept, time_point now,
                                relay_sink& sink)
 {
+  const bool knew_all_flows = knows_all_flows(now);
   listed_of_ = kept.of;
+  if (kept.last_announcement != 0)
+    inheritable_ = {kept.of, kept.last_announcement + 1};
   for (const auto& [flow, acknowledged] : kept.flows)
   {
     if (returned_.contains(flow))
@@ -38,8 +70,19 @@
     state.seen_since = state.used = now;
   }
   reset_listed(now, sink);
-  if (knows_all_flows(now))
+  if (knew_all_flows)
     forget_listed(now);
+  inherit_flows();
+}
+
+/// Whether the next announcement will very likely tell that the upstream does
+/// not hold the flow: its packet would most likely reach a wrong upstream.
+bool relay_core::is_undecided_for_now(const flow_key& flow,
+                                      time_point now) const
+{
+  return inheritable_ && !first_announced_ && flows_.count(flow) == 0 &&
+         now - options_.started <=
+             2 * options_.upstream.announcement_interval();
 }
 
 void relay_core::forget_listed(time_point now)
--- a/src/relay/agent/relay_list_model_test.hpp
+++ b/src/relay/agent/relay_list_model_test.hpp
@@ -227,7 +227,7 @@
 
   void keep_list(node& at)
   {
-    if (auto list = at.agent->list_flows(); !(list == flow_list{}))
+    if (auto list = at.agent->list_flows(now_); !(list == flow_list{}))
       at.kept.push_back(std::move(list));
   }
 
--- a/src/relay/agent/relay_list_test.cpp
+++ b/src/relay/agent/relay_list_test.cpp
@@ -77,7 +77,7 @@
   agent.announce(of);
   agent.open(1);
   agent.open(2);
-  return agent.core.list_flows();
+  return agent.core.list_flows(start);
 }
 
 } // namespace
@@ -90,22 +90,22 @@
   listed_agent agent;
   agent.announce(unborn(5));
   agent.open(1);
-  CHECK_TRUE(agent.core.list_flows() == flow_list{});
+  CHECK_TRUE(agent.core.list_flows(start) == flow_list{});
   agent.announce(unborn(6), 1s);
-  CHECK_TRUE(agent.core.list_flows() == flow_list{});
+  CHECK_TRUE(agent.core.list_flows(start) == flow_list{});
   agent.announce(unborn(7), 3s);
-  CHECK_EQUAL(1U, agent.core.list_flows().flows.size());
+  CHECK_EQUAL(1U, agent.core.list_flows(start).flows.size());
 }
 
 // Guards against lists with flows that a later process would report wrongly.
 TEST(relay_list, list_has_the_open_flows_with_the_position_of_their_callers)
 {
   listed_agent agent;
-  CHECK_TRUE(agent.core.list_flows() == flow_list{});
+  CHECK_TRUE(agent.core.list_flows(start) == flow_list{});
   agent.announce(announcement());
   agent.open(1);
   agent.core.on_visit(visit(), opening(2), start, agent.sink);
-  const auto list = agent.core.list_flows();
+  const auto list = agent.core.list_flows(start);
   CHECK_EQUAL(1U, list.flows.size());
   CHECK_EQUAL(1U, list.flows[0].flow.caller.port);
   CHECK_EQUAL(data(1).acknowledged, list.flows[0].acknowledged);
@@ -161,7 +161,7 @@
   agent.core.restore_flows(two_flows(unborn(1)), start, agent.sink);
   agent.announce(unborn(9, "i-0"));
   CHECK_EQUAL(0U, agent.sink.resets.size());
-  CHECK_TRUE(agent.core.list_flows() == flow_list{});
+  CHECK_TRUE(agent.core.list_flows(start) == flow_list{});
   agent.announce(unborn(5));
   agent.announce(unborn(6));
   CHECK_EQUAL(0U, agent.sink.resets.size());
@@ -272,9 +272,9 @@
   listed_agent agent;
   agent.announce(unborn(1));
   agent.open(1, 500ms);
-  CHECK_EQUAL(0U, agent.core.list_flows().flows.size());
+  CHECK_EQUAL(0U, agent.core.list_flows(start).flows.size());
   agent.announce(unborn(2), 1s);
-  CHECK_EQUAL(1U, agent.core.list_flows().flows.size());
+  CHECK_EQUAL(1U, agent.core.list_flows(start).flows.size());
 }
 
 // Guards against a reset at the position of another flow of the same address
@@ -361,7 +361,7 @@
     default:
       agent_->announce(present(++sequence_));
     }
-    if (auto list = agent_->core.list_flows();
+    if (auto list = agent_->core.list_flows(start);
         !(list == flow_list{}) && random_() % 2 == 0)
       kept_ = std::move(list);
     check();
--- a/src/relay/agent/relay_upstream_core.cpp
+++ b/src/relay/agent/relay_upstream_core.cpp
@@ -38,6 +38,11 @@
         saw_first_announcement_ && upstream_.is_start_repeated();
     reset_listed(now, sink);
     take_state(value, now);
+    if (!first_announced_)
+    {
+      first_announced_ = {upstream_.start(), value.sequence};
+      inherit_flows();
+    }
   }
   return verdict;
 }
@@ -90,6 +95,7 @@
   const auto own_age = now - options_.started;
   const bool is_younger = has_age && age <= own_age &&
                           announced_for(value, interval) <= own_age + interval;
+  inherits_all_flows_ = false;
   saw_first_announcement_ = is_first;
   saw_start_of_upstream_ =
       (is_first && (value.born_ms != 0 || restarted)) || is_younger;
--- a/src/relay/agent/upstream_calls_model_test.cpp
+++ b/src/relay/agent/upstream_calls_model_test.cpp
@@ -11,7 +11,7 @@
   options.upstream.silence_limit = 4 * interval;
   options.max_tracked_visits = 256;
   if (agent_)
-    if (auto list = agent_->list_flows(); !(list == flow_list{}))
+    if (auto list = agent_->list_flows(now_); !(list == flow_list{}))
       kept_ = std::move(list);
   agent_ = std::make_unique<relay_core>(options);
   agent_->set_configuration(routes_to(5, {{"notes", 1}}));
--- a/src/table/flow_list.cpp
+++ b/src/table/flow_list.cpp
@@ -13,10 +13,15 @@
 {
 
 constexpr std::uint32_t list_format = 1;
+constexpr std::uint32_t last_list_format = 2; ///< and last_announcement
 constexpr std::size_t header_octets = 20;
+constexpr std::size_t last_list_header_octets = 28;
 constexpr std::size_t flow_octets = 16;
-constexpr std::size_t max_flows =
-    (max_flow_list_octets - header_octets) / flow_octets;
+
+std::size_t max_flows(std::size_t header)
+{
+  return (max_flow_list_octets - header) / flow_octets;
+}
 
 void store(unsigned char* to, const listed_flow& value)
 {
@@ -42,30 +47,45 @@
 
 std::string encode(const flow_list& list)
 {
-  const auto count = std::min(list.flows.size(), max_flows);
-  std::string bytes(header_octets + count * flow_octets, '\0');
-  boost::endian::store_big_u32(octets_at(bytes, 0), list_format);
+  const bool is_last = list.last_announcement != 0 &&
+                       list.flows.size() <= max_flows(last_list_header_octets);
+  const auto header = is_last ? last_list_header_octets : header_octets;
+  const auto count = std::min(list.flows.size(), max_flows(header));
+  std::string bytes(header + count * flow_octets, '\0');
+  boost::endian::store_big_u32(octets_at(bytes, 0),
+                               is_last ? last_list_format : list_format);
   boost::endian::store_big_u64(octets_at(bytes, 4), list.of.instance);
   boost::endian::store_big_u64(octets_at(bytes, 12), list.of.born_ms);
+  if (is_last)
+    boost::endian::store_big_u64(octets_at(bytes, header_octets),
+                                 list.last_announcement);
   for (std::size_t i = 0; i < count; ++i)
-    store(octets_at(bytes, header_octets + i * flow_octets), list.flows[i]);
+    store(octets_at(bytes, header + i * flow_octets), list.flows[i]);
   return bytes;
 }
 
 result<flow_list> decode_flow_list(std::string_view bytes)
 {
-  if (bytes.size() < header_octets || bytes.size() > max_flow_list_octets ||
-      (bytes.size() - header_octets) % flow_octets != 0)
-    return error{error_code::corrupt_data,
-                 "a flow list of " + std::to_string(bytes.size()) + " octets"};
-  if (const auto format = boost::endian::load_big_u32(octets_at(bytes, 0));
-      format != list_format)
+  const auto format = bytes.size() < header_octets
+                          ? 0
+                          : boost::endian::load_big_u32(octets_at(bytes, 0));
+  if (bytes.size() >= header_octets && format != list_format &&
+      format != last_list_format)
     return error{error_code::corrupt_data,
                  "a flow list of format " + std::to_string(format)};
+  const bool is_last = format == last_list_format;
+  const auto header = is_last ? last_list_header_octets : header_octets;
+  if (bytes.size() < header || bytes.size() > max_flow_list_octets ||
+      (bytes.size() - header) % flow_octets != 0)
+    return error{error_code::corrupt_data,
+                 "a flow list of " + std::to_string(bytes.size()) + " octets"};
   flow_list list;
   list.of.instance = boost::endian::load_big_u64(octets_at(bytes, 4));
   list.of.born_ms = boost::endian::load_big_u64(octets_at(bytes, 12));
-  for (std::size_t at = header_octets; at < bytes.size(); at += flow_octets)
+  if (is_last)
+    list.last_announcement =
+        boost::endian::load_big_u64(octets_at(bytes, header_octets));
+  for (std::size_t at = header; at < bytes.size(); at += flow_octets)
     list.flows.push_back(load(octets_at(bytes, at)));
   return list;
 }
--- a/src/table/flow_list_test.cpp
+++ b/src/table/flow_list_test.cpp
@@ -28,6 +28,30 @@
                list_of(flows));
 }
 
+// Guards against a last list that loses its number, and against another list
+// that is taken for one.
+TEST(flow_list, last_list_is_the_same_after_decoding)
+{
+  for (const std::size_t flows : {0U, 1U, 300U, 4095U})
+  {
+    auto list = list_of(flows);
+    const auto octets = encode(list).size();
+    list.last_announcement = 0x0102030405060708;
+    CHECK_TRUE(decode_flow_list(encode(list)).value() == list);
+    CHECK_EQUAL(octets + 8, encode(list).size());
+  }
+}
+
+// Guards against a last list of which flows were left out.
+TEST(flow_list, list_without_room_for_all_flows_is_no_last_one)
+{
+  auto list = list_of(4096);
+  list.last_announcement = 7;
+  const auto bytes = encode(list);
+  CHECK_EQUAL(max_flow_list_octets, bytes.size());
+  CHECK_EQUAL(0U, decode_flow_list(bytes).value().last_announcement);
+}
+
 // Guards against a list that the receiver would refuse whole.
 TEST(flow_list, flows_beyond_the_limit_are_left_out)
 {
@@ -45,6 +69,12 @@
     if (size != 20 && size != 36)
       CHECK_TRUE(decode_flow_list(bytes.substr(0, size)).has_error());
   auto later = bytes;
-  later[3] = 2;
+  later[3] = 3;
   CHECK_TRUE(decode_flow_list(later).has_error());
+  auto last = list_of(2);
+  last.last_announcement = 7;
+  const auto last_bytes = encode(last);
+  for (std::size_t size = 0; size < last_bytes.size(); ++size)
+    if (size != 28 && size != 44)
+      CHECK_TRUE(decode_flow_list(last_bytes.substr(0, size)).has_error());
 }
