control: a list of flows goes to the next keeper at once

An agent whose first keeper was being restarted asked the next one after its next report only, and ended before.

Change: a refused or failed call is followed by the next instance at once, each instance once for a list; after a round as before. Flows that ended are not in a last list: they would be claimed for a minute.

The new test fails before.

--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -212,6 +212,47 @@
   CHECK_TRUE(received[1] == list);
 }
 
+// Guards against a stopping agent whose last list is not kept since the
+// instances that it asks first are being restarted.
+TEST(control_server, list_goes_to_the_next_instance_without_another_report)
+{
+  const auto server = start_single(folder, rpc);
+  std::atomic<int> reports{0};
+  std::atomic<int> reports_until_kept{0};
+  node_callbacks callbacks;
+  callbacks.make_report = [&reports]
+  {
+    ++reports;
+    return node_report{};
+  };
+  callbacks.on_update = [](const table_update&) {};
+  callbacks.on_confirmed = [](time_point) {};
+  callbacks.on_order = [](node_order) {};
+  callbacks.on_reachable = [](bool) {};
+  callbacks.make_flow_list = []
+  {
+    return std::string("list");
+  };
+  callbacks.on_flow_list_kept = [&]
+  {
+    if (reports_until_kept == 0)
+      reports_until_kept = reports.load();
+  };
+  node_client_options options;
+  options.control = {rpc};
+  for (int i = 0; i < 6; ++i)
+    options.control.push_back(free_endpoint());
+  options.report_interval = std::chrono::milliseconds(300);
+  const auto node = node_client::start(options, callbacks);
+  CHECK_TRUE(eventually(
+      [&]
+      {
+        return reports_until_kept > 0;
+      }));
+  // The first report brings the list of before, the second one stores.
+  CHECK_TRUE(reports_until_kept <= 3);
+}
+
 // Guards against agents that connect to one control instance after the other
 // for ever where none of them has a disk.
 TEST(control_server, node_asks_instances_that_keep_no_lists_once_in_a_while)
--- a/src/control/flow_list_client.cpp
+++ b/src/control/flow_list_client.cpp
@@ -163,9 +163,15 @@
   phase_ = phase::idle;
   if (instances_.empty())
     return;
+  select((selected_ + 1) % instances_.size());
   if (++refusals_ % instances_.size() == 0)
+  {
     next_store_ = monotonic_now() + refused_delay;
-  select((selected_ + 1) % instances_.size());
+    return;
+  }
+  // A stopping node has no time to wait for its next report.
+  phase_ = phase::storing;
+  tasks_.add(store(unstored_));
 }
 
 void flow_list_client::taskFailed(kj::Exception&&)
--- a/src/relay/agent/relay_list_core.cpp
+++ b/src/relay/agent/relay_list_core.cpp
@@ -20,9 +20,11 @@
     list.last_announcement = upstream_.latest_announcement();
   const auto accepted_until = upstream_.accepted_until();
   for (const auto& [flow, state] : flows_)
-    if (is_last ||
-        (state.open && !state.ended && state.seen_since <= accepted_until))
+  {
+    const bool is_open = state.open && state.seen_since <= accepted_until;
+    if (!state.ended && (is_last || is_open))
       list.flows.push_back({flow, state.acknowledged});
+  }
   return list;
 }
 
