relay: a route is not used after it was moved

Found by the linter; the address was still there, since moving copies it. The format of a header is the formatter's again. relay_test -g relay_table passes.

--- a/include/toucanmill/table/flow_list.hpp
+++ b/include/toucanmill/table/flow_list.hpp
@@ -43,9 +43,9 @@
 {
   upstream_start of;
   std::vector<listed_flow> flows;
-  /// The agent's last list: it has all flows that the upstream may hold, and the
-  /// agent admits no more. Number of the latest announcement that it got; 0: an
-  /// earlier list.
+  /// The agent's last list: it has all flows that the upstream may hold, and
+  /// the agent admits no more. Number of the latest announcement that it got;
+  /// 0: an earlier list.
   std::uint64_t last_announcement = 0;
 
   bool operator==(const flow_list& other) const
@@ -58,7 +58,8 @@
 /// Octets of the longest encoded list: an upstream of 4,096 flows.
 inline constexpr std::size_t max_flow_list_octets = 20 + 16 * 4096;
 
-/// Flows beyond max_flow_list_octets are left out; the list is then no last one.
+/// Flows beyond max_flow_list_octets are left out; the list is then no last
+/// one.
 std::string encode(const flow_list& list);
 
 /// Error: corrupt_data.
--- a/src/relay/entry/relay_table.cpp
+++ b/src/relay/entry/relay_table.cpp
@@ -191,11 +191,11 @@
                                  bool former_marked)
 {
   auto next = std::make_shared<route_map>();
-  for (auto item : declared.routes)
+  for (const auto& item : declared.routes)
   {
-    item.former_incomplete |= !former_marked;
-    next->emplace(key_of(item.address),
-                  std::make_shared<const route>(std::move(item)));
+    auto copy = std::make_shared<route>(item);
+    copy->former_incomplete |= !former_marked;
+    next->emplace(key_of(item.address), std::move(copy));
   }
   routes_ = std::move(next);
   configuration_ = declared.version;
