--- a/src/cluster/former_services_test.cpp
+++ b/src/cluster/former_services_test.cpp
@@ -2,10 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <capnp/message.h>
-#include <state.capnp.h>
-
-#include "message.hpp"
+#include "former_marks_test.hpp"
 #include "test_support.hpp"
 
 using namespace toucanmill;
@@ -16,23 +13,6 @@
 
 const endpoint public_address = address_of(900);
 
-/// The snapshot as builds wrote it that mark no list of former services.
-std::string without_marks(const std::string& snapshot)
-{
-  const auto rewritten = detail::deserialize<schema::Snapshot, std::string>(
-      snapshot,
-      [](schema::Snapshot::Reader from) -> result<std::string>
-      {
-        capnp::MallocMessageBuilder message;
-        message.setRoot(from);
-        for (auto item :
-             message.getRoot<schema::Snapshot>().getDeclared().getRoutes())
-          item.setFormerMarked(false);
-        return detail::serialize(message);
-      });
-  return rewritten.value();
-}
-
 } // namespace
 
 TEST_GROUP(former_services)
@@ -128,7 +108,8 @@
   declare("a");
   declare("b");
   const auto restored =
-      state_machine::restore(without_marks(control.state.snapshot())).value();
+      state_machine::restore(without_former_marks(control.state.snapshot()))
+          .value();
   CHECK_TRUE(restored.declared().routes.at(1).former_incomplete);
   CHECK_FALSE(restored.declared().routes.at(0).former_incomplete);
 }
--- a/src/control/control_server_test.cpp
+++ b/src/control/control_server_test.cpp
@@ -39,6 +39,20 @@
   return descriptor;
 }
 
+node_callbacks callbacks_without_effect()
+{
+  node_callbacks callbacks;
+  callbacks.make_report = []
+  {
+    return node_report{};
+  };
+  callbacks.on_update = [](const table_update&) {};
+  callbacks.on_confirmed = [](time_point) {};
+  callbacks.on_order = [](node_order) {};
+  callbacks.on_reachable = [](bool) {};
+  return callbacks;
+}
+
 } // namespace
 
 TEST_GROUP_BASE(control_server, control_server_fixture){};
@@ -105,7 +119,7 @@
   const auto server = start_single(folder, rpc);
   std::atomic<std::uint64_t> applied{0};
   std::atomic<bool> hold{true};
-  node_callbacks callbacks;
+  auto callbacks = callbacks_without_effect();
   callbacks.make_report = [&]
   {
     node_report report;
@@ -153,15 +167,7 @@
   std::mutex mutex;
   std::vector<std::string> received;
   std::string list;
-  node_callbacks callbacks;
-  callbacks.make_report = []
-  {
-    return node_report{};
-  };
-  callbacks.on_update = [](const table_update&) {};
-  callbacks.on_confirmed = [](time_point) {};
-  callbacks.on_order = [](node_order) {};
-  callbacks.on_reachable = [](bool) {};
+  auto callbacks = callbacks_without_effect();
   callbacks.make_flow_list = [&]
   {
     const std::lock_guard lock(mutex);
@@ -219,16 +225,12 @@
   const auto server = start_single(folder, rpc);
   std::atomic<int> reports{0};
   std::atomic<int> reports_until_kept{0};
-  node_callbacks callbacks;
+  auto callbacks = callbacks_without_effect();
   callbacks.make_report = [&reports]
   {
     ++reports;
     return node_report{};
   };
-  callbacks.on_update = [](const table_update&) {};
-  callbacks.on_confirmed = [](time_point) {};
-  callbacks.on_order = [](node_order) {};
-  callbacks.on_reachable = [](bool) {};
   callbacks.make_flow_list = []
   {
     return std::string("list");
@@ -261,16 +263,12 @@
   const auto server = start(make_options("", {{{1}, rpc, true}}, 0));
   std::atomic<int> asked{0};
   std::atomic<int> reports{0};
-  node_callbacks callbacks;
+  auto callbacks = callbacks_without_effect();
   callbacks.make_report = [&reports]
   {
     ++reports;
     return node_report{};
   };
-  callbacks.on_update = [](const table_update&) {};
-  callbacks.on_confirmed = [](time_point) {};
-  callbacks.on_order = [](node_order) {};
-  callbacks.on_reachable = [](bool) {};
   callbacks.make_flow_list = [&asked]
   {
     ++asked;
--- a/src/control/former_services_model_test.cpp
+++ b/src/control/former_services_model_test.cpp
@@ -3,12 +3,10 @@
 #include <algorithm>
 
 #include <CppUTest/TestHarness.h>
-#include <capnp/message.h>
-#include <state.capnp.h>
 
 #include <toucanmill/table/flow_hash.hpp>
 
-#include "../cluster/message.hpp"
+#include "../cluster/former_marks_test.hpp"
 #include "../relay/relay_fixture_test.hpp"
 
 namespace toucanmill::former_services_test
@@ -50,26 +48,6 @@
   return options;
 }
 
-/// The snapshot as builds wrote it that mark no list of former services.
-std::string without_marks(const std::string& snapshot)
-{
-  const auto rewritten = detail::deserialize<schema::Snapshot, std::string>(
-      snapshot,
-      [](schema::Snapshot::Reader from) -> result<std::string>
-      {
-        capnp::MallocMessageBuilder message;
-        message.setRoot(from);
-        for (auto item :
-             message.getRoot<schema::Snapshot>().getDeclared().getRoutes())
-        {
-          item.setFormerIncomplete(false);
-          item.setFormerMarked(false);
-        }
-        return detail::serialize(message);
-      });
-  return rewritten.value();
-}
-
 bool has_agent(const service_table& table, const endpoint& agent)
 {
   return std::any_of(table.holders.begin(), table.holders.end(),
@@ -143,9 +121,11 @@
   if (one_in(2))
   {
     const auto snapshot = machine_.snapshot();
-    machine_ = state_machine::restore(
-                   earlier_build_leads_ ? without_marks(snapshot) : snapshot)
-                   .value();
+    machine_ =
+        state_machine::restore(earlier_build_leads_
+                                   ? support::without_former_marks(snapshot)
+                                   : snapshot)
+            .value();
   }
   membership_->on_leader(machine_, now_);
 }
